Lay the Maven build, its checks and the message generator

Cause: nothing exists yet; every later part needs one build with the formatter, the linter and the generated messages. Ruled out: generating at build time (the build would need the generator), a text template (JavaPoet writes records and imports correctly). Change: six modules, Apache Maven code style by spotless and checkstyle, records generated from JSON Schema with a test that fails when they are stale.

--- /dev/null
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/ControlMessage.java
@@ -0,0 +1,8 @@
+// Generated from the message schemas; see docs/INTERFACE.md. Do not edit.
+package org.rattanplank.schema.message;
+
+/**
+ * Messages that pass configuration and summaries between hosts.
+ */
+public sealed interface ControlMessage extends PeerMessage permits ConfigurationPull, ConfigurationPush {
+}
