Fix the core's interfaces: events, actions and one thin node

Cause: the parts are to be built side by side, so their names, types and protocols have to stand first. Ruled out: one interface per part with a fake behind it (the thin parts themselves serve as fakes), a core that calls out (nothing could be replayed).

--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Explanation.java
@@ -0,0 +1,34 @@
+package org.rattanplank.core;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.rattanplank.core.route.Routing;
+
+/**
+ * Why a request went where it went. Immutable and thread safe.
+ *
+ * @param requestId the request
+ * @param service the service that was asked for
+ * @param routings the decisions on its attempts, oldest first
+ * @param outcome the outcome's label, empty while it runs
+ */
+public record Explanation(String requestId, String service, List<Routing> routings, String outcome) {
+    public Explanation {
+        Objects.requireNonNull(requestId, "requestId");
+        routings = List.copyOf(routings);
+        outcome = Objects.requireNonNullElse(outcome, "");
+    }
+
+    Explanation withRouting(Routing routing) {
+        return new Explanation(
+                requestId,
+                service,
+                io.vavr.collection.List.ofAll(routings).append(routing).asJava(),
+                outcome);
+    }
+
+    Explanation withOutcome(String label) {
+        return new Explanation(requestId, service, routings, label);
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
@@ -0,0 +1,325 @@
+package org.rattanplank.core;
+
+import java.util.List;
+
+import io.vavr.control.Option;
+import org.rattanplank.core.claim.Claims;
+import org.rattanplank.core.control.ControlStep;
+import org.rattanplank.core.control.Controller;
+import org.rattanplank.core.host.ListedHost;
+import org.rattanplank.core.host.Place;
+import org.rattanplank.core.intent.Account;
+import org.rattanplank.core.intent.Configuration;
+import org.rattanplank.core.intent.ConfigurationStep;
+import org.rattanplank.core.intent.Configurations;
+import org.rattanplank.core.member.EntryHosts;
+import org.rattanplank.core.member.MemberStep;
+import org.rattanplank.core.member.Members;
+import org.rattanplank.core.member.SelfReport;
+import org.rattanplank.core.route.Policy;
+import org.rattanplank.core.route.Router;
+import org.rattanplank.core.store.StoreOwner;
+import org.rattanplank.schema.message.ClaimMessage;
+import org.rattanplank.schema.message.ControlMessage;
+import org.rattanplank.schema.message.Heartbeat;
+import org.rattanplank.schema.message.MemberMessage;
+import org.rattanplank.schema.message.PeerMessage;
+
+/**
+ * Every decision of one entry host: it takes events with the time and returns what to do.
+ *
+ * <p>Invariant: the same events at the same times with the same seed give the same actions; a node has no socket, clock
+ * or thread of its own. Thread safe: workers may hand in events at once. Lock order: one request's lock, then the lock
+ * of one part; see {@link RequestFlow}.
+ */
+public final class Node {
+    private final NodeIdentity self;
+    private final Members members;
+    private final Configurations configurations;
+    private final Claims claims;
+    private final Router router;
+    private final Controller controller;
+    private final Explanations explanations = new Explanations();
+    private final RequestFlow requests;
+    private volatile boolean leaveAsked;
+    private volatile boolean stopped;
+
+    private Node(NodeIdentity self, Policy policy, long seed) {
+        this.self = self;
+        members = Members.of(self);
+        configurations = Configurations.of(self);
+        claims = Claims.of(self);
+        router = Router.of(self.place(), policy, seed);
+        controller = Controller.of(self);
+        requests = new RequestFlow(self, members, configurations, claims, router, explanations);
+    }
+
+    /**
+     * Makes a node that knows nothing yet.
+     *
+     * @param self which entry host it is
+     * @param policy what the deployment weighs
+     * @param seed the seed of random choices
+     * @return the node
+     */
+    public static Node of(NodeIdentity self, Policy policy, long seed) {
+        return new Node(self, policy, seed);
+    }
+
+    /**
+     * Finds out why a request went where it went.
+     *
+     * @param requestId the request
+     * @return the explanation, or none if the request is not among the newest
+     */
+    public Option<Explanation> explain(String requestId) {
+        return explanations.find(requestId);
+    }
+
+    /**
+     * Tells callers which entry hosts to use.
+     *
+     * @param account the caller's account, or empty
+     * @param nowMillis the time
+     * @return the hosts, best first
+     */
+    public EntryHosts entryHosts(String account, long nowMillis) {
+        String home = configurations
+                .current()
+                .account(account)
+                .map(Account::homeDataCentre)
+                .getOrElse(self.place().dataCentre());
+        return members.entryHosts(account, home, nowMillis);
+    }
+
+    /**
+     * The configuration in force.
+     *
+     * @return the newest that was learned
+     */
+    public Configuration configuration() {
+        return configurations.current();
+    }
+
+    /**
+     * Tells whether callers should be sent here.
+     *
+     * @return whether a configuration is in force and the node takes new work
+     */
+    public boolean isReady() {
+        return configurations.current().generation() > 0 && !requests.isDraining();
+    }
+
+    /**
+     * Sums up what the node knows.
+     *
+     * @return the status
+     */
+    public NodeStatus status() {
+        Configuration configuration = configurations.current();
+        return new NodeStatus(
+                self,
+                configuration.generation(),
+                configuration.digest(),
+                claims.viewNumber(),
+                requests.inFlight(),
+                requests.isDraining(),
+                members.targetsTakingWork(),
+                members.remoteRegions(),
+                members.leaving());
+    }
+
+    /**
+     * Takes an event.
+     *
+     * @param event what happened
+     * @param nowMillis the time, which never falls
+     * @return what to do, in this order
+     */
+    public List<Action> handle(Event event, long nowMillis) {
+        Effects effects = new Effects();
+        apply(event, nowMillis, effects);
+        while (!effects.decisions().isEmpty()) {
+            requests.decided(effects.decisions().poll(), nowMillis, effects);
+        }
+        return effects.actions();
+    }
+
+    private void apply(Event event, long nowMillis, Effects effects) {
+        if (event instanceof Event.CallerAsked asked) {
+            requests.asked(asked.request(), nowMillis, effects);
+        } else if (event instanceof Event.PeerAsked asked) {
+            requests.asked(asked.request(), nowMillis, effects);
+        } else if (event instanceof Event.AskerLeft left) {
+            requests.askerLeft(left.requestId(), nowMillis, effects);
+        } else if (event instanceof Event.StreamProgressed progressed) {
+            requests.progressed(progressed);
+        } else if (event instanceof Event.AttemptEnded ended) {
+            requests.attemptEnded(ended, nowMillis, effects);
+        } else if (event instanceof Event.LoadReported reported) {
+            reported(reported, nowMillis);
+        } else if (event instanceof Event.LoadMissed missed) {
+            router.missed(missed.target(), nowMillis);
+        } else if (event instanceof Event.CacheReported cached) {
+            router.cached(cached.events(), nowMillis);
+        } else if (event instanceof Event.OrderAnswered answered) {
+            addControlSteps(controller.answered(answered.orderId(), answered.result(), nowMillis), effects);
+        } else if (event instanceof Event.DrainAsked) {
+            requests.drain();
+        } else if (event instanceof Event.Ticked) {
+            tick(nowMillis, effects);
+        } else {
+            applyFromOutside(event, nowMillis, effects);
+        }
+    }
+
+    private void applyFromOutside(Event event, long nowMillis, Effects effects) {
+        if (event instanceof Event.PeerConnected connected) {
+            connected(connected, nowMillis, effects);
+        } else if (event instanceof Event.PeerLost lost) {
+            addMemberSteps(members.lost(lost.host(), lost.refused(), nowMillis), effects);
+            effects.addClaimSteps(claims.lost(lost.host(), lost.refused(), nowMillis));
+            router.regions(members.remoteRegions(), nowMillis);
+        } else if (event instanceof Event.MessageReceived received) {
+            receive(received.host(), received.incarnation(), received.message(), nowMillis, effects);
+        } else if (event instanceof Event.HostsListed listed) {
+            addMemberSteps(members.listed(listed.list(), nowMillis), effects);
+            effects.addClaimSteps(claims.listed(listed.list(), nowMillis));
+            refreshTargets(nowMillis);
+        } else if (event instanceof Event.StoreReplied replied) {
+            storeReplied(replied, nowMillis, effects);
+        } else if (event instanceof Event.StoreChanged changed) {
+            storeChanged(changed, nowMillis, effects);
+        } else if (event instanceof Event.WatchBroken broken && broken.owner() == StoreOwner.CONFIGURATION) {
+            addConfigurationSteps(configurations.watchBroken(nowMillis), nowMillis, effects);
+        }
+    }
+
+    private void connected(Event.PeerConnected peer, long nowMillis, Effects effects) {
+        Place place = Place.of(peer.region(), peer.dataCentre());
+        addMemberSteps(members.connected(peer.host(), peer.incarnation(), place, nowMillis), effects);
+        if (place.dataCentre().equals(self.place().dataCentre())) {
+            effects.addClaimSteps(claims.connected(peer.host(), peer.incarnation(), nowMillis));
+        }
+        router.regions(members.remoteRegions(), nowMillis);
+    }
+
+    private void receive(String host, long incarnation, PeerMessage message, long nowMillis, Effects effects) {
+        if (message instanceof ClaimMessage claim) {
+            effects.addClaimSteps(claims.receive(host, incarnation, claim, nowMillis));
+        } else if (message instanceof ControlMessage control) {
+            addConfigurationSteps(configurations.receive(host, control, nowMillis), nowMillis, effects);
+        } else if (message instanceof MemberMessage member) {
+            addMemberSteps(members.receive(host, incarnation, member, nowMillis), effects);
+            router.regions(members.remoteRegions(), nowMillis);
+            if (member instanceof Heartbeat heartbeat) {
+                addConfigurationSteps(
+                        configurations.heard(host, heartbeat.generation(), nowMillis), nowMillis, effects);
+            }
+        }
+    }
+
+    private void reported(Event.LoadReported reported, long nowMillis) {
+        if (reported.load().leaving()) {
+            members.leaving(reported.load().target(), nowMillis);
+            refreshTargets(nowMillis);
+        }
+        router.reported(reported.load(), nowMillis);
+        controller.reported(reported.load(), nowMillis);
+    }
+
+    private void storeReplied(Event.StoreReplied replied, long nowMillis, Effects effects) {
+        switch (replied.owner()) {
+            case CLAIM -> effects.addClaimSteps(claims.storeReplied(replied.callId(), replied.reply(), nowMillis));
+            case CONFIGURATION -> addConfigurationSteps(
+                    configurations.storeReplied(replied.callId(), replied.reply(), nowMillis), nowMillis, effects);
+            case CONTROL -> addControlSteps(
+                    controller.storeReplied(replied.callId(), replied.reply(), nowMillis), effects);
+            default -> throw new IllegalStateException("no part owns " + replied.owner());
+        }
+    }
+
+    private void storeChanged(Event.StoreChanged changed, long nowMillis, Effects effects) {
+        if (changed.owner() == StoreOwner.CLAIM) {
+            effects.addClaimSteps(claims.storeChanged(changed.entries(), changed.revision(), nowMillis));
+        } else if (changed.owner() == StoreOwner.CONFIGURATION) {
+            addConfigurationSteps(
+                    configurations.storeChanged(changed.entries(), changed.revision(), nowMillis), nowMillis, effects);
+        }
+    }
+
+    private void tick(long nowMillis, Effects effects) {
+        requests.tick(nowMillis, effects);
+        effects.addClaimSteps(claims.tick(nowMillis));
+        addConfigurationSteps(configurations.tick(nowMillis), nowMillis, effects);
+        addControlSteps(controller.tick(nowMillis), effects);
+        SelfReport report = new SelfReport(
+                configurations.current().generation(),
+                requests.isDraining(),
+                requests.inFlight(),
+                router.summary(nowMillis));
+        addMemberSteps(members.tick(report, nowMillis), effects);
+        refreshTargets(nowMillis);
+        drain(nowMillis, effects);
+    }
+
+    private void drain(long nowMillis, Effects effects) {
+        if (!requests.isDraining() || requests.inFlight() > 0 || stopped) {
+            return;
+        }
+        if (!leaveAsked) {
+            leaveAsked = true;
+            effects.addClaimSteps(claims.leave(nowMillis));
+        }
+        if (claims.hasLeft()) {
+            stopped = true;
+            effects.add(new Action.Stop());
+        }
+    }
+
+    private void refreshTargets(long nowMillis) {
+        List<ListedHost> targets = members.targetsTakingWork();
+        router.targets(targets, nowMillis);
+        controller.targets(targets, nowMillis);
+    }
+
+    private void addMemberSteps(List<MemberStep> steps, Effects effects) {
+        for (MemberStep step : steps) {
+            if (step instanceof MemberStep.Send send) {
+                effects.add(new Action.SendMessage(send.host(), send.message()));
+            } else if (step instanceof MemberStep.KeepLinks links) {
+                effects.add(new Action.KeepLinks(links.hosts()));
+            }
+        }
+    }
+
+    private void addConfigurationSteps(List<ConfigurationStep> steps, long nowMillis, Effects effects) {
+        for (ConfigurationStep step : steps) {
+            if (step instanceof ConfigurationStep.CallStore call) {
+                effects.add(new Action.CallStore(StoreOwner.CONFIGURATION, call.callId(), call.command()));
+            } else if (step instanceof ConfigurationStep.Send send) {
+                effects.add(new Action.SendMessage(send.host(), send.message()));
+            } else if (step instanceof ConfigurationStep.InForce inForce) {
+                inForce(inForce.configuration(), nowMillis);
+            }
+        }
+    }
+
+    private void inForce(Configuration configuration, long nowMillis) {
+        configuration.retiring().forEach(name -> members.leaving(name, nowMillis));
+        router.configured(configuration, nowMillis);
+        controller.configured(configuration, nowMillis);
+        refreshTargets(nowMillis);
+    }
+
+    private void addControlSteps(List<ControlStep> steps, Effects effects) {
+        for (ControlStep step : steps) {
+            if (step instanceof ControlStep.CallStore call) {
+                effects.add(new Action.CallStore(StoreOwner.CONTROL, call.callId(), call.command()));
+            } else if (step instanceof ControlStep.Order order) {
+                effects.add(new Action.OrderTarget(
+                        order.orderId(), order.target(), order.fencingNumber(), order.verb(), order.subject()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/NodeIdentity.java
@@ -0,0 +1,22 @@
+package org.rattanplank.core;
+
+import java.util.Objects;
+
+import org.rattanplank.core.host.Place;
+
+/**
+ * Which entry host a node is. Immutable and thread safe.
+ *
+ * @param host the host's name
+ * @param incarnation the process's start time in milliseconds; a later start of the same host has a higher one
+ * @param place where the host stands
+ */
+public record NodeIdentity(String host, long incarnation, Place place) {
+    public NodeIdentity {
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(place, "place");
+        if (host.isEmpty()) {
+            throw new IllegalArgumentException("a node needs a host name");
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimKey.java
@@ -0,0 +1,27 @@
+package org.rattanplank.core.claim;
+
+import java.util.Objects;
+
+/**
+ * What makes two calls the same call. Immutable and thread safe.
+ *
+ * @param account the caller's account
+ * @param key the caller's idempotency key
+ */
+public record ClaimKey(String account, String key) {
+    public ClaimKey {
+        Objects.requireNonNull(account, "account");
+        Objects.requireNonNull(key, "key");
+    }
+
+    /**
+     * Makes a key.
+     *
+     * @param account the caller's account
+     * @param key the caller's idempotency key
+     * @return the key
+     */
+    public static ClaimKey of(String account, String key) {
+        return new ClaimKey(account, key);
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/host/ListedHost.java
@@ -0,0 +1,42 @@
+package org.rattanplank.core.host;
+
+import java.util.Objects;
+
+/**
+ * One host as the platform lists it. Immutable and thread safe.
+ *
+ * @param name the host's name, unique over all hosts
+ * @param role what the host does
+ * @param place where it stands
+ * @param address the IP address
+ * @param port the port for callers of an entry host, or the port of a target
+ * @param peerPort the port for other entry hosts, zero for a target
+ * @param service the service that a target runs, empty for an entry host
+ * @param leaving whether the platform is about to take the host away
+ */
+public record ListedHost(
+        String name,
+        HostRole role,
+        Place place,
+        String address,
+        int port,
+        int peerPort,
+        String service,
+        boolean leaving) {
+    public ListedHost {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(role, "role");
+        Objects.requireNonNull(place, "place");
+        Objects.requireNonNull(address, "address");
+        service = Objects.requireNonNullElse(service, "");
+    }
+
+    /**
+     * Tells whether this is a target.
+     *
+     * @return whether the host runs requests
+     */
+    public boolean isTarget() {
+        return role == HostRole.TARGET;
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/host/Place.java
@@ -0,0 +1,30 @@
+package org.rattanplank.core.host;
+
+import java.util.Objects;
+
+/**
+ * Where a host stands. Immutable and thread safe; neither name is empty.
+ *
+ * @param region the region's name
+ * @param dataCentre the data centre's name, unique over all regions
+ */
+public record Place(String region, String dataCentre) {
+    public Place {
+        Objects.requireNonNull(region, "region");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        if (region.isEmpty() || dataCentre.isEmpty()) {
+            throw new IllegalArgumentException("a place needs a region and a data centre");
+        }
+    }
+
+    /**
+     * Makes a place.
+     *
+     * @param region the region's name
+     * @param dataCentre the data centre's name
+     * @return the place
+     */
+    public static Place of(String region, String dataCentre) {
+        return new Place(region, dataCentre);
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/Configuration.java
@@ -0,0 +1,76 @@
+package org.rattanplank.core.intent;
+
+import java.util.Map;
+import java.util.Set;
+
+import io.vavr.control.Option;
+
+/**
+ * One generation of the merged intents. Immutable and thread safe.
+ *
+ * <p>Invariant: two configurations with the same generation and digest hold the same intents.
+ *
+ * @param generation the generation, which only grows; zero before any was learned
+ * @param digest the SHA-256 of the merged document in lower-case hexadecimal
+ * @param services the services by name
+ * @param accounts the accounts by name
+ * @param residencies the regions that each residency label allows
+ * @param shares the share of work that each region takes, where it is limited, from zero to one
+ * @param retiring the hosts and targets that are to leave
+ */
+public record Configuration(
+        long generation,
+        String digest,
+        Map<String, Service> services,
+        Map<String, Account> accounts,
+        Map<String, Set<String>> residencies,
+        Map<String, Double> shares,
+        Set<String> retiring) {
+    public Configuration {
+        services = Map.copyOf(services);
+        accounts = Map.copyOf(accounts);
+        residencies = Map.copyOf(residencies);
+        shares = Map.copyOf(shares);
+        retiring = Set.copyOf(retiring);
+    }
+
+    /**
+     * Makes the configuration of a host that has learned none.
+     *
+     * @return the empty configuration
+     */
+    public static Configuration empty() {
+        return new Configuration(0, "", Map.of(), Map.of(), Map.of(), Map.of(), Set.of());
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return the service, or none
+     */
+    public Option<Service> service(String name) {
+        return Option.of(services.get(name));
+    }
+
+    /**
+     * Finds an account.
+     *
+     * @param name its name
+     * @return the account, or none
+     */
+    public Option<Account> account(String name) {
+        return Option.of(accounts.get(name));
+    }
+
+    /**
+     * Finds the regions in which data may be served; data of unknown residency stays at home.
+     *
+     * @param homeRegion the home region of the data's account
+     * @param label the residency label, or none
+     * @return the regions
+     */
+    public Set<String> allowedRegions(String homeRegion, Option<String> label) {
+        return label.flatMap(name -> Option.of(residencies.get(name))).getOrElse(() -> Set.of(homeRegion));
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/request/Answer.java
@@ -0,0 +1,62 @@
+package org.rattanplank.core.request;
+
+import java.util.Arrays;
+import java.util.Objects;
+
+/**
+ * A whole answer. Immutable and thread safe as long as nobody writes into the body's array.
+ *
+ * @param status the HTTP status of the answer
+ * @param contentType the media type
+ * @param body the bytes; empty if the answer was a stream and its parts have already gone to the caller
+ * @param streamed whether the answer went to the caller part by part
+ */
+public record Answer(int status, String contentType, byte[] body, boolean streamed) {
+    public Answer {
+        contentType = Objects.requireNonNullElse(contentType, "");
+        body = body == null ? new byte[0] : body;
+    }
+
+    /**
+     * Makes an answer with its whole body.
+     *
+     * @param status the HTTP status
+     * @param contentType the media type
+     * @param body the bytes
+     * @return the answer
+     */
+    public static Answer of(int status, String contentType, byte[] body) {
+        return new Answer(status, contentType, body, false);
+    }
+
+    /**
+     * Makes the answer of a stream that has ended as it should.
+     *
+     * @param status the HTTP status
+     * @param contentType the media type
+     * @return the answer
+     */
+    public static Answer ofStream(int status, String contentType) {
+        return new Answer(status, contentType, new byte[0], true);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Answer that
+                && status == that.status
+                && streamed == that.streamed
+                && contentType.equals(that.contentType)
+                && Arrays.equals(body, that.body);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(status, contentType, streamed, Arrays.hashCode(body));
+    }
+
+    @Override
+    public String toString() {
+        return "Answer[status=" + status + ", contentType=" + contentType + ", bytes=" + body.length + ", streamed="
+                + streamed + "]";
+    }
+}
