Drive whole sessions through the core, with golden files

Cause: the account's residency was ignored when a caller gave no label, so an account that may be served anywhere was refused away from home; a session of six nodes showed it (shouldServeAwayWhenHomeHasNoTarget: expected 1, was 0). Ruled out: the membership (the remote hosts were known), the router. Change: the caller's label, else the account's, decides; a caller's label can only narrow its account's. A small harness runs nodes, links, store and targets from a script and compares the transcript with a golden file.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
@@ -228,10 +228,13 @@
     }
 
     private static Set<String> allowedRegions(Request request, Configuration configuration) {
-        Set<String> allowed = new HashSet<>(configuration.allowedRegions(request.homeRegion(), request.residency()));
         Option<String> ofAccount =
                 configuration.account(request.account()).map(Account::residency).filter(label -> !label.isEmpty());
+        Option<String> narrowest = request.residency().orElse(ofAccount);
+        Set<String> allowed = new HashSet<>(configuration.allowedRegions(request.homeRegion(), narrowest));
         if (ofAccount.isDefined()) {
+            // A caller's own label can only narrow its account's residency; taken alone, a wrong label would let data
+            // out.
             allowed.retainAll(configuration.allowedRegions(request.homeRegion(), ofAccount));
         }
         return allowed;
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/Koro.java
@@ -0,0 +1,99 @@
+package org.rattanplank.core.session;
+
+import java.util.List;
+
+import io.vavr.control.Option;
+import org.rattanplank.core.request.Answer;
+import org.rattanplank.core.request.AttemptResult;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.Step;
+import org.rattanplank.core.request.WorkClass;
+
+/** Koro's deployment in small: three regions of one data centre each, and the requests of its fitters. */
+final class Koro {
+    /** The time that callers give each request. */
+    static final long TIMEOUT_MILLIS = 20_000;
+
+    /** A version 7 UUID made long before any session. */
+    static final String KEY = "01890000-0000-7000-8000-000000000001";
+
+    private static final String DOCUMENT =
+            """
+            {"generation": 1, "digest": "d1", "changeId": "c1", "files": {
+              "00-suva": {"kind": "region", "name": "suva", "dataCentres": ["suva-hall"]},
+              "00-lautoka": {"kind": "region", "name": "lautoka", "dataCentres": ["lautoka-hall"]},
+              "00-labasa": {"kind": "region", "name": "labasa", "dataCentres": ["labasa-hall"]},
+              "10-draft": {"kind": "service", "name": "plank-serve", "type": "model", "repeatable": true},
+              "10-desk": {"kind": "service", "name": "crew-desk", "type": "plain", "repeatable": false},
+              "20-labasa-only": {"kind": "residency", "name": "labasa-only", "regions": ["labasa"]},
+              "20-anywhere": {"kind": "residency", "name": "anywhere",
+                              "regions": ["suva", "lautoka", "labasa"]},
+              "30-suva": {"kind": "account", "name": "suva-floor", "homeRegion": "suva",
+                          "homeDataCentre": "suva-hall", "residency": "anywhere"},
+              "30-lautoka": {"kind": "account", "name": "lautoka-floor", "homeRegion": "lautoka",
+                             "homeDataCentre": "lautoka-hall"},
+              "30-labasa": {"kind": "account", "name": "labasa-floor", "homeRegion": "labasa",
+                            "homeDataCentre": "labasa-hall", "residency": "labasa-only"}}}
+            """;
+
+    private Koro() {}
+
+    /** Starts two entry hosts and one target of each service in each region. */
+    static Session start() {
+        Session session = new Session();
+        for (String region : List.of("suva", "lautoka", "labasa")) {
+            session.start(region + "-1", region, region + "-hall");
+            session.start(region + "-2", region, region + "-hall");
+            session.target("plank-" + region, "plank-serve", region, region + "-hall");
+            session.target("desk-" + region, "crew-desk", region, region + "-hall");
+        }
+        return session.configure(DOCUMENT).pass(5_000);
+    }
+
+    /** A draft of a step sequence, which may be repeated. */
+    static Request draft(Session session, String id, String region) {
+        return request(session, id, region, "plank-serve", true, Option.none());
+    }
+
+    /** A part booking, which may not be repeated. */
+    static Request booking(Session session, String id, String region, String key) {
+        return request(session, id, region, "crew-desk", false, Option.some(key));
+    }
+
+    /** A whole answer from a target. */
+    static AttemptResult whole(String body) {
+        byte[] bytes = body.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        return new AttemptResult.Whole(Answer.of(200, "application/json", bytes), List.of());
+    }
+
+    /** An attempt that surely did not run. */
+    static AttemptResult refused(String target) {
+        return new AttemptResult.NotRun(Failure.of(Step.CONNECT, target, "connection refused"), 0);
+    }
+
+    /** An attempt whose answer was lost. */
+    static AttemptResult lost(String target) {
+        return new AttemptResult.Lost(Failure.of(Step.RECEIVE, target, "the connection broke"), 0);
+    }
+
+    private static Request request(
+            Session session, String id, String region, String service, boolean repeatable, Option<String> key) {
+        return new Request(
+                id,
+                region + "-floor",
+                service,
+                WorkClass.INTERACTIVE,
+                repeatable,
+                key,
+                region,
+                Option.none(),
+                session.nowMillis() + TIMEOUT_MILLIS,
+                200,
+                100,
+                List.of(11L, 12L),
+                false,
+                List.of(),
+                false);
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/RequestSessionTest.java
@@ -0,0 +1,127 @@
+package org.rattanplank.core.session;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.rattanplank.core.Event;
+import org.rattanplank.core.request.AttemptResult;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Outcome;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.Step;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RequestSessionTest {
+
+    @Test
+    void shouldServeAtHomeWhenAllIsWell() {
+        Session session = Koro.start();
+        session.ask("suva-1", Koro.draft(session, "r1", "suva"));
+        assertEquals(List.of("plank-suva"), session.waitingAt("r1"));
+        session.end("r1", Koro.whole("steps"));
+        assertInstanceOf(Outcome.Answered.class, session.onlyOutcome("r1"));
+        session.transcript().assertMatches("serve-at-home");
+    }
+
+    /*
+     * Symptom: a fitter's log is read in another region. Sequence: the home region has no target left; the request goes
+     * to a region that its residency does not allow. Cause: targets scored before residency is checked, or checked only
+     * at the first host.
+     */
+    @Test
+    void shouldRefuseWhenResidencyAllowsNoRegionWithTargets() {
+        Session session = Koro.start().listAsLeaving("plank-labasa").pass(4_000);
+        session.ask("labasa-1", Koro.draft(session, "r1", "labasa"));
+        Outcome.NotRun notRun = assertInstanceOf(Outcome.NotRun.class, session.onlyOutcome("r1"));
+        assertEquals(Step.ROUTE, notRun.failure().step());
+        assertTrue(notRun.retryAfterMillis() > 0);
+    }
+
+    @Test
+    void shouldRefuseAtReceivingHostWhenResidencyForbidsItsRegion() {
+        Session session = Koro.start();
+        Request crossed = Koro.draft(session, "r1", "labasa").passedBy("labasa-1", false);
+        session.feed("suva-1", new Event.PeerAsked("labasa-1", 1, crossed));
+        assertInstanceOf(Outcome.NotRun.class, session.onlyOutcome("r1"));
+        assertEquals(List.of(), session.waitingAt("r1"));
+    }
+
+    /*
+     * Symptom: a request travels between regions until its deadline. Sequence: Suva has lost its targets and sends the
+     * request to Lautoka, which has lost its own and believes that Suva has some. Cause: each host decides alone, on
+     * opposite views, and a forwarded request may be forwarded again.
+     */
+    @Test
+    void shouldCrossAtMostOnceWhenRegionsHaveOppositeViews() {
+        Session session = Koro.start();
+        session.listAsLeaving("plank-lautoka").pass(4_000);
+        Request crossed = Koro.draft(session, "r1", "suva").passedBy("suva-1", false);
+        session.feed("lautoka-1", new Event.PeerAsked("suva-1", 1, crossed));
+        assertInstanceOf(Outcome.NotRun.class, session.onlyOutcome("r1"));
+    }
+
+    @Test
+    void shouldServeAwayWhenHomeHasNoTarget() {
+        Session session = Koro.start().listAsLeaving("plank-suva").pass(4_000);
+        session.ask("suva-1", Koro.draft(session, "r1", "suva"));
+        assertEquals(1, session.waitingAt("r1").size());
+        session.end("r1", Koro.whole("steps"));
+        Outcome.Answered answered = assertInstanceOf(Outcome.Answered.class, session.onlyOutcome("r1"));
+        assertEquals(3, answered.path().size(), () -> "path " + answered.path());
+    }
+
+    /*
+     * Symptom: a caller gets two answers, or the answer of an attempt that was given up. Sequence: the first target is
+     * slow, the attempt is given up, the retry answers, then the first answer arrives. Cause: results matched by
+     * request alone.
+     */
+    @Test
+    void shouldDropLateAnswerWhenAttemptWasGivenUp() {
+        Session session = Koro.start()
+                .target("plank-suva-2", "plank-serve", "suva", "suva-hall")
+                .relist();
+        session.ask("suva-1", Koro.draft(session, "r1", "suva"));
+        session.end("r1", Koro.lost(session.waitingAt("r1").get(0)));
+        session.feed("suva-1", new Event.AttemptEnded("r1", 1, Koro.whole("late")));
+        assertEquals(List.of(), session.outcomes("r1"));
+        session.end("r1", Koro.whole("second"));
+        session.feed("suva-1", new Event.AttemptEnded("r1", 1, Koro.whole("late")));
+        Outcome.Answered answered = assertInstanceOf(Outcome.Answered.class, session.onlyOutcome("r1"));
+        assertEquals(((AttemptResult.Whole) Koro.whole("second")).answer(), answered.answer());
+        session.transcript().assertMatches("late-answer");
+    }
+
+    @Test
+    void shouldResumeStreamAtItsPartWhenItBreaks() {
+        Session session = Koro.start();
+        session.ask("suva-1", Koro.draft(session, "r1", "suva"));
+        session.feed("suva-1", new Event.StreamProgressed("r1", 1, 5));
+        session.end("r1", new AttemptResult.Lost(Failure.of(Step.RECEIVE, "plank-suva", "broke"), 5));
+        assertEquals(List.of("plank-suva"), session.waitingAt("r1"));
+        session.end("r1", new AttemptResult.Lost(Failure.of(Step.RECEIVE, "plank-suva", "broke"), 6));
+        assertInstanceOf(Outcome.Unknown.class, session.onlyOutcome("r1"));
+        session.transcript().assertMatches("stream-broken-twice");
+    }
+
+    @Test
+    void shouldEndAtOnceWhenDeadlinePasses() {
+        Session session = Koro.start();
+        session.ask("suva-1", Koro.draft(session, "r1", "suva"));
+        session.pass(Koro.TIMEOUT_MILLIS + Session.TICK_MILLIS);
+        assertInstanceOf(Outcome.Unknown.class, session.onlyOutcome("r1"));
+        assertEquals(List.of(), session.waitingAt("r1"));
+    }
+
+    @Test
+    void shouldCancelAtTargetWhenCallerLeaves() {
+        Session session = Koro.start();
+        session.ask("suva-1", Koro.draft(session, "r1", "suva"));
+        session.feed("suva-1", new Event.AskerLeft("r1"));
+        assertEquals(List.of(), session.waitingAt("r1"));
+        assertEquals(0, session.node("suva-1").status().inFlight());
+        session.transcript().assertMatches("cancelled");
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/Session.java
@@ -0,0 +1,373 @@
+package org.rattanplank.core.session;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.rattanplank.core.Action;
+import org.rattanplank.core.Event;
+import org.rattanplank.core.Node;
+import org.rattanplank.core.NodeIdentity;
+import org.rattanplank.core.host.HostList;
+import org.rattanplank.core.host.HostRole;
+import org.rattanplank.core.host.ListedHost;
+import org.rattanplank.core.host.Place;
+import org.rattanplank.core.intent.Configurations;
+import org.rattanplank.core.request.AttemptResult;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Outcome;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.Step;
+import org.rattanplank.core.route.Policy;
+import org.rattanplank.core.route.Route;
+import org.rattanplank.core.route.TargetLoad;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/**
+ * Drives a few nodes through a scripted session, and writes down what went in and what came out.
+ *
+ * <p>Messages arrive at once and in order unless a link is cut; targets answer when the script says so. Confined to one
+ * thread.
+ */
+final class Session {
+    /** How far each step of time goes. */
+    static final long TICK_MILLIS = 100;
+
+    private final Map<String, Node> nodes = new TreeMap<>();
+    private final Map<String, NodeIdentity> identities = new TreeMap<>();
+    private final Map<String, Set<String>> links = new TreeMap<>();
+    private final Set<Set<String>> cuts = new HashSet<>();
+    private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+    private final Map<String, Attempt> forwards = new LinkedHashMap<>();
+    private final List<ListedHost> listed = new ArrayList<>();
+    private final Deque<Runnable> deliveries = new ArrayDeque<>();
+    private final Map<String, List<Outcome>> outcomes = new LinkedHashMap<>();
+    private final Transcript transcript = new Transcript();
+    private final FakeStore store = new FakeStore();
+    private final Set<String> storeless = new HashSet<>();
+    private long nowMillis = 10_000;
+    private long listRevision;
+
+    private record Attempt(String node, String requestId, int number, Route route) {}
+
+    /** The platform's store. */
+    FakeStore store() {
+        return store;
+    }
+
+    /** What went in and came out so far. */
+    Transcript transcript() {
+        return transcript;
+    }
+
+    /** The time. */
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    /** A node by its host's name. */
+    Node node(String host) {
+        return nodes.get(host);
+    }
+
+    /** All outcomes that a request has had at the host that its caller asked; more than one is a fault. */
+    List<Outcome> outcomes(String requestId) {
+        return outcomes.getOrDefault(requestId, List.of());
+    }
+
+    /** The only outcome of a request; none or more than one fails the test. */
+    Outcome onlyOutcome(String requestId) {
+        List<Outcome> known = outcomes(requestId);
+        assertEquals(1, known.size(), () -> requestId + " has outcomes " + known);
+        return known.get(0);
+    }
+
+    /** The attempts at targets that wait for an answer, by target, for one request. */
+    List<String> waitingAt(String requestId) {
+        return attempts.values().stream()
+                .filter(attempt -> attempt.requestId().equals(requestId))
+                .map(attempt -> attempt.route().peer())
+                .toList();
+    }
+
+    /** Puts a target into the platform's list. */
+    Session target(String name, String service, String region, String dataCentre) {
+        listed.add(
+                new ListedHost(name, HostRole.TARGET, Place.of(region, dataCentre), "127.0.0.1", 1, 0, service, false));
+        return this;
+    }
+
+    /** Starts an entry host, and puts it into the platform's list if it is not there. */
+    Session start(String host, String region, String dataCentre) {
+        Place place = Place.of(region, dataCentre);
+        listed.removeIf(known -> known.name().equals(host));
+        listed.add(new ListedHost(host, HostRole.ENTRY, place, "127.0.0.1", 1, 1, "", false));
+        NodeIdentity identity = new NodeIdentity(host, nowMillis, place);
+        identities.put(host, identity);
+        nodes.put(host, Node.of(identity, Policy.COST, host.hashCode()));
+        links.put(host, new HashSet<>());
+        return this;
+    }
+
+    /** Applies a configuration document, and lets every node that runs learn the list and the document. */
+    Session configure(String document) {
+        store.force(Configurations.KEY, document);
+        relist();
+        return pass(2_000);
+    }
+
+    /** Lets every node read the platform's list anew. */
+    Session relist() {
+        listRevision++;
+        HostList list = new HostList(listRevision, listed);
+        nodes.keySet().forEach(host -> feed(host, new Event.HostsListed(list)));
+        return this;
+    }
+
+    /** Marks a host or target as leaving in the platform's list. */
+    Session listAsLeaving(String name) {
+        listed.replaceAll(known -> known.name().equals(name)
+                ? new ListedHost(
+                        known.name(),
+                        known.role(),
+                        known.place(),
+                        known.address(),
+                        known.port(),
+                        known.peerPort(),
+                        known.service(),
+                        true)
+                : known);
+        return relist();
+    }
+
+    /** Lets time pass in steps; every node ticks at each. */
+    Session pass(long millis) {
+        for (long passed = 0; passed < millis; passed += TICK_MILLIS) {
+            nowMillis += TICK_MILLIS;
+            for (String host : List.copyOf(nodes.keySet())) {
+                relink(host);
+                feed(host, new Event.Ticked());
+            }
+        }
+        return this;
+    }
+
+    /** Kills a host: it loses all it knew, and its attempts end nowhere. */
+    Session kill(String host) {
+        transcript.note(nowMillis, host, "killed");
+        nodes.remove(host);
+        links.remove(host);
+        attempts.values().removeIf(attempt -> attempt.node().equals(host));
+        for (Map.Entry<String, Attempt> forward : List.copyOf(forwards.entrySet())) {
+            if (forward.getKey().startsWith(host + "/")) {
+                forwards.remove(forward.getKey());
+                Failure failure = Failure.of(Step.FORWARD, host, "the link broke");
+                end(forward.getValue(), new AttemptResult.Lost(failure, 0));
+            }
+        }
+        breakLinksTo(host, true);
+        drainDeliveries();
+        return this;
+    }
+
+    /** Cuts two hosts from each other. */
+    Session cut(String left, String right) {
+        transcript.note(nowMillis, left, "cut from " + right);
+        cuts.add(Set.of(left, right));
+        lose(left, right, false);
+        lose(right, left, false);
+        drainDeliveries();
+        return this;
+    }
+
+    /** Cuts a host from the platform's store. */
+    Session cutFromStore(String host) {
+        transcript.note(nowMillis, host, "cut from the store");
+        storeless.add(host);
+        return this;
+    }
+
+    /** Connects two hosts again. */
+    Session heal(String left, String right) {
+        cuts.remove(Set.of(left, right));
+        return this;
+    }
+
+    /** Lets a caller ask a host. */
+    Session ask(String host, Request request) {
+        outcomes.putIfAbsent(request.id(), new ArrayList<>());
+        feed(host, new Event.CallerAsked(request));
+        return this;
+    }
+
+    /** Feeds any event to a host. */
+    Session feed(String host, Event event) {
+        handle(host, event);
+        drainDeliveries();
+        return this;
+    }
+
+    /** Reports a target's load to every node of its region. */
+    Session report(TargetLoad load, String region) {
+        for (String host : List.copyOf(nodes.keySet())) {
+            if (identities.get(host).place().region().equals(region)) {
+                feed(host, new Event.LoadReported(load));
+            }
+        }
+        return this;
+    }
+
+    /** Ends the attempt of a request that waits at a target. */
+    Session end(String requestId, AttemptResult result) {
+        Attempt attempt = attempts.values().stream()
+                .filter(waiting -> waiting.requestId().equals(requestId))
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("no attempt waits for " + requestId));
+        attempts.remove(keyOf(attempt.node(), requestId));
+        end(attempt, result);
+        drainDeliveries();
+        return this;
+    }
+
+    private void end(Attempt attempt, AttemptResult result) {
+        if (nodes.containsKey(attempt.node())) {
+            deliveries.add(() ->
+                    handle(attempt.node(), new Event.AttemptEnded(attempt.requestId(), attempt.number(), result)));
+        }
+    }
+
+    private void drainDeliveries() {
+        while (!deliveries.isEmpty()) {
+            deliveries.poll().run();
+        }
+    }
+
+    private void handle(String host, Event event) {
+        Node node = nodes.get(host);
+        if (node == null) {
+            return;
+        }
+        List<Action> actions = node.handle(event, nowMillis);
+        transcript.add(nowMillis, host, event, actions);
+        actions.forEach(action -> carryOut(host, action));
+    }
+
+    private void carryOut(String host, Action action) {
+        if (action instanceof Action.SendMessage send) {
+            deliver(host, send);
+        } else if (action instanceof Action.CallStore call) {
+            var reply = storeless.contains(host)
+                    ? new org.rattanplank.core.store.StoreReply.Unavailable("cut off")
+                    : store.call(call.command());
+            deliveries.add(() -> handle(host, new Event.StoreReplied(call.owner(), call.callId(), reply)));
+        } else if (action instanceof Action.StartAttempt start) {
+            startAttempt(host, start);
+        } else if (action instanceof Action.CancelAttempt cancel) {
+            attempts.remove(keyOf(host, cancel.requestId()));
+        } else if (action instanceof Action.Finish finish) {
+            finish(host, finish);
+        } else if (action instanceof Action.KeepLinks keep) {
+            links.get(host).retainAll(keep.hosts());
+            keep.hosts().forEach(other -> link(host, other));
+        } else if (action instanceof Action.Stop) {
+            nodes.remove(host);
+            breakLinksTo(host, true);
+        }
+    }
+
+    private void deliver(String host, Action.SendMessage send) {
+        if (canReach(host, send.host())) {
+            NodeIdentity sender = identities.get(host);
+            deliveries.add(
+                    () -> handle(send.host(), new Event.MessageReceived(host, sender.incarnation(), send.message())));
+        }
+    }
+
+    private void startAttempt(String host, Action.StartAttempt start) {
+        Attempt attempt = new Attempt(host, start.requestId(), start.attempt(), start.route());
+        if (!(start.route() instanceof Route.ToHost to)) {
+            attempts.put(keyOf(host, start.requestId()), attempt);
+            return;
+        }
+        if (!canReach(host, to.host())) {
+            end(attempt, new AttemptResult.NotRun(Failure.of(Step.FORWARD, to.host(), "no link"), 0));
+            return;
+        }
+        forwards.put(keyOf(to.host(), start.requestId()), attempt);
+        deliveries.add(() -> handle(to.host(), new Event.PeerAsked(host, start.attempt(), start.request())));
+    }
+
+    private void finish(String host, Action.Finish finish) {
+        Attempt forward = forwards.remove(keyOf(host, finish.requestId()));
+        if (forward == null) {
+            outcomes.computeIfAbsent(finish.requestId(), id -> new ArrayList<>())
+                    .add(finish.outcome());
+            return;
+        }
+        if (!canReach(host, forward.node())) {
+            Failure failure = Failure.of(Step.FORWARD, host, "the link broke");
+            end(forward, new AttemptResult.Lost(failure, 0));
+            return;
+        }
+        end(forward, resultOf(finish.outcome()));
+    }
+
+    private static AttemptResult resultOf(Outcome outcome) {
+        if (outcome instanceof Outcome.Answered answered) {
+            return new AttemptResult.Whole(answered.answer(), answered.path());
+        } else if (outcome instanceof Outcome.NotRun notRun) {
+            return new AttemptResult.NotRun(notRun.failure(), notRun.retryAfterMillis());
+        }
+        return new AttemptResult.Lost(((Outcome.Unknown) outcome).failure(), 0);
+    }
+
+    private void relink(String host) {
+        if (!links.containsKey(host)) {
+            return;
+        }
+        listed.stream()
+                .filter(other -> !other.isTarget() && !other.name().equals(host))
+                .forEach(other -> link(host, other.name()));
+        drainDeliveries();
+    }
+
+    private void link(String host, String other) {
+        if (canReach(host, other) && links.get(host).add(other)) {
+            NodeIdentity peer = identities.get(other);
+            deliveries.add(() -> handle(
+                    host,
+                    new Event.PeerConnected(
+                            other,
+                            peer.incarnation(),
+                            peer.place().region(),
+                            peer.place().dataCentre())));
+        }
+    }
+
+    private void breakLinksTo(String host, boolean refused) {
+        for (String other : List.copyOf(nodes.keySet())) {
+            lose(other, host, refused);
+        }
+    }
+
+    private void lose(String host, String other, boolean refused) {
+        if (links.containsKey(host) && links.get(host).remove(other)) {
+            deliveries.add(() -> handle(host, new Event.PeerLost(other, refused)));
+        }
+    }
+
+    private boolean canReach(String host, String other) {
+        return nodes.containsKey(other) && !cuts.contains(Set.of(host, other));
+    }
+
+    private static String keyOf(String host, String requestId) {
+        return host + "/" + requestId;
+    }
+}
