--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/Session.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/Session.java
@@ -50,6 +50,7 @@
     private final Deque<Runnable> deliveries = new ArrayDeque<>();
     private final Map<String, List<Outcome>> outcomes = new LinkedHashMap<>();
     private final Transcript transcript = new Transcript();
+    private final List<String> cancelled = new ArrayList<>();
     private final FakeStore store = new FakeStore();
     private final Set<String> storeless = new HashSet<>();
     private long nowMillis = 10_000;
@@ -97,6 +98,16 @@
                 .toList();
     }
 
+    /** Whether a request waits for a target by an attempt of this host. */
+    boolean isWaitingOn(String host, String requestId) {
+        return attempts.containsKey(keyOf(host, requestId));
+    }
+
+    /** The requests whose attempts at targets were cancelled; each may have run. */
+    List<String> cancelled() {
+        return List.copyOf(cancelled);
+    }
+
     /** Puts a target into the platform's list. */
     Session target(String name, String service, String region, String dataCentre) {
         listed.add(
@@ -252,6 +263,7 @@
     private void handle(String host, Event event) {
         Node node = nodes.get(host);
         if (node == null) {
+            // The host has gone.
             return;
         }
         List<Action> actions = node.handle(event, nowMillis);
@@ -270,7 +282,9 @@
         } else if (action instanceof Action.StartAttempt start) {
             startAttempt(host, start);
         } else if (action instanceof Action.CancelAttempt cancel) {
-            attempts.remove(keyOf(host, cancel.requestId()));
+            if (attempts.remove(keyOf(host, cancel.requestId())) != null) {
+                cancelled.add(cancel.requestId());
+            }
         } else if (action instanceof Action.Finish finish) {
             finish(host, finish);
         } else if (action instanceof Action.KeepLinks keep) {
