--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/PrefixAffinity.java
@@ -0,0 +1,74 @@
+package org.rattanplank.core.route;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+import io.vavr.control.Option;
+
+/**
+ * Where prompts with a common prefix go: to the target that had the prefix last, else by rendezvous hashing, so that
+ * hosts agree without a word between them.
+ *
+ * <p>Invariant: at most {@link #MAX_PREFIXES} prefixes are held; the least recently used go first. Confined to the
+ * router's lock.
+ */
+final class PrefixAffinity {
+    static final int MAX_PREFIXES = 16_384;
+
+    private final Map<Long, Target> lastTargets = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Target> eldest) {
+            return size() > MAX_PREFIXES;
+        }
+    };
+
+    int prefixes() {
+        return lastTargets.size();
+    }
+
+    void sent(List<Long> prefixes, Target target) {
+        for (Long prefix : prefixes) {
+            lastTargets.put(prefix, target);
+        }
+    }
+
+    /** Finds the longest prefix that was seen before, or the shortest if none was. */
+    Option<Long> key(List<Long> prefixes) {
+        for (int i = prefixes.size() - 1; i > 0; i--) {
+            if (lastTargets.containsKey(prefixes.get(i))) {
+                return Option.some(prefixes.get(i));
+            }
+        }
+        return prefixes.isEmpty() ? Option.none() : Option.some(prefixes.get(0));
+    }
+
+    Option<Target> lastTarget(Long prefix) {
+        return Option.of(lastTargets.get(prefix));
+    }
+
+    /** Finds the first in rendezvous order among the targets that may be chosen and are not passed over. */
+    static Option<Target> first(Target[] targets, long key, Predicate<Target> mayBeChosen, Option<Target> passedOver) {
+        Target best = passedOver.getOrNull();
+        Target over = best;
+        long bestRank = Long.MIN_VALUE;
+        for (Target target : targets) {
+            long rank = mix(key ^ target.seed);
+            if (rank > bestRank && target != over && mayBeChosen.test(target)) {
+                best = target;
+                bestRank = rank;
+            }
+        }
+        return best == over ? Option.none() : Option.some(best);
+    }
+
+    /** Spreads the bits of a number over all of its 64 bits. */
+    static long mix(long bits) {
+        long mixed = (bits ^ (bits >>> 33)) * 0xff51afd7ed558ccdL;
+        mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return mixed ^ (mixed >>> 33);
+    }
+}
