Add stand-ins of the platform, the targets and a link

Cause: the demo, the process tests and the measures need a platform and targets that can fail in the ways the users name, and a truth to compare callers' outcomes with.

Ruled out: the JDK's HTTP server, which cannot answer twice and gives a thread to each waiting watch; one process for each target, since ten targets fit one thread.

Change: a store with etcd v3's JSON calls, the lagging list of hosts and the rate-limited weight store on one port; model engines and plain services with a ledger of what ran; planned faults for both; a relay that cuts, delays or swallows bytes. HTTP by Netty's codec, which Ratpack brings. One thread serves all ports of a process, so nothing needs a lock.

--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/http/Exchange.java
@@ -0,0 +1,214 @@
+package org.rattanplank.standins.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Objects;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.vavr.control.Option;
+
+/**
+ * One call and the ways to answer it, wrong ones included.
+ *
+ * <p>Invariant: nothing here checks that a call is answered once; a fault may answer it twice or not at all. Not thread
+ * safe: confined to the thread of its server.
+ */
+public final class Exchange {
+    private static final String JSON = "application/json";
+
+    private final Channel channel;
+    private final String method;
+    private final QueryStringDecoder uri;
+    private final io.netty.handler.codec.http.HttpHeaders headers;
+    private final String body;
+    private final boolean keepAlive;
+
+    private Exchange(Channel channel, FullHttpRequest request) {
+        this.channel = Objects.requireNonNull(channel, "channel");
+        method = request.method().name();
+        uri = new QueryStringDecoder(request.uri());
+        headers = request.headers().copy();
+        body = request.content().toString(StandardCharsets.UTF_8);
+        keepAlive = HttpUtil.isKeepAlive(request);
+    }
+
+    static Exchange of(Channel channel, FullHttpRequest request) {
+        return new Exchange(channel, request);
+    }
+
+    /**
+     * The method.
+     *
+     * @return the method in upper case
+     */
+    public String method() {
+        return method;
+    }
+
+    /**
+     * The path without the query.
+     *
+     * @return the path
+     */
+    public String path() {
+        return uri.path();
+    }
+
+    /**
+     * The body.
+     *
+     * @return the body as text
+     */
+    public String body() {
+        return body;
+    }
+
+    /**
+     * The body as JSON.
+     *
+     * @return the body, or an empty object if it is no JSON
+     */
+    public JsonNode json() {
+        return Json.readOrEmpty(body);
+    }
+
+    /**
+     * Finds a parameter of the query.
+     *
+     * @param name its name
+     * @return its first value, or none
+     */
+    public Option<String> query(String name) {
+        return Option.of(uri.parameters().get(name)).map(values -> values.get(0));
+    }
+
+    /**
+     * Finds a header.
+     *
+     * @param name its name
+     * @return its first value, or none
+     */
+    public Option<String> header(String name) {
+        return Option.of(headers.get(name));
+    }
+
+    /**
+     * Answers with JSON.
+     *
+     * @param status the status
+     * @param value the body
+     */
+    public void respond(int status, JsonNode value) {
+        respond(status, Map.of(), value);
+    }
+
+    /**
+     * Answers with JSON and further headers.
+     *
+     * @param status the status
+     * @param extra the further headers
+     * @param value the body
+     */
+    public void respond(int status, Map<String, String> extra, JsonNode value) {
+        byte[] bytes = Json.write(value).getBytes(StandardCharsets.UTF_8);
+        HttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+        addHeaders(response, JSON, extra);
+        HttpUtil.setContentLength(response, bytes.length);
+        HttpUtil.setKeepAlive(response, keepAlive);
+        io.netty.channel.ChannelFuture written = channel.writeAndFlush(response);
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    /**
+     * Sends the first half of an answer and then resets the connection.
+     *
+     * @param status the status
+     * @param extra further headers
+     * @param value the body of which half is sent
+     */
+    public void respondHalf(int status, Map<String, String> extra, JsonNode value) {
+        byte[] bytes = Json.write(value).getBytes(StandardCharsets.UTF_8);
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        addHeaders(response, JSON, extra);
+        HttpUtil.setContentLength(response, bytes.length);
+        channel.write(response);
+        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes, 0, bytes.length / 2)))
+                .addListener(sent -> reset());
+    }
+
+    /**
+     * Starts an answer whose parts follow.
+     *
+     * @param contentType the type of the content
+     * @param extra further headers
+     */
+    public void startStream(String contentType, Map<String, String> extra) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        addHeaders(response, contentType, extra);
+        HttpUtil.setTransferEncodingChunked(response, true);
+        channel.writeAndFlush(response);
+    }
+
+    /**
+     * Sends a part of a started answer.
+     *
+     * @param text the part
+     */
+    public void part(String text) {
+        channel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
+    }
+
+    /** Ends a started answer as whole. */
+    public void endStream() {
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    /** Resets the connection, so that the other end sees neither an answer nor an orderly end. */
+    public void reset() {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
+    /**
+     * Tells whether the other end still waits.
+     *
+     * @return whether the connection is open
+     */
+    public boolean isOpen() {
+        return channel.isActive();
+    }
+
+    /**
+     * Calls back on the server's thread once the connection is closed.
+     *
+     * @param callback what to call
+     */
+    public void whenClosed(Runnable callback) {
+        channel.closeFuture().addListener(closed -> callback.run());
+    }
+
+    private static void addHeaders(HttpResponse response, String contentType, Map<String, String> extra) {
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE);
+        extra.forEach((name, value) -> response.headers().set(name, value));
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/HostsApi.java
@@ -0,0 +1,70 @@
+package org.rattanplank.standins.platform;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.rattanplank.standins.http.EventLoop;
+import org.rattanplank.standins.http.Exchange;
+import org.rattanplank.standins.http.Json;
+
+/**
+ * The list of hosts, which shows a change only after its lag. Not thread safe: confined to the platform's thread.
+ *
+ * <p>Invariant: the shown revision never falls while the lag stays the same.
+ */
+final class HostsApi {
+    private static final String PREFIX = "/hosts";
+
+    private final EventLoop loop;
+    private final Map<String, JsonNode> hosts = new TreeMap<>();
+    private long revision;
+    private ObjectNode shown = Json.object().put("revision", 0).set("hosts", Json.array());
+
+    HostsApi(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    static boolean owns(String path) {
+        return path.equals(PREFIX) || path.startsWith(PREFIX + "/");
+    }
+
+    void handle(Exchange exchange, long lagMillis) {
+        String name = exchange.path().substring(PREFIX.length()).replaceFirst("^/", "");
+        switch (exchange.method()) {
+            case "GET" -> exchange.respond(200, shown);
+            case "PUT" -> {
+                ObjectNode host = Json.object().put("name", name);
+                exchange.json().fields().forEachRemaining(field -> host.set(field.getKey(), field.getValue()));
+                hosts.put(name, host);
+                changed(exchange, lagMillis);
+            }
+            case "DELETE" -> {
+                hosts.remove(name);
+                changed(exchange, lagMillis);
+            }
+            default -> exchange.respond(405, Json.object().put("error", "no such method"));
+        }
+    }
+
+    private void changed(Exchange exchange, long lagMillis) {
+        revision++;
+        ArrayNode all = Json.array();
+        hosts.values().forEach(all::add);
+        ObjectNode newer = Json.object().put("revision", revision).set("hosts", all);
+        if (lagMillis > 0) {
+            loop.after(lagMillis, () -> show(newer));
+        } else {
+            show(newer);
+        }
+        exchange.respond(200, Json.object().put("revision", revision));
+    }
+
+    private void show(ObjectNode newer) {
+        if (newer.path("revision").asLong() > shown.path("revision").asLong()) {
+            shown = newer;
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/KeyValueStore.java
@@ -0,0 +1,129 @@
+package org.rattanplank.standins.platform;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import io.vavr.control.Option;
+
+/**
+ * Keys with revisions, leases and a bounded history of changes.
+ *
+ * <p>Invariant: each write has its own revision, and listeners see the writes in the order of their revisions. Not
+ * thread safe: confined to the platform's thread.
+ */
+final class KeyValueStore {
+    private static final int HISTORY = 20_000;
+
+    private final TreeMap<String, StoredValue> values = new TreeMap<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private final Deque<StoredValue> history = new ArrayDeque<>();
+    private final Consumer<StoredValue> listener;
+    private long revision = 1;
+    private long compactedRevision;
+    private long nextLeaseId = 1;
+
+    private KeyValueStore(Consumer<StoredValue> listener) {
+        this.listener = listener;
+    }
+
+    static KeyValueStore of(Consumer<StoredValue> listener) {
+        return new KeyValueStore(listener);
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    /** The newest revision whose change is no longer known. */
+    long compactedRevision() {
+        return compactedRevision;
+    }
+
+    StoredValue get(String key) {
+        return Option.of(values.get(key)).getOrElse(() -> StoredValue.absent(key));
+    }
+
+    List<StoredValue> range(KeyRange range) {
+        return values.values().stream()
+                .filter(value -> range.contains(value.key()))
+                .toList();
+    }
+
+    List<StoredValue> changesSince(long fromRevision) {
+        return history.stream()
+                .filter(change -> change.modRevision() >= fromRevision)
+                .toList();
+    }
+
+    /** Writes a key; a lease that is not there is refused, as a lapsed holder must not write with it. */
+    boolean put(String key, String value, long leaseId) {
+        if (leaseId != 0 && !leases.containsKey(leaseId)) {
+            return false;
+        }
+        revision++;
+        StoredValue written = get(key).written(value, revision, leaseId);
+        values.put(key, written);
+        record(written);
+        return true;
+    }
+
+    int delete(KeyRange range) {
+        Collection<StoredValue> doomed = range(range);
+        doomed.forEach(value -> delete(value.key()));
+        return doomed.size();
+    }
+
+    Lease grant(long wantedId, long ttlMillis, long nowMillis) {
+        long id = wantedId == 0 ? nextLeaseId++ : wantedId;
+        Lease lease = new Lease(id, ttlMillis, nowMillis + ttlMillis);
+        leases.put(id, lease);
+        return lease;
+    }
+
+    Option<Lease> keep(long id, long nowMillis) {
+        expire(nowMillis);
+        Option<Lease> kept = Option.of(leases.get(id)).map(lease -> lease.kept(nowMillis));
+        kept.forEach(lease -> leases.put(id, lease));
+        return kept;
+    }
+
+    boolean revoke(long id) {
+        if (leases.remove(id) == null) {
+            return false;
+        }
+        values.values().stream()
+                .filter(value -> value.leaseId() == id)
+                .map(StoredValue::key)
+                .toList()
+                .forEach(this::delete);
+        return true;
+    }
+
+    void expire(long nowMillis) {
+        leases.values().stream()
+                .filter(lease -> lease.hasLapsed(nowMillis))
+                .map(Lease::id)
+                .toList()
+                .forEach(this::revoke);
+    }
+
+    private void delete(String key) {
+        revision++;
+        values.remove(key);
+        record(StoredValue.deleted(key, revision));
+    }
+
+    private void record(StoredValue change) {
+        history.add(change);
+        if (history.size() > HISTORY) {
+            compactedRevision = history.poll().modRevision();
+        }
+        listener.accept(change);
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/Platform.java
@@ -0,0 +1,99 @@
+package org.rattanplank.standins.platform;
+
+import java.net.InetSocketAddress;
+
+import com.beust.jcommander.JCommander;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.rattanplank.standins.http.Addresses;
+import org.rattanplank.standins.http.EventLoop;
+import org.rattanplank.standins.http.Exchange;
+import org.rattanplank.standins.http.Json;
+
+/**
+ * Stands in for the platform: the store, the list of hosts and the weight store on one port.
+ *
+ * <p>{@code GET /counts}, {@code POST /faults} and the changes of the list always work, as they belong to the test and
+ * not to the platform. Not thread safe: confined to its loop's thread once it serves.
+ */
+public final class Platform {
+    private static final long EXPIRE_EVERY_MILLIS = 50;
+
+    private final Counts counts = new Counts();
+    private final StoreApi store;
+    private final HostsApi hosts;
+    private final WeightsApi weights;
+
+    private Platform(EventLoop loop, PlatformOptions options) {
+        store = new StoreApi(loop, counts, Faults.none(options.listLagMillis));
+        hosts = new HostsApi(loop);
+        weights = new WeightsApi(loop, options.transferMillis);
+    }
+
+    /**
+     * Serves a platform.
+     *
+     * @param loop the loop that serves it
+     * @param options its settings
+     * @return the address that is served
+     */
+    public static InetSocketAddress serve(EventLoop loop, PlatformOptions options) {
+        Platform platform = new Platform(loop, options);
+        loop.every(EXPIRE_EVERY_MILLIS, () -> platform.store.expire(System.currentTimeMillis()));
+        return loop.serve(options.port, platform::handle);
+    }
+
+    /**
+     * Runs the platform until the process is ended.
+     *
+     * @param args the settings
+     */
+    public static void main(String[] args) {
+        PlatformOptions options = new PlatformOptions();
+        JCommander.newBuilder().addObject(options).build().parse(args);
+        InetSocketAddress address = serve(EventLoop.of(), options);
+        System.out.println("platform ready address=" + Addresses.write(address));
+    }
+
+    private void handle(Exchange exchange) {
+        String path = exchange.path();
+        if (path.equals("/counts")) {
+            exchange.respond(200, counts.toJson());
+        } else if (path.equals("/faults")) {
+            store.faults(store.faults().changed(exchange.json()));
+            exchange.respond(200, Json.object());
+        } else if (StoreApi.owns(path)) {
+            store.handle(exchange);
+        } else if (HostsApi.owns(path)) {
+            hosts(exchange);
+        } else if (WeightsApi.owns(path)) {
+            weights(exchange);
+        } else {
+            exchange.respond(404, notFound(path));
+        }
+    }
+
+    private void hosts(Exchange exchange) {
+        boolean read = exchange.method().equals("GET");
+        if (read) {
+            counts.add("hosts");
+        }
+        if (read && store.faults().down()) {
+            exchange.reset();
+        } else {
+            hosts.handle(exchange, store.faults().listLagMillis());
+        }
+    }
+
+    private void weights(Exchange exchange) {
+        counts.add("weights");
+        if (store.faults().down()) {
+            exchange.reset();
+        } else {
+            weights.handle(exchange, System.currentTimeMillis());
+        }
+    }
+
+    private static ObjectNode notFound(String path) {
+        return Json.object().put("error", "nothing at " + path);
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/StoreApi.java
@@ -0,0 +1,226 @@
+package org.rattanplank.standins.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.rattanplank.standins.http.EventLoop;
+import org.rattanplank.standins.http.Exchange;
+import org.rattanplank.standins.http.Json;
+
+/**
+ * The store's published JSON calls over a {@link KeyValueStore}.
+ *
+ * <p>Invariant: a call that meets a fault takes effect wholly or not at all. Not thread safe: confined to the
+ * platform's thread.
+ */
+final class StoreApi {
+    private static final String PREFIX = "/v3/";
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final EventLoop loop;
+    private final KeyValueStore store = KeyValueStore.of(this::changed);
+    private final List<Watcher> watchers = new ArrayList<>();
+    private final Counts counts;
+    private Faults faults;
+    private List<StoredValue> staleValues = List.of();
+
+    StoreApi(EventLoop loop, Counts counts, Faults faults) {
+        this.loop = loop;
+        this.counts = counts;
+        this.faults = faults;
+    }
+
+    static boolean owns(String path) {
+        return path.startsWith(PREFIX);
+    }
+
+    Faults faults() {
+        return faults;
+    }
+
+    void faults(Faults newer) {
+        if (newer.staleReads() && !faults.staleReads()) {
+            staleValues = store.range(new KeyRange("", "\0"));
+        }
+        faults = newer;
+        if (newer.isStoreDown()) {
+            watchers.forEach(watcher -> watcher.exchange().reset());
+            watchers.clear();
+        }
+    }
+
+    void expire(long nowMillis) {
+        if (!faults.isStoreDown()) {
+            store.expire(nowMillis);
+        }
+    }
+
+    void handle(Exchange exchange) {
+        counts.add(exchange.path().substring(PREFIX.length()));
+        if (faults.isStoreDown()) {
+            exchange.reset();
+        } else if (faults.slowMillis() > 0) {
+            loop.after(faults.slowMillis(), () -> answer(exchange));
+        } else {
+            answer(exchange);
+        }
+    }
+
+    private void answer(Exchange exchange) {
+        JsonNode call = exchange.json();
+        long nowMillis = System.currentTimeMillis();
+        store.expire(nowMillis);
+        switch (exchange.path()) {
+            case "/v3/kv/range" -> exchange.respond(200, range(call));
+            case "/v3/kv/put" -> written(exchange, put(call));
+            case "/v3/kv/deleterange" -> written(exchange, delete(call));
+            case "/v3/kv/txn" -> transaction(exchange, call);
+            case "/v3/lease/grant" -> written(exchange, grant(call, nowMillis));
+            case "/v3/lease/keepalive" -> written(exchange, keep(call, nowMillis));
+            case "/v3/lease/revoke", "/v3/kv/lease/revoke" -> revoke(exchange, call);
+            case "/v3/watch" -> watch(exchange, call);
+            default -> exchange.respond(404, error("no such call"));
+        }
+    }
+
+    /** Answers a write that took effect, unless its answer is to be lost. */
+    private void written(Exchange exchange, ObjectNode answer) {
+        if (answer.has("error")) {
+            exchange.respond(400, answer);
+        } else if (faults.loseAnswers() > 0) {
+            faults = faults.withoutOneLostAnswer();
+            exchange.reset();
+        } else {
+            exchange.respond(200, answer);
+        }
+    }
+
+    private ObjectNode range(JsonNode call) {
+        KeyRange range = StoreJson.range(call);
+        List<StoredValue> found = faults.staleReads()
+                ? staleValues.stream()
+                        .filter(value -> range.contains(value.key()))
+                        .toList()
+                : store.range(range);
+        ObjectNode answer = StoreJson.header(store.revision());
+        if (!found.isEmpty()) {
+            answer.set("kvs", StoreJson.values(found));
+        }
+        StoreJson.putNumber(answer, "count", found.size());
+        return answer;
+    }
+
+    private ObjectNode put(JsonNode call) {
+        boolean put = store.put(
+                StoreJson.text(call, "key"),
+                StoreJson.text(call, "value"),
+                call.path("lease").asLong());
+        return put ? StoreJson.header(store.revision()) : error("requested lease not found");
+    }
+
+    private ObjectNode delete(JsonNode call) {
+        int deleted = store.delete(StoreJson.range(call));
+        ObjectNode answer = StoreJson.header(store.revision());
+        StoreJson.putNumber(answer, "deleted", deleted);
+        return answer;
+    }
+
+    private void transaction(Exchange exchange, JsonNode call) {
+        boolean holds = true;
+        for (JsonNode condition : call.path("compare")) {
+            holds &= CompareTarget.holds(condition, store.get(StoreJson.text(condition, "key")));
+        }
+        ArrayNode responses = Json.array();
+        for (JsonNode operation : call.path(holds ? "success" : "failure")) {
+            responses.add(operate(operation));
+        }
+        ObjectNode answer = StoreJson.header(store.revision());
+        if (holds) {
+            answer.put("succeeded", true);
+        }
+        answer.set("responses", responses);
+        written(exchange, answer);
+    }
+
+    private ObjectNode operate(JsonNode operation) {
+        if (operation.has("request_put") || operation.has("requestPut")) {
+            return Json.object().set("response_put", put(StoreJson.either(operation, "request_put", "requestPut")));
+        }
+        if (operation.has("request_delete_range") || operation.has("requestDeleteRange")) {
+            JsonNode delete = StoreJson.either(operation, "request_delete_range", "requestDeleteRange");
+            return Json.object().set("response_delete_range", delete(delete));
+        }
+        JsonNode range = StoreJson.either(operation, "request_range", "requestRange");
+        return Json.object().set("response_range", range(range));
+    }
+
+    private ObjectNode grant(JsonNode call, long nowMillis) {
+        long ttlMillis = call.path("TTL").asLong() * MILLIS_PER_SECOND;
+        return lease(store.grant(call.path("ID").asLong(), ttlMillis, nowMillis));
+    }
+
+    private ObjectNode keep(JsonNode call, long nowMillis) {
+        long id = call.path("ID").asLong();
+        ObjectNode lapsed = StoreJson.header(store.revision()).put("ID", Long.toString(id));
+        return Json.object()
+                .set("result", store.keep(id, nowMillis).map(this::lease).getOrElse(lapsed));
+    }
+
+    private ObjectNode lease(Lease lease) {
+        ObjectNode answer = StoreJson.header(store.revision());
+        answer.put("ID", Long.toString(lease.id()));
+        return answer.put("TTL", Long.toString(lease.ttlMillis() / MILLIS_PER_SECOND));
+    }
+
+    private void revoke(Exchange exchange, JsonNode call) {
+        boolean revoked = store.revoke(call.path("ID").asLong());
+        written(exchange, revoked ? StoreJson.header(store.revision()) : error("requested lease not found"));
+    }
+
+    private void watch(Exchange exchange, JsonNode call) {
+        JsonNode create = StoreJson.either(call, "create_request", "createRequest");
+        long from = StoreJson.either(create, "start_revision", "startRevision").asLong();
+        exchange.startStream("application/json", Map.of());
+        ObjectNode created = StoreJson.header(store.revision()).put("created", true);
+        if (from > 0 && from <= store.compactedRevision()) {
+            created.put("canceled", true).put("compact_revision", Long.toString(store.compactedRevision() + 1));
+            exchange.part(line(created));
+            exchange.endStream();
+            return;
+        }
+        exchange.part(line(created));
+        Watcher watcher = new Watcher(exchange, StoreJson.range(create));
+        watchers.add(watcher);
+        exchange.whenClosed(() -> watchers.remove(watcher));
+        if (from > 0) {
+            store.changesSince(from).forEach(change -> tell(watcher, change));
+        }
+    }
+
+    private void changed(StoredValue change) {
+        watchers.forEach(watcher -> tell(watcher, change));
+    }
+
+    private void tell(Watcher watcher, StoredValue change) {
+        if (faults.silentWatches() || !watcher.range().contains(change.key())) {
+            return;
+        }
+        ObjectNode told = StoreJson.header(change.modRevision());
+        told.set("events", Json.array().add(StoreJson.event(change)));
+        watcher.exchange().part(line(told));
+    }
+
+    private static String line(ObjectNode result) {
+        return Json.write(Json.object().set("result", result)) + "\n";
+    }
+
+    private static ObjectNode error(String message) {
+        return Json.object().put("error", message).put("code", 5);
+    }
+
+    private record Watcher(Exchange exchange, KeyRange range) {}
+}
