Apply a folder of intents as a three-way change

Cause: operators race in the week that a frozen batch lands, and the store can take a write and lose the answer; nobody's file may be undone, and no change may be made twice. Change: ConfigurationChange merges file by file against what the operator last saw; Apply is a state machine of values over store calls, and settles a lost answer by its own identity among the 64 newest changes; IntentChecks checks a folder or a merged document as a whole; Configuration carries limits and regions (the old constructor stays).

--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/ApplyStep.java
@@ -0,0 +1,63 @@
+package org.rattanplank.core.intent;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.rattanplank.core.store.StoreCommand;
+import org.rattanplank.schema.intent.IntentFault;
+
+/** What an apply wants next, or how it ended. Immutable and thread safe. */
+public sealed interface ApplyStep {
+
+    /**
+     * Call the platform's store and hand the reply to {@link Apply#replied}.
+     *
+     * @param command what to do
+     * @param delayMillis how long to wait before
+     */
+    record CallStore(StoreCommand command, long delayMillis) implements ApplyStep {
+        public CallStore {
+            Objects.requireNonNull(command, "command");
+        }
+    }
+
+    /**
+     * The change is in the store.
+     *
+     * @param generation the generation that holds it
+     * @param digest the digest of the newest document that was seen to hold it
+     * @param changed whether there was anything to change
+     */
+    record Done(long generation, String digest, boolean changed) implements ApplyStep {}
+
+    /**
+     * Nothing was applied: the folder merged with the newest document has faults.
+     *
+     * @param faults the faults
+     */
+    record Refused(List<IntentFault> faults) implements ApplyStep {
+        public Refused {
+            faults = List.copyOf(faults);
+        }
+    }
+
+    /**
+     * Nothing was applied: another operator changed the same files.
+     *
+     * @param generation the newest generation
+     * @param conflicts the files
+     */
+    record Conflicting(long generation, List<ConfigurationConflict> conflicts) implements ApplyStep {
+        public Conflicting {
+            conflicts = List.copyOf(conflicts);
+        }
+    }
+
+    /**
+     * The store could not be reached often enough.
+     *
+     * @param surelyNotApplied whether the change surely has no effect; otherwise apply the same folder again
+     * @param reason a short sentence
+     */
+    record Failed(boolean surelyNotApplied, String reason) implements ApplyStep {}
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/CanonicalJson.java
@@ -0,0 +1,44 @@
+package org.rattanplank.core.intent;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+/**
+ * Writes JSON so that equal values give equal text: fields sorted, no blanks.
+ *
+ * <p>Invariant: the text depends on nothing but the value. Stateless and thread safe.
+ */
+final class CanonicalJson {
+    private static final ObjectMapper JSON = JsonMapper.builder()
+            .enable(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY)
+            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+            .build();
+
+    private CanonicalJson() {}
+
+    static String text(JsonNode node) {
+        try {
+            return JSON.writeValueAsString(JSON.treeToValue(node, Object.class));
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not a JSON value", e);
+        }
+    }
+
+    static String sha256(String text) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- a/rattanplank-core/src/main/java/org/rattanplank/core/intent/Configuration.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/Configuration.java
@@ -1,5 +1,6 @@
 package org.rattanplank.core.intent;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -17,6 +18,8 @@
  * @param residencies the regions that each residency label allows
  * @param shares the share of work that each region takes, where it is limited, from zero to one
  * @param retiring the hosts and targets that are to leave
+ * @param limits the limits of accounts by account name
+ * @param regions the data centres of each region that the files name
  */
 public record Configuration(
         long generation,
@@ -25,13 +28,39 @@
         Map<String, Account> accounts,
         Map<String, Set<String>> residencies,
         Map<String, Double> shares,
-        Set<String> retiring) {
+        Set<String> retiring,
+        Map<String, Limit> limits,
+        Map<String, List<String>> regions) {
     public Configuration {
         services = Map.copyOf(services);
         accounts = Map.copyOf(accounts);
         residencies = Map.copyOf(residencies);
         shares = Map.copyOf(shares);
         retiring = Set.copyOf(retiring);
+        limits = Map.copyOf(limits);
+        regions = Map.copyOf(regions);
+    }
+
+    /**
+     * Makes a configuration without limits or named regions.
+     *
+     * @param generation the generation
+     * @param digest the digest of the merged document
+     * @param services the services by name
+     * @param accounts the accounts by name
+     * @param residencies the regions that each residency label allows
+     * @param shares the share of work that each region takes
+     * @param retiring the hosts and targets that are to leave
+     */
+    public Configuration(
+            long generation,
+            String digest,
+            Map<String, Service> services,
+            Map<String, Account> accounts,
+            Map<String, Set<String>> residencies,
+            Map<String, Double> shares,
+            Set<String> retiring) {
+        this(generation, digest, services, accounts, residencies, shares, retiring, Map.of(), Map.of());
     }
 
     /**
@@ -63,6 +92,16 @@
         return Option.of(accounts.get(name));
     }
 
+    /**
+     * Finds the limit of an account.
+     *
+     * @param account the account's name
+     * @return the limit, or none
+     */
+    public Option<Limit> limit(String account) {
+        return Option.of(limits.get(account));
+    }
+
     /**
      * Finds the regions in which data may be served; data of unknown residency stays at home.
      *
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/ConfigurationConflict.java
@@ -0,0 +1,43 @@
+package org.rattanplank.core.intent;
+
+import java.util.Objects;
+
+/**
+ * One file that two operators changed at once in ways that cannot both hold. Immutable and thread safe.
+ *
+ * @param file the file's name
+ * @param reason how the changes clash
+ */
+public record ConfigurationConflict(String file, Reason reason) {
+    public ConfigurationConflict {
+        Objects.requireNonNull(file, "file");
+        Objects.requireNonNull(reason, "reason");
+    }
+
+    /** How two changes of one file clash. */
+    public enum Reason {
+        /** Both added the file with different contents. */
+        BOTH_ADDED("both added it with different contents"),
+        /** Both changed the file in different ways. */
+        BOTH_CHANGED("both changed it differently"),
+        /** This change removes the file and the other one changed it. */
+        REMOVED_HERE("you removed it, another operator changed it"),
+        /** The other change removed the file and this one changes it. */
+        REMOVED_THERE("another operator removed it, you changed it");
+
+        private final String words;
+
+        Reason(String words) {
+            this.words = words;
+        }
+
+        /**
+         * Says it to an operator.
+         *
+         * @return a short sentence
+         */
+        public String words() {
+            return words;
+        }
+    }
+}
--- a/rattanplank-core/src/main/java/org/rattanplank/core/intent/Documents.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/Documents.java
@@ -1,23 +1,25 @@
 package org.rattanplank.core.intent;
 
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Try;
+import org.rattanplank.schema.intent.Intent;
+import org.rattanplank.schema.intent.IntentMerge;
 
 /**
- * Reads the document that the store holds for one generation. Stateless and thread safe.
+ * Turns the document that the store holds for one generation into a configuration. Stateless and thread safe.
  *
  * <p>The document is {@code {"generation": n, "digest": "...", "changeId": "...", "files": {"name": intent}}}; files
- * apply in the order of their names.
+ * apply in the order of their names, field by field. Kinds and fields that this version does not know are passed over,
+ * so that a newer tool can write for older hosts.
  */
 public final class Documents {
-    private static final ObjectMapper JSON = new ObjectMapper();
-
     private Documents() {}
 
     /**
@@ -27,36 +29,51 @@
      * @return the configuration, or why the document cannot be read
      */
     public static Try<Configuration> read(String document) {
-        return Try.of(() -> read(JSON.readTree(document)));
+        return Document.parse(document).flatMap(Documents::read);
+    }
+
+    /**
+     * Merges the files of a document.
+     *
+     * @param document the document
+     * @return the configuration, or why an intent cannot be read
+     */
+    public static Try<Configuration> read(Document document) {
+        return Try.of(() -> merge(document));
     }
 
-    private static Configuration read(JsonNode root) {
-        Map<String, Service> services = new HashMap<>();
-        Map<String, Account> accounts = new HashMap<>();
-        Map<String, Set<String>> residencies = new HashMap<>();
-        Map<String, Double> shares = new HashMap<>();
-        Set<String> retiring = new HashSet<>();
-        Map<String, JsonNode> files = new java.util.TreeMap<>();
-        root.path("files").fields().forEachRemaining(file -> files.put(file.getKey(), file.getValue()));
-        for (JsonNode intent : files.values()) {
-            String name = intent.path("name").asText();
-            switch (intent.path("kind").asText()) {
-                case "service" -> services.put(name, service(name, intent));
-                case "account" -> accounts.put(name, account(name, intent));
-                case "residency" -> residencies.put(name, regions(intent));
-                case "share" -> shares.put(name, intent.path("share").asDouble());
-                case "retire" -> retiring.add(name);
-                default -> {}
+    private static Configuration merge(Document document) {
+        Map<String, Service> services = new TreeMap<>();
+        Map<String, Account> accounts = new TreeMap<>();
+        Map<String, Set<String>> residencies = new TreeMap<>();
+        Map<String, Double> shares = new TreeMap<>();
+        Set<String> retiring = new TreeSet<>();
+        Map<String, Limit> limits = new TreeMap<>();
+        Map<String, List<String>> regions = new TreeMap<>();
+        for (Intent intent : IntentMerge.merge(document.intentFiles())) {
+            String name = intent.name();
+            JsonNode content = intent.content();
+            switch (intent.kind()) {
+                case SERVICE -> services.put(name, service(name, content));
+                case ACCOUNT -> accounts.put(name, account(name, content));
+                case RESIDENCY -> residencies.put(name, Set.copyOf(new TreeSet<>(texts(content.path("regions")))));
+                case SHARE -> shares.put(name, content.path("share").asDouble());
+                case RETIRE -> retiring.add(name);
+                case LIMIT -> limits.put(name, limit(name, content));
+                case REGION -> regions.put(name, texts(content.path("dataCentres")));
+                default -> throw new IllegalStateException("no reader for " + intent.kind());
             }
         }
         return new Configuration(
-                root.path("generation").asLong(),
-                root.path("digest").asText(),
+                document.generation(),
+                document.digest(),
                 services,
                 accounts,
                 residencies,
                 shares,
-                retiring);
+                retiring,
+                limits,
+                regions);
     }
 
     private static Service service(String name, JsonNode intent) {
@@ -78,9 +95,16 @@
                 intent.path("weight").asDouble(1));
     }
 
-    private static Set<String> regions(JsonNode intent) {
-        Set<String> regions = new HashSet<>();
-        intent.path("regions").forEach(region -> regions.add(region.asText()));
-        return regions;
+    private static Limit limit(String name, JsonNode intent) {
+        return new Limit(
+                name,
+                intent.path("requestsPerSecond").asDouble(),
+                intent.path("concurrent").asInt());
+    }
+
+    static List<String> texts(JsonNode array) {
+        List<String> texts = new ArrayList<>();
+        array.forEach(item -> texts.add(item.asText()));
+        return List.copyOf(texts);
     }
 }
