Add the messages of membership and configuration

Cause: hosts tell each other who is leaving and what other data centres have, and a change of configuration must not carry the whole document each time.

--- a/rattanplank-schema/src/main/java/org/rattanplank/schema/message/ConfigurationPull.java
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/ConfigurationPull.java
@@ -1,12 +1,20 @@
 // Generated from the message schemas; see docs/INTERFACE.md. Do not edit.
 package org.rattanplank.schema.message;
 
+import java.util.Objects;
+
 /**
  * Asks a peer for a generation of the configuration.
  *
  * <p>Immutable and thread safe.
  *
  * @param generation the generation that is wanted
+ * @param have the generation in force at the sender, zero for none
+ * @param haveDigest the digest of that generation
  */
-public record ConfigurationPull(long generation) implements ControlMessage {
+public record ConfigurationPull(long generation, long have,
+        String haveDigest) implements ControlMessage {
+    public ConfigurationPull {
+        haveDigest = Objects.requireNonNullElse(haveDigest, "");
+    }
 }
--- a/rattanplank-schema/src/main/java/org/rattanplank/schema/message/PeerMessage.java
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/PeerMessage.java
@@ -18,6 +18,8 @@
         @JsonSubTypes.Type(value = ConfigurationPush.class, name = "ConfigurationPush"),
         @JsonSubTypes.Type(value = Hello.class, name = "Hello"),
         @JsonSubTypes.Type(value = Heartbeat.class, name = "Heartbeat"),
+        @JsonSubTypes.Type(value = LeavingNews.class, name = "LeavingNews"),
+        @JsonSubTypes.Type(value = RegionSummary.class, name = "RegionSummary"),
         @JsonSubTypes.Type(value = ForwardRequest.class, name = "ForwardRequest"),
         @JsonSubTypes.Type(value = ForwardHead.class, name = "ForwardHead"),
         @JsonSubTypes.Type(value = ForwardChunk.class, name = "ForwardChunk"),
