Fill in membership and the learning of configurations

Cause: hosts have to know who lives, who is leaving and which generation is newest, at a cost that follows their data centre and the number of data centres, also while the platform is out. Ruled out: one speaker for all other data centres (its traffic alone would be 81 streams; the ranking by data centre spreads them over all hosts), relaying heartbeats (only changes are relayed; a speaker names the silent ones), reading the store from every host. Node hands the peers to the configurations, and takes what was heard of generations from the members, because only they know which word is new.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
@@ -21,7 +21,6 @@
 import org.rattanplank.core.store.StoreOwner;
 import org.rattanplank.schema.message.ClaimMessage;
 import org.rattanplank.schema.message.ControlMessage;
-import org.rattanplank.schema.message.Heartbeat;
 import org.rattanplank.schema.message.MemberMessage;
 import org.rattanplank.schema.message.PeerMessage;
 
@@ -177,13 +176,14 @@
         if (event instanceof Event.PeerConnected connected) {
             connected(connected, nowMillis, effects);
         } else if (event instanceof Event.PeerLost lost) {
-            addMemberSteps(members.lost(lost.host(), lost.refused(), nowMillis), effects);
+            addMemberSteps(members.lost(lost.host(), lost.refused(), nowMillis), nowMillis, effects);
             effects.addClaimSteps(claims.lost(lost.host(), lost.refused(), nowMillis));
             router.regions(members.remoteRegions(), nowMillis);
         } else if (event instanceof Event.MessageReceived received) {
             receive(received.host(), received.incarnation(), received.message(), nowMillis, effects);
         } else if (event instanceof Event.HostsListed listed) {
-            addMemberSteps(members.listed(listed.list(), nowMillis), effects);
+            addMemberSteps(members.listed(listed.list(), nowMillis), nowMillis, effects);
+            configurations.peers(members.peerView(), nowMillis);
             effects.addClaimSteps(claims.listed(listed.list(), nowMillis));
             refreshTargets(nowMillis);
         } else if (event instanceof Event.StoreReplied replied) {
@@ -197,7 +197,7 @@
 
     private void connected(Event.PeerConnected peer, long nowMillis, Effects effects) {
         Place place = Place.of(peer.region(), peer.dataCentre());
-        addMemberSteps(members.connected(peer.host(), peer.incarnation(), place, nowMillis), effects);
+        addMemberSteps(members.connected(peer.host(), peer.incarnation(), place, nowMillis), nowMillis, effects);
         if (place.dataCentre().equals(self.place().dataCentre())) {
             effects.addClaimSteps(claims.connected(peer.host(), peer.incarnation(), nowMillis));
         }
@@ -210,12 +210,8 @@
         } else if (message instanceof ControlMessage control) {
             addConfigurationSteps(configurations.receive(host, control, nowMillis), nowMillis, effects);
         } else if (message instanceof MemberMessage member) {
-            addMemberSteps(members.receive(host, incarnation, member, nowMillis), effects);
+            addMemberSteps(members.receive(host, incarnation, member, nowMillis), nowMillis, effects);
             router.regions(members.remoteRegions(), nowMillis);
-            if (member instanceof Heartbeat heartbeat) {
-                addConfigurationSteps(
-                        configurations.heard(host, heartbeat.generation(), nowMillis), nowMillis, effects);
-            }
         }
     }
 
@@ -251,14 +247,18 @@
     private void tick(long nowMillis, Effects effects) {
         requests.tick(nowMillis, effects);
         effects.addClaimSteps(claims.tick(nowMillis));
+        configurations.peers(members.peerView(), nowMillis);
         addConfigurationSteps(configurations.tick(nowMillis), nowMillis, effects);
+        controller.candidate(members.isControllerCandidate());
         addControlSteps(controller.tick(nowMillis), effects);
         SelfReport report = new SelfReport(
                 configurations.current().generation(),
                 requests.isDraining(),
                 requests.inFlight(),
-                router.summary(nowMillis));
-        addMemberSteps(members.tick(report, nowMillis), effects);
+                router.summary(nowMillis),
+                configurations.isStoreReachable(nowMillis));
+        addMemberSteps(members.tick(report, nowMillis), nowMillis, effects);
+        router.regions(members.remoteRegions(), nowMillis);
         refreshTargets(nowMillis);
         drain(nowMillis, effects);
     }
@@ -283,12 +283,15 @@
         controller.targets(targets, nowMillis);
     }
 
-    private void addMemberSteps(List<MemberStep> steps, Effects effects) {
+    private void addMemberSteps(List<MemberStep> steps, long nowMillis, Effects effects) {
         for (MemberStep step : steps) {
             if (step instanceof MemberStep.Send send) {
                 effects.add(new Action.SendMessage(send.host(), send.message()));
             } else if (step instanceof MemberStep.KeepLinks links) {
                 effects.add(new Action.KeepLinks(links.hosts()));
+            } else if (step instanceof MemberStep.Heard heard) {
+                addConfigurationSteps(
+                        configurations.heard(heard.host(), heard.generation(), nowMillis), nowMillis, effects);
             }
         }
     }
@@ -306,7 +309,7 @@
     }
 
     private void inForce(Configuration configuration, long nowMillis) {
-        configuration.retiring().forEach(name -> members.leaving(name, nowMillis));
+        members.retiring(configuration.retiring(), nowMillis);
         router.configured(configuration, nowMillis);
         controller.configured(configuration, nowMillis);
         refreshTargets(nowMillis);
--- a/rattanplank-core/src/main/java/org/rattanplank/core/control/Controller.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/control/Controller.java
@@ -28,6 +28,13 @@
         return new Controller();
     }
 
+    /**
+     * Takes note of whether this host should try to hold the lease.
+     *
+     * @param isCandidate whether it is among the best hosts of its region
+     */
+    public void candidate(boolean isCandidate) {}
+
     /**
      * Takes a new configuration.
      *
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/host/Rendezvous.java
@@ -0,0 +1,63 @@
+package org.rattanplank.core.host;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Rendezvous hashing: every host that knows the same members ranks them in the same order, with no agreement.
+ *
+ * <p>Invariant: the order of two members does not depend on any third. Stateless and thread safe.
+ */
+public final class Rendezvous {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private Rendezvous() {}
+
+    /**
+     * Ranks members for a key.
+     *
+     * @param members the members, each once
+     * @param key what a member is wanted for
+     * @return the members, best first
+     */
+    public static List<String> rank(Collection<String> members, String key) {
+        long seed = hash(key);
+        return members.stream()
+                .map(member -> new Scored(member, mix(hash(member) ^ seed)))
+                .sorted()
+                .map(Scored::member)
+                .toList();
+    }
+
+    /**
+     * Hashes a text.
+     *
+     * @param text the text
+     * @return a hash that is the same on every host
+     */
+    public static long hash(String text) {
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+        }
+        return mix(hash);
+    }
+
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 33)) * 0xff51afd7ed558ccdL;
+        mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return mixed ^ (mixed >>> 33);
+    }
+
+    private record Scored(String member, long score) implements Comparable<Scored> {
+        private static final Comparator<Scored> ORDER =
+                Comparator.comparingLong(Scored::score).thenComparing(Scored::member);
+
+        @Override
+        public int compareTo(Scored other) {
+            return ORDER.compare(this, other);
+        }
+    }
+}
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/MemberStep.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/MemberStep.java
@@ -30,4 +30,12 @@
             hosts = List.copyOf(hosts);
         }
     }
+
+    /**
+     * Another host told which generation of the configuration it has.
+     *
+     * @param host the other host
+     * @param generation its generation
+     */
+    record Heard(String host, long generation) implements MemberStep {}
 }
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Summaries.java
@@ -0,0 +1,76 @@
+package org.rattanplank.core.member;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.rattanplank.core.host.Place;
+import org.rattanplank.core.route.RemoteRegion;
+import org.rattanplank.schema.message.LeavingNotice;
+import org.rattanplank.schema.message.RegionSummary;
+
+/** Makes and reads the bounded summaries that data centres exchange. Stateless and thread safe. */
+final class Summaries {
+    static final int MAX_HOSTS = 64;
+    static final int MAX_SERVICES = 64;
+    static final int MAX_LEAVING = 32;
+
+    private static final int FIELDS = 4;
+
+    private Summaries() {}
+
+    static RegionSummary of(
+            Place place, long generation, Collection<String> hosts, SelfReport report, List<LeavingNotice> leaving) {
+        Map<String, List<Long>> services = new LinkedHashMap<>();
+        new TreeMap<>(report.services()).forEach((name, load) -> {
+            if (services.size() < MAX_SERVICES) {
+                services.put(name, List.of((long) load.targets(), (long) load.slots(), (long) load.running(), (long)
+                        load.queued()));
+            }
+        });
+        List<String> names = hosts.stream().sorted().limit(MAX_HOSTS).toList();
+        return new RegionSummary(place.region(), place.dataCentre(), generation, names, services, leaving);
+    }
+
+    /** Leaves the services out, for data centres of the same region, which ask the same targets themselves. */
+    static RegionSummary withoutServices(RegionSummary summary) {
+        return new RegionSummary(
+                summary.region(),
+                summary.dataCentre(),
+                summary.generation(),
+                summary.hosts(),
+                Map.of(),
+                summary.leaving());
+    }
+
+    /** Tells whether two summaries differ in more than load. */
+    static boolean differInMoreThanLoad(RegionSummary one, RegionSummary other) {
+        return !withoutServices(one).equals(withoutServices(other))
+                || !served(one).equals(served(other));
+    }
+
+    static Map<String, RemoteRegion.ServiceLoad> loads(RegionSummary summary, long atMillis) {
+        Map<String, RemoteRegion.ServiceLoad> loads = new TreeMap<>();
+        summary.services().forEach((name, load) -> {
+            if (load.size() >= FIELDS) {
+                loads.put(
+                        name,
+                        new RemoteRegion.ServiceLoad(
+                                load.get(0).intValue(),
+                                load.get(1).intValue(),
+                                load.get(2).intValue(),
+                                load.get(3).intValue(),
+                                atMillis));
+            }
+        });
+        return loads;
+    }
+
+    private static Map<String, Boolean> served(RegionSummary summary) {
+        Map<String, Boolean> served = new TreeMap<>();
+        summary.services().forEach((name, load) -> served.put(name, !load.isEmpty() && load.get(0) > 0));
+        return served;
+    }
+}
