Add callers that tell whole answers of their own from anything else

Cause: outcomes can only be compared with the ledger if the caller knows which call an answer belongs to, and whether it is whole.

--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/caller/CallKind.java
@@ -0,0 +1,85 @@
+package org.rattanplank.standins.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.rattanplank.standins.http.Json;
+
+/** What a caller asks for, and how it tells the whole answer to its own call from anything else. */
+public enum CallKind {
+    /** A part booking or a price quote. */
+    BOOKING("interactive") {
+        @Override
+        String path(String service) {
+            return "/services/" + service + "/bookings";
+        }
+
+        @Override
+        boolean isModelCall() {
+            return false;
+        }
+
+        @Override
+        boolean isWhole(CallRequest request, String body) {
+            JsonNode answer = Json.readOrEmpty(body);
+            return answer.path("reference").asText().equals(request.reference()) && answer.has("confirmation");
+        }
+    },
+    /** A short answer of a model engine. */
+    QUERY("interactive") {
+        @Override
+        boolean isWhole(CallRequest request, String body) {
+            String content =
+                    Json.readOrEmpty(body).at("/choices/0/message/content").asText();
+            return List.of(content.trim().split(" ")).equals(expected(request));
+        }
+    },
+    /** A streamed answer of a model engine. */
+    DRAFT("draft") {
+        @Override
+        boolean isWhole(CallRequest request, String body) {
+            List<String> contents = new ArrayList<>();
+            boolean done = false;
+            for (String line : body.split("\n")) {
+                if (line.equals("data: [DONE]")) {
+                    done = true;
+                } else if (line.startsWith(DATA)) {
+                    JsonNode chunk = Json.readOrEmpty(line.substring(DATA.length()));
+                    contents.add(chunk.at("/choices/0/delta/content").asText().trim());
+                }
+            }
+            return done && contents.equals(expected(request));
+        }
+    };
+
+    private static final String DATA = "data: ";
+
+    private final String workClass;
+
+    CallKind(String workClass) {
+        this.workClass = workClass;
+    }
+
+    String workClass() {
+        return workClass;
+    }
+
+    String path(String service) {
+        return "/v1/chat/completions";
+    }
+
+    boolean isModelCall() {
+        return true;
+    }
+
+    abstract boolean isWhole(CallRequest request, String body);
+
+    private static List<String> expected(CallRequest request) {
+        List<String> parts = new ArrayList<>();
+        for (int part = 0; part < request.parts(); part++) {
+            parts.add(request.reference() + ":" + part);
+        }
+        return parts;
+    }
+}
