Let sessions report the targets' loads

Ruled out: summaries between regions, which came, but listed no service. Change: sessions report loads twice a second, as real targets do.

--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/Session.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/Session.java
@@ -40,6 +40,8 @@
     /** How far each step of time goes. */
     static final long TICK_MILLIS = 100;
 
+    private static final long LOAD_EVERY_MILLIS = 500;
+
     private final Map<String, Node> nodes = new TreeMap<>();
     private final Map<String, NodeIdentity> identities = new TreeMap<>();
     private final Map<String, Set<String>> links = new TreeMap<>();
@@ -164,6 +166,7 @@
             nowMillis += TICK_MILLIS;
             for (String host : List.copyOf(nodes.keySet())) {
                 relink(host);
+                reportLoads(host);
                 feed(host, new Event.Ticked());
             }
         }
@@ -225,16 +228,6 @@
         return this;
     }
 
-    /** Reports a target's load to every node of its region. */
-    Session report(TargetLoad load, String region) {
-        for (String host : List.copyOf(nodes.keySet())) {
-            if (identities.get(host).place().region().equals(region)) {
-                feed(host, new Event.LoadReported(load));
-            }
-        }
-        return this;
-    }
-
     /** Ends the attempt of a request that waits at a target. */
     Session end(String requestId, AttemptResult result) {
         Attempt attempt = attempts.values().stream()
@@ -247,6 +240,28 @@
         return this;
     }
 
+    private void reportLoads(String host) {
+        if (nowMillis % LOAD_EVERY_MILLIS != 0) {
+            return;
+        }
+        for (ListedHost target : listed) {
+            if (target.isTarget()
+                    && target.place()
+                            .region()
+                            .equals(identities.get(host).place().region())) {
+                feed(host, new Event.LoadReported(loadOf(target)));
+            }
+        }
+    }
+
+    private TargetLoad loadOf(ListedHost target) {
+        int running = (int) attempts.values().stream()
+                .filter(attempt -> attempt.route().peer().equals(target.name()))
+                .count();
+        return new TargetLoad(
+                target.name(), target.service(), List.of(), running, 0, 8, 50, 100_000, target.leaving(), nowMillis);
+    }
+
     private void end(Attempt attempt, AttemptResult result) {
         if (nodes.containsKey(attempt.node())) {
             deliveries.add(() ->
