Leave services without targets out of summaries

Change: only services with targets that take work are told of, so a region that knows nothing yet counts as one that has not said; a load that is not told anew counts as held while the data centre is heard, because every change is told.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Centres.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Centres.java
@@ -191,6 +191,11 @@
         return Option.none();
     }
 
+    /** When the loads of a data centre were last known to hold: every change is told within the gap between loads. */
+    long loadsHoldMillis(Centre centre, long nowMillis) {
+        return centre.reachable ? Math.max(centre.summaryMillis, nowMillis - loadGapMillis()) : centre.summaryMillis;
+    }
+
     private long loadGapMillis() {
         return Math.max(MIN_LOAD_GAP_MILLIS, LOAD_GAP_MILLIS_FOR_EACH_CENTRE * centres.size());
     }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Members.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Members.java
@@ -440,7 +440,7 @@
         hosts.forEach((region, names) -> {
             Centre centre = newest.get(region);
             var loads = centre.summary
-                    .map(summary -> Summaries.loads(summary, centre.summaryMillis))
+                    .map(summary -> Summaries.loads(summary, centres.loadsHoldMillis(centre, nowMillis)))
                     .getOrElse(Map.of());
             summed.add(new RemoteRegion(region, Rendezvous.rank(names, self.host()), loads));
         });
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Summaries.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Summaries.java
@@ -25,7 +25,7 @@
             Place place, long generation, Collection<String> hosts, SelfReport report, List<LeavingNotice> leaving) {
         Map<String, List<Long>> services = new LinkedHashMap<>();
         new TreeMap<>(report.services()).forEach((name, load) -> {
-            if (services.size() < MAX_SERVICES) {
+            if (services.size() < MAX_SERVICES && load.targets() > 0) {
                 services.put(name, List.of((long) load.targets(), (long) load.slots(), (long) load.running(), (long)
                         load.queued()));
             }
@@ -48,7 +48,7 @@
     /** Tells whether two summaries differ in more than load. */
     static boolean differInMoreThanLoad(RegionSummary one, RegionSummary other) {
         return !withoutServices(one).equals(withoutServices(other))
-                || !served(one).equals(served(other));
+                || !one.services().keySet().equals(other.services().keySet());
     }
 
     static Map<String, RemoteRegion.ServiceLoad> loads(RegionSummary summary, long atMillis) {
@@ -67,10 +67,4 @@
         });
         return loads;
     }
-
-    private static Map<String, Boolean> served(RegionSummary summary) {
-        Map<String, Boolean> served = new TreeMap<>();
-        summary.services().forEach((name, load) -> served.put(name, !load.isEmpty() && load.get(0) > 0));
-        return served;
-    }
 }
