--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/Router.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/Router.java
@@ -409,7 +409,7 @@
         target.ejection.succeeded(work.relativeSlowness(tookMillis, attempt.expectedMillis()));
         work.learn(
                 tookMillis,
-                attempt.waitMillis(),
+                attempt.waitMillis() > 0,
                 attempt.prefillMillis(),
                 target.tokensPerSecond(),
                 request.maxTokens());
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/WorkEstimate.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/WorkEstimate.java
@@ -45,18 +45,24 @@
     /**
      * Learns from a request that ended well.
      *
+     * <p>The wait of one that had to queue is not known: engines let urgent work pass it. Taking its whole time less an
+     * estimated wait as its run would feed a wrong estimate of the wait back into itself; one would notice estimates
+     * growing under overload without bound. So a request that queued only ever lowers the estimate.
+     *
      * @param tookMillis the time taken
-     * @param waitMillis the wait that had been expected
+     * @param queued whether the request had to wait
      * @param prefillMillis the reading time that had been expected
      * @param tokensPerSecond the target's generation rate
      * @param maxTokens the largest number of tokens to generate
      */
-    void learn(double tookMillis, double waitMillis, double prefillMillis, double tokensPerSecond, int maxTokens) {
-        double ranMillis = Math.max(1, tookMillis - waitMillis);
-        meanRunMillis = learned ? meanRunMillis + SMOOTHING * (ranMillis - meanRunMillis) : ranMillis;
+    void learn(double tookMillis, boolean queued, double prefillMillis, double tokensPerSecond, int maxTokens) {
+        if (learned && queued && tookMillis >= meanRunMillis) {
+            return;
+        }
+        meanRunMillis = learned ? meanRunMillis + SMOOTHING * (tookMillis - meanRunMillis) : Math.max(1, tookMillis);
         learned = true;
-        if (tokensPerSecond > 0 && maxTokens > 0) {
-            double part = Math.max(0, ranMillis - prefillMillis) * tokensPerSecond / (1_000.0 * maxTokens);
+        if (!queued && tokensPerSecond > 0 && maxTokens > 0) {
+            double part = Math.max(0, tookMillis - prefillMillis) * tokensPerSecond / (1_000.0 * maxTokens);
             double bounded = Math.max(LOWEST_OUTPUT_PART, Math.min(HIGHEST_OUTPUT_PART, part));
             outputPart += SMOOTHING * (bounded - outputPart);
         }
