Add the operators' tool

Cause: operators drive the system by folders of files and need to see, for each region, whether a change is in force.

Ruled out: applying a folder as a whole, which undoes what another operator added in between; writing what others added into the operator's folder on apply, since a folder that an operator has open should change on pull only.

--- /dev/null
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/Conflicts.java
@@ -0,0 +1,26 @@
+package org.rattanplank.cli;
+
+import java.util.List;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.rattanplank.core.intent.ConfigurationConflict;
+
+/** Tells an operator that another one changed the same files. Stateless and thread safe. */
+final class Conflicts {
+    private Conflicts() {}
+
+    static Report report(long generation, List<ConfigurationConflict> conflicts) {
+        ObjectNode json = Web.JSON.createObjectNode().put("generation", generation);
+        ArrayNode array = json.putArray("conflicts");
+        conflicts.forEach(conflict -> array.addObject()
+                .put("file", conflict.file())
+                .put("reason", conflict.reason().name().toLowerCase(java.util.Locale.ROOT)));
+        List<String> lines = io.vavr.collection.List.ofAll(conflicts)
+                .map(conflict -> conflict.file() + ": " + conflict.reason().words())
+                .append("generation " + generation + " clashes with this folder in " + conflicts.size()
+                        + " files; nothing was applied; pull into another folder and compare")
+                .asJava();
+        return Report.of(ExitCode.REFUSED, lines, json);
+    }
+}
--- /dev/null
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/StatusCommand.java
@@ -0,0 +1,91 @@
+package org.rattanplank.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** Shows what each region's entry hosts know. Run once by one thread. */
+@Parameters(commandDescription = "show generation, hosts, targets and who is leaving, for each region")
+final class StatusCommand extends Command {
+    @ParametersDelegate
+    private final Connection connection = new Connection();
+
+    @Override
+    Report run(Console console) {
+        return connection.operators(console).fold(refused -> refused, operators -> report(operators.statuses()));
+    }
+
+    private static Report report(List<HostStatus> statuses) {
+        List<String> lines = new ArrayList<>();
+        ObjectNode json = Web.JSON.createObjectNode();
+        ArrayNode regions = json.putArray("regions");
+        Map<String, List<HostStatus>> byRegion = new TreeMap<>();
+        statuses.forEach(status -> byRegion.computeIfAbsent(status.region(), region -> new ArrayList<>())
+                .add(status));
+        byRegion.forEach((region, hosts) -> {
+            lines.add("region " + region);
+            hosts.forEach(host -> lines.add(hostLine(host)));
+            lines.addAll(targetLines(hosts));
+            ObjectNode node = regions.addObject().put("region", region);
+            ArrayNode array = node.putArray("hosts");
+            hosts.forEach(host -> array.add(hostJson(host)));
+        });
+        return Report.of(code(statuses), lines, json);
+    }
+
+    private static ExitCode code(List<HostStatus> statuses) {
+        return statuses.stream().anyMatch(HostStatus::reached) ? ExitCode.DONE : ExitCode.UNREACHABLE;
+    }
+
+    private static String hostLine(HostStatus host) {
+        if (!host.reached()) {
+            return "  host " + host.address() + " gives no status";
+        }
+        JsonNode json = host.json();
+        return "  host " + host.host() + " in " + host.dataCentre() + ": generation " + host.generation() + ", view "
+                + json.path("viewNumber").asLong() + ", in flight "
+                + json.path("inFlight").asLong()
+                + (json.path("draining").asBoolean() ? ", draining" : "");
+    }
+
+    private static List<String> targetLines(List<HostStatus> hosts) {
+        Map<String, String> targets = new TreeMap<>();
+        TreeSet<String> leaving = new TreeSet<>();
+        for (HostStatus host : hosts) {
+            host.json()
+                    .path("targets")
+                    .forEach(target -> targets.putIfAbsent(target.path("name").asText(), targetLine(target)));
+            host.json().path("leaving").forEach(name -> leaving.add(name.asText()));
+        }
+        List<String> lines = new ArrayList<>(targets.values());
+        if (!leaving.isEmpty()) {
+            lines.add("  leaving: " + String.join(", ", leaving));
+        }
+        return lines;
+    }
+
+    private static String targetLine(JsonNode target) {
+        JsonNode load = target.path("load");
+        String described = load.isObject()
+                ? ", running " + load.path("running").asLong() + " of "
+                        + load.path("slots").asLong() + ", queued "
+                        + load.path("queued").asLong()
+                : "";
+        return "  target " + target.path("name").asText() + " of "
+                + target.path("service").asText() + described;
+    }
+
+    private static JsonNode hostJson(HostStatus host) {
+        return host.reached()
+                ? host.json()
+                : Web.JSON.createObjectNode().put("address", host.address()).put("reached", false);
+    }
+}
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/caller/CallResult.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/caller/CallResult.java
@@ -6,6 +6,7 @@
  * How a call ended for its caller. Immutable and thread safe.
  *
  * @param reference the caller's own name for the call
+ * @param requestId the request's identifier as the system states it, or empty
  * @param outcome the outcome
  * @param status the HTTP status, or zero if none came
  * @param path the hosts and the target that the answer took, or empty
@@ -16,6 +17,7 @@
  */
 public record CallResult(
         String reference,
+        String requestId,
         CallOutcome outcome,
         int status,
         String path,
@@ -37,7 +39,7 @@
      * @return the result
      */
     public static CallResult without(String reference, CallOutcome outcome, String reason) {
-        return new CallResult(reference, outcome, 0, "", "", false, reason, 0);
+        return new CallResult(reference, "", outcome, 0, "", "", false, reason, 0);
     }
 
     /**
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/caller/Caller.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/caller/Caller.java
@@ -126,6 +126,7 @@
         String retryAfter = header(response, "Retry-After");
         return new CallResult(
                 call.reference(),
+                header(response, "Rattanplank-Request-Id"),
                 outcome,
                 response.statusCode(),
                 header(response, "Rattanplank-Path"),
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/HostsApi.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/HostsApi.java
@@ -31,8 +31,8 @@
         return path.equals(PREFIX) || path.startsWith(PREFIX + "/");
     }
 
-    void handle(Exchange exchange, long lagMillis) {
-        String name = exchange.path().substring(PREFIX.length()).replaceFirst("^/", "");
+    void handle(Exchange exchange, String path, long lagMillis) {
+        String name = path.substring(PREFIX.length()).replaceFirst("^/", "");
         switch (exchange.method()) {
             case "GET" -> exchange.respond(200, shown);
             case "PUT" -> {
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/HostsClient.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/HostsClient.java
@@ -22,7 +22,7 @@
     /**
      * Makes a client.
      *
-     * @param platform the platform's address
+     * @param platform the platform's address, with the path of a view if it is not the one list of the platform
      * @return the client
      */
     public static HostsClient of(String platform) {
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/Platform.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/Platform.java
@@ -1,6 +1,8 @@
 package org.rattanplank.standins.platform;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
 
 import com.beust.jcommander.JCommander;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -13,17 +15,22 @@
  * Stands in for the platform: the store, the list of hosts and the weight store on one port.
  *
  * <p>{@code GET /counts}, {@code POST /faults} and the changes of the list always work, as they belong to the test and
- * not to the platform. Not thread safe: confined to its loop's thread once it serves.
+ * not to the platform. Under {@code /views/NAME/hosts} it keeps further lists, so that a test can put a link between any
+ * two data centres by telling each its own addresses of the other's hosts. Not thread safe: confined to its loop's thread once it serves.
  */
 public final class Platform {
+    private static final String VIEWS = "/views/";
     private static final long EXPIRE_EVERY_MILLIS = 50;
 
     private final Counts counts = new Counts();
     private final StoreApi store;
     private final HostsApi hosts;
+    private final Map<String, HostsApi> views = new HashMap<>();
+    private final EventLoop loop;
     private final WeightsApi weights;
 
     private Platform(EventLoop loop, PlatformOptions options) {
+        this.loop = loop;
         store = new StoreApi(loop, counts, Faults.none(options.listLagMillis));
         hosts = new HostsApi(loop);
         weights = new WeightsApi(loop, options.transferMillis);
@@ -64,7 +71,9 @@
         } else if (StoreApi.owns(path)) {
             store.handle(exchange);
         } else if (HostsApi.owns(path)) {
-            hosts(exchange);
+            hosts(exchange, hosts, path);
+        } else if (path.startsWith(VIEWS)) {
+            view(exchange, path.substring(VIEWS.length()));
         } else if (WeightsApi.owns(path)) {
             weights(exchange);
         } else {
@@ -72,7 +81,17 @@
         }
     }
 
-    private void hosts(Exchange exchange) {
+    private void view(Exchange exchange, String nameAndPath) {
+        int slash = nameAndPath.indexOf('/');
+        if (slash < 0 || !HostsApi.owns(nameAndPath.substring(slash))) {
+            exchange.respond(404, notFound(exchange.path()));
+            return;
+        }
+        HostsApi view = views.computeIfAbsent(nameAndPath.substring(0, slash), name -> new HostsApi(loop));
+        hosts(exchange, view, nameAndPath.substring(slash));
+    }
+
+    private void hosts(Exchange exchange, HostsApi list, String path) {
         boolean read = exchange.method().equals("GET");
         if (read) {
             counts.add("hosts");
@@ -80,7 +99,7 @@
         if (read && store.faults().down()) {
             exchange.reset();
         } else {
-            hosts.handle(exchange, store.faults().listLagMillis());
+            list.handle(exchange, path, store.faults().listLagMillis());
         }
     }
 
