Add the daemon's thin path: callers, targets, peers, store, settings

Cause: the core takes events and returns actions, but no process carried them out. Ruled out: Ratpack's client for attempts, which cannot be stopped before an answer's head and does not tell whether a request was written; attempts use the HTTP codec of the Netty that Ratpack brings, one connection each. Change: the module's parts and bin/rattanplankd; settings generated from settings/daemon.json; Ping and Pong added to the messages of members, so that a silent link can be noticed without a new transport.

--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Rattanplankd.java
@@ -0,0 +1,87 @@
+package org.rattanplank.daemon;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import io.vavr.control.Try;
+import org.rattanplank.daemon.setting.SettingFault;
+import org.rattanplank.daemon.setting.SettingsReader;
+import org.rattanplank.daemon.setting.generated.DaemonFlags;
+import org.rattanplank.daemon.setting.generated.DaemonSettings;
+import org.tinylog.Logger;
+import org.tinylog.configuration.Configuration;
+
+/** The daemon's main program: settings, start, graceful stop, exit code. Stateless. */
+public final class Rattanplankd {
+    private static final int DONE = 0;
+    private static final int FAILED = 1;
+    private static final int BAD_SETTINGS = 2;
+    private static final long FLUSH_CHECK_MILLIS = 10;
+
+    private Rattanplankd() {}
+
+    /**
+     * Runs the daemon until it has stopped.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        System.exit(run(List.of(arguments)));
+    }
+
+    private static int run(List<String> arguments) {
+        Either<List<SettingFault>, DaemonFlags> flags = SettingsReader.flags(arguments);
+        if (flags.exists(DaemonFlags::isHelp)) {
+            System.out.print(SettingsReader.help());
+            return DONE;
+        }
+        Either<List<SettingFault>, DaemonSettings> settings = SettingsReader.read(arguments, System.getenv());
+        if (settings.isLeft()) {
+            settings.getLeft().forEach(fault -> System.err.println(fault.line()));
+            return BAD_SETTINGS;
+        }
+        if (flags.exists(DaemonFlags::isCheck)) {
+            System.out.println("the settings are sound");
+            return DONE;
+        }
+        return run(settings.get());
+    }
+
+    private static int run(DaemonSettings settings) {
+        Configuration.set("writer.level", settings.logLevel());
+        return Daemon.open(settings)
+                .onFailure(error -> Logger.error("daemon: a port cannot be opened: {}", error.getMessage()))
+                .map(daemon -> runUntilStopped(daemon, settings.drainTimeoutMillis()))
+                .getOrElse(FAILED);
+    }
+
+    private static int runUntilStopped(Daemon daemon, long drainTimeoutMillis) {
+        CountDownLatch over = new CountDownLatch(1);
+        SignalCounter signals = new SignalCounter(daemon, over, drainTimeoutMillis);
+        StopSignals.listen(signals::received);
+        Thread stopper = new Thread(() -> {
+            awaitStop(daemon);
+            over.countDown();
+        });
+        stopper.setDaemon(true);
+        stopper.start();
+        Try.run(over::await);
+        int cut = daemon.unfinished();
+        if (cut > 0) {
+            Logger.warn("daemon: the stop cuts off {} requests", cut);
+        }
+        Logger.info("daemon: stopped");
+        daemon.close();
+        return DONE;
+    }
+
+    /** Waits for the node, and then until every reply has left: an answer that is decided is not yet one sent. */
+    private static void awaitStop(Daemon daemon) {
+        Try.run(daemon::awaitStop);
+        while (daemon.unfinished() > 0) {
+            Try.run(() -> TimeUnit.MILLISECONDS.sleep(FLUSH_CHECK_MILLIS));
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
@@ -0,0 +1,250 @@
+package org.rattanplank.daemon.caller;
+
+import java.net.InetAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import org.rattanplank.core.Event;
+import org.rattanplank.core.Node;
+import org.rattanplank.core.intent.Account;
+import org.rattanplank.daemon.call.Call;
+import org.rattanplank.daemon.call.Calls;
+import org.rattanplank.daemon.runtime.Events;
+import org.rattanplank.daemon.runtime.MillisClock;
+import org.tinylog.Logger;
+import ratpack.exec.Promise;
+import ratpack.handling.Context;
+import ratpack.http.Response;
+import ratpack.server.RatpackServer;
+import ratpack.server.ServerConfig;
+
+/**
+ * The port for callers.
+ *
+ * <p>Invariant: every request that was read gets one reply or a closed connection; a connection that closes before its
+ * reply frees what the request holds. Thread safe.
+ */
+public final class CallerServer implements AutoCloseable {
+    private static final long IDLE_GRACE_MILLIS = 60_000;
+    private static final int OK = 200;
+
+    private final String host;
+    private final Node node;
+    private final Calls calls;
+    private final Events events;
+    private final MillisClock clock;
+    private final CallerLimits limits;
+    private final AskReader reader;
+    private final AtomicInteger unsentReplies = new AtomicInteger();
+
+    /**
+     * Makes a server that is not open yet.
+     *
+     * @param host this host's name
+     * @param node the node
+     * @param calls the requests in flight
+     * @param events hears what callers do
+     * @param clock the clock
+     * @param limits what a caller may use up
+     */
+    public CallerServer(String host, Node node, Calls calls, Events events, MillisClock clock, CallerLimits limits) {
+        this.host = host;
+        this.node = node;
+        this.calls = calls;
+        this.events = events;
+        this.clock = clock;
+        this.limits = limits;
+        reader = new AskReader(limits.defaultTimeoutMillis(), limits.maxTimeoutMillis());
+    }
+
+    private Option<RatpackServer> server = Option.none();
+
+    /**
+     * Opens the port.
+     *
+     * @param address the IP address
+     * @param port the port, zero for a free one
+     * @param threads the event loops
+     * @return the port that is open, or why none is
+     */
+    public Try<Integer> open(String address, int port, int threads) {
+        return Try.of(() -> {
+            ServerConfig config = ServerConfig.builder()
+                    .address(InetAddress.getByName(address))
+                    .port(port)
+                    .threads(threads)
+                    .development(false)
+                    .registerShutdownHook(false)
+                    .maxContentLength(limits.maxBodyBytes())
+                    .maxInitialLineLength(limits.maxHeaderBytes())
+                    .maxHeaderSize(limits.maxHeaderBytes())
+                    .idleTimeout(Duration.ofMillis(limits.idleTimeoutMillis()))
+                    .build();
+            RatpackServer made =
+                    RatpackServer.of(spec -> spec.serverConfig(config).handlers(chain -> chain.all(this::handle)));
+            made.start();
+            server = Option.some(made);
+            return made.getBindPort();
+        });
+    }
+
+    /**
+     * Counts the requests whose reply has not gone out whole.
+     *
+     * @return the number
+     */
+    public int unsentReplies() {
+        return unsentReplies.get();
+    }
+
+    @Override
+    public void close() {
+        server.forEach(open -> Try.run(open::stop));
+    }
+
+    private void handle(Context context) {
+        unsentReplies.incrementAndGet();
+        context.onClose(outcome -> unsentReplies.decrementAndGet());
+        context.getRequest()
+                .getBody(limits.maxBodyBytes(), () -> send(context, bodyTooLarge()))
+                .then(body -> dispatch(context, askOf(context, body.getBytes())));
+    }
+
+    private void dispatch(Context context, HttpAsk ask) {
+        String path = ask.path();
+        if (path.equals(AskReader.CHAT) || path.startsWith(AskReader.SERVICES)) {
+            serve(context, ask);
+        } else if (path.equals("v1/entry-hosts")) {
+            send(context, entryHosts(ask));
+        } else if (path.equals("v1/idempotency-keys")) {
+            send(context, newKey(ask));
+        } else if (path.equals("healthz")) {
+            send(context, Replies.json(OK, Map.of("status", "alive")));
+        } else if (path.equals("readyz")) {
+            send(context, ready());
+        } else {
+            send(context, Replies.of("", Refusal.accept(Refusal.NOT_FOUND, "", "no such call")));
+        }
+    }
+
+    private void serve(Context context, HttpAsk ask) {
+        if (calls.isFull()) {
+            send(context, Replies.of("", Refusal.busy(host, "too many requests are in flight")));
+            return;
+        }
+        Either<Refusal, Asked> read = reader.read(ask, node.configuration(), clock.nowMillis());
+        if (read.isLeft()) {
+            send(context, Replies.of("", read.getLeft()));
+            return;
+        }
+        serve(context, read.get());
+    }
+
+    private void serve(Context context, Asked asked) {
+        String requestId = asked.request().id();
+        long deadlineMillis = asked.request().deadlineMillis();
+        Channel channel = context.getDirectChannelAccess().getChannel();
+        PartQueue parts = new PartQueue(channel.eventLoop(), limits.streamBufferBytes(), () -> {
+            Logger.warn("caller: a caller reads a stream too slowly and is cut off");
+            left(requestId);
+        });
+        HttpAsker asker = new HttpAsker(requestId, host, () -> clock.nowMillis() >= deadlineMillis, parts);
+        context.getRequest().setIdleTimeout(Duration.ofMillis(deadlineMillis - clock.nowMillis() + IDLE_GRACE_MILLIS));
+        noticeWhenGone(context, channel, requestId);
+        calls.add(Call.of(asked.request(), asked.envelope(), asker));
+        if (!events.offer(new Event.CallerAsked(asked.request()))) {
+            calls.remove(requestId);
+            send(context, Replies.of(requestId, Refusal.busy(host, "too many events wait")));
+            return;
+        }
+        await(asker.reply()).then(reply -> send(context, reply, parts));
+    }
+
+    /** A caller who is gone would otherwise hold a target until the deadline. */
+    private void noticeWhenGone(Context context, Channel channel, String requestId) {
+        ChannelFutureListener gone = future -> left(requestId);
+        channel.closeFuture().addListener(gone);
+        context.onClose(outcome -> {
+            channel.closeFuture().removeListener(gone);
+            left(requestId);
+        });
+    }
+
+    private void left(String requestId) {
+        if (calls.find(requestId).isDefined()) {
+            calls.remove(requestId);
+            events.raise(new Event.AskerLeft(requestId));
+        }
+    }
+
+    private CallerReply entryHosts(HttpAsk ask) {
+        String account = Tokens.accountOf(ask.header("Authorization"), node.configuration())
+                .map(Account::name)
+                .getOrElse("");
+        return Replies.json(OK, node.entryHosts(account, clock.nowMillis()));
+    }
+
+    private CallerReply newKey(HttpAsk ask) {
+        if (Tokens.accountOf(ask.header("Authorization"), node.configuration()).isEmpty()) {
+            return Replies.of("", Refusal.accept(Refusal.UNAUTHORIZED, "", "the token is not known"));
+        }
+        return Replies.json(OK, Map.of("key", Uuids.version7(clock.nowMillis())));
+    }
+
+    private CallerReply ready() {
+        return node.isReady()
+                ? Replies.json(OK, Map.of("status", "ready"))
+                : Replies.of("", Refusal.busy(host, "no configuration is in force, or the host is leaving"));
+    }
+
+    private CallerReply bodyTooLarge() {
+        String reason = "the body is larger than " + limits.maxBodyBytes() + " bytes";
+        return Replies.of("", Refusal.accept(Refusal.BODY_TOO_LARGE, "", reason));
+    }
+
+    private static HttpAsk askOf(Context context, byte[] body) {
+        Map<String, String> headers = new TreeMap<>();
+        context.getRequest()
+                .getHeaders()
+                .getNames()
+                .forEach(name ->
+                        headers.put(name, context.getRequest().getHeaders().get(name)));
+        return new HttpAsk(
+                context.getRequest().getMethod().getName(),
+                context.getRequest().getPath(),
+                context.getRequest().getQuery(),
+                headers,
+                body);
+    }
+
+    private static Promise<CallerReply> await(CompletableFuture<CallerReply> reply) {
+        return Promise.async(downstream -> reply.thenAccept(downstream::success));
+    }
+
+    private static void send(Context context, CallerReply reply) {
+        head(context, reply).send(reply.body());
+    }
+
+    private static void send(Context context, CallerReply reply, PartQueue parts) {
+        if (reply.stream()) {
+            head(context, reply).sendStream(parts);
+        } else {
+            send(context, reply);
+        }
+    }
+
+    private static Response head(Context context, CallerReply reply) {
+        Response response = context.getResponse().noCompress();
+        response.status(ratpack.http.Status.of(reply.status()));
+        reply.headers().forEach((name, value) -> response.getHeaders().set(name, value));
+        return reply.contentType().isEmpty() ? response : response.contentType(reply.contentType());
+    }
+}
--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/PartQueue.java
@@ -0,0 +1,117 @@
+package org.rattanplank.daemon.caller;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.vavr.control.Option;
+import org.reactivestreams.Publisher;
+import org.reactivestreams.Subscriber;
+import org.reactivestreams.Subscription;
+
+/**
+ * The parts of a stream that wait for a caller who reads them at its own pace.
+ *
+ * <p>Invariants: parts come out in order; at most the given number of bytes wait, and a caller who lets more pile up is
+ * cut off; the stream completes only if it was told to, and otherwise breaks visibly. State is confined to the event
+ * loop of the caller's connection; the other methods may be called by any thread.
+ */
+final class PartQueue implements Publisher<ByteBuf>, Subscription {
+    private final EventLoop loop;
+    private final long maxBytes;
+    private final Runnable overflowed;
+    private final Deque<byte[]> waiting = new ArrayDeque<>();
+    private Option<Subscriber<? super ByteBuf>> subscriber = Option.none();
+    private long waitingBytes;
+    private long demand;
+    private boolean complete;
+    private boolean broken;
+    private boolean over;
+
+    PartQueue(EventLoop loop, long maxBytes, Runnable overflowed) {
+        this.loop = loop;
+        this.maxBytes = maxBytes;
+        this.overflowed = overflowed;
+    }
+
+    void add(byte[] part) {
+        loop.execute(() -> {
+            if (over || broken) {
+                return;
+            }
+            waiting.add(part);
+            waitingBytes += part.length;
+            if (waitingBytes > maxBytes) {
+                broken = true;
+                overflowed.run();
+            }
+            drain();
+        });
+    }
+
+    /** Ends the stream as whole. */
+    void complete() {
+        loop.execute(() -> {
+            complete = true;
+            drain();
+        });
+    }
+
+    /** Ends the stream visibly broken: the connection closes without the last chunk. */
+    void breakOff() {
+        loop.execute(() -> {
+            broken = true;
+            drain();
+        });
+    }
+
+    @Override
+    public void subscribe(Subscriber<? super ByteBuf> reader) {
+        loop.execute(() -> {
+            subscriber = Option.some(reader);
+            reader.onSubscribe(this);
+            drain();
+        });
+    }
+
+    @Override
+    public void request(long count) {
+        loop.execute(() -> {
+            demand = demand + count < 0 ? Long.MAX_VALUE : demand + count;
+            drain();
+        });
+    }
+
+    @Override
+    public void cancel() {
+        loop.execute(() -> {
+            over = true;
+            waiting.clear();
+        });
+    }
+
+    private void drain() {
+        if (subscriber.isEmpty() || over) {
+            return;
+        }
+        Subscriber<? super ByteBuf> reader = subscriber.get();
+        if (broken) {
+            over = true;
+            waiting.clear();
+            reader.onError(new BrokenStreamException());
+            return;
+        }
+        while (demand > 0 && !waiting.isEmpty()) {
+            byte[] part = waiting.poll();
+            waitingBytes -= part.length;
+            demand--;
+            reader.onNext(Unpooled.wrappedBuffer(part));
+        }
+        if (complete && waiting.isEmpty()) {
+            over = true;
+            reader.onComplete();
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/FrameHandler.java
@@ -0,0 +1,75 @@
+package org.rattanplank.daemon.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.vavr.control.Try;
+import org.rattanplank.schema.message.PeerMessage;
+import org.rattanplank.schema.message.UnknownMessage;
+import org.tinylog.Logger;
+
+/**
+ * Reads frames of one connection; a frame that is no message ends the connection. Confined to the channel's event loop.
+ */
+abstract class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
+    private static final int LENGTH_BYTES = 4;
+
+    private final Traffic traffic;
+
+    FrameHandler(Traffic traffic) {
+        this.traffic = traffic;
+    }
+
+    final void addTo(ChannelPipeline pipeline, int maxFrameBytes) {
+        pipeline.addLast(new LengthFieldBasedFrameDecoder(maxFrameBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                .addLast(this);
+    }
+
+    /** Takes a message of a known kind. */
+    abstract void received(Channel channel, PeerMessage message);
+
+    /** The connection is gone. */
+    abstract void closed();
+
+    final void write(Channel channel, PeerMessage message) {
+        write(channel, message, FrameCodec.encode(message));
+    }
+
+    final void write(Channel channel, PeerMessage message, byte[] frame) {
+        traffic.sent(message, frame.length + LENGTH_BYTES);
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame), channel.voidPromise());
+    }
+
+    @Override
+    protected final void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+        int bytes = frame.readableBytes() + LENGTH_BYTES;
+        Try<PeerMessage> message = FrameCodec.decode(ByteBufUtil.getBytes(frame));
+        if (message.isFailure()) {
+            Logger.warn("peer: a frame that is no message came; the connection is closed");
+            context.close();
+            return;
+        }
+        traffic.received(message.get(), bytes);
+        if (!(message.get() instanceof UnknownMessage)) {
+            received(context.channel(), message.get());
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        closed();
+    }
+
+    @Override
+    public final void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Logger.debug("peer: a connection broke: {}", cause.getClass().getSimpleName());
+        context.close();
+    }
+}
--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerAsker.java
@@ -0,0 +1,87 @@
+package org.rattanplank.daemon.peer;
+
+import java.util.Arrays;
+
+import org.rattanplank.core.request.Answer;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Outcome;
+import org.rattanplank.daemon.call.Asker;
+import org.rattanplank.schema.message.ForwardChunk;
+import org.rattanplank.schema.message.ForwardEnd;
+import org.rattanplank.schema.message.ForwardHead;
+import org.rattanplank.schema.message.RequestMessage;
+
+/**
+ * The entry host that forwarded a request; it is answered on the connection on which it asked. Guarded by the lock of
+ * its call.
+ */
+final class PeerAsker implements Asker {
+    private static final int CHUNK_BYTES = 262_144;
+    private static final int OK = 200;
+    private static final String EVENT_STREAM = "text/event-stream";
+
+    private final String requestId;
+    private final long attempt;
+    private final java.util.function.Consumer<RequestMessage> sender;
+    private boolean headSent;
+    private long chunks;
+
+    PeerAsker(String requestId, long attempt, java.util.function.Consumer<RequestMessage> sender) {
+        this.requestId = requestId;
+        this.attempt = attempt;
+        this.sender = sender;
+    }
+
+    @Override
+    public void part(long number, byte[] part, String peer) {
+        sendHead(OK, EVENT_STREAM);
+        sendChunk(part);
+    }
+
+    @Override
+    public void finish(Outcome outcome) {
+        if (outcome instanceof Outcome.Answered answered) {
+            sendAnswer(answered.answer());
+            String target = answered.path().isEmpty()
+                    ? ""
+                    : answered.path().get(answered.path().size() - 1);
+            sender.accept(new ForwardEnd(requestId, attempt, outcome.label(), chunks, "", "", "", target, 0));
+        } else if (outcome instanceof Outcome.NotRun notRun) {
+            sendFailure(outcome.label(), notRun.failure(), notRun.retryAfterMillis());
+        } else if (outcome instanceof Outcome.Unknown unknown) {
+            sendFailure(outcome.label(), unknown.failure(), 0);
+        }
+    }
+
+    private void sendAnswer(Answer answer) {
+        sendHead(answer.status(), answer.contentType());
+        byte[] body = answer.body();
+        for (int from = 0; from < body.length; from += CHUNK_BYTES) {
+            sendChunk(Arrays.copyOfRange(body, from, Math.min(body.length, from + CHUNK_BYTES)));
+        }
+    }
+
+    private void sendHead(int status, String contentType) {
+        if (!headSent) {
+            headSent = true;
+            sender.accept(new ForwardHead(requestId, attempt, status, contentType));
+        }
+    }
+
+    private void sendChunk(byte[] bytes) {
+        sender.accept(new ForwardChunk(requestId, attempt, chunks++, bytes));
+    }
+
+    private void sendFailure(String label, Failure failure, long retryAfterMillis) {
+        sender.accept(new ForwardEnd(
+                requestId,
+                attempt,
+                label,
+                chunks,
+                failure.step().label(),
+                failure.peer(),
+                failure.reason(),
+                "",
+                retryAfterMillis));
+    }
+}
--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
@@ -0,0 +1,174 @@
+package org.rattanplank.daemon.peer;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.util.concurrent.Future;
+import io.vavr.control.Option;
+import org.rattanplank.core.Event;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Outcome;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.Step;
+import org.rattanplank.core.request.WorkClass;
+import org.rattanplank.daemon.call.Call;
+import org.rattanplank.daemon.call.Calls;
+import org.rattanplank.daemon.call.Envelope;
+import org.rattanplank.daemon.runtime.Events;
+import org.rattanplank.schema.message.ForwardCancel;
+import org.rattanplank.schema.message.ForwardRequest;
+import org.rattanplank.schema.message.Hello;
+import org.rattanplank.schema.message.PeerMessage;
+import org.rattanplank.schema.message.Ping;
+import org.rattanplank.schema.message.Pong;
+import org.rattanplank.schema.message.RequestMessage;
+
+/**
+ * A connection that another entry host dialled.
+ *
+ * <p>Invariant: nothing of it is taken before the other host's {@code Hello}; when it ends, every request that came by
+ * it has lost its asker. Confined to the channel's event loop but for answers, which any thread may send.
+ */
+final class PeerConnection extends FrameHandler {
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final LinkContext context;
+    private final Calls calls;
+    private final Events events;
+    private final Silence silence;
+    private final Map<String, Long> asked = new ConcurrentHashMap<>();
+    private Option<Hello> other = Option.none();
+    private Option<Future<?>> checker = Option.none();
+
+    PeerConnection(LinkContext context, Calls calls, Events events) {
+        super(context.traffic());
+        this.context = context;
+        this.calls = calls;
+        this.events = events;
+        silence = new Silence(
+                context.times().pingIntervalMillis(),
+                context.times().pingTimeoutMillis(),
+                context.clock().nowMillis());
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        long interval = context.times().pingIntervalMillis();
+        Runnable check = () -> {
+            if (silence.isSilent(context.clock().nowMillis())) {
+                active.close();
+            }
+        };
+        checker = Option.some(
+                active.channel().eventLoop().scheduleAtFixedRate(check, interval, interval, TimeUnit.MILLISECONDS));
+    }
+
+    @Override
+    void received(Channel channel, PeerMessage message) {
+        silence.heard(context.clock().nowMillis());
+        if (message instanceof Hello hello) {
+            other = Option.some(hello);
+            write(channel, context.self());
+        } else if (message instanceof Ping ping) {
+            write(channel, new Pong(ping.number()));
+        } else if (other.isEmpty()) {
+            channel.close();
+        } else if (message instanceof ForwardRequest request) {
+            take(channel, request);
+        } else if (message instanceof ForwardCancel cancel) {
+            cancel(cancel);
+        } else {
+            Hello from = other.get();
+            events.raise(new Event.MessageReceived(from.host(), from.incarnation(), message));
+        }
+    }
+
+    @Override
+    void closed() {
+        checker.forEach(timer -> timer.cancel(false));
+        asked.keySet().forEach(this::askerLeft);
+    }
+
+    private void take(Channel channel, ForwardRequest message) {
+        PeerAsker asker = new PeerAsker(message.requestId(), message.attempt(), answer -> answer(channel, answer));
+        if (calls.isFull()) {
+            asker.finish(new Outcome.NotRun(
+                    Failure.of(Step.ADMIT, context.self().host(), "too many requests are in flight"),
+                    RETRY_AFTER_MILLIS));
+            return;
+        }
+        Call call = Call.of(requestOf(message), envelopeOf(message), asker);
+        if (!calls.add(call)) {
+            asker.finish(new Outcome.Unknown(
+                    Failure.of(Step.FORWARD, context.self().host(), "the request is here already")));
+            return;
+        }
+        asked.put(message.requestId(), message.attempt());
+        Event event = new Event.PeerAsked(other.get().host(), message.attempt(), call.request());
+        if (!events.offer(event)) {
+            calls.finish(
+                    message.requestId(),
+                    new Outcome.NotRun(
+                            Failure.of(Step.ADMIT, context.self().host(), "too many events wait"), RETRY_AFTER_MILLIS));
+        }
+    }
+
+    private void cancel(ForwardCancel cancel) {
+        if (asked.getOrDefault(cancel.requestId(), 0L) == cancel.attempt()) {
+            askerLeft(cancel.requestId());
+        }
+    }
+
+    private void askerLeft(String requestId) {
+        asked.remove(requestId);
+        if (calls.find(requestId).isDefined()) {
+            calls.remove(requestId);
+            events.raise(new Event.AskerLeft(requestId));
+        }
+    }
+
+    private void answer(Channel channel, RequestMessage message) {
+        if (message instanceof org.rattanplank.schema.message.ForwardEnd end) {
+            asked.remove(end.requestId());
+        }
+        // An asker that reads too slowly would fill this host's memory: its connection is closed, and it finds its
+        // requests lost at once.
+        if (!channel.isWritable()) {
+            channel.close();
+            return;
+        }
+        write(channel, message);
+    }
+
+    private Request requestOf(ForwardRequest message) {
+        return new Request(
+                message.requestId(),
+                message.account(),
+                message.service(),
+                WorkClass.of(message.workClass()).getOrElse(WorkClass.DRAFT),
+                message.repeatable(),
+                Option.of(message.idempotencyKey()).filter(key -> !key.isEmpty()),
+                message.homeRegion(),
+                Option.of(message.residency()).filter(label -> !label.isEmpty()),
+                context.clock().nowMillis() + message.remainingMillis(),
+                Math.toIntExact(message.promptTokens()),
+                Math.toIntExact(message.maxTokens()),
+                message.prefixHashes(),
+                message.stream(),
+                message.passedHosts(),
+                message.claimed());
+    }
+
+    private static Envelope envelopeOf(ForwardRequest message) {
+        return new Envelope(
+                message.method(),
+                message.path(),
+                message.contentType(),
+                message.body(),
+                message.traceParent(),
+                message.requestId() + "." + message.attempt());
+    }
+}
--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/store/EtcdWatch.java
@@ -0,0 +1,121 @@
+package org.rattanplank.daemon.store;
+
+import java.io.ByteArrayOutputStream;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import org.rattanplank.core.store.StoreEntry;
+import org.rattanplank.daemon.http.Exchange;
+import org.rattanplank.daemon.http.ExchangeCall;
+import org.rattanplank.daemon.http.ExchangeListener;
+import org.rattanplank.daemon.http.Exchanges;
+
+/**
+ * One watch: lines of JSON that come for as long as the connection lasts.
+ *
+ * <p>Invariant: it breaks at most once, and brings nothing afterwards. Confined to one event loop but for {@link
+ * #start} and {@link #close}.
+ */
+final class EtcdWatch implements ExchangeListener {
+    private static final int OK = 200;
+    private static final int MAX_LINE_BYTES = 8_388_608;
+
+    private final Changes changes;
+    private final Consumer<EtcdWatch> broken;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private volatile Option<Exchange> exchange = Option.none();
+
+    EtcdWatch(Changes changes, Consumer<EtcdWatch> broken) {
+        this.changes = changes;
+        this.broken = broken;
+    }
+
+    void start(Exchanges exchanges, EventLoop loop, URI baseUri, byte[] body) {
+        ExchangeCall call = new ExchangeCall(
+                baseUri.getHost(),
+                baseUri.getPort(),
+                "POST",
+                EtcdJson.WATCH_PATH,
+                Map.of("Content-Type", "application/json"),
+                body);
+        exchange = Option.some(exchanges.start(loop, call, this));
+    }
+
+    void close() {
+        exchange.forEach(Exchange::close);
+    }
+
+    @Override
+    public void head(int status, HttpHeaders headers) {
+        if (status != OK) {
+            end();
+        }
+    }
+
+    @Override
+    public void content(byte[] bytes) {
+        for (byte each : bytes) {
+            if (each == '\n') {
+                take(line.toString(StandardCharsets.UTF_8));
+                line.reset();
+            } else {
+                line.write(each);
+            }
+        }
+        if (line.size() > MAX_LINE_BYTES) {
+            end();
+        }
+    }
+
+    @Override
+    public void ended() {
+        broken.accept(this);
+    }
+
+    @Override
+    public void failed(boolean handedOver, String reason) {
+        broken.accept(this);
+    }
+
+    private void take(String text) {
+        if (text.isBlank()) {
+            return;
+        }
+        Try<JsonNode> result = EtcdJson.line(text).map(json -> json.path("result"));
+        if (result.isFailure() || result.get().path("canceled").asBoolean(false)) {
+            end();
+            return;
+        }
+        List<StoreEntry> entries =
+                Try.of(() -> EtcdJson.changesOf(result.get())).getOrElse(List::of);
+        if (!entries.isEmpty()) {
+            changes.changed(entries, EtcdJson.revisionOf(result.get()));
+        }
+    }
+
+    private void end() {
+        close();
+        broken.accept(this);
+    }
+
+    /** Hears what changed. */
+    @FunctionalInterface
+    interface Changes {
+
+        /**
+         * Keys were written or deleted.
+         *
+         * @param entries the keys
+         * @param revision the store's revision afterwards
+         */
+        void changed(List<StoreEntry> entries, long revision);
+    }
+}
--- a/rattanplank-schema/src/main/java/org/rattanplank/schema/message/PeerMessage.java
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/PeerMessage.java
@@ -17,6 +17,8 @@
         @JsonSubTypes.Type(value = ConfigurationPull.class, name = "ConfigurationPull"),
         @JsonSubTypes.Type(value = ConfigurationPush.class, name = "ConfigurationPush"),
         @JsonSubTypes.Type(value = Hello.class, name = "Hello"),
+        @JsonSubTypes.Type(value = Ping.class, name = "Ping"),
+        @JsonSubTypes.Type(value = Pong.class, name = "Pong"),
         @JsonSubTypes.Type(value = Heartbeat.class, name = "Heartbeat"),
         @JsonSubTypes.Type(value = LeavingNews.class, name = "LeavingNews"),
         @JsonSubTypes.Type(value = RegionSummary.class, name = "RegionSummary"),
