Add the package of targets, which .gitignore had hidden

Cause: the pattern target/ ignored the package of that name, so a merge lacked its classes and the daemon did not compile.

--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetCall.java
@@ -0,0 +1,63 @@
+package org.rattanplank.daemon.target;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.rattanplank.core.host.ListedHost;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.daemon.call.Envelope;
+import org.rattanplank.daemon.http.ExchangeCall;
+
+/**
+ * What one attempt sends to a target. Immutable and thread safe.
+ *
+ * @param target the target
+ * @param sentId the identifier that the target has to echo
+ * @param model whether the target is a model engine
+ * @param resumeAtPart the first part that is wanted, zero for a new run
+ * @param exchange the call itself
+ */
+record TargetCall(ListedHost target, String sentId, boolean model, long resumeAtPart, ExchangeCall exchange) {
+    static final String REQUEST_ID = "X-Request-Id";
+    private static final String STREAMS = "/v1/streams/";
+    private static final String CHAT = "/v1/chat/completions";
+
+    static TargetCall of(
+            ListedHost target,
+            Request request,
+            Envelope envelope,
+            String sentId,
+            long resumeAtPart,
+            String traceParent) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put(REQUEST_ID, sentId);
+        if (!traceParent.isEmpty()) {
+            headers.put("traceparent", traceParent);
+        }
+        boolean model = envelope.path().equals(CHAT);
+        if (resumeAtPart > 0) {
+            String path = streamPath(sentId) + "?from=" + resumeAtPart;
+            return new TargetCall(
+                    target, sentId, model, resumeAtPart, exchange(target, "GET", path, headers, new byte[0]));
+        }
+        if (!envelope.contentType().isEmpty()) {
+            headers.put("Content-Type", envelope.contentType());
+        }
+        request.idempotencyKey().forEach(key -> headers.put("Idempotency-Key", key));
+        ExchangeCall exchange = exchange(target, envelope.method(), envelope.path(), headers, envelope.body());
+        return new TargetCall(target, sentId, model, 0, exchange);
+    }
+
+    static String streamPath(String sentId) {
+        return STREAMS + sentId;
+    }
+
+    boolean isResumed() {
+        return resumeAtPart > 0;
+    }
+
+    private static ExchangeCall exchange(
+            ListedHost target, String method, String path, Map<String, String> headers, byte[] body) {
+        return new ExchangeCall(target.address(), target.port(), method, path, headers, body);
+    }
+}
