--- /dev/null
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/process/Host.java
@@ -0,0 +1,113 @@
+package org.rattanplank.bench.process;
+
+import java.io.File;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * An entry host: its process, and how to start it anew at the same addresses.
+ *
+ * <p>Invariant: the addresses stay the same over restarts. Not thread safe: confined to the thread that runs the fleet.
+ */
+public final class Host {
+    private static final String READY = "rattanplankd ready";
+
+    private final String name;
+    private final Site site;
+    private final File log;
+    private final List<String> settings;
+    private Child child;
+    private Map<String, String> addresses = Map.of();
+
+    private Host(String name, Site site, File log, List<String> settings) {
+        this.name = name;
+        this.site = site;
+        this.log = log;
+        this.settings = settings;
+        child = launch(List.of());
+    }
+
+    static Host start(String name, Site site, File log, List<String> settings) {
+        return new Host(name, site, log, settings);
+    }
+
+    /**
+     * The host's name.
+     *
+     * @return the name
+     */
+    public String name() {
+        return name;
+    }
+
+    /**
+     * The data centre in which the host stands.
+     *
+     * @return the site
+     */
+    public Site site() {
+        return site;
+    }
+
+    /**
+     * The host's process, which is another one after a restart.
+     *
+     * @return the process
+     */
+    public Child child() {
+        return child;
+    }
+
+    /**
+     * The address for callers.
+     *
+     * @return the address as IP:PORT
+     */
+    public String callers() {
+        return addresses.get("callers");
+    }
+
+    /**
+     * The address for other entry hosts.
+     *
+     * @return the address as IP:PORT
+     */
+    public String peers() {
+        return addresses.get("peers");
+    }
+
+    /**
+     * The address for operators.
+     *
+     * @return the address as IP:PORT
+     */
+    public String operators() {
+        return addresses.get("operators");
+    }
+
+    void awaitReady() {
+        addresses = child.awaitReady();
+    }
+
+    /** Starts a new process for this host once the old one has ended. */
+    public void restart() {
+        child.awaitEnd();
+        child = launch(List.of(
+                "--callers-port", port(callers()),
+                "--peers-port", port(peers()),
+                "--operators-port", port(operators())));
+        child.awaitReady();
+    }
+
+    private Child launch(List<String> ports) {
+        List<String> args = new ArrayList<>(settings);
+        args.addAll(List.of("--host", name, "--region", site.region(), "--data-centre", site.dataCentre()));
+        args.addAll(ports);
+        return Child.start(name, READY, log, "org.rattanplank.daemon.Rattanplankd", args);
+    }
+
+    private static String port(String address) {
+        return address.substring(address.lastIndexOf(':') + 1);
+    }
+}
--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/ExplainCommand.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/ExplainCommand.java
@@ -46,15 +46,10 @@
         for (JsonNode routing : explanation.path("routings")) {
             attempt++;
             lines.add("attempt " + attempt + ": "
-                    + firstOf(
-                            routing.at("/route/target"),
-                            routing.at("/route/host"),
-                            routing.path("route"),
-                            routing.at("/failure/reason")));
+                    + firstOf(routing.at("/route/target"), routing.at("/route/host"), routing.at("/failure/reason")));
             for (JsonNode candidate : routing.path("candidates")) {
-                lines.add("  "
-                        + candidate.path("name").asText(candidate.path("target").asText()) + ": "
-                        + firstOf(candidate.path("verdict"), candidate.path("reason")) + ", score "
+                lines.add("  " + candidate.path("peer").asText() + ": "
+                        + candidate.path("verdict").asText() + ", score "
                         + candidate.path("score").asDouble());
             }
         }
