Add the package of targets, which .gitignore had hidden

Cause: the pattern target/ ignored the package of that name, so the stand-ins of targets never landed.

--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/target/PlainService.java
@@ -0,0 +1,83 @@
+package org.rattanplank.standins.target;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.rattanplank.standins.http.EventLoop;
+import org.rattanplank.standins.http.Exchange;
+import org.rattanplank.standins.http.Json;
+
+/**
+ * A plain service: bookings or quotes that take a fixed time, some at once. Confined to the targets' thread.
+ *
+ * <p>Invariant: it does not look at idempotency keys; a call that comes twice runs twice.
+ */
+final class PlainService implements Work {
+    private static final int MAX_QUEUED = 200;
+
+    private final EventLoop loop;
+    private final TargetOptions options;
+    private final Function<Call, Run> ledger;
+    private final Deque<Call> queue = new ArrayDeque<>();
+    private int running;
+    private long confirmations;
+
+    PlainService(EventLoop loop, TargetOptions options, Function<Call, Run> ledger) {
+        this.loop = loop;
+        this.options = options;
+        this.ledger = ledger;
+    }
+
+    @Override
+    public void start(Call call) {
+        if (queue.size() >= MAX_QUEUED) {
+            call.refuse(429, "the queue is full");
+            return;
+        }
+        queue.add(call);
+        next();
+    }
+
+    @Override
+    public boolean control(Exchange exchange) {
+        return false;
+    }
+
+    @Override
+    public int running() {
+        return running;
+    }
+
+    @Override
+    public int queued() {
+        return queue.size();
+    }
+
+    @Override
+    public void describe(ObjectNode load) {
+        load.put("tokensPerSecond", 0).put("cacheTokens", 0);
+    }
+
+    private void next() {
+        while (running < options.slots && !queue.isEmpty()) {
+            Call call = queue.poll();
+            running++;
+            Run run = ledger.apply(call);
+            loop.after(options.delayMillis + call.fault().delayMillis(), () -> finish(call, run));
+        }
+    }
+
+    private void finish(Call call, Run run) {
+        running--;
+        confirmations++;
+        run.end(RunState.WHOLE);
+        ObjectNode answer = Json.object()
+                .put("confirmation", run.toJson().path("target").asText() + "-" + confirmations)
+                .put("reference", call.reference());
+        answer.set("asked", call.body());
+        call.answer(answer);
+        next();
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/target/PlannedFault.java
@@ -0,0 +1,39 @@
+package org.rattanplank.standins.target;
+
+import java.util.Objects;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Option;
+
+/**
+ * A fault that the next calls meet. Immutable and thread safe.
+ *
+ * @param kind what goes wrong
+ * @param next how many calls meet it
+ * @param afterParts after how many parts a stream meets it
+ * @param delayMillis how much longer a call takes
+ */
+record PlannedFault(FaultKind kind, int next, long afterParts, long delayMillis) {
+    private static final PlannedFault NONE = new PlannedFault(FaultKind.NONE, 0, 0, 0);
+
+    PlannedFault {
+        Objects.requireNonNull(kind, "kind");
+    }
+
+    static PlannedFault none() {
+        return NONE;
+    }
+
+    static Option<PlannedFault> of(JsonNode node) {
+        return FaultKind.of(node.path("fault").asText())
+                .map(kind -> new PlannedFault(
+                        kind,
+                        node.path("next").asInt(1),
+                        node.path("afterParts").asLong(0),
+                        node.path("delayMillis").asLong(0)));
+    }
+
+    PlannedFault withOneLess() {
+        return new PlannedFault(kind, next - 1, afterParts, delayMillis);
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/target/PrefixCache.java
@@ -0,0 +1,98 @@
+package org.rattanplank.standins.target;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.rattanplank.standins.http.EventLoop;
+import org.rattanplank.standins.http.Json;
+
+/**
+ * An engine's bounded cache of prompt prefixes, and the late and gappy events that it publishes.
+ *
+ * <p>Invariant: the cached tokens stay within the bound; the least recently used prefix goes first. Confined to the
+ * targets' thread.
+ */
+final class PrefixCache {
+    private static final int MAX_EVENTS = 2_000;
+
+    private final EventLoop loop;
+    private final TargetOptions options;
+    private final Map<Long, Integer> blocks = new LinkedHashMap<>(16, 0.75f, true);
+    private final List<ObjectNode> published = new ArrayList<>();
+    private long cachedTokens;
+    private long sequence;
+
+    PrefixCache(EventLoop loop, TargetOptions options) {
+        this.loop = loop;
+        this.options = options;
+    }
+
+    long cachedTokens() {
+        return cachedTokens;
+    }
+
+    /** Takes a prompt in and tells how many of its tokens were there already. */
+    int use(PromptPrefixes prompt) {
+        int warm = 0;
+        for (long hash : prompt.hashes()) {
+            if (blocks.get(hash) == null) {
+                break;
+            }
+            warm += prompt.tokensPerBlock();
+        }
+        store(prompt);
+        return Math.min(warm, prompt.tokens());
+    }
+
+    ObjectNode eventsAfter(long after) {
+        ArrayNode events = Json.array();
+        published.stream()
+                .filter(event -> event.path("sequence").asLong() > after)
+                .forEach(events::add);
+        return Json.object().set("events", events);
+    }
+
+    private void store(PromptPrefixes prompt) {
+        ArrayNode stored = Json.array();
+        ArrayNode removed = Json.array();
+        for (long hash : prompt.hashes()) {
+            if (blocks.put(hash, prompt.tokensPerBlock()) == null) {
+                cachedTokens += prompt.tokensPerBlock();
+                stored.add(hash);
+            }
+        }
+        Iterator<Map.Entry<Long, Integer>> eldest = blocks.entrySet().iterator();
+        while (cachedTokens > options.cacheTokens && eldest.hasNext()) {
+            Map.Entry<Long, Integer> block = eldest.next();
+            cachedTokens -= block.getValue();
+            removed.add(block.getKey());
+            eldest.remove();
+        }
+        if (!stored.isEmpty() || !removed.isEmpty()) {
+            publish(stored, removed);
+        }
+    }
+
+    private void publish(ArrayNode stored, ArrayNode removed) {
+        sequence++;
+        if (options.cacheGapEvery > 0 && sequence % options.cacheGapEvery == 0) {
+            return;
+        }
+        ObjectNode event = Json.object().put("sequence", sequence);
+        event.set("stored", stored);
+        event.set("removed", removed);
+        loop.after(options.cacheLagMillis, () -> add(event));
+    }
+
+    private void add(ObjectNode event) {
+        published.add(event);
+        if (published.size() > MAX_EVENTS) {
+            published.remove(0);
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/target/PromptPrefixes.java
@@ -0,0 +1,40 @@
+package org.rattanplank.standins.target;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * A prompt as an engine sees it. Immutable and thread safe.
+ *
+ * @param tokens the length of the prompt
+ * @param tokensPerBlock how many tokens each hash adds
+ * @param hashes hashes of the prompt's prefixes, shortest first
+ */
+record PromptPrefixes(int tokens, int tokensPerBlock, List<Long> hashes) {
+    private static final int CHARACTERS_PER_TOKEN = 4;
+    private static final int CHARACTERS_PER_BLOCK = 256;
+    private static final long HASH_START = 0xcbf29ce484222325L;
+    private static final long HASH_PRIME = 0x100000001b3L;
+
+    PromptPrefixes {
+        hashes = List.copyOf(hashes);
+    }
+
+    static PromptPrefixes of(JsonNode chat) {
+        StringBuilder prompt = new StringBuilder();
+        chat.path("messages")
+                .forEach(message -> prompt.append(message.path("content").asText()));
+        List<Long> hashes = new ArrayList<>();
+        long hash = HASH_START;
+        for (int i = 0; i < prompt.length(); i++) {
+            hash = (hash ^ prompt.charAt(i)) * HASH_PRIME;
+            if ((i + 1) % CHARACTERS_PER_BLOCK == 0) {
+                hashes.add(hash);
+            }
+        }
+        int tokens = prompt.length() / CHARACTERS_PER_TOKEN + 1;
+        return new PromptPrefixes(tokens, CHARACTERS_PER_BLOCK / CHARACTERS_PER_TOKEN, hashes);
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/target/Run.java
@@ -0,0 +1,44 @@
+package org.rattanplank.standins.target;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.rattanplank.standins.http.Json;
+
+/**
+ * One run of a request at a target, as the ledger holds it.
+ *
+ * <p>Invariant: a run that has ended stays as it is. Not thread safe: confined to the targets' thread.
+ */
+final class Run {
+    private final String target;
+    private final String region;
+    private final Call call;
+    private final long startedAtMillis;
+    private long endedAtMillis;
+    private RunState state = RunState.RUNNING;
+
+    Run(String target, String region, Call call, long startedAtMillis) {
+        this.target = target;
+        this.region = region;
+        this.call = call;
+        this.startedAtMillis = startedAtMillis;
+    }
+
+    void end(RunState ended) {
+        if (state == RunState.RUNNING) {
+            state = ended;
+            endedAtMillis = System.currentTimeMillis();
+        }
+    }
+
+    ObjectNode toJson() {
+        return Json.object()
+                .put("target", target)
+                .put("region", region)
+                .put("requestId", call.requestId())
+                .put("idempotencyKey", call.idempotencyKey())
+                .put("reference", call.reference())
+                .put("startedAtMillis", startedAtMillis)
+                .put("endedAtMillis", endedAtMillis)
+                .put("state", state.label());
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/target/Targets.java
@@ -0,0 +1,149 @@
+package org.rattanplank.standins.target;
+
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.beust.jcommander.JCommander;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Option;
+import org.rattanplank.standins.http.Addresses;
+import org.rattanplank.standins.http.EventLoop;
+import org.rattanplank.standins.http.Exchange;
+import org.rattanplank.standins.http.Json;
+import org.rattanplank.standins.platform.HostsClient;
+
+/**
+ * One process of targets, each on its own port, and a port for whoever tests them.
+ *
+ * <p>The test's port takes {@code GET /ledger}, {@code POST /faults} and {@code POST /leaving}. Confined to its loop's
+ * thread once it serves.
+ */
+public final class Targets {
+    private final EventLoop loop;
+    private final TargetOptions options;
+    private final Ledger ledger = new Ledger();
+    private final Map<Target, String> addresses = new LinkedHashMap<>();
+    private String control = "";
+
+    private Targets(EventLoop loop, TargetOptions options) {
+        this.loop = loop;
+        this.options = options;
+    }
+
+    /**
+     * Serves targets.
+     *
+     * @param loop the loop that serves them
+     * @param options their settings
+     * @return the targets
+     */
+    public static Targets serve(EventLoop loop, TargetOptions options) {
+        Targets targets = new Targets(loop, options);
+        options.models.forEach(service -> targets.add(service, true));
+        options.plains.forEach(service -> targets.add(service, false));
+        targets.control = Addresses.write(loop.serve(0, targets::control));
+        return targets;
+    }
+
+    /**
+     * Runs the targets until the process is ended.
+     *
+     * @param args the settings
+     */
+    public static void main(String[] args) {
+        TargetOptions options = new TargetOptions();
+        JCommander.newBuilder().addObject(options).build().parse(args);
+        Targets targets = serve(EventLoop.of(), options);
+        targets.addresses.forEach((target, address) -> System.out.println(
+                "target ready name=" + target.name() + " service=" + target.service() + " address=" + address));
+        System.out.println("targets ready control=" + targets.control);
+    }
+
+    /**
+     * The port for whoever tests the targets.
+     *
+     * @return the address as IP:PORT
+     */
+    public String controlAddress() {
+        return control;
+    }
+
+    /**
+     * Finds the address of a target.
+     *
+     * @param name the target
+     * @return the address as IP:PORT, or none
+     */
+    public Option<String> address(String name) {
+        return Option.ofOptional(addresses.entrySet().stream()
+                .filter(entry -> entry.getKey().name().equals(name))
+                .map(Map.Entry::getValue)
+                .findFirst());
+    }
+
+    private void add(String serviceAndCount, boolean model) {
+        String service = serviceAndCount.substring(0, serviceAndCount.indexOf(':'));
+        int count = Integer.parseInt(serviceAndCount.substring(service.length() + 1));
+        for (int i = 1; i <= count; i++) {
+            String name = service + "-" + options.dataCentre + "-" + i;
+            Target target = model
+                    ? Target.model(name, service, options, loop, ledger)
+                    : Target.plain(name, service, options, loop, ledger);
+            InetSocketAddress address = loop.serve(0, target::handle);
+            addresses.put(target, Addresses.write(address));
+            enlist(target, address);
+        }
+    }
+
+    private void enlist(Target target, InetSocketAddress address) {
+        if (options.platform.isEmpty()) {
+            return;
+        }
+        ObjectNode host = Json.object()
+                .put("role", "target")
+                .put("region", options.region)
+                .put("dataCentre", options.dataCentre)
+                .put("address", address.getAddress().getHostAddress())
+                .put("port", address.getPort())
+                .put("peerPort", 0)
+                .put("service", target.service())
+                .put("leaving", false);
+        HostsClient.of(options.platform).put(target.name(), host);
+    }
+
+    private void control(Exchange exchange) {
+        JsonNode body = exchange.json();
+        switch (exchange.path()) {
+            case "/ledger" -> exchange.respond(200, ledger.toJson());
+            case "/faults" -> {
+                named(body).forEach(target -> plan(target, body));
+                exchange.respond(200, Json.object());
+            }
+            case "/leaving" -> {
+                boolean leaving = body.path("leaving").asBoolean(true);
+                named(body).forEach(target -> target.leaving(leaving));
+                exchange.respond(200, Json.object());
+            }
+            default -> exchange.respond(404, Json.object().put("error", "nothing at " + exchange.path()));
+        }
+    }
+
+    private static void plan(Target target, JsonNode body) {
+        if (body.path("forget").asBoolean(false)) {
+            target.forgetFaults();
+        }
+        PlannedFault.of(body).forEach(target::plan);
+    }
+
+    private List<Target> named(JsonNode body) {
+        String wanted = body.path("target").asText();
+        String service = body.path("service").asText();
+        return addresses.keySet().stream()
+                .filter(target -> wanted.isEmpty() || target.name().equals(wanted))
+                .filter(target -> service.isEmpty() || target.service().equals(service))
+                .toList();
+    }
+}
