--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/PartQueue.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/PartQueue.java
@@ -69,11 +69,19 @@
 
     @Override
     public void subscribe(Subscriber<? super ByteBuf> reader) {
-        loop.execute(() -> {
-            subscriber = Option.some(reader);
-            reader.onSubscribe(this);
-            drain();
-        });
+        // Ratpack subscribes on this loop and takes the response as sent only once the subscription is there. Handed to
+        // the loop as a later task, it would find no response sent, answer 500 itself, and then send twice.
+        if (loop.inEventLoop()) {
+            attach(reader);
+        } else {
+            loop.execute(() -> attach(reader));
+        }
+    }
+
+    private void attach(Subscriber<? super ByteBuf> reader) {
+        subscriber = Option.some(reader);
+        reader.onSubscribe(this);
+        drain();
     }
 
     @Override
