Hold accounts to their fair share later, by a longer memory

Cause: work was forgotten by half each second, so one request of a small account looked like a burst, and the share was enforced at a backlog of a quarter of a run, where nobody suffers yet. Change: half-life 10 s; enforced from a backlog of one average run.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/limit/Admission.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/limit/Admission.java
@@ -15,7 +15,7 @@
  */
 public final class Admission {
     /** The backlog, in average runs, above which accounts are held to their fair shares. */
-    static final double FAIR_SHARE_DEPTH = 0.25;
+    static final double FAIR_SHARE_DEPTH = 1;
 
     private static final long SHORTEST_RETRY_MILLIS = 200;
     private static final long LONGEST_RETRY_MILLIS = 30_000;
--- a/rattanplank-core/src/main/java/org/rattanplank/core/limit/FairShare.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/limit/FairShare.java
@@ -6,16 +6,19 @@
 /**
  * Shares work between accounts by their weights while there is too much of it.
  *
- * <p>Each account's admitted and demanded work decays by half every {@link #EPOCH_MILLIS}. At each epoch the level is
+ * <p>Each account's admitted and demanded work decays by half every {@link #HALF_LIFE_MILLIS}. At each epoch the level is
  * the work per weight up to which accounts are served, found so that all accounts' demands, each cut off at its level,
  * add up to a little less than the work that was admitted. Invariant: an account is over its share only if its work per
  * weight is above the level, so accounts that ask for less than their share are never held back. At most {@link
  * #MAX_ACCOUNTS} accounts are held; the least recently seen goes first. Confined to whoever owns it; it takes no lock.
  */
 public final class FairShare {
-    /** How often work decays by half. */
+    /** How often the level is found anew. */
     public static final long EPOCH_MILLIS = 1_000;
 
+    /** How fast past work is forgotten; long enough that a small account's single requests do not look like a burst. */
+    public static final long HALF_LIFE_MILLIS = 10_000;
+
     /** How many accounts are held at most. */
     public static final int MAX_ACCOUNTS = 8_192;
 
@@ -96,7 +99,7 @@
             return 0;
         }
         double halvings = Math.log(use.admittedMillis / (levelMillis * use.weight)) / Math.log(2);
-        return Math.max(EPOCH_MILLIS, Math.round(halvings * EPOCH_MILLIS));
+        return Math.max(EPOCH_MILLIS, Math.round(halvings * HALF_LIFE_MILLIS));
     }
 
     private void roll(long nowMillis) {
@@ -106,7 +109,7 @@
         long epochs = epochEndsMillis == 0 ? 1 : 1 + (nowMillis - epochEndsMillis) / EPOCH_MILLIS;
         epochEndsMillis = nowMillis + EPOCH_MILLIS;
         levelMillis = level();
-        double kept = Math.pow(0.5, Math.min(60, epochs));
+        double kept = Math.pow(0.5, (double) epochs * EPOCH_MILLIS / HALF_LIFE_MILLIS);
         uses.values().forEach(use -> use.decay(kept));
         uses.values().removeIf(Use::isIdle);
     }
