Shed drafts and background work at twice the backlog

Cause: at koro, with one account sending half of all, drafts of small accounts were shed at three runs of backlog while the heavy account's interactive work went on. Ruled out: no bound for drafts (their queue would grow to their deadline of a minute). Change: drafts are shed at 6 average runs of backlog (was 3), background work at 2 (was 1).

--- a/rattanplank-core/src/main/java/org/rattanplank/core/limit/Admission.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/limit/Admission.java
@@ -93,8 +93,8 @@
     private static double longestBacklog(WorkClass workClass) {
         return switch (workClass) {
             case INTERACTIVE -> Double.POSITIVE_INFINITY;
-            case DRAFT -> 3;
-            case BACKGROUND -> 1;
+            case DRAFT -> 6;
+            case BACKGROUND -> 2;
         };
     }
 
