Subscribe to a caller's stream at once, so that streams are answered

Cause: the first streamed draft of a whole deployment got status 500; Ratpack counts a request as unanswered when the subscription is not there as soon as sendStream returns, and the queue of parts subscribed later. Ruled out: a fault of the target or of the relay; the parts were there. Change: the queue subscribes on the event loop in the same step.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/PartQueue.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/PartQueue.java
@@ -29,6 +29,7 @@
     private boolean complete;
     private boolean broken;
     private boolean over;
+    private boolean draining;
 
     PartQueue(EventLoop loop, long maxBytes, Runnable overflowed) {
         this.loop = loop;
@@ -67,9 +68,10 @@
         });
     }
 
+    /** Ratpack subscribes on the event loop, and counts a request as unanswered unless the subscription is there at once. */
     @Override
     public void subscribe(Subscriber<? super ByteBuf> reader) {
-        loop.execute(() -> {
+        onLoop(() -> {
             subscriber = Option.some(reader);
             reader.onSubscribe(this);
             drain();
@@ -78,7 +80,7 @@
 
     @Override
     public void request(long count) {
-        loop.execute(() -> {
+        onLoop(() -> {
             demand = demand + count < 0 ? Long.MAX_VALUE : demand + count;
             drain();
         });
@@ -86,12 +88,20 @@
 
     @Override
     public void cancel() {
-        loop.execute(() -> {
+        onLoop(() -> {
             over = true;
             waiting.clear();
         });
     }
 
+    private void onLoop(Runnable task) {
+        if (loop.inEventLoop()) {
+            task.run();
+        } else {
+            loop.execute(task);
+        }
+    }
+
     private void drain() {
         if (subscriber.isEmpty() || over) {
             return;
@@ -103,13 +113,18 @@
             reader.onError(new BrokenStreamException());
             return;
         }
+        if (draining) {
+            return;
+        }
+        draining = true;
         while (demand > 0 && !waiting.isEmpty()) {
             byte[] part = waiting.poll();
             waitingBytes -= part.length;
             demand--;
             reader.onNext(Unpooled.wrappedBuffer(part));
         }
-        if (complete && waiting.isEmpty()) {
+        draining = false;
+        if (complete && waiting.isEmpty() && !over) {
             over = true;
             reader.onComplete();
         }
