Hold claims in views and copy them to every member before a call runs

Cause: the claims were a stub that knew only its own host. A key repeated at another host of the data centre ran twice. Ruled out: a compare-and-swap in the store for each call (its writes and outages would bind every booking); views taken over after a timeout (a host that is only cut off may still reach targets). Change: views per data centre with a primary per key by rendezvous; a claim runs after every member has copied it; views change by compare-and-swap proposed by a survivor, or by consent of all members; with no survivor only on evidence that each member ended. Results go to all members until acknowledged. Found by random walks before this commit: a key made in the very millisecond of a takeover ran again (now unknown); a joiner that learned an older view forgot that it was ready for the next (three hosts never joined again); a member once silent was taken out again as soon as it rejoined.

--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimLimits.java
@@ -0,0 +1,77 @@
+package org.rattanplank.core.claim;
+
+/**
+ * The bounds on time and memory of the claims. Immutable and thread safe.
+ *
+ * @param retentionMillis how long a claim is kept, counted from when its key was made or claimed, whichever is later
+ * @param maxClaims the most claims that are held; at the bound new keys are refused and nothing is forgotten
+ * @param maxAnswerBytes the largest answer that is kept
+ * @param maxTotalAnswerBytes the most bytes of all kept answers
+ * @param clockMarginMillis by how much the clocks of hosts and callers may differ
+ * @param openTimeoutMillis how long a request waits for the right to run before it is refused
+ * @param resendMillis after how long an unanswered message is sent again
+ * @param lostGraceMillis how long a member's link may be down before its removal is proposed
+ * @param pauseMillis the gap between two events after which a host takes itself for having been paused
+ * @param storeRetryMillis how long to wait after a failed call to the store
+ * @param listLagMillis how long the platform's list of hosts may lag
+ * @param leaveTimeoutMillis how long a host that leaves waits for the others
+ */
+public record ClaimLimits(
+        long retentionMillis,
+        int maxClaims,
+        int maxAnswerBytes,
+        long maxTotalAnswerBytes,
+        long clockMarginMillis,
+        long openTimeoutMillis,
+        long resendMillis,
+        long lostGraceMillis,
+        long pauseMillis,
+        long storeRetryMillis,
+        long listLagMillis,
+        long leaveTimeoutMillis) {
+    private static final ClaimLimits DEFAULTS =
+            new ClaimLimits(900_000, 50_000, 16_384, 16_777_216, 5_000, 2_000, 250, 300, 2_000, 500, 30_000, 10_000);
+
+    public ClaimLimits {
+        if (retentionMillis <= 0 || maxClaims <= 0 || resendMillis <= 0 || storeRetryMillis <= 0) {
+            throw new IllegalArgumentException("limits of claims must be positive");
+        }
+    }
+
+    /**
+     * The limits that suit most deployments.
+     *
+     * @return the limits
+     */
+    public static ClaimLimits defaults() {
+        return DEFAULTS;
+    }
+
+    /**
+     * Bounds the number of claims.
+     *
+     * @param claims the most claims that are held
+     * @return the changed limits
+     */
+    public ClaimLimits withMaxClaims(int claims) {
+        return new ClaimLimits(
+                retentionMillis,
+                claims,
+                maxAnswerBytes,
+                maxTotalAnswerBytes,
+                clockMarginMillis,
+                openTimeoutMillis,
+                resendMillis,
+                lostGraceMillis,
+                pauseMillis,
+                storeRetryMillis,
+                listLagMillis,
+                leaveTimeoutMillis);
+    }
+
+    /** When a claim may be forgotten; by then every host refuses its key as too old, whatever its clock's error. */
+    long forgetAtMillis(ClaimKey key, long claimedAtMillis) {
+        long madeAtMillis = KeyTime.of(key.key()).getOrElse(claimedAtMillis);
+        return Math.max(madeAtMillis, claimedAtMillis) + retentionMillis + 2 * clockMarginMillis;
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimTable.java
@@ -0,0 +1,115 @@
+package org.rattanplank.core.claim;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+import io.vavr.control.Option;
+
+/**
+ * The claims that a host holds, by key.
+ *
+ * <p>Invariants: a claim is forgotten only when its retention has passed; what a runner said about its own call is
+ * never replaced by anything else about that call. Not thread safe; guarded by the lock of {@link Claims}.
+ */
+final class ClaimTable {
+    private final ClaimLimits limits;
+    private final Map<ClaimKey, Claim> claims = new LinkedHashMap<>();
+    private final PriorityQueue<Expiry> expiries = new PriorityQueue<>();
+    private long answerBytes;
+
+    ClaimTable(ClaimLimits limits) {
+        this.limits = limits;
+    }
+
+    ClaimTable copy() {
+        ClaimTable copy = new ClaimTable(limits);
+        copy.claims.putAll(claims);
+        copy.expiries.addAll(expiries);
+        copy.answerBytes = answerBytes;
+        return copy;
+    }
+
+    Option<Claim> find(ClaimKey key) {
+        return Option.of(claims.get(key));
+    }
+
+    List<Claim> all() {
+        return List.copyOf(claims.values());
+    }
+
+    boolean isFull() {
+        return claims.size() >= limits.maxClaims() || answerBytes >= limits.maxTotalAnswerBytes();
+    }
+
+    /** Whether an answer is small enough to be kept now; checked where the call ran, so that all hosts agree. */
+    boolean canKeep(int bytes) {
+        return bytes <= limits.maxAnswerBytes() && answerBytes + bytes <= limits.maxTotalAnswerBytes();
+    }
+
+    /**
+     * Takes a claim in, unless what is held is newer.
+     *
+     * @return whether anything changed
+     */
+    boolean merge(Claim claim) {
+        Claim held = claims.get(claim.key());
+        if (held == null) {
+            put(claim);
+            return true;
+        }
+        if (!held.isOf(claim.requestId())) {
+            return held.isOrderedBefore(claim) && put(claim);
+        }
+        return mergeSameRequest(held, claim);
+    }
+
+    void forget(long nowMillis) {
+        while (!expiries.isEmpty() && expiries.peek().atMillis() <= nowMillis) {
+            ClaimKey key = expiries.poll().key();
+            Claim held = claims.get(key);
+            if (held != null && limits.forgetAtMillis(key, held.claimedAtMillis()) <= nowMillis) {
+                claims.remove(key);
+                answerBytes -= held.answerBytes();
+            }
+        }
+    }
+
+    void clear() {
+        claims.clear();
+        expiries.clear();
+        answerBytes = 0;
+    }
+
+    private boolean mergeSameRequest(Claim held, Claim claim) {
+        Claim known = strongerOf(held, claim);
+        Claim newest = held.isOrderedBefore(claim) ? claim : held;
+        Claim merged = known.orderedAs(newest.viewNumber(), newest.sequence());
+        return !merged.equals(held) && put(merged);
+    }
+
+    private static Claim strongerOf(Claim held, Claim claim) {
+        if (held.state().isSettled()) {
+            return held;
+        }
+        return claim.state().ordinal() >= held.state().ordinal() ? claim : held;
+    }
+
+    private boolean put(Claim claim) {
+        Claim old = claims.put(claim.key(), claim);
+        answerBytes += claim.answerBytes() - (old == null ? 0 : old.answerBytes());
+        if (old == null || old.claimedAtMillis() != claim.claimedAtMillis()) {
+            expiries.add(new Expiry(limits.forgetAtMillis(claim.key(), claim.claimedAtMillis()), claim.key()));
+        }
+        return true;
+    }
+
+    /** When to look whether a claim can be forgotten. Immutable and thread safe. */
+    private record Expiry(long atMillis, ClaimKey key) implements Comparable<Expiry> {
+        @Override
+        public int compareTo(Expiry other) {
+            return Long.compare(atMillis, other.atMillis);
+        }
+    }
+}
--- a/rattanplank-core/src/main/java/org/rattanplank/core/claim/Claims.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/Claims.java
@@ -1,31 +1,53 @@
 package org.rattanplank.core.claim;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 
 import org.rattanplank.core.NodeIdentity;
 import org.rattanplank.core.host.HostList;
-import org.rattanplank.core.request.Answer;
-import org.rattanplank.core.request.Failure;
-import org.rattanplank.core.request.Step;
 import org.rattanplank.core.store.StoreEntry;
 import org.rattanplank.core.store.StoreReply;
+import org.rattanplank.schema.message.ClaimAsk;
+import org.rattanplank.schema.message.ClaimCopied;
+import org.rattanplank.schema.message.ClaimCopy;
+import org.rattanplank.schema.message.ClaimGrant;
 import org.rattanplank.schema.message.ClaimMessage;
+import org.rattanplank.schema.message.ClaimOpen;
+import org.rattanplank.schema.message.ClaimSettle;
+import org.rattanplank.schema.message.ClaimSettled;
+import org.rattanplank.schema.message.ViewAsk;
+import org.rattanplank.schema.message.ViewConsent;
+import org.rattanplank.schema.message.ViewInstall;
+import org.rattanplank.schema.message.ViewInstalled;
+import org.rattanplank.schema.message.ViewJoin;
+import org.rattanplank.schema.message.ViewLeave;
+import org.rattanplank.schema.message.ViewPropose;
+import org.rattanplank.schema.message.ViewSync;
+import org.rattanplank.schema.message.ViewSynced;
+import org.rattanplank.schema.message.ViewWithdraw;
 
 /**
  * Keeps calls that may not be repeated from running twice.
  *
- * <p>Invariant: of all requests with one key, at most one is told to run unless its call surely did not run. Thread
- * safe; one lock guards all state, and no other lock is taken while it is held.
+ * <p>Invariant: of all requests with one key, at most one is told to run unless its call surely did not run. A host
+ * acts only in a view that it shares with all other members; see docs/AT-MOST-ONCE.md. Thread safe; one lock guards all
+ * state, and no other lock is taken while it is held.
  */
 public final class Claims {
     private final ReentrantLock lock = new ReentrantLock();
-    private final Map<ClaimKey, Claim> claims = new HashMap<>();
+    private final ClaimLimits limits;
+    private final ClaimTable table;
+    private final ViewKeeper keeper;
+    private final ClaimDesk desk;
+    private boolean leftInTime;
 
-    private Claims() {}
+    private Claims(ClaimLimits limits, ClaimTable table, ViewKeeper keeper, ClaimDesk desk) {
+        this.limits = limits;
+        this.table = table;
+        this.keeper = keeper;
+        this.desk = desk;
+    }
 
     /**
      * Makes the claims of a host that holds none.
@@ -34,7 +56,45 @@
      * @return the claims
      */
     public static Claims of(NodeIdentity self) {
-        return new Claims();
+        return of(self, ClaimLimits.defaults());
+    }
+
+    /**
+     * Makes the claims of a host that holds none.
+     *
+     * @param self the host
+     * @param limits the bounds on time and memory
+     * @return the claims
+     */
+    public static Claims of(NodeIdentity self, ClaimLimits limits) {
+        return of(self, limits, TakeoverRule.SURVIVOR_REQUIRED);
+    }
+
+    static Claims of(NodeIdentity self, ClaimLimits limits, TakeoverRule rule) {
+        ClaimTable table = new ClaimTable(limits);
+        ViewKeeper keeper = new ViewKeeper(self, limits, rule, table);
+        return new Claims(limits, table, keeper, new ClaimDesk(keeper, table, limits));
+    }
+
+    Claims copy() {
+        lock.lock();
+        try {
+            ClaimTable copiedTable = table.copy();
+            ViewKeeper copiedKeeper = keeper.copy(copiedTable);
+            return new Claims(limits, copiedTable, copiedKeeper, desk.copy(copiedKeeper, copiedTable));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** All that decides what this host does next, but for the time; equal texts mean equal futures. */
+    String describe() {
+        lock.lock();
+        try {
+            return keeper.describe() + " | " + desk.describe();
+        } finally {
+            lock.unlock();
+        }
     }
 
     /**
@@ -46,21 +106,7 @@
      * @return what to do
      */
     public List<ClaimStep> open(ClaimKey key, String requestId, long nowMillis) {
-        lock.lock();
-        try {
-            Claim claim = claims.get(key);
-            if (claim == null) {
-                claims.put(key, new Claim());
-                return List.of(new ClaimStep.Decide(requestId, key, new ClaimDecision.Run()));
-            }
-            if (claim.answer != null) {
-                return List.of(new ClaimStep.Decide(requestId, key, new ClaimDecision.Kept(claim.answer)));
-            }
-            claim.waiting.add(requestId);
-            return List.of();
-        } finally {
-            lock.unlock();
-        }
+        return apply(nowMillis, out -> desk.open(key, requestId, nowMillis, out));
     }
 
     /**
@@ -73,20 +119,7 @@
      * @return what to do
      */
     public List<ClaimStep> settle(ClaimKey key, String requestId, ClaimResult result, long nowMillis) {
-        lock.lock();
-        try {
-            Claim claim = claims.get(key);
-            List<ClaimStep> steps = new ArrayList<>();
-            if (claim != null && result instanceof ClaimResult.Answered answered) {
-                claim.answer = answered.answer();
-                claim.waiting.forEach(
-                        id -> steps.add(new ClaimStep.Decide(id, key, new ClaimDecision.Kept(answered.answer()))));
-                claim.waiting.clear();
-            }
-            return steps;
-        } finally {
-            lock.unlock();
-        }
+        return apply(nowMillis, out -> desk.settle(key, requestId, result, nowMillis, out));
     }
 
     /**
@@ -98,7 +131,12 @@
      * @return not run if this request's key has surely not run, unknown otherwise; never run
      */
     public ClaimDecision abandon(ClaimKey key, String requestId, long nowMillis) {
-        return new ClaimDecision.Unknown(Failure.of(Step.CLAIM, "", "the deadline passed while the key was claimed"));
+        lock.lock();
+        try {
+            return desk.abandon(key, requestId, nowMillis);
+        } finally {
+            lock.unlock();
+        }
     }
 
     /**
@@ -111,7 +149,10 @@
      * @return what to do
      */
     public List<ClaimStep> receive(String host, long incarnation, ClaimMessage message, long nowMillis) {
-        return List.of();
+        return apply(nowMillis, out -> {
+            keeper.heard(host, incarnation);
+            dispatch(host, incarnation, message, nowMillis, out);
+        });
     }
 
     /**
@@ -123,7 +164,7 @@
      * @return what to do
      */
     public List<ClaimStep> storeReplied(long callId, StoreReply reply, long nowMillis) {
-        return List.of();
+        return apply(nowMillis, out -> keeper.storeReplied(callId, reply, nowMillis, out));
     }
 
     /**
@@ -135,7 +176,7 @@
      * @return what to do
      */
     public List<ClaimStep> storeChanged(List<StoreEntry> entries, long revision, long nowMillis) {
-        return List.of();
+        return apply(nowMillis, out -> keeper.storeChanged(entries, nowMillis));
     }
 
     /**
@@ -147,7 +188,7 @@
      * @return what to do
      */
     public List<ClaimStep> connected(String host, long incarnation, long nowMillis) {
-        return List.of();
+        return apply(nowMillis, out -> keeper.connected(host, incarnation));
     }
 
     /**
@@ -159,7 +200,7 @@
      * @return what to do
      */
     public List<ClaimStep> lost(String host, boolean refused, long nowMillis) {
-        return List.of();
+        return apply(nowMillis, out -> keeper.lost(host, refused, nowMillis));
     }
 
     /**
@@ -170,7 +211,7 @@
      * @return what to do
      */
     public List<ClaimStep> listed(HostList list, long nowMillis) {
-        return List.of();
+        return apply(nowMillis, out -> keeper.listed(list, nowMillis));
     }
 
     /**
@@ -180,7 +221,7 @@
      * @return what to do
      */
     public List<ClaimStep> leave(long nowMillis) {
-        return List.of();
+        return apply(nowMillis, out -> keeper.leave(nowMillis));
     }
 
     /**
@@ -189,7 +230,12 @@
      * @return whether it may stop
      */
     public boolean hasLeft() {
-        return true;
+        lock.lock();
+        try {
+            return leftInTime || (keeper.hasLeft() && desk.areResultsKnown());
+        } finally {
+            lock.unlock();
+        }
     }
 
     /**
@@ -198,7 +244,12 @@
      * @return the number of the view that it is in, or zero
      */
     public long viewNumber() {
-        return 0;
+        lock.lock();
+        try {
+            return keeper.active().map(ClaimView::number).getOrElse(0L);
+        } finally {
+            lock.unlock();
+        }
     }
 
     /**
@@ -208,12 +259,68 @@
      * @return what to do
      */
     public List<ClaimStep> tick(long nowMillis) {
-        return List.of();
+        return apply(nowMillis, out -> {
+            keeper.tick(desk.areResultsKnown(), nowMillis, out);
+            desk.follow(nowMillis, out);
+            desk.tick(nowMillis, out);
+            leftInTime = leftInTime || keeper.isLeavingSince(limits.leaveTimeoutMillis(), nowMillis);
+        });
     }
 
-    /** One key's claim; guarded by the lock. */
-    private static final class Claim {
-        private final List<String> waiting = new ArrayList<>();
-        private Answer answer;
+    private List<ClaimStep> apply(long nowMillis, Consumer<StepList> change) {
+        lock.lock();
+        try {
+            StepList out = new StepList();
+            keeper.noticeTime(nowMillis, out);
+            change.accept(out);
+            desk.follow(nowMillis, out);
+            return out.toList();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void dispatch(String host, long incarnation, ClaimMessage message, long nowMillis, StepList out) {
+        if (message instanceof ClaimOpen open) {
+            desk.receiveOpen(host, incarnation, open, nowMillis, out);
+        } else if (message instanceof ClaimCopy copy) {
+            desk.receiveCopy(host, incarnation, copy, out);
+        } else if (message instanceof ClaimCopied copied) {
+            desk.receiveCopied(host, incarnation, copied, nowMillis, out);
+        } else if (message instanceof ClaimGrant grant) {
+            desk.receiveGrant(grant, nowMillis, out);
+        } else if (message instanceof ClaimSettle settle) {
+            desk.receiveSettle(host, settle, nowMillis, out);
+        } else if (message instanceof ClaimSettled settled) {
+            desk.receiveSettled(host, settled);
+        } else if (message instanceof ClaimAsk ask) {
+            desk.receiveAsk(host, ask, nowMillis, out);
+        } else {
+            dispatchView(host, incarnation, message, nowMillis, out);
+        }
+    }
+
+    private void dispatchView(String host, long incarnation, ClaimMessage message, long nowMillis, StepList out) {
+        if (message instanceof ViewInstall install) {
+            keeper.receiveInstall(host, install, nowMillis, out);
+        } else if (message instanceof ViewInstalled installed) {
+            keeper.receiveInstalled(host, installed.viewNumber());
+        } else if (message instanceof ViewAsk ask) {
+            keeper.receiveAsk(host, ask, out);
+        } else if (message instanceof ViewPropose propose) {
+            keeper.receivePropose(host, incarnation, propose, out);
+        } else if (message instanceof ViewConsent consent) {
+            keeper.receiveConsent(host, consent, nowMillis, out);
+        } else if (message instanceof ViewWithdraw withdraw) {
+            keeper.receiveWithdraw(withdraw.changeId());
+        } else if (message instanceof ViewLeave) {
+            keeper.receiveLeave(host, incarnation);
+        } else if (message instanceof ViewJoin join) {
+            keeper.receiveJoin(host, incarnation, join, out);
+        } else if (message instanceof ViewSync sync) {
+            keeper.receiveSync(host, sync, out);
+        } else if (message instanceof ViewSynced synced) {
+            keeper.receiveSynced(host, synced, nowMillis, out);
+        }
     }
 }
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ViewMemberId.java
@@ -0,0 +1,21 @@
+package org.rattanplank.core.claim;
+
+import java.util.Objects;
+
+/**
+ * One process that holds claims. Immutable and thread safe.
+ *
+ * @param host the host's name
+ * @param incarnation the process's start time; a later process of the same host has a higher one
+ */
+record ViewMemberId(String host, long incarnation) implements Comparable<ViewMemberId> {
+    ViewMemberId {
+        Objects.requireNonNull(host, "host");
+    }
+
+    @Override
+    public int compareTo(ViewMemberId other) {
+        int byHost = host.compareTo(other.host);
+        return byHost != 0 ? byHost : Long.compare(incarnation, other.incarnation);
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/claim/ClaimCluster.java
@@ -0,0 +1,369 @@
+package org.rattanplank.core.claim;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import io.vavr.control.Option;
+import org.rattanplank.core.NodeIdentity;
+import org.rattanplank.core.host.HostList;
+import org.rattanplank.core.host.Place;
+import org.rattanplank.core.request.Answer;
+import org.rattanplank.core.store.StoreCommand;
+import org.rattanplank.core.store.StoreReply;
+
+/** The claims of several hosts of one data centre over fake links and a fake store. Not thread safe. */
+final class ClaimCluster {
+    static final long START_MILLIS = 1_000_000;
+    static final Answer ANSWER = Answer.of(200, "text/plain", new byte[] {1});
+
+    private record StoreCall(String host, long incarnation, long callId, StoreCommand command) {}
+
+    private final TakeoverRule rule;
+    private final ClaimLimits limits;
+    private final Map<String, FakeLink> links = new TreeMap<>();
+    private final Map<String, Claims> processes = new TreeMap<>();
+    private final Map<String, Long> incarnations = new TreeMap<>();
+    private final Deque<StoreCall> storeCalls = new ArrayDeque<>();
+    private final List<StoreCommand> lateWrites = new ArrayList<>();
+    private final Set<String> paused = new TreeSet<>();
+    private final Set<String> cuts = new TreeSet<>();
+    final FakeStore store;
+    final List<String> ledger = new ArrayList<>();
+    final Map<String, List<ClaimDecision>> decisions = new TreeMap<>();
+    private final Map<String, String> runners = new TreeMap<>();
+    private final Map<String, Long> ticked = new TreeMap<>();
+    long nowMillis = START_MILLIS;
+    int opened;
+
+    ClaimCluster(TakeoverRule rule, ClaimLimits limits) {
+        this.rule = rule;
+        this.limits = limits;
+        store = new FakeStore();
+    }
+
+    private ClaimCluster(ClaimCluster other) {
+        rule = other.rule;
+        limits = other.limits;
+        store = other.store.copy();
+        other.links.forEach((name, link) -> links.put(name, link.copy()));
+        other.processes.forEach((name, claims) -> processes.put(name, claims.copy()));
+        incarnations.putAll(other.incarnations);
+        storeCalls.addAll(other.storeCalls);
+        lateWrites.addAll(other.lateWrites);
+        paused.addAll(other.paused);
+        cuts.addAll(other.cuts);
+        ledger.addAll(other.ledger);
+        other.decisions.forEach((id, list) -> decisions.put(id, new ArrayList<>(list)));
+        runners.putAll(other.runners);
+        ticked.putAll(other.ticked);
+        nowMillis = other.nowMillis;
+        opened = other.opened;
+    }
+
+    static ClaimCluster of(String... hosts) {
+        ClaimCluster cluster = new ClaimCluster(TakeoverRule.SURVIVOR_REQUIRED, ClaimLimits.defaults());
+        List.of(hosts).forEach(cluster::start);
+        cluster.run(5_000);
+        return cluster;
+    }
+
+    ClaimCluster copy() {
+        return new ClaimCluster(this);
+    }
+
+    Claims claims(String host) {
+        return processes.get(host);
+    }
+
+    Set<String> live() {
+        return processes.keySet();
+    }
+
+    /** Starts a process, or one of a higher incarnation where another has ended. */
+    void start(String host) {
+        long incarnation = incarnations.merge(host, 1L, Long::sum);
+        processes.put(
+                host, Claims.of(new NodeIdentity(host, incarnation, Place.of("suva", "suva-hall")), limits, rule));
+        for (String other : processes.keySet()) {
+            if (!other.equals(host) && !isCut(host, other)) {
+                link(host, other).items.add(new FakeLink.Item.Up(incarnation));
+                link(other, host).items.add(new FakeLink.Item.Up(incarnations.get(other)));
+            }
+        }
+    }
+
+    /** Ends a process; what it sent is still on its way. */
+    void crash(String host) {
+        processes.remove(host);
+        paused.remove(host);
+        ticked.remove(host);
+        storeCalls.stream().filter(call -> call.host().equals(host)).forEach(call -> lateWrites.add(call.command()));
+        storeCalls.removeIf(call -> call.host().equals(host));
+        for (String other : processes.keySet()) {
+            link(other, host).items.clear();
+            if (!isCut(host, other)) {
+                link(host, other).items.add(new FakeLink.Item.Down(true));
+            }
+        }
+    }
+
+    void pause(String host) {
+        paused.add(host);
+    }
+
+    void resume(String host) {
+        paused.remove(host);
+    }
+
+    void cut(String one, String other) {
+        if (!cuts.add(pair(one, other))) {
+            return;
+        }
+        for (FakeLink link : List.of(link(one, other), link(other, one))) {
+            link.items.removeIf(item -> item instanceof FakeLink.Item.Message);
+            link.items.add(new FakeLink.Item.Down(false));
+        }
+    }
+
+    void cutStore(String host) {
+        cuts.add(pair(host, "store"));
+    }
+
+    void heal() {
+        Set<String> healed = new TreeSet<>(cuts);
+        cuts.clear();
+        for (FakeLink link : links.values()) {
+            if (healed.contains(pair(link.from, link.to)) && processes.containsKey(link.from)) {
+                link.items.add(new FakeLink.Item.Up(incarnations.get(link.from)));
+            }
+        }
+    }
+
+    void list(HostList list) {
+        processes.forEach((host, claims) -> take(host, claims.listed(list, nowMillis)));
+    }
+
+    void leave(String host) {
+        take(host, processes.get(host).leave(nowMillis));
+    }
+
+    void open(String host, ClaimKey key, String requestId) {
+        take(host, processes.get(host).open(key, requestId, nowMillis));
+    }
+
+    void end(String requestId, ClaimKey key, ClaimResult result) {
+        String host = runners.remove(requestId);
+        if (host != null && processes.containsKey(host)) {
+            take(host, processes.get(host).settle(key, requestId, result, nowMillis));
+        }
+    }
+
+    boolean isRunning(String requestId) {
+        String host = runners.get(requestId);
+        return host != null && processes.containsKey(host) && !paused.contains(host);
+    }
+
+    /** Lets time pass, several ticks a second, and everything that is on its way arrive. */
+    void run(long millis) {
+        long untilMillis = nowMillis + millis;
+        while (nowMillis < untilMillis) {
+            nowMillis += 100;
+            tick();
+            settleDown();
+        }
+    }
+
+    void tick() {
+        for (String host : List.copyOf(processes.keySet())) {
+            if (!paused.contains(host)) {
+                dialDead(host);
+                take(host, processes.get(host).tick(nowMillis));
+            }
+        }
+    }
+
+    /** A host goes on dialling the others of its list, and is refused where no process listens. */
+    private void dialDead(String host) {
+        for (String other : incarnations.keySet()) {
+            if (!processes.containsKey(other) && !isCut(host, other)) {
+                take(host, processes.get(host).lost(other, true, nowMillis));
+            }
+        }
+    }
+
+    void settleDown() {
+        for (int i = 0; i < 10_000; i++) {
+            if (!deliverNext()) {
+                return;
+            }
+        }
+        throw new IllegalStateException("messages never end");
+    }
+
+    /** Delivers the oldest thing on the first link that has one, else serves the oldest call to the store. */
+    boolean deliverNext() {
+        Option<FakeLink> next = nextLink();
+        if (next.isDefined()) {
+            deliver(next.get());
+            return true;
+        }
+        return serveStore(false);
+    }
+
+    Option<FakeLink> nextLink() {
+        return Option.ofOptional(
+                links.values().stream().filter(this::canDeliver).findFirst());
+    }
+
+    List<FakeLink> deliverable() {
+        return links.values().stream().filter(this::canDeliver).toList();
+    }
+
+    private boolean canDeliver(FakeLink link) {
+        return !link.items.isEmpty() && processes.containsKey(link.to) && !paused.contains(link.to);
+    }
+
+    void deliver(FakeLink link) {
+        FakeLink.Item item = link.items.poll();
+        Claims claims = processes.get(link.to);
+        if (item instanceof FakeLink.Item.Message message) {
+            take(link.to, claims.receive(link.from, message.incarnation(), message.content(), nowMillis));
+        } else if (item instanceof FakeLink.Item.Up up) {
+            take(link.to, claims.connected(link.from, up.incarnation(), nowMillis));
+        } else if (item instanceof FakeLink.Item.Down down) {
+            take(link.to, claims.lost(link.from, down.refused(), nowMillis));
+        }
+    }
+
+    boolean hasStoreCall() {
+        return storeCalls.stream().anyMatch(call -> !paused.contains(call.host()));
+    }
+
+    /** Serves the oldest call; its answer is lost if asked for. */
+    boolean serveStore(boolean losingAnswer) {
+        for (StoreCall call : storeCalls) {
+            if (!paused.contains(call.host())) {
+                storeCalls.remove(call);
+                StoreReply reply = isCut(call.host(), "store")
+                        ? new StoreReply.Unavailable("cut off")
+                        : store.apply(call.command());
+                answer(call, losingAnswer ? new StoreReply.Unsure("no answer came") : reply);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Loses the answer of the oldest call, whose effect comes only with {@link #applyLateWrites()}. */
+    void delayStore() {
+        StoreCall call = storeCalls.stream()
+                .filter(waiting -> !paused.contains(waiting.host()))
+                .findFirst()
+                .orElseThrow();
+        storeCalls.remove(call);
+        lateWrites.add(call.command());
+        answer(call, new StoreReply.Unsure("no answer came"));
+    }
+
+    boolean hasLateWrites() {
+        return !lateWrites.isEmpty();
+    }
+
+    void applyLateWrites() {
+        lateWrites.forEach(store::apply);
+        lateWrites.clear();
+    }
+
+    private void answer(StoreCall call, StoreReply reply) {
+        if (processes.containsKey(call.host()) && incarnations.get(call.host()) == call.incarnation()) {
+            take(call.host(), processes.get(call.host()).storeReplied(call.callId(), reply, nowMillis));
+        }
+    }
+
+    private void take(String host, List<ClaimStep> steps) {
+        for (ClaimStep step : steps) {
+            if (step instanceof ClaimStep.Send send) {
+                boolean reaches = processes.containsKey(send.host()) && !isCut(host, send.host());
+                if (reaches) {
+                    link(host, send.host())
+                            .items
+                            .add(new FakeLink.Item.Message(incarnations.get(host), send.message()));
+                }
+            } else if (step instanceof ClaimStep.CallStore call) {
+                storeCalls.add(new StoreCall(host, incarnations.get(host), call.callId(), call.command()));
+            } else if (step instanceof ClaimStep.Decide decide) {
+                decided(host, decide);
+            }
+        }
+    }
+
+    private void decided(String host, ClaimStep.Decide decide) {
+        decisions.computeIfAbsent(decide.requestId(), id -> new ArrayList<>()).add(decide.decision());
+        if (decide.decision() instanceof ClaimDecision.Run) {
+            ledger.add(decide.requestId());
+            runners.put(decide.requestId(), host);
+        }
+    }
+
+    ClaimDecision decision(String requestId) {
+        List<ClaimDecision> made = decisions.getOrDefault(requestId, List.of());
+        if (made.size() != 1) {
+            throw new AssertionError(requestId + " has the decisions " + made);
+        }
+        return made.get(0);
+    }
+
+    private FakeLink link(String from, String to) {
+        return links.computeIfAbsent(from + ">" + to, name -> new FakeLink(from, to));
+    }
+
+    boolean isCut(String one, String other) {
+        return cuts.contains(pair(one, other));
+    }
+
+    boolean isAnyCut() {
+        return !cuts.isEmpty();
+    }
+
+    /** This cluster's own link between the ends of another cluster's. */
+    FakeLink same(FakeLink other) {
+        return link(other.from, other.to);
+    }
+
+    boolean isPaused(String host) {
+        return paused.contains(host);
+    }
+
+    private static String pair(String one, String other) {
+        return one.compareTo(other) < 0 ? one + "|" + other : other + "|" + one;
+    }
+
+    /** All that decides what happens next. */
+    String describe() {
+        StringBuilder text = new StringBuilder();
+        processes.forEach(
+                (host, claims) -> text.append(host).append(claims.describe()).append('\n'));
+        links.values().forEach(link -> text.append(link.from)
+                .append(link.to)
+                .append(link.items)
+                .append('\n'));
+        return text.append(incarnations)
+                .append(storeCalls)
+                .append(lateWrites)
+                .append(paused)
+                .append(cuts)
+                .append(store)
+                .append(ledger)
+                .append(decisions.keySet())
+                .append(runners)
+                .append(nowMillis)
+                .append(opened)
+                .toString();
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/claim/ClaimSearch.java
@@ -0,0 +1,198 @@
+package org.rattanplank.core.claim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.vavr.control.Option;
+
+/**
+ * A depth-first search over what may happen to the claims of a few hosts, on the core's own code.
+ *
+ * <p>Each step either lets the next thing arrive (a message, an answer of the store, or, when all is quiet, a tick of
+ * one second), or is one choice of the search. Choices that are faults draw on a budget. Not thread safe.
+ */
+final class ClaimSearch {
+    private static final long TICK_MILLIS = 1_000;
+    private static final int MAX_OPENS = 2;
+
+    /** Second run found; the steps that led to it. */
+    private Option<List<String>> found = Option.none();
+
+    private final ClaimKey key;
+    private final long keyMillis;
+    private final List<String> hosts;
+    private final Map<Long, Integer> seen = new HashMap<>();
+    private final List<String> path = new ArrayList<>();
+    long states;
+
+    private record Choice(String name, int cost, Consumer<ClaimCluster> effect) {}
+
+    ClaimSearch(List<String> hosts, long keyMillis) {
+        this.hosts = hosts;
+        this.keyMillis = keyMillis;
+        key = ClaimKey.of("floor", ClaimsTest.timed(keyMillis));
+    }
+
+    static ClaimLimits limits() {
+        return new ClaimLimits(10_000_000, 100, 100, 1_000, 0, 2_000, 500, 500, 1_500, 500, 30_000, 10_000);
+    }
+
+    Option<List<String>> run(ClaimCluster cluster, int faults, int depth) {
+        visit(cluster, faults, depth);
+        return found;
+    }
+
+    /**
+     * Follows one way: each pick takes a choice, and the highest picks let the next thing arrive.
+     *
+     * @return the steps that were taken
+     */
+    List<String> walk(ClaimCluster cluster, List<Integer> picks, int faults) {
+        int left = faults;
+        for (int pick : picks) {
+            List<Choice> choices = choices(cluster);
+            Choice choice = choices.get(pick < choices.size() ? pick : 0);
+            if (choice.cost() <= left) {
+                left -= choice.cost();
+                path.add(choice.name());
+                choice.effect().accept(cluster);
+            }
+        }
+        return path;
+    }
+
+    private void visit(ClaimCluster cluster, int faults, int depth) {
+        if (found.isDefined()) {
+            return;
+        }
+        if (cluster.ledger.size() > 1) {
+            found = Option.some(List.copyOf(path));
+            return;
+        }
+        if (depth == 0 || isSeen(cluster, faults, depth)) {
+            return;
+        }
+        states++;
+        for (Choice choice : choices(cluster)) {
+            if (choice.cost() <= faults) {
+                ClaimCluster next = cluster.copy();
+                choice.effect().accept(next);
+                path.add(choice.name());
+                visit(next, faults - choice.cost(), depth - 1);
+                path.remove(path.size() - 1);
+            }
+        }
+    }
+
+    private boolean isSeen(ClaimCluster cluster, int faults, int depth) {
+        long digest = digest(cluster.describe() + faults);
+        if (seen.getOrDefault(digest, 0) >= depth) {
+            return true;
+        }
+        seen.put(digest, depth);
+        return false;
+    }
+
+    private static long digest(String text) {
+        long hash = 0xcbf29ce484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
+            hash ^= hash >>> 29;
+        }
+        return hash;
+    }
+
+    private List<Choice> choices(ClaimCluster cluster) {
+        List<Choice> choices = new ArrayList<>();
+        choices.add(new Choice("next", 0, ClaimSearch::next));
+        addCallers(cluster, choices);
+        if (cluster.nextLink().isEmpty()) {
+            addRepairs(cluster, choices);
+        }
+        addFaults(cluster, choices);
+        return choices;
+    }
+
+    private static void next(ClaimCluster cluster) {
+        if (!cluster.deliverNext()) {
+            cluster.nowMillis += TICK_MILLIS;
+            cluster.tick();
+        }
+    }
+
+    private void addCallers(ClaimCluster cluster, List<Choice> choices) {
+        for (String id : List.copyOf(cluster.ledger)) {
+            if (cluster.isRunning(id)) {
+                choices.add(new Choice(
+                        "answer " + id, 0, next -> next.end(id, key, new ClaimResult.Answered(ClaimCluster.ANSWER))));
+                choices.add(new Choice("not run " + id, 0, next -> {
+                    next.ledger.remove(id);
+                    next.end(id, key, new ClaimResult.NotRun());
+                }));
+            }
+        }
+        int opened = cluster.opened;
+        if (opened == MAX_OPENS || cluster.nowMillis < keyMillis) {
+            return;
+        }
+        for (String host : cluster.live()) {
+            // The first caller asks the first host: which name it has makes no difference.
+            if (!cluster.isPaused(host) && (opened > 0 || host.equals(hosts.get(0)))) {
+                choices.add(new Choice("open r" + opened + " at " + host, 0, next -> {
+                    next.opened++;
+                    next.open(host, key, "r" + opened);
+                }));
+            }
+        }
+    }
+
+    private void addRepairs(ClaimCluster cluster, List<Choice> choices) {
+        for (String host : hosts) {
+            if (!cluster.live().contains(host)) {
+                choices.add(new Choice("start " + host, 0, next -> next.start(host)));
+            } else if (cluster.isPaused(host)) {
+                choices.add(new Choice("resume " + host, 0, next -> next.resume(host)));
+            }
+        }
+        if (cluster.hasLateWrites()) {
+            choices.add(new Choice("late write", 0, ClaimCluster::applyLateWrites));
+        }
+        if (cluster.isAnyCut()) {
+            choices.add(new Choice("heal", 0, ClaimCluster::heal));
+        }
+    }
+
+    private void addFaults(ClaimCluster cluster, List<Choice> choices) {
+        for (String host : cluster.live()) {
+            choices.add(new Choice("crash " + host, 1, next -> next.crash(host)));
+            if (!cluster.isPaused(host)) {
+                choices.add(new Choice("pause " + host, 1, next -> next.pause(host)));
+            }
+            if (!cluster.isCut(host, "store")) {
+                choices.add(new Choice("cut store " + host, 1, next -> next.cutStore(host)));
+            }
+        }
+        for (String one : hosts) {
+            for (String other : hosts) {
+                if (one.compareTo(other) < 0 && !cluster.isCut(one, other)) {
+                    choices.add(new Choice("cut " + one + " " + other, 1, next -> next.cut(one, other)));
+                }
+            }
+        }
+        if (cluster.hasStoreCall()) {
+            choices.add(new Choice("lose store answer", 1, next -> next.serveStore(true)));
+            choices.add(new Choice("delay store write", 1, ClaimCluster::delayStore));
+        }
+        cluster.nextLink().filter(FakeLink::headIsMessage).forEach(link -> addMessageFaults(link, choices));
+    }
+
+    private static void addMessageFaults(FakeLink link, List<Choice> choices) {
+        choices.add(new Choice(
+                "lose " + link.from + link.to, 1, next -> next.same(link).dropHead()));
+        choices.add(new Choice(
+                "postpone " + link.from + link.to, 1, next -> next.same(link).postponeHead()));
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/claim/FakeStore.java
@@ -0,0 +1,50 @@
+package org.rattanplank.core.claim;
+
+import java.util.List;
+
+import io.vavr.control.Option;
+import org.rattanplank.core.store.StoreCommand;
+import org.rattanplank.core.store.StoreEntry;
+import org.rattanplank.core.store.StoreReply;
+
+/** One key of a store with compare-and-swap. Not thread safe. */
+final class FakeStore {
+    private Option<StoreEntry> entry = Option.none();
+    private long revision;
+    boolean down;
+    int writes;
+
+    FakeStore copy() {
+        FakeStore copy = new FakeStore();
+        copy.entry = entry;
+        copy.revision = revision;
+        copy.down = down;
+        copy.writes = writes;
+        return copy;
+    }
+
+    StoreReply apply(StoreCommand command) {
+        if (down) {
+            return new StoreReply.Unavailable("the store is out");
+        }
+        if (command instanceof StoreCommand.Put put) {
+            return put(put);
+        }
+        return new StoreReply.Found(entry.map(List::of).getOrElse(List.of()), revision);
+    }
+
+    private StoreReply put(StoreCommand.Put put) {
+        if (entry.map(StoreEntry::modRevision).getOrElse(0L) != put.expectedModRevision()) {
+            return new StoreReply.Conflicted(entry);
+        }
+        revision++;
+        writes++;
+        entry = Option.some(new StoreEntry(put.key(), put.value(), revision));
+        return new StoreReply.Written(revision);
+    }
+
+    @Override
+    public String toString() {
+        return entry + " " + down;
+    }
+}
--- /dev/null
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/ClaimCopied.java
@@ -0,0 +1,24 @@
+// Generated from the message schemas; see docs/INTERFACE.md. Do not edit.
+package org.rattanplank.schema.message;
+
+import java.util.Objects;
+
+/**
+ * A member's word that it holds a claim.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param viewNumber the sender's view
+ * @param account the caller's account
+ * @param key the caller's idempotency key
+ * @param requestId the request that claims
+ * @param sequence the sequence number of the copy
+ */
+public record ClaimCopied(long viewNumber, String account, String key, String requestId,
+        long sequence) implements ClaimMessage {
+    public ClaimCopied {
+        account = Objects.requireNonNullElse(account, "");
+        key = Objects.requireNonNullElse(key, "");
+        requestId = Objects.requireNonNullElse(requestId, "");
+    }
+}
--- /dev/null
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/ViewPropose.java
@@ -0,0 +1,20 @@
+// Generated from the message schemas; see docs/INTERFACE.md. Do not edit.
+package org.rattanplank.schema.message;
+
+import java.util.Objects;
+
+/**
+ * Asks a member to stop its view and a joining host to be ready for the next one.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param fromNumber the view that is to stop
+ * @param sessionId the copying session of a joining host, or empty
+ * @param view the next view
+ */
+public record ViewPropose(long fromNumber, String sessionId,
+        ViewRecord view) implements ClaimMessage {
+    public ViewPropose {
+        sessionId = Objects.requireNonNullElse(sessionId, "");
+    }
+}
