Let a full region take work while home waits much longer

Cause: in the retry storm a region with half of its targets queued drafts for 15 s, while the others, also full, had no queue; a region without a free slot was never considered. Change: a full region counts with one more average run of wait; a region that warms up is still bounded by its slots.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/Remote.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/Remote.java
@@ -70,11 +70,16 @@
         return summary.slots() * share * warmth.value(nowMillis);
     }
 
-    /** Whether so much room is left that more may be sent while the region is limited. */
+    /** Whether the region runs what it has without a queue. */
     boolean hasRoom(String service, double slots) {
         return load(service).load() < slots;
     }
 
+    /** Whether more may be sent: a region whose caches are still cold is not filled beyond its usable slots. */
+    boolean mayTakeMore(String service, double slots, long nowMillis) {
+        return warmth.value(nowMillis) >= 1 || hasRoom(service, slots);
+    }
+
     double waitMillis(String service, double slots, double meanRunMillis) {
         return Math.max(0, load(service).load() + 1 - slots) / Math.max(1, slots) * meanRunMillis;
     }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/ScoredChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/ScoredChooser.java
@@ -24,6 +24,9 @@
     private static final double BOUNDED_LOAD = 1.5;
     private static final double FAILURE_MILLIS = 500;
     private static final double CROWDING = 0.1;
+    /** How much longer, in average runs, the wait at home must be than that in a region that is full as well. */
+    private static final double FULL_RUNS = 1;
+
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private final String region;
@@ -188,15 +191,16 @@
             }
             double slots = remote.slots(summary.get(), remotes.share(remote.name, nowMillis), nowMillis);
             boolean isFresh = nowMillis - summary.get().reportedAtMillis() <= Remote.OLDEST_SUMMARY_MILLIS;
-            if (!isFresh || !remote.hasRoom(request.service(), slots)) {
+            if (!isFresh || !remote.mayTakeMore(request.service(), slots, nowMillis)) {
                 considered.add(remote.name, isFresh ? "no room" : "not heard of", 0);
                 return;
             }
             double meanRun = service.map(known -> known.work.meanRunMillis()).getOrElse(0.0);
             double wait = remote.waitMillis(request.service(), slots, meanRun);
             double crowding = CROWDING * meanRun * load.load() / Math.max(1, slots);
+            double full = remote.hasRoom(request.service(), slots) ? 0 : FULL_RUNS * meanRun;
             double cold = WorkEstimate.prefillMillis(request.promptTokens(), usualRate());
-            double score = policy.score(wait + crowding, cold, Remote.CROSSING_MILLIS);
+            double score = policy.score(wait + crowding + full, cold, Remote.CROSSING_MILLIS);
             considered.add(remote.name, "eligible", score);
             if (bestRegion.isEmpty() || score < bestRegion.get().score()) {
                 double run = service.map(known -> known.work.outputMillis(request, usualRate()))
