Compare accounts within their region in the routing measurement

Cause: the fair level was worked out over all regions, but regions share out their own targets and home-bound work cannot move; a fault in one region made its accounts look unfairly treated by the accounts of the others. Ruled out: leaving home-bound work out of the count (it would hide real unfairness). Change: fair levels are worked out for each region.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/route/Results.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/route/Results.java
@@ -126,11 +126,22 @@
         return all == 0 ? 1 : good / (double) all;
     }
 
-    /** Accounts that got less than they asked for and less than their fair share, while another got more than its own. */
+    /**
+     * Accounts that got less than they asked for and less than their fair share, while another of the same region got
+     * more than its own; regions share out their own targets, so accounts are compared within their region.
+     */
     private double unfairAccounts(List<Arrival> arrivals) {
+        double unfair = 0;
+        for (int region : arrivals.stream().map(Arrival::region).distinct().toList()) {
+            unfair += unfairAccounts(arrivals, region);
+        }
+        return unfair;
+    }
+
+    private double unfairAccounts(List<Arrival> arrivals, int region) {
         Map<String, double[]> accounts = new TreeMap<>();
         for (Arrival arrival : arrivals) {
-            if (arrival.service().model()) {
+            if (arrival.service().model() && arrival.region() == region) {
                 double[] counts = accounts.computeIfAbsent(arrival.account(), account -> new double[2]);
                 counts[0]++;
                 counts[1] += answered.containsKey(arrival) ? 1 : 0;
