Bound callers, count and trace requests, name every faulty setting

Cause: Ratpack bounds neither the number of connections nor the time that a request may take to arrive, and JCommander stops at the first fault. Ruled out: a handler in Ratpack's chain, which sees a request only once its headers are whole; so a gate stands at the server's own channel. Change: connections, header and body are bounded (431, 408, 413, 503 in the one JSON shape); Dropwizard metrics at /metrics in Prometheus's format; one span for each hop by OpenTelemetry, off by default; watches of the store end by themselves, since a silent one looks like a sound one; the stop waits until replies have left.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
@@ -24,12 +24,13 @@
 import org.rattanplank.daemon.caller.CallerServer;
 import org.rattanplank.daemon.http.Exchanges;
 import org.rattanplank.daemon.http.WebClient;
+import org.rattanplank.daemon.metric.DaemonMetrics;
+import org.rattanplank.daemon.metric.LinkTraffic;
 import org.rattanplank.daemon.operator.OperatorServer;
 import org.rattanplank.daemon.peer.Links;
 import org.rattanplank.daemon.peer.PeerServer;
 import org.rattanplank.daemon.peer.PeerSizes;
 import org.rattanplank.daemon.peer.PeerTimes;
-import org.rattanplank.daemon.peer.Traffic;
 import org.rattanplank.daemon.platform.Directory;
 import org.rattanplank.daemon.platform.HostsPoller;
 import org.rattanplank.daemon.runtime.MillisClock;
@@ -41,8 +42,9 @@
 import org.rattanplank.daemon.target.OverdueTimes;
 import org.rattanplank.daemon.target.TargetPoller;
 import org.rattanplank.daemon.target.Targets;
+import org.rattanplank.daemon.trace.TraceExporter;
+import org.rattanplank.daemon.trace.Traces;
 import org.rattanplank.schema.message.Hello;
-import org.rattanplank.schema.message.PeerMessage;
 import org.tinylog.Logger;
 import ratpack.exec.internal.DefaultExecController;
 
@@ -61,6 +63,9 @@
     private final DefaultExecController controller;
     private final WebClient client;
     private final Calls calls;
+    private final DaemonMetrics metrics = new DaemonMetrics();
+    private final Traces traces;
+    private final Observer observer;
     private final Node node;
     private final NodeRunner runner;
     private final Targets targets;
@@ -78,15 +83,21 @@
         this.settings = settings;
         controller = new DefaultExecController((int) settings.ioThreads());
         client = WebClient.of(
-                controller, settings.connectTimeoutMillis(), (int) settings.maxAnswerBytes(), bytes -> {}, bytes -> {});
+                controller,
+                settings.connectTimeoutMillis(),
+                (int) settings.maxAnswerBytes(),
+                bytes -> metrics.traffic("control", "out", bytes),
+                bytes -> metrics.traffic("control", "in", bytes));
         calls = Calls.of((int) settings.maxRequests());
         NodeIdentity self = new NodeIdentity(
                 settings.host(), clock.startMillis(), Place.of(settings.region(), settings.dataCentre()));
         long seed = settings.seed() == 0 ? clock.startMillis() : settings.seed();
         node = Node.of(self, Policy.of(settings.policy()).getOrElse(Policy.COST), seed);
         runner = NodeRunner.of(node, clock, this::carryOut, (int) settings.workers(), (int) settings.maxBacklog());
+        traces = Traces.of(TraceExporter.of(settings.traceExporter()), settings.host(), settings.traceUrl());
+        observer = new Observer(runner, calls, metrics, traces);
         Resources resources = new Resources(
-                controller.getEventLoopGroup(), client, Exchanges.of(settings.connectTimeoutMillis()), runner, clock);
+                controller.getEventLoopGroup(), client, Exchanges.of(settings.connectTimeoutMillis()), observer, clock);
         targets = new Targets(resources, directory, attemptLimits(), settings.pollTimeoutMillis());
         links = new Links(
                 new Hello(self.host(), self.incarnation(), settings.region(), settings.dataCentre(), PROTOCOL_VERSION),
@@ -94,18 +105,19 @@
                 directory,
                 peerTimes(),
                 peerSizes(),
-                new NoTraffic(),
+                new LinkTraffic(metrics),
                 (int) settings.maxAnswerBytes());
         store = new EtcdStore(
                 resources,
                 URI.create(settings.storeUrl()),
                 settings.storeTimeoutMillis(),
+                settings.watchRenewMillis(),
                 settings.storeCallsPerSecond(),
-                reply -> {});
-        hostsPoller = HostsPoller.of(client, settings.hostsUrl(), settings.pollTimeoutMillis(), directory, runner);
+                metrics::storeReplied);
+        hostsPoller = HostsPoller.of(client, settings.hostsUrl(), settings.pollTimeoutMillis(), directory, observer);
         targetPoller = new TargetPoller(resources, directory, settings.region(), settings.pollTimeoutMillis());
-        callerServer = new CallerServer(settings.host(), node, calls, runner, clock, callerLimits());
-        operatorServer = new OperatorServer(node, runner, clock, () -> "");
+        callerServer = new CallerServer(settings.host(), node, calls, observer, clock, callerLimits());
+        operatorServer = new OperatorServer(node, observer, clock, metrics::text);
     }
 
     /**
@@ -138,7 +150,8 @@
      * @return the number
      */
     public int unfinished() {
-        return Math.max(calls.size(), callerServer.unsentReplies());
+        int unsentAnswers = peerServer.map(PeerServer::unsentAnswers).getOrElse(0);
+        return Math.max(calls.size(), callerServer.unsentReplies() + unsentAnswers);
     }
 
     @Override
@@ -151,6 +164,7 @@
         links.close();
         store.close();
         client.close();
+        traces.close();
         controller.close();
     }
 
@@ -161,7 +175,7 @@
                         controller.getEventLoopGroup(),
                         links,
                         calls,
-                        runner)
+                        observer)
                 .flatMap(peers -> {
                     peerServer = Option.some(peers);
                     return callerServer.open(
@@ -173,6 +187,7 @@
     }
 
     private Daemon started(int callersPort, int operatorsPort) {
+        addGauges();
         runner.startTicking(settings.tickIntervalMillis());
         repeat(hostsPoller::poll, settings.hostsIntervalMillis());
         repeat(targetPoller::pollLoads, settings.loadIntervalMillis());
@@ -191,6 +206,17 @@
         return this;
     }
 
+    private void addGauges() {
+        metrics.gauge("requests_in_flight", calls::size);
+        metrics.gauge("attempts_at_targets", targets::size);
+        metrics.gauge("attempts_forwarded", links.forwards()::size);
+        metrics.gauge("events_waiting", runner::backlog);
+        metrics.gauge("caller_connections", callerServer::connections);
+        metrics.gauge("claim_view_number", () -> (int) node.status().viewNumber());
+        metrics.gauge(
+                "configuration_generation", () -> (int) node.configuration().generation());
+    }
+
     /** Runs a poll again and again, with jitter, so that many hosts do not poll in step. */
     private void repeat(Runnable poll, long intervalMillis) {
         Try.run(poll::run).onFailure(error -> Logger.error(error, "daemon: a poll failed"));
@@ -203,9 +229,11 @@
         if (action instanceof Action.StartAttempt start) {
             start(start);
         } else if (action instanceof Action.CancelAttempt cancel) {
+            observer.cancelled(cancel);
             targets.cancel(cancel.requestId(), cancel.attempt());
             links.forwards().cancel(cancel.requestId(), cancel.attempt());
         } else if (action instanceof Action.Finish finish) {
+            observer.finished(finish);
             calls.finish(finish.requestId(), finish.outcome());
         } else if (action instanceof Action.SendMessage send) {
             links.send(send.host(), send.message());
@@ -223,10 +251,11 @@
     private void start(Action.StartAttempt start) {
         calls.find(start.requestId())
                 .peek(call -> {
+                    String traceParent = observer.started(start);
                     if (start.route() instanceof Route.ToTarget) {
-                        targets.start(call, start);
+                        targets.start(call, start, traceParent);
                     } else {
-                        links.forwards().start(call, start);
+                        links.forwards().start(call, start, traceParent);
                     }
                 })
                 .onEmpty(() -> {
@@ -275,12 +304,4 @@
         thread.setDaemon(true);
         return thread;
     }
-
-    private static final class NoTraffic implements Traffic {
-        @Override
-        public void sent(PeerMessage message, int bytes) {}
-
-        @Override
-        public void received(PeerMessage message, int bytes) {}
-    }
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Rattanplankd.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Rattanplankd.java
@@ -32,8 +32,8 @@
     }
 
     private static int run(List<String> arguments) {
-        Either<List<SettingFault>, DaemonFlags> flags = SettingsReader.flags(arguments);
-        if (flags.exists(DaemonFlags::isHelp)) {
+        DaemonFlags flags = SettingsReader.flags(arguments);
+        if (flags.isHelp()) {
             System.out.print(SettingsReader.help());
             return DONE;
         }
@@ -42,7 +42,7 @@
             settings.getLeft().forEach(fault -> System.err.println(fault.line()));
             return BAD_SETTINGS;
         }
-        if (flags.exists(DaemonFlags::isCheck)) {
+        if (flags.isCheck()) {
             System.out.println("the settings are sound");
             return DONE;
         }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/call/Attempts.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/call/Attempts.java
@@ -10,8 +10,9 @@
      *
      * @param call the call
      * @param start where to and with what
+     * @param traceParent the trace context for the other side, or empty
      */
-    void start(Call call, Action.StartAttempt start);
+    void start(Call call, Action.StartAttempt start, String traceParent);
 
     /**
      * Gives an attempt up; nothing happens if it is not one of these.
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
@@ -43,7 +43,9 @@
     private final MillisClock clock;
     private final CallerLimits limits;
     private final AskReader reader;
+    private final ConnectionGate gate;
     private final AtomicInteger unsentReplies = new AtomicInteger();
+    private Option<RatpackServer> server = Option.none();
 
     /**
      * Makes a server that is not open yet.
@@ -62,11 +64,10 @@
         this.events = events;
         this.clock = clock;
         this.limits = limits;
+        gate = new ConnectionGate(host, limits.maxConnections(), limits.readTimeoutMillis());
         reader = new AskReader(limits.defaultTimeoutMillis(), limits.maxTimeoutMillis());
     }
 
-    private Option<RatpackServer> server = Option.none();
-
     /**
      * Opens the port.
      *
@@ -89,7 +90,7 @@
                     .idleTimeout(Duration.ofMillis(limits.idleTimeoutMillis()))
                     .build();
             RatpackServer made =
-                    RatpackServer.of(spec -> spec.serverConfig(config).handlers(chain -> chain.all(this::handle)));
+                    new GatedServer(spec -> spec.serverConfig(config).handlers(chain -> chain.all(this::handle)), gate);
             made.start();
             server = Option.some(made);
             return made.getBindPort();
@@ -105,6 +106,15 @@
         return unsentReplies.get();
     }
 
+    /**
+     * Counts the open connections.
+     *
+     * @return the number
+     */
+    public int connections() {
+        return gate.connections();
+    }
+
     @Override
     public void close() {
         server.forEach(open -> Try.run(open::stop));
--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/ConnectionGate.java
@@ -0,0 +1,42 @@
+package org.rattanplank.daemon.caller;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/**
+ * Stands before Ratpack at the callers' port and bounds the connections: their number, and the time that a request may
+ * take to arrive.
+ *
+ * <p>Ratpack has no such bounds: a caller who opens connections without end, or sends a byte now and then, would take
+ * every connection from the others. Thread safe.
+ */
+@ChannelHandler.Sharable
+final class ConnectionGate extends ChannelInboundHandlerAdapter {
+    private final String host;
+    private final int maxConnections;
+    private final long readTimeoutMillis;
+    private final AtomicInteger connections = new AtomicInteger();
+
+    ConnectionGate(String host, int maxConnections, long readTimeoutMillis) {
+        this.host = host;
+        this.maxConnections = maxConnections;
+        this.readTimeoutMillis = readTimeoutMillis;
+    }
+
+    int connections() {
+        return connections.get();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object accepted) {
+        Channel child = (Channel) accepted;
+        boolean full = connections.incrementAndGet() > maxConnections;
+        child.closeFuture().addListener(closed -> connections.decrementAndGet());
+        child.pipeline().addFirst(new CallerConnection(host, full, readTimeoutMillis));
+        context.fireChannelRead(accepted);
+    }
+}
--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/GatedServer.java
@@ -0,0 +1,26 @@
+package org.rattanplank.daemon.caller;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import ratpack.func.Action;
+import ratpack.impose.Impositions;
+import ratpack.server.RatpackServerSpec;
+import ratpack.server.ServerConfig;
+import ratpack.server.internal.DefaultRatpackServer;
+
+/** Ratpack's server with a gate before its connections. Thread safe. */
+final class GatedServer extends DefaultRatpackServer {
+    private final ConnectionGate gate;
+
+    GatedServer(Action<? super RatpackServerSpec> definition, ConnectionGate gate) throws Exception {
+        super(definition, Impositions.current());
+        this.gate = gate;
+    }
+
+    @Override
+    protected Channel buildChannel(ServerConfig config, ChannelHandler handler) throws InterruptedException {
+        Channel open = super.buildChannel(config, handler);
+        open.pipeline().addFirst(gate);
+        return open;
+    }
+}
--- /dev/null
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/metric/LinkTraffic.java
@@ -0,0 +1,39 @@
+package org.rattanplank.daemon.metric;
+
+import java.util.Objects;
+
+import org.rattanplank.daemon.peer.Traffic;
+import org.rattanplank.schema.message.ClaimMessage;
+import org.rattanplank.schema.message.PeerMessage;
+import org.rattanplank.schema.message.RequestMessage;
+
+/**
+ * Counts what goes over links: control apart from forwarded requests. Immutable and thread safe.
+ *
+ * @param metrics the numbers
+ */
+public record LinkTraffic(DaemonMetrics metrics) implements Traffic {
+    private static final String IN = "in";
+    private static final String OUT = "out";
+
+    public LinkTraffic {
+        Objects.requireNonNull(metrics, "metrics");
+    }
+
+    @Override
+    public void sent(PeerMessage message, int bytes) {
+        count(message, OUT, bytes);
+    }
+
+    @Override
+    public void received(PeerMessage message, int bytes) {
+        count(message, IN, bytes);
+    }
+
+    private void count(PeerMessage message, String direction, int bytes) {
+        metrics.traffic(message instanceof RequestMessage ? "forward" : "control", direction, bytes);
+        if (message instanceof ClaimMessage) {
+            metrics.claimMessage(direction);
+        }
+    }
+}
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/Forwards.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/Forwards.java
@@ -48,7 +48,7 @@
     }
 
     @Override
-    public void start(Call call, Action.StartAttempt start) {
+    public void start(Call call, Action.StartAttempt start, String traceParent) {
         AttemptKey key = new AttemptKey(start.requestId(), start.attempt());
         String host = start.route().peer();
         ForwardAttempt attempt = new ForwardAttempt(call, start.attempt(), host, maxAnswerBytes);
@@ -57,7 +57,7 @@
         long waitMillis = Math.max(0, start.timeoutMillis() - resources.clock().nowMillis());
         Runnable late = () -> end(key, attempt.lost("no answer came in time"));
         attempt.endBy(resources.loops().next().schedule(late, waitMillis, TimeUnit.MILLISECONDS));
-        links.send(host, messageOf(call, start, waitMillis), new SendListener() {
+        links.send(host, messageOf(call, start, waitMillis, traceParent), new SendListener() {
             @Override
             public void handedOver() {
                 attempt.handOver();
@@ -131,7 +131,8 @@
         return new AttemptKey("", 0);
     }
 
-    private static ForwardRequest messageOf(Call call, Action.StartAttempt start, long remainingMillis) {
+    private static ForwardRequest messageOf(
+            Call call, Action.StartAttempt start, long remainingMillis, String traceParent) {
         Request request = start.request();
         Envelope envelope = call.envelope();
         return new ForwardRequest(
@@ -154,7 +155,7 @@
                 request.prefixHashes(),
                 request.stream(),
                 request.passedHosts(),
-                envelope.traceParent(),
+                traceParent,
                 envelope.body());
     }
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/FrameHandler.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/FrameHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -43,8 +44,12 @@
     }
 
     final void write(Channel channel, PeerMessage message, byte[] frame) {
+        write(channel, message, frame, channel.voidPromise());
+    }
+
+    final void write(Channel channel, PeerMessage message, byte[] frame, ChannelPromise promise) {
         traffic.sent(message, frame.length + LENGTH_BYTES);
-        channel.writeAndFlush(Unpooled.wrappedBuffer(frame), channel.voidPromise());
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame), promise);
     }
 
     @Override
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
@@ -3,9 +3,11 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.util.concurrent.Future;
 import io.vavr.control.Option;
 import org.rattanplank.core.Event;
@@ -19,6 +21,7 @@
 import org.rattanplank.daemon.call.Envelope;
 import org.rattanplank.daemon.runtime.Events;
 import org.rattanplank.schema.message.ForwardCancel;
+import org.rattanplank.schema.message.ForwardEnd;
 import org.rattanplank.schema.message.ForwardRequest;
 import org.rattanplank.schema.message.Hello;
 import org.rattanplank.schema.message.PeerMessage;
@@ -38,16 +41,18 @@
     private final LinkContext context;
     private final Calls calls;
     private final Events events;
+    private final AtomicInteger unsentAnswers;
     private final Silence silence;
     private final Map<String, Long> asked = new ConcurrentHashMap<>();
     private Option<Hello> other = Option.none();
     private Option<Future<?>> checker = Option.none();
 
-    PeerConnection(LinkContext context, Calls calls, Events events) {
+    PeerConnection(LinkContext context, Calls calls, Events events, AtomicInteger unsentAnswers) {
         super(context.traffic());
         this.context = context;
         this.calls = calls;
         this.events = events;
+        this.unsentAnswers = unsentAnswers;
         silence = new Silence(
                 context.times().pingIntervalMillis(),
                 context.times().pingTimeoutMillis(),
@@ -131,7 +136,7 @@
     }
 
     private void answer(Channel channel, RequestMessage message) {
-        if (message instanceof org.rattanplank.schema.message.ForwardEnd end) {
+        if (message instanceof ForwardEnd end) {
             asked.remove(end.requestId());
         }
         // An asker that reads too slowly would fill this host's memory: its connection is closed, and it finds its
@@ -140,7 +145,10 @@
             channel.close();
             return;
         }
-        write(channel, message);
+        unsentAnswers.incrementAndGet();
+        ChannelPromise written = channel.newPromise();
+        written.addListener(done -> unsentAnswers.decrementAndGet());
+        write(channel, message, FrameCodec.encode(message), written);
     }
 
     private Request requestOf(ForwardRequest message) {
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerServer.java
@@ -17,9 +17,11 @@
 /** The port for other entry hosts. Thread safe. */
 public final class PeerServer implements AutoCloseable {
     private final Channel channel;
+    private final AtomicInteger unsentAnswers;
 
-    private PeerServer(Channel channel) {
+    private PeerServer(Channel channel, AtomicInteger unsentAnswers) {
         this.channel = channel;
+        this.unsentAnswers = unsentAnswers;
     }
 
     /**
@@ -37,6 +39,7 @@
             String address, int port, EventLoopGroup loops, Links links, Calls calls, Events events) {
         LinkContext context = links.context();
         AtomicInteger connections = new AtomicInteger();
+        AtomicInteger unsent = new AtomicInteger();
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loops)
                 .channel(TransportDetector.getServerSocketChannelImpl())
@@ -50,11 +53,11 @@
                             child.close();
                             return;
                         }
-                        new PeerConnection(context, calls, events)
+                        new PeerConnection(context, calls, events, unsent)
                                 .addTo(child.pipeline(), context.sizes().maxFrameBytes());
                     }
                 });
-        return Try.of(() -> new PeerServer(bootstrap.bind(address, port).sync().channel()));
+        return Try.of(() -> new PeerServer(bootstrap.bind(address, port).sync().channel(), unsent));
     }
 
     /**
@@ -66,6 +69,15 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
+    /**
+     * Counts the answers to other hosts that have not gone out.
+     *
+     * @return the number
+     */
+    public int unsentAnswers() {
+        return unsentAnswers.get();
+    }
+
     @Override
     public void close() {
         channel.close();
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/platform/HostsPoller.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/platform/HostsPoller.java
@@ -1,6 +1,7 @@
 package org.rattanplank.daemon.platform;
 
 import java.net.URI;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.rattanplank.core.Event;
 import org.rattanplank.core.host.HostList;
@@ -22,6 +23,7 @@
     private final long timeoutMillis;
     private final Directory directory;
     private final Events events;
+    private final AtomicBoolean asked = new AtomicBoolean();
     private volatile boolean missed;
 
     private HostsPoller(WebClient client, URI uri, long timeoutMillis, Directory directory, Events events) {
@@ -49,7 +51,11 @@
 
     /** Reads the list once. */
     public void poll() {
-        client.send(WebCall.get(uri, timeoutMillis)).thenAccept(this::take);
+        if (asked.compareAndSet(false, true)) {
+            client.send(WebCall.get(uri, timeoutMillis))
+                    .whenComplete((reply, error) -> asked.set(false))
+                    .thenAccept(this::take);
+        }
     }
 
     private void take(WebReply reply) {
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/setting/SettingsReader.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/setting/SettingsReader.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 
 import com.beust.jcommander.JCommander;
-import com.beust.jcommander.ParameterException;
 import io.vavr.control.Either;
 import org.rattanplank.daemon.setting.generated.DaemonFlags;
 import org.rattanplank.daemon.setting.generated.DaemonSettings;
@@ -23,7 +22,14 @@
     /** The variables of the operators' tool, which may be set in the same shell. */
     private static final Set<String> VARIABLES_OF_TOOL = Set.of("RATTANPLANK_OPERATORS", "RATTANPLANK_STORE");
 
+    private static final long FRAME_FIELDS_BYTES = 65_536;
+
+    private static final Set<String> COMMANDS = Set.of("--help", "--check");
+
+    private static final String FLAG_PREFIX = "--";
+
     private final List<SettingFault> faults = new ArrayList<>();
+    private final Set<String> named = new HashSet<>();
     private final Map<String, String> values = new HashMap<>();
     private final Map<String, String> namesAsGiven = new HashMap<>();
 
@@ -33,29 +39,10 @@
      * Reads the flags, which tell whether help or a check is wanted.
      *
      * @param arguments the command line
-     * @return the flags, or the faults that keep them from being read
+     * @return the flags; what is faulty in the command line is left out
      */
-    public static Either<List<SettingFault>, DaemonFlags> flags(List<String> arguments) {
-        DaemonFlags flags = new DaemonFlags();
-        JCommander commander = JCommander.newBuilder()
-                .addObject(flags)
-                .acceptUnknownOptions(true)
-                .allowParameterOverwriting(false)
-                .build();
-        try {
-            commander.parse(arguments.toArray(new String[0]));
-        } catch (ParameterException e) {
-            return Either.left(List.of(new SettingFault("command line", "", "flags with one value each; " + text(e))));
-        }
-        List<SettingFault> unknown = new ArrayList<>();
-        boolean valueOfUnknown = false;
-        for (String argument : commander.getUnknownOptions()) {
-            if (argument.startsWith("--") || !valueOfUnknown) {
-                unknown.add(new SettingFault(argument, "", "a flag that --help lists"));
-            }
-            valueOfUnknown = argument.startsWith("--") && !argument.contains("=");
-        }
-        return unknown.isEmpty() ? Either.right(flags) : Either.left(unknown);
+    public static DaemonFlags flags(List<String> arguments) {
+        return new SettingsReader().parse(arguments);
     }
 
     /**
@@ -68,11 +55,7 @@
     public static Either<List<SettingFault>, DaemonSettings> read(
             List<String> arguments, Map<String, String> environment) {
         SettingsReader reader = new SettingsReader();
-        Either<List<SettingFault>, DaemonFlags> flags = flags(arguments);
-        flags.peekLeft(reader.faults::addAll);
-        // Flags that JCommander refused as a whole are not read at all: a check of the rest would name settings as
-        // missing that were given.
-        reader.take(flags.map(DaemonFlags::given).getOrElse(Map::of), environment, flags.isLeft());
+        reader.take(reader.parse(arguments).given(), environment);
         return reader.faults.isEmpty()
                 ? Either.right(DaemonSettings.of(new SettingValues(reader.values)))
                 : Either.left(List.copyOf(reader.faults));
@@ -99,7 +82,36 @@
                 .toString();
     }
 
-    private void take(Map<String, String> flags, Map<String, String> environment, boolean unread) {
+    /** JCommander stops at the first fault; so it gets only what is sound, and the faults are found before. */
+    private DaemonFlags parse(List<String> arguments) {
+        Map<String, Setting> byFlag = new HashMap<>();
+        DaemonTable.SETTINGS.forEach(setting -> byFlag.put(setting.flag(), setting));
+        List<String> sound = new ArrayList<>();
+        for (int i = 0; i < arguments.size(); i++) {
+            String argument = arguments.get(i);
+            boolean hasValue = i + 1 < arguments.size() && !arguments.get(i + 1).startsWith(FLAG_PREFIX);
+            if (COMMANDS.contains(argument)) {
+                sound.add(argument);
+                continue;
+            }
+            if (!byFlag.containsKey(argument)) {
+                faults.add(new SettingFault(argument, "", "a flag that --help lists"));
+            } else if (!hasValue) {
+                faults.add(new SettingFault(argument, "", "a value"));
+            } else if (sound.contains(argument)) {
+                faults.add(new SettingFault(argument, arguments.get(i + 1), "only one value"));
+            } else {
+                sound.addAll(List.of(argument, arguments.get(i + 1)));
+            }
+            named.add(argument);
+            i += hasValue && argument.startsWith(FLAG_PREFIX) ? 1 : 0;
+        }
+        DaemonFlags flags = new DaemonFlags();
+        JCommander.newBuilder().addObject(flags).build().parse(sound.toArray(new String[0]));
+        return flags;
+    }
+
+    private void take(Map<String, String> flags, Map<String, String> environment) {
         Set<String> variables = new HashSet<>(VARIABLES_OF_TOOL);
         for (Setting setting : DaemonTable.SETTINGS) {
             variables.add(setting.environment());
@@ -107,7 +119,7 @@
                 check(setting, setting.flag(), flags.get(setting.name()));
             } else if (environment.containsKey(setting.environment())) {
                 check(setting, setting.environment(), environment.get(setting.environment()));
-            } else if (setting.required() && !unread) {
+            } else if (setting.required() && !named.contains(setting.flag())) {
                 faults.add(new SettingFault(setting.flag(), "", "a value, which is required"));
             } else {
                 values.put(setting.name(), setting.defaultValue());
@@ -137,7 +149,7 @@
         notAbove("ping-interval-millis", "ping-timeout-millis");
         notAbove("part-overdue-millis", "model-overdue-millis");
         notAbove("max-frame-bytes", "send-queue-bytes");
-        below("max-body-bytes", "max-frame-bytes");
+        fitsIntoFrame("max-body-bytes", "max-frame-bytes");
         boolean otlp = "otlp".equals(values.get("trace-exporter"));
         String url = values.getOrDefault("trace-url", "");
         if (otlp && url.isEmpty()) {
@@ -158,10 +170,13 @@
         }
     }
 
-    private void below(String lower, String upper) {
-        if (bothThere(lower, upper) && number(lower) >= number(upper)) {
+    /** A forwarded request carries its body and some fields in one message. */
+    private void fitsIntoFrame(String body, String frame) {
+        if (bothThere(body, frame) && number(body) + FRAME_FIELDS_BYTES > number(frame)) {
             faults.add(new SettingFault(
-                    given(lower), values.get(lower), "less than " + upper + ", which is " + values.get(upper)));
+                    given(body),
+                    values.get(body),
+                    "at least " + FRAME_FIELDS_BYTES + " less than " + frame + ", which is " + values.get(frame)));
         }
     }
 
@@ -188,8 +203,4 @@
     private String given(String name) {
         return namesAsGiven.getOrDefault(name, "--" + name);
     }
-
-    private static String text(ParameterException e) {
-        return String.valueOf(e.getMessage()).replace('\n', ' ');
-    }
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/store/EtcdStore.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/store/EtcdStore.java
@@ -3,6 +3,7 @@
 import java.net.URI;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.vavr.control.Option;
@@ -23,9 +24,12 @@
  * unavailable. Thread safe; the table of watches has no lock of its own.
  */
 public final class EtcdStore {
+    private static final long WATCH_PAUSE_MILLIS = 200;
+
     private final Resources resources;
     private final URI baseUri;
     private final long timeoutMillis;
+    private final long watchRenewMillis;
     private final RateBudget budget;
     private final Consumer<StoreReply> counter;
     private final Map<WatchKey, EtcdWatch> watches = new ConcurrentHashMap<>();
@@ -36,14 +40,21 @@
      * @param resources what it shares with other parts
      * @param baseUri the store's base address
      * @param timeoutMillis when a call is given up
+     * @param watchRenewMillis when a watch is ended and made anew
      * @param callsPerSecond the budget of calls
      * @param counter counts how calls end
      */
     public EtcdStore(
-            Resources resources, URI baseUri, long timeoutMillis, long callsPerSecond, Consumer<StoreReply> counter) {
+            Resources resources,
+            URI baseUri,
+            long timeoutMillis,
+            long watchRenewMillis,
+            long callsPerSecond,
+            Consumer<StoreReply> counter) {
         this.resources = resources;
         this.baseUri = baseUri;
         this.timeoutMillis = timeoutMillis;
+        this.watchRenewMillis = watchRenewMillis;
         budget = new RateBudget(callsPerSecond, resources.clock().nowMillis());
         this.counter = counter;
     }
@@ -73,7 +84,7 @@
     private void overBudget(Action.CallStore call) {
         Logger.warn("store: a call was refused by the budget of calls");
         if (call.command() instanceof StoreCommand.Watch watch) {
-            resources.events().raise(new Event.WatchBroken(call.owner(), watch.prefix()));
+            raiseBroken(call.owner(), watch.prefix());
             return;
         }
         replied(call, new StoreReply.Unavailable("the budget of calls is used up"));
@@ -91,11 +102,22 @@
                         resources.events().raise(new Event.StoreChanged(owner, watch.prefix(), entries, revision)),
                 broken -> {
                     if (watches.remove(key, broken)) {
-                        resources.events().raise(new Event.WatchBroken(owner, watch.prefix()));
+                        raiseBroken(owner, watch.prefix());
                     }
                 });
         Option.of(watches.put(key, made)).forEach(EtcdWatch::close);
-        made.start(resources.exchanges(), resources.loops().next(), baseUri, EtcdJson.bodyOf(watch));
+        made.start(resources.exchanges(), resources.loops().next(), baseUri, EtcdJson.bodyOf(watch), watchRenewMillis);
+    }
+
+    /** Told at once, the owner would watch again at once: while the store is down, both would go round without end. */
+    private void raiseBroken(StoreOwner owner, String prefix) {
+        resources
+                .loops()
+                .next()
+                .schedule(
+                        () -> resources.events().raise(new Event.WatchBroken(owner, prefix)),
+                        WATCH_PAUSE_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
     private URI uriOf(StoreCommand command) {
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/store/EtcdWatch.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/store/EtcdWatch.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -21,6 +23,9 @@
 /**
  * One watch: lines of JSON that come for as long as the connection lasts.
  *
+ * <p>A watch brings nothing while nothing changes, so one whose connection went silent looks like a sound one. One would
+ * notice a host that misses a change for good. So each watch ends by itself after a while, and its owner reads anew.
+ *
  * <p>Invariant: it breaks at most once, and brings nothing afterwards. Confined to one event loop but for {@link
  * #start} and {@link #close}.
  */
@@ -32,13 +37,14 @@
     private final Consumer<EtcdWatch> broken;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private volatile Option<Exchange> exchange = Option.none();
+    private volatile Option<Future<?>> renewal = Option.none();
 
     EtcdWatch(Changes changes, Consumer<EtcdWatch> broken) {
         this.changes = changes;
         this.broken = broken;
     }
 
-    void start(Exchanges exchanges, EventLoop loop, URI baseUri, byte[] body) {
+    void start(Exchanges exchanges, EventLoop loop, URI baseUri, byte[] body, long renewMillis) {
         ExchangeCall call = new ExchangeCall(
                 baseUri.getHost(),
                 baseUri.getPort(),
@@ -47,9 +53,11 @@
                 Map.of("Content-Type", "application/json"),
                 body);
         exchange = Option.some(exchanges.start(loop, call, this));
+        renewal = Option.some(loop.schedule(this::end, renewMillis, TimeUnit.MILLISECONDS));
     }
 
     void close() {
+        renewal.forEach(timer -> timer.cancel(false));
         exchange.forEach(Exchange::close);
     }
 
@@ -77,12 +85,12 @@
 
     @Override
     public void ended() {
-        broken.accept(this);
+        end();
     }
 
     @Override
     public void failed(boolean handedOver, String reason) {
-        broken.accept(this);
+        end();
     }
 
     private void take(String text) {
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetPoller.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetPoller.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -31,6 +33,8 @@
     private final Directory directory;
     private final String region;
     private final long timeoutMillis;
+    private final Set<String> loadsAsked = ConcurrentHashMap.newKeySet();
+    private final Set<String> cachesAsked = ConcurrentHashMap.newKeySet();
     private final Map<String, Long> newestCacheEvents = new ConcurrentHashMap<>();
 
     /**
@@ -48,27 +52,34 @@
         this.timeoutMillis = timeoutMillis;
     }
 
-    /** Asks every target for its load. */
+    /** Asks every target for its load, unless it still owes an answer. */
     public void pollLoads() {
         for (ListedHost target : directory.targetsOf(region)) {
-            resources
-                    .client()
-                    .send(WebCall.get(uriOf(target, "/load"), timeoutMillis))
-                    .thenAccept(reply -> resources.events().raise(loadEvent(target, reply)));
+            if (loadsAsked.add(target.name())) {
+                ask(target, "/load", loadsAsked)
+                        .thenAccept(reply -> resources.events().raise(loadEvent(target, reply)));
+            }
         }
     }
 
-    /** Asks every target for what changed in its cache since it was last asked. */
+    /** Asks every target for what changed in its cache since it was last asked, unless it still owes an answer. */
     public void pollCaches() {
         for (ListedHost target : directory.targetsOf(region)) {
-            long after = newestCacheEvents.getOrDefault(target.name(), 0L);
-            resources
-                    .client()
-                    .send(WebCall.get(uriOf(target, "/cache-events?after=" + after), timeoutMillis))
-                    .thenAccept(reply -> reply.successBody().forEach(body -> takeCacheEvents(target, body)));
+            if (cachesAsked.add(target.name())) {
+                long after = newestCacheEvents.getOrDefault(target.name(), 0L);
+                ask(target, "/cache-events?after=" + after, cachesAsked)
+                        .thenAccept(reply -> reply.successBody().forEach(body -> takeCacheEvents(target, body)));
+            }
         }
     }
 
+    private CompletableFuture<WebReply> ask(ListedHost target, String path, Set<String> asked) {
+        return resources
+                .client()
+                .send(WebCall.get(uriOf(target, path), timeoutMillis))
+                .whenComplete((reply, error) -> asked.remove(target.name()));
+    }
+
     private Event loadEvent(ListedHost target, WebReply reply) {
         return reply.successBody()
                 .flatMap(body -> Try.of(() -> JSON.readTree(body)).toOption())
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/Targets.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/Targets.java
@@ -55,7 +55,7 @@
     }
 
     @Override
-    public void start(Call call, Action.StartAttempt start) {
+    public void start(Call call, Action.StartAttempt start, String traceParent) {
         String name = start.route().peer();
         Option<ListedHost> target = directory.find(name);
         if (target.isEmpty()) {
@@ -63,7 +63,7 @@
             ended(new AttemptKey(start.requestId(), start.attempt()), new AttemptResult.NotRun(failure, 0));
             return;
         }
-        begin(call, start, target.get());
+        begin(call, start, target.get(), traceParent);
     }
 
     @Override
@@ -121,12 +121,12 @@
                 .raise(new Event.OrderAnswered(order.orderId(), resultOf(reply))));
     }
 
-    private void begin(Call call, Action.StartAttempt start, ListedHost target) {
+    private void begin(Call call, Action.StartAttempt start, ListedHost target, String traceParent) {
         AttemptKey key = new AttemptKey(start.requestId(), start.attempt());
         String freshId = call.envelope().targetIdBase() + "." + start.attempt();
         String sentId = call.begin(start.attempt(), start.resumeAtPart() > 0, freshId);
-        TargetCall sent = TargetCall.of(
-                target, start.request(), call.envelope(), sentId, start.resumeAtPart(), traceParent(call));
+        TargetCall sent =
+                TargetCall.of(target, start.request(), call.envelope(), sentId, start.resumeAtPart(), traceParent);
         TargetAttempt attempt = new TargetAttempt(
                 resources.loops().next(), call, start.attempt(), sent, limits, this, new AttemptListener() {
                     @Override
@@ -157,10 +157,6 @@
                         .withHeader(TargetCall.REQUEST_ID, sent.sentId()));
     }
 
-    private static String traceParent(Call call) {
-        return call.envelope().traceParent();
-    }
-
     private static URI uriOf(ListedHost host, String path) {
         return URI.create("http://" + host.address() + ":" + host.port() + path);
     }
