--- /dev/null
+++ b/rattanplank-bench/src/test/java/org/rattanplank/bench/process/ThinPathTest.java
@@ -0,0 +1,30 @@
+package org.rattanplank.bench.process;
+
+import org.junit.jupiter.api.Test;
+import org.rattanplank.standins.caller.CallOutcome;
+import org.rattanplank.standins.caller.CallRequest;
+import org.rattanplank.standins.caller.CallResult;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** The whole path through separate processes. */
+class ThinPathTest {
+    @Test
+    void shouldAnswerOnceAndWholeWhenAllIsWell() {
+        try (Fleet fleet = Fleet.start(FleetOptions.of(Deployment.BRAZOS))) {
+            Calls calls = Calls.of(fleet, "hou-brokers");
+            CallResult draft = calls.send(fleet.host("hou-1"), calls.newDraft(20));
+            assertEquals(CallOutcome.ANSWERED, draft.outcome(), draft.toString());
+            assertTrue(draft.own(), draft.body());
+
+            CallRequest quote = calls.newBooking();
+            CallResult first = calls.send(fleet.host("hou-1"), quote);
+            CallResult repeated = calls.send(fleet.host("hou-1"), quote);
+            assertEquals(CallOutcome.ANSWERED, first.outcome(), first.toString());
+            assertTrue(first.own(), first.body());
+            assertEquals(first.body(), repeated.body());
+            assertEquals(1, calls.settledRuns(quote));
+        }
+    }
+}
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/StoreApi.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/StoreApi.java
@@ -48,7 +48,7 @@
         }
         faults = newer;
         if (newer.isStoreDown()) {
-            watchers.forEach(watcher -> watcher.exchange().reset());
+            List.copyOf(watchers).forEach(watcher -> watcher.exchange().reset());
             watchers.clear();
         }
     }
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/target/PlainService.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/target/PlainService.java
@@ -15,6 +15,7 @@
  * <p>Invariant: it does not look at idempotency keys; a call that comes twice runs twice.
  */
 final class PlainService implements Work {
+    private static final String CACHE_EVENTS = "/cache-events";
     private static final int MAX_QUEUED = 200;
 
     private final EventLoop loop;
@@ -42,7 +43,11 @@
 
     @Override
     public boolean control(Exchange exchange) {
-        return false;
+        if (!exchange.path().equals(CACHE_EVENTS)) {
+            return false;
+        }
+        exchange.respond(200, Json.object().set("events", Json.array()));
+        return true;
     }
 
     @Override
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/platform/PlatformTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/platform/PlatformTest.java
@@ -70,6 +70,23 @@
         assertEquals("", read("k"));
     }
 
+    // Symptom: the test's own call to bring the store down gets no answer. Sequence: a watch is open when the store
+    // goes
+    // down. Cause: the reset watch leaves the list of watches while the list is walked through.
+    @Test
+    void shouldResetWatchesAndAnswerTestWhenStoreGoesDown() throws Exception {
+        HttpRequest watch = platform.request("/v3/watch")
+                .POST(HttpRequest.BodyPublishers.ofString("{\"create_request\":{\"key\":\"" + base64("k") + "\"}}"))
+                .build();
+        try (BufferedReader lines = new BufferedReader(new InputStreamReader(platform.client()
+                .send(watch, HttpResponse.BodyHandlers.ofInputStream())
+                .body()))) {
+            assertTrue(result(lines).path("created").asBoolean());
+            assertEquals(200, platform.post("/faults", "{\"storeDown\":true}").statusCode());
+            assertThrows(IOException.class, lines::readLine);
+        }
+    }
+
     @Test
     void shouldShowOldValueWhenReadsAreStale() throws Exception {
         createIfAbsent("k", "old");
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/target/TargetsTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/target/TargetsTest.java
@@ -60,6 +60,15 @@
         assertEquals("b1 whole", runs());
     }
 
+    // Symptom: the ledger holds runs that no caller asked for. Sequence: an entry host polls a plain service for cache
+    // events. Cause: the service takes the poll for a call.
+    @Test
+    void shouldRunNothingWhenPlainServiceIsPolled() throws Exception {
+        assertTrue(desk.get("/cache-events?after=0").path("events").isArray());
+        assertEquals("crew-desk", desk.get("/load").path("service").asText());
+        assertEquals("", runs());
+    }
+
     @Test
     void shouldNotRunWhenCallIsRefused() throws Exception {
         plan("refuse", 0);
