Test the daemon's failures; break streams by closing the connection

Cause: the first run of the new tests showed that Ratpack ends a stream's body with its last chunk when the publisher reports an error: a draft that broke looked complete in HTTP, only without [DONE]. Ruled out: resetting by a linger of zero, which would take parts from the caller that it has not read yet. Conclusion: a broken stream shows at the transport as well.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerConnection.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.rattanplank.daemon.caller;
 
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -71,7 +72,7 @@
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         if (refused) {
             ReferenceCountUtil.release(message);
-            promise.setFailure(new BrokenStreamException());
+            promise.setFailure(new ClosedChannelException());
             return;
         }
         answered = true;
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
@@ -15,13 +15,18 @@
 import org.rattanplank.core.Event;
 import org.rattanplank.core.Node;
 import org.rattanplank.core.intent.Account;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Outcome;
+import org.rattanplank.core.request.Step;
 import org.rattanplank.daemon.call.Call;
 import org.rattanplank.daemon.call.Calls;
 import org.rattanplank.daemon.runtime.Events;
 import org.rattanplank.daemon.runtime.MillisClock;
 import org.tinylog.Logger;
+import ratpack.error.ServerErrorHandler;
 import ratpack.exec.Promise;
 import ratpack.handling.Context;
+import ratpack.http.ConnectionClosedException;
 import ratpack.http.Response;
 import ratpack.server.RatpackServer;
 import ratpack.server.ServerConfig;
@@ -89,8 +94,11 @@
                     .maxHeaderSize(limits.maxHeaderBytes())
                     .idleTimeout(Duration.ofMillis(limits.idleTimeoutMillis()))
                     .build();
-            RatpackServer made =
-                    new GatedServer(spec -> spec.serverConfig(config).handlers(chain -> chain.all(this::handle)), gate);
+            RatpackServer made = new GatedServer(
+                    spec -> spec.serverConfig(config)
+                            .registryOf(registry -> registry.add(ServerErrorHandler.class, this::failed))
+                            .handlers(chain -> chain.all(this::handle)),
+                    gate);
             made.start();
             server = Option.some(made);
             return made.getBindPort();
@@ -128,6 +136,15 @@
                 .then(body -> dispatch(context, askOf(context, body.getBytes())));
     }
 
+    /** A fault of this host: the request may have run or not. */
+    private void failed(Context context, Throwable fault) {
+        if (!(fault instanceof ConnectionClosedException)) {
+            Logger.error(fault, "caller: a request failed");
+        }
+        Failure failure = Failure.of(Step.ACCEPT, host, "the entry host failed");
+        send(context, Replies.of("", new Outcome.Unknown(failure), false));
+    }
+
     private void dispatch(Context context, HttpAsk ask) {
         String path = ask.path();
         if (path.equals(AskReader.CHAT) || path.startsWith(AskReader.SERVICES)) {
@@ -162,7 +179,7 @@
         String requestId = asked.request().id();
         long deadlineMillis = asked.request().deadlineMillis();
         Channel channel = context.getDirectChannelAccess().getChannel();
-        PartQueue parts = new PartQueue(channel.eventLoop(), limits.streamBufferBytes(), () -> {
+        PartQueue parts = new PartQueue(channel, limits.streamBufferBytes(), () -> {
             Logger.warn("caller: a caller reads a stream too slowly and is cut off");
             left(requestId);
         });
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/PartQueue.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/PartQueue.java
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.vavr.control.Option;
 import org.reactivestreams.Publisher;
@@ -19,6 +20,7 @@
  * loop of the caller's connection; the other methods may be called by any thread.
  */
 final class PartQueue implements Publisher<ByteBuf>, Subscription {
+    private final Channel channel;
     private final EventLoop loop;
     private final long maxBytes;
     private final Runnable overflowed;
@@ -31,8 +33,9 @@
     private boolean over;
     private boolean draining;
 
-    PartQueue(EventLoop loop, long maxBytes, Runnable overflowed) {
-        this.loop = loop;
+    PartQueue(Channel channel, long maxBytes, Runnable overflowed) {
+        this.channel = channel;
+        loop = channel.eventLoop();
         this.maxBytes = maxBytes;
         this.overflowed = overflowed;
     }
@@ -110,7 +113,9 @@
         if (broken) {
             over = true;
             waiting.clear();
-            reader.onError(new BrokenStreamException());
+            // Told of an error, Ratpack would end the body as if it were whole; only a closed connection shows the
+            // break.
+            channel.close();
             return;
         }
         if (draining) {
--- /dev/null
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/TestHosts.java
@@ -0,0 +1,99 @@
+package org.rattanplank.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vavr.control.Option;
+import org.rattanplank.core.host.HostList;
+import org.rattanplank.core.host.HostRole;
+import org.rattanplank.core.host.ListedHost;
+import org.rattanplank.core.host.Place;
+import org.rattanplank.core.request.Outcome;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.WorkClass;
+import org.rattanplank.daemon.call.Asker;
+import org.rattanplank.daemon.call.Call;
+import org.rattanplank.daemon.call.Envelope;
+import org.rattanplank.daemon.http.Exchanges;
+import org.rattanplank.daemon.http.WebClient;
+import org.rattanplank.daemon.platform.Directory;
+import org.rattanplank.daemon.runtime.Events;
+import org.rattanplank.daemon.runtime.MillisClock;
+import org.rattanplank.daemon.runtime.Resources;
+import ratpack.exec.internal.DefaultExecController;
+
+/** Makes what many tests need. */
+public final class TestHosts {
+    public static final Place SUVA = Place.of("suva", "suva-hall");
+    public static final String CHAT = "/v1/chat/completions";
+    private static final long CONNECT_TIMEOUT_MILLIS = 5_000;
+    private static final int MAX_ANSWER_BYTES = 65_536;
+
+    private TestHosts() {}
+
+    public static Resources resources(DefaultExecController controller, Events events) {
+        return new Resources(
+                controller.getEventLoopGroup(),
+                WebClient.of(controller, CONNECT_TIMEOUT_MILLIS, MAX_ANSWER_BYTES, bytes -> {}, bytes -> {}),
+                Exchanges.of(CONNECT_TIMEOUT_MILLIS),
+                events,
+                MillisClock.ofWallClock());
+    }
+
+    public static Directory directory(String name, int port) {
+        Directory directory = Directory.empty();
+        directory.learn(new HostList(
+                1, List.of(new ListedHost(name, HostRole.TARGET, SUVA, "127.0.0.1", port, port, "any", false))));
+        return directory;
+    }
+
+    public static Request request(String id, boolean stream) {
+        return new Request(
+                id,
+                "floor",
+                "any",
+                WorkClass.DRAFT,
+                true,
+                Option.none(),
+                "suva",
+                Option.none(),
+                System.currentTimeMillis() + 60_000,
+                1,
+                1,
+                List.of(),
+                stream,
+                List.of(),
+                false);
+    }
+
+    public static Call call(String id, String path, RecordingAsker asker) {
+        return Call.of(
+                request(id, true),
+                new Envelope("POST", path, "application/json", new byte[] {'{', '}'}, "", id),
+                asker);
+    }
+
+    /** Keeps what whoever asked got. Guarded by the lock of its call. */
+    public static final class RecordingAsker implements Asker {
+        private final List<String> parts = new ArrayList<>();
+        private final List<Outcome> outcomes = new ArrayList<>();
+
+        @Override
+        public synchronized void part(long number, byte[] part, String peer) {
+            parts.add(new String(part, java.nio.charset.StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public synchronized void finish(Outcome outcome) {
+            outcomes.add(outcome);
+        }
+
+        public synchronized List<String> parts() {
+            return List.copyOf(parts);
+        }
+
+        public synchronized List<Outcome> outcomes() {
+            return List.copyOf(outcomes);
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/caller/CallerServerTest.java
@@ -0,0 +1,240 @@
+package org.rattanplank.daemon.caller;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.rattanplank.core.Event;
+import org.rattanplank.core.Node;
+import org.rattanplank.core.NodeIdentity;
+import org.rattanplank.core.request.Answer;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Outcome;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.Step;
+import org.rattanplank.core.route.Policy;
+import org.rattanplank.core.store.StoreEntry;
+import org.rattanplank.core.store.StoreOwner;
+import org.rattanplank.core.store.StoreReply;
+import org.rattanplank.daemon.RawServer;
+import org.rattanplank.daemon.RecordingEvents;
+import org.rattanplank.daemon.TestHosts;
+import org.rattanplank.daemon.call.Call;
+import org.rattanplank.daemon.call.Calls;
+import org.rattanplank.daemon.runtime.MillisClock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class CallerServerTest {
+    private static final String DOCUMENT =
+            """
+            {"generation": 1, "digest": "d", "files": {
+              "10": {"kind": "service", "name": "plank-serve", "type": "model", "repeatable": true},
+              "11": {"kind": "service", "name": "quote-once", "type": "model", "repeatable": false},
+              "12": {"kind": "service", "name": "crew-desk", "type": "plain", "repeatable": false},
+              "20": {"kind": "account", "name": "floor", "homeRegion": "suva", "homeDataCentre": "suva-hall",
+                "tokenSha256": "3c469e9d6c5875d37a43f353d4f88e61fcf812c66eee3457465a40b0da4153e0"}}}
+            """;
+    private static final String TOKEN = "Authorization: Bearer token\r\n";
+    private static final int MAX_BODY_BYTES = 2_048;
+
+    private final RecordingEvents events = new RecordingEvents();
+    private final Calls calls = Calls.of(2);
+    private final MillisClock clock = MillisClock.ofWallClock();
+    private final Node node = Node.of(new NodeIdentity("suva-1", 1, TestHosts.SUVA), Policy.COST, 1);
+    private CallerServer server;
+    private int port;
+
+    @BeforeEach
+    void open() {
+        node.handle(
+                new Event.StoreReplied(
+                        StoreOwner.CONFIGURATION,
+                        1,
+                        new StoreReply.Found(List.of(new StoreEntry("k", DOCUMENT, 1)), 1)),
+                clock.nowMillis());
+        open(60_000, 100);
+    }
+
+    @AfterEach
+    void close() {
+        server.close();
+    }
+
+    @Test
+    void shouldGiveWholeAnswerWithItsPathWhenAnswered() throws Exception {
+        try (Socket caller = ask("POST", "/v1/chat/completions", TOKEN, chat("plank-serve", false))) {
+            Request request = events.next(Event.CallerAsked.class).request();
+            assertEquals("floor", request.account());
+            Call call = calls.find(request.id()).get();
+            assertTrue(new String(call.envelope().body(), StandardCharsets.UTF_8).contains("\"priority\":5"));
+            calls.finish(
+                    request.id(),
+                    new Outcome.Answered(
+                            Answer.of(200, "application/json", new byte[] {'{', '}'}), List.of("suva-1", "t1")));
+            String reply = read(caller, "{}");
+            assertEquals("answered", RawServer.header(reply, "Rattanplank-Outcome"));
+            assertEquals("suva-1,t1", RawServer.header(reply, "Rattanplank-Path"));
+            assertEquals(request.id(), RawServer.header(reply, "Rattanplank-Request-Id"));
+        }
+    }
+
+    @Test
+    void shouldGiveReasonAndRetryTimeInOneShapeWhenNotRun() throws Exception {
+        try (Socket caller = ask("POST", "/services/crew-desk/book?x=1", TOKEN + "Idempotency-Key: k\r\n", "{}")) {
+            Request request = events.next(Event.CallerAsked.class).request();
+            assertFalse(request.repeatable());
+            assertEquals("/book?x=1", calls.find(request.id()).get().envelope().path());
+            Failure failure = Failure.of(Step.ROUTE, "crew-desk", "no target can take it");
+            calls.finish(request.id(), new Outcome.NotRun(failure, 1_001));
+            String reply = read(caller, "}}");
+            assertTrue(reply.startsWith("HTTP/1.1 503 "), reply);
+            assertEquals("2", RawServer.header(reply, "Retry-After"));
+            assertTrue(reply.contains("\"step\":\"route\",\"peer\":\"crew-desk\""), reply);
+        }
+    }
+
+    @Test
+    void shouldRefuseBeforeTheCoreWhenRequestIsUnsound() throws Exception {
+        assertEquals(401, status("POST", "/v1/chat/completions", "", chat("plank-serve", false)));
+        assertEquals(404, status("POST", "/v1/chat/completions", TOKEN, chat("nothing", false)));
+        assertEquals(400, status("POST", "/v1/chat/completions", TOKEN, chat("quote-once", true)));
+        assertEquals(
+                400,
+                status(
+                        "POST",
+                        "/v1/chat/completions",
+                        TOKEN + "Rattanplank-Class: odd\r\n",
+                        chat("plank-serve", false)));
+        assertEquals(404, status("GET", "/services/none/x", TOKEN, ""));
+        assertEquals(413, status("POST", "/v1/chat/completions", TOKEN, "x".repeat(MAX_BODY_BYTES + 1)));
+        assertEquals(431, status("GET", "/healthz", "X-Long: " + "x".repeat(9_000) + "\r\n", ""));
+        assertEquals(200, status("GET", "/healthz", "", ""));
+        assertEquals(0, events.count(Event.CallerAsked.class));
+    }
+
+    /*
+     * Symptom: a draft that broke in the middle looks complete to the caller.
+     * Sequence: two parts go out; then the request ends without an answer.
+     * Cause: the response is closed as if it were whole.
+     */
+    @Test
+    void shouldBreakStreamVisiblyWhenOutcomeIsUnknown() throws Exception {
+        try (Socket caller = ask("POST", "/v1/chat/completions", TOKEN, chat("plank-serve", true))) {
+            String requestId = events.next(Event.CallerAsked.class).request().id();
+            Call call = calls.find(requestId).get();
+            call.begin(1, false, "x");
+            call.relay(1, 0, "id: 0\ndata: p\n\n".getBytes(StandardCharsets.UTF_8), "t1");
+            read(caller, "data: p");
+            calls.finish(requestId, new Outcome.Unknown(Failure.of(Step.RECEIVE, "t1", "lost")));
+            String rest = readToEnd(caller);
+            assertFalse(rest.contains("[DONE]"), rest);
+            assertFalse(rest.endsWith("0\r\n\r\n"), rest);
+        }
+    }
+
+    @Test
+    void shouldCloseStreamWithItsLastEventWhenAnswered() throws Exception {
+        try (Socket caller = ask("POST", "/v1/chat/completions", TOKEN, chat("plank-serve", true))) {
+            String requestId = events.next(Event.CallerAsked.class).request().id();
+            calls.find(requestId).get().begin(1, false, "x");
+            calls.find(requestId).get().relay(1, 0, "id: 0\ndata: p\n\n".getBytes(StandardCharsets.UTF_8), "t1");
+            calls.finish(
+                    requestId,
+                    new Outcome.Answered(Answer.ofStream(200, "text/event-stream"), List.of("suva-1", "t1")));
+            assertTrue(read(caller, "0\r\n\r\n").contains("data: [DONE]"));
+        }
+    }
+
+    /*
+     * Symptom: targets are full of drafts that nobody waits for.
+     * Sequence: a caller closes its connection while its request runs.
+     * Cause: the connection is not read while the answer is awaited, so its end goes unnoticed.
+     */
+    @Test
+    void shouldTellAskerLeftWhenCallerCloses() throws Exception {
+        Socket caller = ask("POST", "/v1/chat/completions", TOKEN, chat("plank-serve", false));
+        String requestId = events.next(Event.CallerAsked.class).request().id();
+        caller.close();
+        assertEquals(new Event.AskerLeft(requestId), events.next(Event.AskerLeft.class));
+        assertEquals(0, calls.size());
+    }
+
+    /*
+     * Symptom: no caller gets through, although the host has little to do.
+     * Sequence: some callers open connections and send a byte now and then, or open very many.
+     * Cause: a request may take for ever to arrive, and connections have no bound.
+     */
+    @Test
+    void shouldCloseConnectionWhenRequestArrivesTooSlowlyOrTooManyAreOpen() throws Exception {
+        server.close();
+        open(200, 2);
+        try (Socket slowHead = new Socket("127.0.0.1", port);
+                Socket slowBody = new Socket("127.0.0.1", port);
+                Socket tooMany = new Socket("127.0.0.1", port)) {
+            slowHead.getOutputStream().write("GET /healthz HTT".getBytes(StandardCharsets.UTF_8));
+            slowBody.getOutputStream()
+                    .write("POST /services/x/ HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab"
+                            .getBytes(StandardCharsets.UTF_8));
+            assertTrue(readToEnd(tooMany).startsWith("HTTP/1.1 503 "));
+            assertTrue(readToEnd(slowHead).startsWith("HTTP/1.1 408 "));
+            assertTrue(readToEnd(slowBody).startsWith("HTTP/1.1 408 "));
+        }
+    }
+
+    private void open(long readTimeoutMillis, int maxConnections) {
+        CallerLimits limits = new CallerLimits(
+                MAX_BODY_BYTES, 8_192, maxConnections, 65_536, 60_000, readTimeoutMillis, 30_000, 60_000);
+        server = new CallerServer("suva-1", node, calls, events, clock, limits);
+        port = server.open("127.0.0.1", 0, 2).get();
+    }
+
+    private int status(String method, String path, String headers, String body) throws IOException {
+        try (Socket caller = ask(method, path, headers + "Connection: close\r\n", body)) {
+            return Integer.parseInt(readToEnd(caller).split(" ")[1]);
+        }
+    }
+
+    private Socket ask(String method, String path, String headers, String body) throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        String text = method + " " + path + " HTTP/1.1\r\nHost: x\r\n" + headers + "Content-Length: " + body.length()
+                + "\r\n\r\n" + body;
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    private static String chat(String model, boolean stream) {
+        return "{\"model\": \"" + model + "\", \"stream\": " + stream + ", \"messages\": []}";
+    }
+
+    private static String read(Socket caller, String end) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        while (!bytes.toString(StandardCharsets.UTF_8).contains(end)) {
+            int next = caller.getInputStream().read();
+            assertTrue(next >= 0, bytes::toString);
+            bytes.write(next);
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    private static String readToEnd(Socket caller) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            for (int next = caller.getInputStream().read();
+                    next >= 0;
+                    next = caller.getInputStream().read()) {
+                bytes.write(next);
+            }
+        } catch (IOException reset) {
+            return bytes.toString(StandardCharsets.UTF_8);
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/setting/SettingsReaderTest.java
@@ -0,0 +1,104 @@
+package org.rattanplank.daemon.setting;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.rattanplank.daemon.setting.generated.DaemonSettings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class SettingsReaderTest {
+    private static final List<String> REQUIRED = List.of(
+            "--host",
+            "suva-1",
+            "--region",
+            "suva",
+            "--data-centre",
+            "suva-hall",
+            "--hosts-url",
+            "http://127.0.0.1:1",
+            "--store-url",
+            "http://127.0.0.1:1");
+
+    @Test
+    void shouldNameEveryFaultWhenSeveralSettingsAreFaulty() {
+        List<SettingFault> faults = SettingsReader.read(
+                        List.of(
+                                "--host",
+                                "a b",
+                                "--region",
+                                "suva",
+                                "--data-centre",
+                                "suva-hall",
+                                "--hosts-url",
+                                "http://127.0.0.1:1",
+                                "--workers",
+                                "0",
+                                "--policy",
+                                "cost",
+                                "--policy",
+                                "tail",
+                                "--frobs",
+                                "7",
+                                "--seed"),
+                        Map.of("RATTANPLANK_PEERS_PORT", "70000", "RATTANPLANK_FROBS", "7"))
+                .getLeft();
+        assertEquals(
+                List.of(
+                        new SettingFault("--policy", "tail", "only one value"),
+                        new SettingFault("--frobs", "", "a flag that --help lists"),
+                        new SettingFault("--seed", "", "a value"),
+                        new SettingFault("--host", "a b", "1 to 63 letters, digits, dots, underscores or hyphens"),
+                        new SettingFault("--store-url", "", "a value, which is required"),
+                        new SettingFault("RATTANPLANK_PEERS_PORT", "70000", "a whole number from 0 to 65535"),
+                        new SettingFault("--workers", "0", "a whole number from 1 to 64"),
+                        new SettingFault("RATTANPLANK_FROBS", "7", "a variable that --help lists")),
+                faults);
+    }
+
+    @Test
+    void shouldNameContradictionsWhenEachSettingAloneIsSound() {
+        List<String> arguments = new ArrayList<>(REQUIRED);
+        arguments.addAll(List.of(
+                "--callers-port",
+                "8080",
+                "--operators-port",
+                "8080",
+                "--trace-exporter",
+                "otlp",
+                "--default-timeout-millis",
+                "2000",
+                "--max-timeout-millis",
+                "1000",
+                "--max-body-bytes",
+                "4194304"));
+        List<String> named = SettingsReader.read(arguments, Map.of()).getLeft().stream()
+                .map(SettingFault::setting)
+                .toList();
+        assertEquals(List.of("--default-timeout-millis", "--max-body-bytes", "--trace-url", "--operators-port"), named);
+    }
+
+    @Test
+    void shouldTakeFlagBeforeVariableWhenBothAreGiven() {
+        List<String> arguments = new ArrayList<>(REQUIRED);
+        arguments.addAll(List.of("--workers", "2"));
+        DaemonSettings settings = SettingsReader.read(
+                        arguments, Map.of("RATTANPLANK_WORKERS", "3", "RATTANPLANK_IO_THREADS", "5"))
+                .get();
+        assertEquals(2, settings.workers());
+        assertEquals(5, settings.ioThreads());
+        assertEquals("127.0.0.1", settings.callersAddress());
+    }
+
+    @Test
+    void shouldListFlagAndVariableOfEverySettingWhenAskedForHelp() {
+        String help = SettingsReader.help();
+        org.rattanplank.daemon.setting.generated.DaemonTable.SETTINGS.forEach(setting -> {
+            assertTrue(help.contains(setting.flag() + " "), setting.name());
+            assertTrue(help.contains(setting.environment() + ","), setting.name());
+        });
+    }
+}
