Name the target of a forwarded stream; bound every graceful stop

Cause: the path of a forwarded stream ended with the other host, since its target came with the end only; an operator's drain had no bound in time. Ruled out: trailers, which many clients of HTTP do not read. Change: ForwardHead carries the target; one class holds the stop, whether a signal or an operator asks, with its bound and the second signal.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
@@ -1,7 +1,6 @@
 package org.rattanplank.daemon;
 
 import java.net.URI;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -56,6 +55,7 @@
 public final class Daemon implements AutoCloseable {
     private static final long PROTOCOL_VERSION = 1;
     private static final double JITTER = 0.2;
+    private static final long FLUSH_CHECK_MILLIS = 10;
 
     private final DaemonSettings settings;
     private final MillisClock clock = MillisClock.ofWallClock();
@@ -76,11 +76,12 @@
     private final CallerServer callerServer;
     private final OperatorServer operatorServer;
     private final ScheduledExecutorService pollers = Executors.newSingleThreadScheduledExecutor(Daemon::pollerThread);
-    private final CountDownLatch stopAsked = new CountDownLatch(1);
+    private final GracefulStop stop;
     private Option<PeerServer> peerServer = Option.none();
 
     private Daemon(DaemonSettings settings) {
         this.settings = settings;
+        stop = new GracefulStop(settings.drainTimeoutMillis());
         controller = new DefaultExecController((int) settings.ioThreads());
         client = WebClient.of(
                 controller,
@@ -117,7 +118,7 @@
         hostsPoller = HostsPoller.of(client, settings.hostsUrl(), settings.pollTimeoutMillis(), directory, observer);
         targetPoller = new TargetPoller(resources, directory, settings.region(), settings.pollTimeoutMillis());
         callerServer = new CallerServer(settings.host(), node, calls, observer, clock, callerLimits());
-        operatorServer = new OperatorServer(node, observer, clock, metrics::text);
+        operatorServer = new OperatorServer(node, () -> stop.begin(this::drain), clock, metrics::text);
     }
 
     /**
@@ -130,18 +131,18 @@
         return Try.of(() -> new Daemon(settings)).flatMap(Daemon::openPorts);
     }
 
-    /** Takes no new work, finishes what is there and then stops. */
-    public void drain() {
-        runner.raise(new Event.DrainAsked());
+    /** Takes a signal: the first begins a graceful stop, the second ends it. */
+    public void signalled() {
+        stop.signalled(this::drain);
     }
 
     /**
-     * Waits until the node has said that nothing is left to do.
+     * Waits until the graceful stop is over.
      *
      * @throws InterruptedException if the thread is to end
      */
     public void awaitStop() throws InterruptedException {
-        stopAsked.await();
+        stop.await();
     }
 
     /**
@@ -244,7 +245,20 @@
         } else if (action instanceof Action.KeepLinks keep) {
             links.keep(keep.hosts());
         } else if (action instanceof Action.Stop) {
-            stopAsked.countDown();
+            finishStop();
+        }
+    }
+
+    private void drain() {
+        runner.raise(new Event.DrainAsked());
+    }
+
+    /** Waits until every reply has left: an answer that is decided is not yet one that was sent. */
+    private void finishStop() {
+        if (unfinished() == 0) {
+            stop.finished();
+        } else if (!stop.isOver()) {
+            pollers.schedule(this::finishStop, FLUSH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Rattanplankd.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Rattanplankd.java
@@ -1,8 +1,6 @@
 package org.rattanplank.daemon;
 
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 
 import io.vavr.control.Either;
 import io.vavr.control.Try;
@@ -18,7 +16,6 @@
     private static final int DONE = 0;
     private static final int FAILED = 1;
     private static final int BAD_SETTINGS = 2;
-    private static final long FLUSH_CHECK_MILLIS = 10;
 
     private Rattanplankd() {}
 
@@ -53,35 +50,19 @@
         Configuration.set("writer.level", settings.logLevel());
         return Daemon.open(settings)
                 .onFailure(error -> Logger.error("daemon: a port cannot be opened: {}", error.getMessage()))
-                .map(daemon -> runUntilStopped(daemon, settings.drainTimeoutMillis()))
+                .map(Rattanplankd::runUntilStopped)
                 .getOrElse(FAILED);
     }
 
-    private static int runUntilStopped(Daemon daemon, long drainTimeoutMillis) {
-        CountDownLatch over = new CountDownLatch(1);
-        SignalCounter signals = new SignalCounter(daemon, over, drainTimeoutMillis);
-        StopSignals.listen(signals::received);
-        Thread stopper = new Thread(() -> {
-            awaitStop(daemon);
-            over.countDown();
-        });
-        stopper.setDaemon(true);
-        stopper.start();
-        Try.run(over::await);
+    private static int runUntilStopped(Daemon daemon) {
+        StopSignals.listen(daemon::signalled);
+        Try.run(daemon::awaitStop);
         int cut = daemon.unfinished();
         if (cut > 0) {
             Logger.warn("daemon: the stop cuts off {} requests", cut);
         }
-        Logger.info("daemon: stopped");
         daemon.close();
+        Logger.info("daemon: stopped");
         return DONE;
     }
-
-    /** Waits for the node, and then until every reply has left: an answer that is decided is not yet one sent. */
-    private static void awaitStop(Daemon daemon) {
-        Try.run(daemon::awaitStop);
-        while (daemon.unfinished() > 0) {
-            Try.run(() -> TimeUnit.MILLISECONDS.sleep(FLUSH_CHECK_MILLIS));
-        }
-    }
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/call/Asker.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/call/Asker.java
@@ -1,5 +1,7 @@
 package org.rattanplank.daemon.call;
 
+import java.util.List;
+
 import org.rattanplank.core.request.Outcome;
 
 /**
@@ -13,9 +15,9 @@
      *
      * @param number the part's number, from zero without gaps
      * @param part one server-sent event
-     * @param peer the target or host that sent it
+     * @param path the hosts and the target that it took behind this host
      */
-    void part(long number, byte[] part, String peer);
+    void part(long number, byte[] part, List<String> path);
 
     /**
      * Gives the only outcome.
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/call/Call.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/call/Call.java
@@ -1,5 +1,6 @@
 package org.rattanplank.daemon.call;
 
+import java.util.List;
 import java.util.concurrent.locks.ReentrantLock;
 
 import org.rattanplank.core.request.Outcome;
@@ -116,10 +117,10 @@
      * @param attempt the attempt that brought it
      * @param number the part's number
      * @param part one server-sent event
-     * @param peer the target or host that sent it
+     * @param path the hosts and the target that it took behind this host
      * @return what became of it
      */
-    public Relayed relay(int attempt, long number, byte[] part, String peer) {
+    public Relayed relay(int attempt, long number, byte[] part, List<String> path) {
         lock.lock();
         try {
             if (finished || attempt != currentAttempt) {
@@ -131,7 +132,7 @@
             if (number > partsPassedOn) {
                 return Relayed.GAP;
             }
-            asker.part(number, part, peer);
+            asker.part(number, part, path);
             partsPassedOn++;
             return Relayed.PASSED_ON;
         } finally {
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/HttpAsker.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/HttpAsker.java
@@ -35,8 +35,8 @@
     }
 
     @Override
-    public void part(long number, byte[] part, String peer) {
-        startStream(List.of(host, peer));
+    public void part(long number, byte[] part, List<String> path) {
+        startStream(io.vavr.collection.List.ofAll(path).prepend(host).asJava());
         parts.add(part);
     }
 
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/operator/OperatorServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/operator/OperatorServer.java
@@ -6,9 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Option;
 import io.vavr.control.Try;
-import org.rattanplank.core.Event;
 import org.rattanplank.core.Node;
-import org.rattanplank.daemon.runtime.Events;
 import org.rattanplank.daemon.runtime.MillisClock;
 import org.tinylog.Logger;
 import ratpack.handling.Chain;
@@ -24,7 +22,7 @@
     private static final String JSON_TYPE = "application/json";
 
     private final Node node;
-    private final Events events;
+    private final Runnable drain;
     private final MillisClock clock;
     private final java.util.function.Supplier<String> metrics;
     private Option<RatpackServer> server = Option.none();
@@ -33,13 +31,13 @@
      * Makes a server that is not open yet.
      *
      * @param node the node
-     * @param events hears what operators ask
+     * @param drain begins a graceful stop
      * @param clock the clock
      * @param metrics writes the metrics as text
      */
-    public OperatorServer(Node node, Events events, MillisClock clock, java.util.function.Supplier<String> metrics) {
+    public OperatorServer(Node node, Runnable drain, MillisClock clock, java.util.function.Supplier<String> metrics) {
         this.node = node;
-        this.events = events;
+        this.drain = drain;
         this.clock = clock;
         this.metrics = metrics;
     }
@@ -91,7 +89,7 @@
 
     private void drain(Context context) {
         Logger.info("operator: a graceful stop was asked for");
-        events.raise(new Event.DrainAsked());
+        drain.run();
         context.getResponse().status(ACCEPTED);
         send(context, Map.of("draining", true));
     }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/ForwardAttempt.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/ForwardAttempt.java
@@ -100,10 +100,15 @@
                     ? Option.some(lost("the answer is larger than the limit"))
                     : Option.none();
         }
-        Relayed relayed = call.relay(attempt, chunk.number(), chunk.body(), host);
+        Relayed relayed = call.relay(attempt, chunk.number(), chunk.body(), path());
         return relayed == Relayed.GAP ? Option.some(lost("parts of the stream are missing")) : Option.none();
     }
 
+    private List<String> path() {
+        String target = head.map(ForwardHead::target).getOrElse("");
+        return target.isEmpty() ? List.of(host) : List.of(host, target);
+    }
+
     private boolean isStream() {
         return head.exists(first -> first.contentType().startsWith(EVENT_STREAM));
     }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerAsker.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerAsker.java
@@ -1,6 +1,7 @@
 package org.rattanplank.daemon.peer;
 
 import java.util.Arrays;
+import java.util.List;
 
 import org.rattanplank.core.request.Answer;
 import org.rattanplank.core.request.Failure;
@@ -33,19 +34,17 @@
     }
 
     @Override
-    public void part(long number, byte[] part, String peer) {
-        sendHead(OK, EVENT_STREAM);
+    public void part(long number, byte[] part, List<String> path) {
+        sendHead(OK, EVENT_STREAM, path);
         sendChunk(part);
     }
 
     @Override
     public void finish(Outcome outcome) {
         if (outcome instanceof Outcome.Answered answered) {
-            sendAnswer(answered.answer());
-            String target = answered.path().isEmpty()
-                    ? ""
-                    : answered.path().get(answered.path().size() - 1);
-            sender.accept(new ForwardEnd(requestId, attempt, outcome.label(), chunks, "", "", "", target, 0));
+            sendAnswer(answered.answer(), answered.path());
+            sender.accept(new ForwardEnd(
+                    requestId, attempt, outcome.label(), chunks, "", "", "", lastOf(answered.path()), 0));
         } else if (outcome instanceof Outcome.NotRun notRun) {
             sendFailure(outcome.label(), notRun.failure(), notRun.retryAfterMillis());
         } else if (outcome instanceof Outcome.Unknown unknown) {
@@ -53,21 +52,25 @@
         }
     }
 
-    private void sendAnswer(Answer answer) {
-        sendHead(answer.status(), answer.contentType());
+    private void sendAnswer(Answer answer, List<String> path) {
+        sendHead(answer.status(), answer.contentType(), path);
         byte[] body = answer.body();
         for (int from = 0; from < body.length; from += CHUNK_BYTES) {
             sendChunk(Arrays.copyOfRange(body, from, Math.min(body.length, from + CHUNK_BYTES)));
         }
     }
 
-    private void sendHead(int status, String contentType) {
+    private void sendHead(int status, String contentType, List<String> path) {
         if (!headSent) {
             headSent = true;
-            sender.accept(new ForwardHead(requestId, attempt, status, contentType));
+            sender.accept(new ForwardHead(requestId, attempt, status, contentType, lastOf(path)));
         }
     }
 
+    private static String lastOf(List<String> path) {
+        return path.isEmpty() ? "" : path.get(path.size() - 1);
+    }
+
     private void sendChunk(byte[] bytes) {
         sender.accept(new ForwardChunk(requestId, attempt, chunks++, bytes));
     }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
@@ -191,8 +191,8 @@
             lose("a part carries no number");
             return;
         }
-        Relayed relayed =
-                call.relay(attempt, event.number(), event.raw(), sent.target().name());
+        Relayed relayed = call.relay(
+                attempt, event.number(), event.raw(), List.of(sent.target().name()));
         if (relayed == Relayed.PASSED_ON) {
             listener.progressed(event.number() + 1);
         } else if (relayed == Relayed.GAP) {
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/TestHosts.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/TestHosts.java
@@ -79,7 +79,7 @@
         private final List<Outcome> outcomes = new ArrayList<>();
 
         @Override
-        public synchronized void part(long number, byte[] part, String peer) {
+        public synchronized void part(long number, byte[] part, List<String> path) {
             parts.add(new String(part, java.nio.charset.StandardCharsets.UTF_8));
         }
 
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/caller/CallerServerTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/caller/CallerServerTest.java
@@ -131,7 +131,7 @@
             String requestId = events.next(Event.CallerAsked.class).request().id();
             Call call = calls.find(requestId).get();
             call.begin(1, false, "x");
-            call.relay(1, 0, "id: 0\ndata: p\n\n".getBytes(StandardCharsets.UTF_8), "t1");
+            call.relay(1, 0, "id: 0\ndata: p\n\n".getBytes(StandardCharsets.UTF_8), List.of("t1"));
             read(caller, "data: p");
             calls.finish(requestId, new Outcome.Unknown(Failure.of(Step.RECEIVE, "t1", "lost")));
             String rest = readToEnd(caller);
@@ -145,7 +145,9 @@
         try (Socket caller = ask("POST", "/v1/chat/completions", TOKEN, chat("plank-serve", true))) {
             String requestId = events.next(Event.CallerAsked.class).request().id();
             calls.find(requestId).get().begin(1, false, "x");
-            calls.find(requestId).get().relay(1, 0, "id: 0\ndata: p\n\n".getBytes(StandardCharsets.UTF_8), "t1");
+            calls.find(requestId)
+                    .get()
+                    .relay(1, 0, "id: 0\ndata: p\n\n".getBytes(StandardCharsets.UTF_8), List.of("t1"));
             calls.finish(
                     requestId,
                     new Outcome.Answered(Answer.ofStream(200, "text/event-stream"), List.of("suva-1", "t1")));
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/peer/LinksTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/peer/LinksTest.java
@@ -62,7 +62,7 @@
             assertEquals(List.of("suva-1"), asked.request().passedHosts());
             Call call = otherCalls.find("r1").get();
             call.begin(1, false, "r1.1.1");
-            call.relay(1, 0, "id: 0\ndata: p\n\n".getBytes(), "t1");
+            call.relay(1, 0, "id: 0\ndata: p\n\n".getBytes(), List.of("t1"));
             otherCalls.finish(
                     "r1", new Outcome.Answered(Answer.ofStream(200, "text/event-stream"), List.of("labasa-1", "t1")));
             AttemptResult.Whole whole = assertInstanceOf(AttemptResult.Whole.class, ended());
--- a/rattanplank-schema/src/main/java/org/rattanplank/schema/message/ForwardHead.java
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/ForwardHead.java
@@ -12,11 +12,13 @@
  * @param attempt the attempt that is answered
  * @param status the HTTP status of the answer
  * @param contentType the media type of the answer
+ * @param target the target that answers, or empty if it is not known yet
  */
-public record ForwardHead(String requestId, long attempt, long status,
-        String contentType) implements RequestMessage {
+public record ForwardHead(String requestId, long attempt, long status, String contentType,
+        String target) implements RequestMessage {
     public ForwardHead {
         requestId = Objects.requireNonNullElse(requestId, "");
         contentType = Objects.requireNonNullElse(contentType, "");
+        target = Objects.requireNonNullElse(target, "");
     }
 }
