--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
@@ -54,6 +54,7 @@
  */
 public final class Daemon implements AutoCloseable {
     private static final long PROTOCOL_VERSION = 1;
+    private static final long FRAME_FIELDS_BYTES = 65_536;
     private static final double JITTER = 0.2;
     private static final long FLUSH_CHECK_MILLIS = 10;
 
@@ -282,6 +283,7 @@
     private AttemptLimits attemptLimits() {
         return new AttemptLimits(
                 (int) settings.maxAnswerBytes(),
+                (int) Math.min(settings.maxAnswerBytes(), settings.maxFrameBytes() - FRAME_FIELDS_BYTES),
                 new OverdueTimes(
                         settings.answerOverdueMillis(), settings.modelOverdueMillis(), settings.partOverdueMillis()));
     }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/AskReader.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/AskReader.java
@@ -20,10 +20,11 @@
 /**
  * Turns what a caller sent into a request, or says why it is none. Immutable and thread safe.
  *
+ * @param tokens finds the accounts
  * @param defaultTimeoutMillis the deadline of a request that states none
  * @param maxTimeoutMillis the longest deadline
  */
-record AskReader(long defaultTimeoutMillis, long maxTimeoutMillis) {
+record AskReader(Tokens tokens, long defaultTimeoutMillis, long maxTimeoutMillis) {
     static final String CHAT = "v1/chat/completions";
     static final String SERVICES = "services/";
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -31,7 +32,7 @@
     private static final int MAX_KEY_LENGTH = 255;
 
     Either<Refusal, Asked> read(HttpAsk ask, Configuration configuration, long nowMillis) {
-        Option<Account> account = Tokens.accountOf(ask.header("Authorization"), configuration);
+        Option<Account> account = tokens.accountOf(ask.header("Authorization"), configuration);
         if (account.isEmpty()) {
             return Either.left(Refusal.accept(Refusal.UNAUTHORIZED, "", "the token is not known"));
         }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
@@ -47,6 +47,7 @@
     private final Events events;
     private final MillisClock clock;
     private final CallerLimits limits;
+    private final Tokens tokens = new Tokens();
     private final AskReader reader;
     private final ConnectionGate gate;
     private final AtomicInteger unsentReplies = new AtomicInteger();
@@ -70,7 +71,7 @@
         this.clock = clock;
         this.limits = limits;
         gate = new ConnectionGate(host, limits.maxConnections(), limits.readTimeoutMillis());
-        reader = new AskReader(limits.defaultTimeoutMillis(), limits.maxTimeoutMillis());
+        reader = new AskReader(tokens, limits.defaultTimeoutMillis(), limits.maxTimeoutMillis());
     }
 
     /**
@@ -213,14 +214,14 @@
     }
 
     private CallerReply entryHosts(HttpAsk ask) {
-        String account = Tokens.accountOf(ask.header("Authorization"), node.configuration())
+        String account = tokens.accountOf(ask.header("Authorization"), node.configuration())
                 .map(Account::name)
                 .getOrElse("");
         return Replies.json(OK, node.entryHosts(account, clock.nowMillis()));
     }
 
     private CallerReply newKey(HttpAsk ask) {
-        if (Tokens.accountOf(ask.header("Authorization"), node.configuration()).isEmpty()) {
+        if (tokens.accountOf(ask.header("Authorization"), node.configuration()).isEmpty()) {
             return Replies.of("", Refusal.accept(Refusal.UNAUTHORIZED, "", "the token is not known"));
         }
         return Replies.json(OK, Map.of("key", Uuids.version7(clock.nowMillis())));
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/Tokens.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/Tokens.java
@@ -2,37 +2,57 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.HashMap;
 import java.util.HexFormat;
+import java.util.Map;
 
 import io.vavr.control.Option;
 import io.vavr.control.Try;
 import org.rattanplank.core.intent.Account;
 import org.rattanplank.core.intent.Configuration;
 
-/** Finds the account of a bearer token; only hashes of tokens are known. Stateless and thread safe. */
+/**
+ * Finds the account of a bearer token; only hashes of tokens are known.
+ *
+ * <p>Invariant: an answer comes from the index of the very configuration that was asked with. Thread safe; an index is
+ * replaced as a whole.
+ */
 final class Tokens {
     private static final String SCHEME = "Bearer ";
 
-    private Tokens() {}
+    private volatile Index index = Index.of(Configuration.empty());
 
-    static Option<Account> accountOf(Option<String> authorization, Configuration configuration) {
+    Option<Account> accountOf(Option<String> authorization, Configuration configuration) {
+        Index current = index;
+        if (current.configuration() != configuration) {
+            current = Index.of(configuration);
+            index = current;
+        }
         return authorization
                 .filter(header -> header.regionMatches(true, 0, SCHEME, 0, SCHEME.length()))
                 .map(header -> sha256(header.substring(SCHEME.length()).strip()))
-                .flatMap(hash -> Option.ofOptional(configuration.accounts().values().stream()
-                        .filter(account -> matches(account, hash))
-                        .findFirst()));
+                .flatMap(current::find);
     }
 
-    private static boolean matches(Account account, byte[] hash) {
-        return Try.of(() -> HexFormat.of().parseHex(account.tokenSha256()))
-                .map(expected -> MessageDigest.isEqual(expected, hash))
-                .getOrElse(false);
-    }
-
-    private static byte[] sha256(String token) {
+    private static String sha256(String token) {
         return Try.of(() -> MessageDigest.getInstance("SHA-256"))
                 .map(digest -> digest.digest(token.getBytes(StandardCharsets.UTF_8)))
+                .map(HexFormat.of()::formatHex)
                 .get();
     }
+
+    /** The accounts of one configuration by the hash of their token. */
+    private record Index(Configuration configuration, Map<String, Account> accounts) {
+        static Index of(Configuration configuration) {
+            Map<String, Account> accounts = new HashMap<>();
+            configuration.accounts().values().stream()
+                    .filter(account -> !account.tokenSha256().isEmpty())
+                    .forEach(account -> accounts.put(account.tokenSha256(), account));
+            return new Index(configuration, Map.copyOf(accounts));
+        }
+
+        Option<Account> find(String hash) {
+            return Option.of(accounts.get(hash));
+        }
+    }
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
@@ -86,8 +86,9 @@
         } else if (message instanceof ForwardCancel cancel) {
             cancel(cancel);
         } else {
+            // Messages may be lost; one that finds the workers too far behind is, so that no peer fills the memory.
             Hello from = other.get();
-            events.raise(new Event.MessageReceived(from.host(), from.incarnation(), message));
+            events.offer(new Event.MessageReceived(from.host(), from.incarnation(), message));
         }
     }
 
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
@@ -68,7 +68,7 @@
         this.limits = limits;
         this.check = check;
         this.listener = listener;
-        parser = new SseParser(limits.maxAnswerBytes());
+        parser = new SseParser(limits.maxPartBytes());
     }
 
     TargetCall sent() {
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/TargetsTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/TargetsTest.java
@@ -210,7 +210,8 @@
     }
 
     private Targets targets(int port, long overdueMillis) {
-        AttemptLimits limits = new AttemptLimits(65_536, new OverdueTimes(overdueMillis, overdueMillis, overdueMillis));
+        AttemptLimits limits =
+                new AttemptLimits(65_536, 65_536, new OverdueTimes(overdueMillis, overdueMillis, overdueMillis));
         return new Targets(TestHosts.resources(controller, events), TestHosts.directory("t1", port), limits, 10_000);
     }
 
