--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
@@ -15,13 +15,18 @@
 import org.rattanplank.core.Event;
 import org.rattanplank.core.Node;
 import org.rattanplank.core.intent.Account;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Outcome;
+import org.rattanplank.core.request.Step;
 import org.rattanplank.daemon.call.Call;
 import org.rattanplank.daemon.call.Calls;
 import org.rattanplank.daemon.runtime.Events;
 import org.rattanplank.daemon.runtime.MillisClock;
 import org.tinylog.Logger;
+import ratpack.error.ServerErrorHandler;
 import ratpack.exec.Promise;
 import ratpack.handling.Context;
+import ratpack.http.ConnectionClosedException;
 import ratpack.http.Response;
 import ratpack.server.RatpackServer;
 import ratpack.server.ServerConfig;
@@ -42,6 +47,7 @@
     private final Events events;
     private final MillisClock clock;
     private final CallerLimits limits;
+    private final Tokens tokens = new Tokens();
     private final AskReader reader;
     private final ConnectionGate gate;
     private final AtomicInteger unsentReplies = new AtomicInteger();
@@ -65,7 +71,7 @@
         this.clock = clock;
         this.limits = limits;
         gate = new ConnectionGate(host, limits.maxConnections(), limits.readTimeoutMillis());
-        reader = new AskReader(limits.defaultTimeoutMillis(), limits.maxTimeoutMillis());
+        reader = new AskReader(tokens, limits.defaultTimeoutMillis(), limits.maxTimeoutMillis());
     }
 
     /**
@@ -89,8 +95,11 @@
                     .maxHeaderSize(limits.maxHeaderBytes())
                     .idleTimeout(Duration.ofMillis(limits.idleTimeoutMillis()))
                     .build();
-            RatpackServer made =
-                    new GatedServer(spec -> spec.serverConfig(config).handlers(chain -> chain.all(this::handle)), gate);
+            RatpackServer made = new GatedServer(
+                    spec -> spec.serverConfig(config)
+                            .registryOf(registry -> registry.add(ServerErrorHandler.class, this::failed))
+                            .handlers(chain -> chain.all(this::handle)),
+                    gate);
             made.start();
             server = Option.some(made);
             return made.getBindPort();
@@ -128,6 +137,15 @@
                 .then(body -> dispatch(context, askOf(context, body.getBytes())));
     }
 
+    /** A fault of this host: the request may have run or not. */
+    private void failed(Context context, Throwable fault) {
+        if (!(fault instanceof ConnectionClosedException)) {
+            Logger.error(fault, "caller: a request failed");
+        }
+        Failure failure = Failure.of(Step.ACCEPT, host, "the entry host failed");
+        send(context, Replies.of("", new Outcome.Unknown(failure), false));
+    }
+
     private void dispatch(Context context, HttpAsk ask) {
         String path = ask.path();
         if (path.equals(AskReader.CHAT) || path.startsWith(AskReader.SERVICES)) {
@@ -162,7 +180,7 @@
         String requestId = asked.request().id();
         long deadlineMillis = asked.request().deadlineMillis();
         Channel channel = context.getDirectChannelAccess().getChannel();
-        PartQueue parts = new PartQueue(channel.eventLoop(), limits.streamBufferBytes(), () -> {
+        PartQueue parts = new PartQueue(channel, limits.streamBufferBytes(), () -> {
             Logger.warn("caller: a caller reads a stream too slowly and is cut off");
             left(requestId);
         });
@@ -196,14 +214,14 @@
     }
 
     private CallerReply entryHosts(HttpAsk ask) {
-        String account = Tokens.accountOf(ask.header("Authorization"), node.configuration())
+        String account = tokens.accountOf(ask.header("Authorization"), node.configuration())
                 .map(Account::name)
                 .getOrElse("");
         return Replies.json(OK, node.entryHosts(account, clock.nowMillis()));
     }
 
     private CallerReply newKey(HttpAsk ask) {
-        if (Tokens.accountOf(ask.header("Authorization"), node.configuration()).isEmpty()) {
+        if (tokens.accountOf(ask.header("Authorization"), node.configuration()).isEmpty()) {
             return Replies.of("", Refusal.accept(Refusal.UNAUTHORIZED, "", "the token is not known"));
         }
         return Replies.json(OK, Map.of("key", Uuids.version7(clock.nowMillis())));
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
@@ -68,7 +68,7 @@
         this.limits = limits;
         this.check = check;
         this.listener = listener;
-        parser = new SseParser(limits.maxAnswerBytes());
+        parser = new SseParser(limits.maxPartBytes());
     }
 
     TargetCall sent() {
@@ -191,8 +191,8 @@
             lose("a part carries no number");
             return;
         }
-        Relayed relayed =
-                call.relay(attempt, event.number(), event.raw(), sent.target().name());
+        Relayed relayed = call.relay(
+                attempt, event.number(), event.raw(), List.of(sent.target().name()));
         if (relayed == Relayed.PASSED_ON) {
             listener.progressed(event.number() + 1);
         } else if (relayed == Relayed.GAP) {
