--- a/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
@@ -23,6 +23,7 @@
 import org.rattanplank.schema.message.ControlMessage;
 import org.rattanplank.schema.message.MemberMessage;
 import org.rattanplank.schema.message.PeerMessage;
+import org.rattanplank.schema.message.RegionSummary;
 
 /**
  * Every decision of one entry host: it takes events with the time and returns what to do.
@@ -211,7 +212,9 @@
             addConfigurationSteps(configurations.receive(host, control, nowMillis), nowMillis, effects);
         } else if (message instanceof MemberMessage member) {
             addMemberSteps(members.receive(host, incarnation, member, nowMillis), nowMillis, effects);
-            router.regions(members.remoteRegions(), nowMillis);
+            if (member instanceof RegionSummary) {
+                router.regions(members.remoteRegions(), nowMillis);
+            }
         }
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/intent/StoreReader.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/StoreReader.java
@@ -25,25 +25,27 @@
     private static final int READERS = 2;
     private static final int MAX_READERS = 4;
     private static final long FIRST_READ_SPREAD_MILLIS = 1_000;
+    private static final long FIRST_RETRY_MILLIS = 2_000;
+    private static final long MAX_RETRY_MILLIS = 15_000;
     private static final long STEP_IN_MILLIS = 5_000;
     private static final long REACHABLE_MILLIS = 10_000;
     private static final long CALL_TIMEOUT_MILLIS = 5_000;
     private static final long WATCH_GRACE_MILLIS = 1_000;
-    private static final long MIN_WATCH_GAP_MILLIS = 1_000;
 
     private final String host;
     private final RandomGenerator random;
-    private Backoff backoff = Backoff.of(READ_MILLIS, 500, 15_000);
+    private Backoff backoff = Backoff.of(READ_MILLIS, FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS);
     private Option<Long> nextReadMillis = Option.none();
     private Option<Long> readMillis = Option.none();
     private Option<Long> unreachableSinceMillis = Option.none();
     private Option<Long> lastSuccessMillis = Option.none();
+    private boolean wasReader;
     private boolean asked;
     private boolean answered;
     private long nextCallId = 1;
     private long outstandingCall;
     private boolean watching;
-    private long nextWatchMillis;
+    private boolean readSinceWatch = true;
     private long watchFrom;
     private long missedGeneration;
     private long missedMillis;
@@ -77,9 +79,12 @@
         }
         boolean reader = isReader(peers, nowMillis);
         List<StoreCommand> commands = new ArrayList<>();
-        if (!reader) {
-            watching = false;
+        if (reader && !wasReader && asked) {
+            // Hosts of all data centres step in at the same moment of an outage; without a spread they call together.
+            nextReadMillis = Option.some(nowMillis + random.nextLong(READ_MILLIS));
         }
+        wasReader = reader;
+        watching = watching && reader;
         if ((reader || !asked) && nowMillis >= nextReadMillis.get() && !isWaiting(nowMillis)) {
             if (readMillis.isDefined()) {
                 failed(nowMillis);
@@ -89,9 +94,9 @@
             commands.add(new StoreCommand.Get(key));
         }
         checkWatch(nowMillis);
-        if (reader && !watching && isReachable(nowMillis) && watchFrom > 0 && nowMillis >= nextWatchMillis) {
+        if (reader && !watching && isReachable(nowMillis) && watchFrom > 0 && readSinceWatch) {
             watching = true;
-            nextWatchMillis = nowMillis + MIN_WATCH_GAP_MILLIS;
+            readSinceWatch = false;
             commands.add(new StoreCommand.Watch(key, watchFrom));
         }
         return commands;
@@ -109,6 +114,7 @@
     void found(long revision, long generation, long knownGeneration, long nowMillis) {
         backoff = backoff.succeeded();
         lastSuccessMillis = Option.some(nowMillis);
+        readSinceWatch = true;
         settle(nowMillis);
         watchFrom = Math.max(watchFrom, revision + 1);
         if (watching && generation > knownGeneration && missedGeneration < generation) {
@@ -144,9 +150,13 @@
 
     void watchBroken(long nowMillis) {
         watching = false;
-        // The watch may break because the store is overloaded. A whole fleet that watches again at once keeps it so.
-        nextWatchMillis = nowMillis + random.nextLong(1, 2 * MIN_WATCH_GAP_MILLIS);
-        nextReadMillis = Option.some(nowMillis + random.nextLong(1, 2 * MIN_WATCH_GAP_MILLIS));
+        // The watch may break because the store is going down. Hosts that watch again at once, or read without regard
+        // to their backoff, keep it so: one would see a steady rate of failing calls that grows with the fleet. So a
+        // read has to succeed first, and it comes at its own time unless the last one was well.
+        if (backoff.failures() == 0 && readMillis.isEmpty()) {
+            long soon = nowMillis + random.nextLong(1, FIRST_READ_SPREAD_MILLIS);
+            nextReadMillis = nextReadMillis.map(next -> Math.min(next, soon));
+        }
     }
 
     /** Finds a watch that says nothing although a read found a newer generation a while ago. */
@@ -155,6 +165,7 @@
         // beside it, one would notice only that the generation in force stays behind.
         if (watching && missedGeneration > 0 && nowMillis - missedMillis > WATCH_GRACE_MILLIS) {
             watching = false;
+            readSinceWatch = true;
             missedGeneration = 0;
             silentWatches++;
         }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Centres.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Centres.java
@@ -42,6 +42,7 @@
     private final NodeIdentity self;
     private final Map<String, Centre> centres = new TreeMap<>();
     private final Map<String, List<String>> listedHosts = new TreeMap<>();
+    private Set<String> speakerPool = Set.of();
 
     Centres(NodeIdentity self) {
         this.self = self;
@@ -90,26 +91,32 @@
         return news;
     }
 
-    /** Finds who speaks to a data centre, best first. */
-    List<String> speakers(String dataCentre, Collection<String> liveHosts) {
-        List<String> ranked = Rendezvous.rank(liveHosts, "speaker/" + dataCentre);
-        return ranked.subList(0, Math.min(SPEAKERS, ranked.size()));
+    private List<String> rankSpeakers(String dataCentre) {
+        List<String> ranked = Rendezvous.rank(speakerPool, "speaker/" + dataCentre);
+        return List.copyOf(ranked.subList(0, Math.min(SPEAKERS, ranked.size())));
     }
 
-    /** Decides which data centres are silent to this host and which can be reached. */
-    void refresh(Collection<String> liveHosts, PeerTable peers, long nowMillis) {
+    /** Decides which data centres are silent to this host and which can be reached; tells whether the latter changed. */
+    boolean refresh(Set<String> newPool, PeerTable peers, long nowMillis) {
+        boolean poolChanged = !newPool.equals(speakerPool);
+        speakerPool = newPool;
+        boolean changed = false;
         for (Centre centre : centres.values()) {
-            String name = centre.place.dataCentre();
-            List<String> speakers = speakers(name, liveHosts);
-            if (!speakers.contains(self.host())) {
+            if (poolChanged || centre.speakers.isEmpty()) {
+                centre.speakers = rankSpeakers(centre.place.dataCentre());
+            }
+            boolean wasReachable = centre.reachable;
+            if (!centre.speakers.contains(self.host())) {
                 centre.stopSpeaking();
             } else if (centre.speaksSinceMillis.isEmpty()) {
                 centre.speaksSinceMillis = Option.some(nowMillis);
             }
             centre.silent = centre.speaksSinceMillis.exists(since -> nowMillis - since > SILENT_MILLIS)
                     && nowMillis - centre.heardMillis > SILENT_MILLIS;
-            centre.reachable = speakers.stream().anyMatch(speaker -> !isSilent(centre, speaker, peers));
+            centre.reachable = centre.speakers.stream().anyMatch(speaker -> !isSilent(centre, speaker, peers));
+            changed = changed || wasReachable != centre.reachable;
         }
+        return changed;
     }
 
     private boolean isSilent(Centre centre, String speaker, PeerTable peers) {
@@ -128,8 +135,7 @@
     }
 
     /** Chooses the host to dial in each data centre that this host speaks to, by data centre. */
-    Map<String, String> choose(
-            Collection<String> liveHosts, PeerTable peers, Predicate<String> usable, long nowMillis) {
+    Map<String, String> choose(PeerTable peers, Predicate<String> usable, long nowMillis) {
         Set<String> linked = new HashSet<>();
         peers.remoteLinked().forEach(peer -> linked.add(peer.host));
         Map<String, String> chosen = new TreeMap<>();
@@ -138,23 +144,17 @@
                 continue;
             }
             String name = centre.place.dataCentre();
-            int rank = speakers(name, liveHosts).indexOf(self.host());
             List<String> there = hostsOf(centre).stream().filter(usable).toList();
-            List<String> ranked =
-                    Rendezvous.rank(there, "speaker/" + self.place().dataCentre());
-            centre.choose(ranked, rank, linked, nowMillis, PATIENCE_MILLIS).forEach(host -> chosen.put(name, host));
+            List<String> ranked = centre.rank(there, "speaker/" + self.place().dataCentre());
+            centre.choose(ranked, centre.speakers.indexOf(self.host()), linked, nowMillis, PATIENCE_MILLIS)
+                    .forEach(host -> chosen.put(name, host));
         }
         return chosen;
     }
 
     /** Finds what to tell each data centre that this host speaks to. */
     List<MemberStep> tell(
-            Map<String, String> chosen,
-            Collection<String> liveHosts,
-            PeerTable peers,
-            RegionSummary summary,
-            Heartbeat heartbeat,
-            long nowMillis) {
+            Map<String, String> chosen, PeerTable peers, RegionSummary summary, Heartbeat heartbeat, long nowMillis) {
         List<MemberStep> steps = new ArrayList<>();
         RegionSummary forOwnRegion = Summaries.withoutServices(summary);
         chosen.forEach(
@@ -162,7 +162,7 @@
                     Centre centre = centres.get(name);
                     boolean sameRegion =
                             centre.place.region().equals(self.place().region());
-                    boolean first = speakers(name, liveHosts).indexOf(self.host()) == 0;
+                    boolean first = centre.speakers.indexOf(self.host()) == 0;
                     message(centre, peer, sameRegion ? forOwnRegion : summary, heartbeat, first, nowMillis)
                             .forEach(message -> steps.add(new MemberStep.Send(host, message)));
                 }));
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Leavings.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Leavings.java
@@ -22,6 +22,7 @@
  */
 final class Leavings {
     private static final long FORGET_MILLIS = 3_600_000;
+    private static final long SETTLED_MILLIS = 3_000;
 
     private record Entry(LeavingNotice notice, long learnedMillis, boolean local) {}
 
@@ -78,6 +79,18 @@
         }
     }
 
+    /** Takes the working hosts that another data centre names: it knows best whether a host of its own is back. */
+    void back(List<String> hosts, long listRevision, long nowMillis) {
+        for (String host : hosts) {
+            Entry entry = entries.get(host);
+            // The two speakers of a data centre learn a moment apart who is leaving. The older view of the second would
+            // bring a leaving host back; after this time both have heard.
+            if (entry != null && nowMillis - entry.learnedMillis() > SETTLED_MILLIS) {
+                clear(host, listRevision);
+            }
+        }
+    }
+
     /** Takes the platform's list, which lags: it may show a name long after the first word that it is leaving. */
     void listed(HostList list, long nowMillis) {
         Set<String> present = new HashSet<>();
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Members.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Members.java
@@ -40,6 +40,7 @@
     private static final long START_GRACE_MILLIS = 3_000;
     private static final long LOST_MILLIS = 3_000;
     private static final long OLDER_LIST_MILLIS = 30_000;
+    private static final long REGIONS_MILLIS = 1_000;
     private static final int MAX_ENTRY_HOSTS = 24;
     private static final int MAX_NOTICES = 256;
     private static final int CONTROLLER_CANDIDATES = 2;
@@ -57,6 +58,7 @@
     private Heartbeat lastBeat = new Heartbeat(0, 0, false, 0, false, List.of());
     private List<String> links = List.of();
     private Option<List<RemoteRegion>> regions = Option.none();
+    private long regionsMillis;
     private Option<Long> startMillis = Option.none();
     private long nowMillis;
 
@@ -100,7 +102,7 @@
             list.hosts().stream().filter(ListedHost::leaving).forEach(host -> learnFirstHand(host.name(), atMillis));
             centres.listed(list);
             refresh();
-            return List.of(keepLinks());
+            return List.of(keepLinks(chosen()));
         });
     }
 
@@ -192,6 +194,7 @@
             return List.of();
         }
         boolean news = centres.summed(summary, nowMillis);
+        leavings.back(summary.hosts(), list.revision(), nowMillis);
         summary.leaving().forEach(notice -> learn(notice, false));
         List<MemberStep> steps = new ArrayList<>();
         if (news) {
@@ -244,16 +247,17 @@
         return change(atMillis, () -> {
             draining = report.draining();
             peers.forgetOld(atMillis);
-            refresh();
+            refreshIfChanged();
             List<MemberStep> steps = new ArrayList<>();
             sendNews(steps);
             sendBeats(report, steps);
-            MemberStep.KeepLinks keep = keepLinks();
+            Map<String, String> chosen = chosen();
+            MemberStep.KeepLinks keep = keepLinks(chosen);
             if (!keep.hosts().equals(links)) {
                 links = keep.hosts();
                 steps.add(keep);
             }
-            steps.addAll(tellCentres(report));
+            steps.addAll(tellCentres(report, chosen));
             return steps;
         });
     }
@@ -287,7 +291,7 @@
         }
     }
 
-    private List<MemberStep> tellCentres(SelfReport report) {
+    private List<MemberStep> tellCentres(SelfReport report, Map<String, String> chosen) {
         Set<String> hosts = workingHosts();
         RegionSummary summary =
                 Summaries.of(self.place(), report.generation(), hosts, report, leavings.newest(Summaries.MAX_LEAVING));
@@ -298,7 +302,7 @@
                 report.inFlight(),
                 report.storeReachable(),
                 List.of());
-        return centres.tell(chosen(), speakerPool(), peers, summary, beat, nowMillis);
+        return centres.tell(chosen, peers, summary, beat, nowMillis);
     }
 
     private List<MemberStep> greet(String host) {
@@ -324,8 +328,8 @@
         }
     }
 
-    private MemberStep.KeepLinks keepLinks() {
-        Set<String> hosts = new TreeSet<>(chosen().values());
+    private MemberStep.KeepLinks keepLinks(Map<String, String> chosen) {
+        Set<String> hosts = new TreeSet<>(chosen.values());
         for (ListedHost host : listedEntryHosts.values()) {
             boolean local = host.place().dataCentre().equals(self.place().dataCentre());
             if (local && !host.name().equals(self.host())) {
@@ -336,7 +340,7 @@
     }
 
     private Map<String, String> chosen() {
-        return centres.choose(speakerPool(), peers, host -> !leavings.contains(host), nowMillis);
+        return centres.choose(peers, host -> !leavings.contains(host), nowMillis);
     }
 
     private Option<Peer> heard(String host, long incarnation, Place place) {
@@ -374,6 +378,14 @@
         regions = Option.none();
     }
 
+    /** Sums up the regions anew only when something changed or the loads' times have grown old. */
+    private void refreshIfChanged() {
+        boolean old = nowMillis - regionsMillis >= REGIONS_MILLIS;
+        if (centres.refresh(speakerPool(), peers, nowMillis) || old) {
+            regions = Option.none();
+        }
+    }
+
     /** The hosts of the own data centre, this one included, that live and take new work. */
     private Set<String> workingHosts() {
         Set<String> hosts = new TreeSet<>();
@@ -414,6 +426,7 @@
         return read(() -> {
             if (regions.isEmpty()) {
                 regions = Option.some(sumUpRegions());
+                regionsMillis = nowMillis;
             }
             return regions.get();
         });
