Keep the fair share's level above the accounts' mean

Cause: the new test of an overload that never ends found it: when other hosts cause the backlog, holding this host's accounts back does not end it, and the level fell until every account was refused (2,970 of 3,000 of the light ones). Ruled out: stopping the level's fall while the backlog does not shrink (it shrinks late in any case). Change: no account is held back below 1.5 times the mean work per weight. In the test: light accounts refused 2,970 -> 0.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/limit/FairShare.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/limit/FairShare.java
@@ -25,6 +25,9 @@
     /** The part of the admitted work that is shared out anew; below one, so that an overload shrinks. */
     private static final double SHARED_PART = 0.9;
 
+    /** The lowest level, in units of the mean work per weight; above one, since work comes in lumps. */
+    private static final double FLOOR_OF_MEAN = 1.5;
+
     private static final double IDLE_WORK_MILLIS = 1;
     private static final int BISECTIONS = 16;
 
@@ -130,7 +133,23 @@
                 low = middle;
             }
         }
-        return high;
+        return Math.max(high, floor());
+    }
+
+    /**
+     * The level below which no account is held back.
+     *
+     * <p>What goes wrong without it: the backlog may come from other hosts, and holding this host's accounts back does not
+     * shrink it, so the level would fall to nothing. One would notice a host that refuses all its accounts.
+     */
+    private double floor() {
+        double admitted = 0;
+        double weights = 0;
+        for (Use use : uses.values()) {
+            admitted += use.admittedMillis;
+            weights += use.weight;
+        }
+        return weights == 0 ? Double.POSITIVE_INFINITY : FLOOR_OF_MEAN * admitted / weights;
     }
 
     private double servedAt(double level) {
