Test routing and limits by properties and by failures

Cause: the router's invariants were stated and not tested. Ruled out: tests of each small class by its getters; the name *Properties for the property classes (surefire passes such classes over in silence). Change: jqwik properties of what may be chosen, of ejection, of load estimates against the true load, of every bound on memory and of the retry budget; tests of spill and return, cold return, ejection, silent targets, fair share, retry storm.

--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/EstimatePropertiesTest.java
@@ -0,0 +1,97 @@
+package org.rattanplank.core.route;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What is believed of a target's load and cache, against what the target really has. */
+class EstimatePropertiesTest {
+
+    /** With one host, however late its reports, the estimate is the target's true load. */
+    @Property(tries = 200, seed = "42")
+    void shouldEqualTrueLoadWhenOnlyThisHostSends(@ForAll Random random) {
+        LoadEstimate estimate = new LoadEstimate();
+        List<Integer> loadsByTime = new ArrayList<>();
+        int load = 0;
+        for (int now = 0; now < 200; now++) {
+            if (random.nextBoolean()) {
+                estimate.started(1, now);
+                load++;
+            } else if (load > 0) {
+                estimate.ended(now);
+                load--;
+            }
+            loadsByTime.add(load);
+            if (random.nextInt(5) == 0) {
+                int reportedAt = Math.max(0, now - random.nextInt(40));
+                estimate.reported(loadsByTime.get(reportedAt), reportedAt);
+            }
+            assertEquals(load, estimate.load());
+        }
+    }
+
+    @Property(tries = 100, seed = "42")
+    void shouldStayWithinBoundsWhenAnythingIsCached(@ForAll Random random) {
+        PrefixCache cache = new PrefixCache();
+        cache.holdsAtMost(5_000);
+        for (int i = 0; i < 2_000; i++) {
+            if (random.nextInt(3) == 0) {
+                List<Long> stored = List.of((long) random.nextInt(3_000));
+                List<Long> removed = List.of((long) random.nextInt(3_000));
+                cache.changed(new CacheEvent("t", i + random.nextInt(3), stored, removed));
+            } else {
+                cache.sent(List.of((long) random.nextInt(50), (long) random.nextInt(3_000)), random.nextInt(200));
+            }
+            assertTrue(cache.tokens() >= 0 && cache.tokens() <= 5_000);
+            assertTrue(cache.prefixes() <= PrefixCache.MAX_PREFIXES);
+        }
+    }
+
+    @Example
+    void shouldDoubtBeliefWhenEventsAreMissing() {
+        PrefixCache cache = new PrefixCache();
+        cache.sent(List.of(1L, 2L), 1_000);
+        assertEquals(1_000, cache.cachedTokens(List.of(1L, 2L), 1_000));
+        cache.changed(new CacheEvent("t", 1, List.of(), List.of()));
+        cache.changed(new CacheEvent("t", 5, List.of(), List.of()));
+        assertEquals(500, cache.cachedTokens(List.of(1L, 2L), 1_000));
+        cache.changed(new CacheEvent("t", 6, List.of(), List.of(2L)));
+        assertTrue(cache.cachedTokens(List.of(1L, 2L), 1_000) < 500, "a removed prefix is not believed");
+    }
+
+    @Example
+    void shouldHoldBoundedPrefixesWhenAllAreNew() {
+        PrefixAffinity affinity = new PrefixAffinity();
+        Target target = Target.warm("t", 0);
+        for (long i = 0; i < 2L * PrefixAffinity.MAX_PREFIXES; i++) {
+            affinity.sent(List.of(i), target);
+        }
+        assertEquals(PrefixAffinity.MAX_PREFIXES, affinity.prefixes());
+    }
+
+    /** A target that leaves moves only its own prefixes to others. */
+    @Property(tries = 50, seed = "42")
+    void shouldMoveOnlyOwnPrefixesWhenTargetLeaves(@ForAll long key) {
+        Target[] targets = new Target[10];
+        long[] seeds = new long[10];
+        for (int i = 0; i < 10; i++) {
+            targets[i] = Target.warm("t" + i, 0);
+            seeds[i] = targets[i].seed;
+        }
+        List<Target> all = PrefixAffinity.firstTwo(targets, seeds, key, target -> true);
+        List<Target> without = PrefixAffinity.firstTwo(targets, seeds, key, target -> target != all.get(0));
+        assertEquals(all.get(1), without.get(0));
+        Target other = targets[0] == all.get(0) ? targets[1] : targets[0];
+        assertEquals(
+                all.get(0),
+                PrefixAffinity.firstTwo(targets, seeds, key, target -> target != other)
+                        .get(0));
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/Fixtures.java
@@ -0,0 +1,100 @@
+package org.rattanplank.core.route;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.vavr.control.Option;
+import org.rattanplank.core.host.HostRole;
+import org.rattanplank.core.host.ListedHost;
+import org.rattanplank.core.host.Place;
+import org.rattanplank.core.intent.Configuration;
+import org.rattanplank.core.request.Answer;
+import org.rattanplank.core.request.AttemptResult;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.Step;
+import org.rattanplank.core.request.WorkClass;
+
+/** Requests, targets and reports for the tests of routing. */
+final class Fixtures {
+    static final Place SUVA = Place.of("suva", "suva-hall");
+    static final String SERVICE = "plank-serve";
+    static final Set<String> ANYWHERE = Set.of("suva", "lautoka");
+    static final AttemptResult ANSWERED = new AttemptResult.Whole(Answer.of(200, "", new byte[0]), List.of());
+    static final AttemptResult REFUSED =
+            new AttemptResult.NotRun(Failure.of(Step.CONNECT, "", "connection refused"), 0);
+
+    private Fixtures() {}
+
+    static List<ListedHost> targets(int count) {
+        List<ListedHost> targets = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            targets.add(new ListedHost("t" + i, HostRole.TARGET, SUVA, "127.0.0.1", 1, 0, SERVICE, false));
+        }
+        return targets;
+    }
+
+    static Router router(int targets) {
+        Router router = Router.of(SUVA, Policy.COST, 7);
+        router.targets(targets(targets), 0);
+        for (int i = 0; i < targets; i++) {
+            router.reported(load("t" + i, 0, 0), 0);
+        }
+        return router;
+    }
+
+    static TargetLoad load(String target, int load, long atMillis) {
+        int running = Math.min(load, 8);
+        return new TargetLoad(
+                target, SERVICE, List.of("plank@1"), running, load - running, 8, 40, 10_000, false, atMillis);
+    }
+
+    static RemoteRegion lautoka(int load, long atMillis) {
+        int running = Math.min(load, 32);
+        var service = new RemoteRegion.ServiceLoad(4, 32, running, load - running, atMillis);
+        return new RemoteRegion("lautoka", List.of("lautoka-1", "lautoka-2"), Map.of(SERVICE, service));
+    }
+
+    static Configuration shares(Map<String, Double> shares) {
+        return new Configuration(1, "", Map.of(), Map.of(), Map.of(), shares, Set.of());
+    }
+
+    static Eligibility anywhere(Set<String> tried) {
+        return new Eligibility(ANYWHERE, true, tried);
+    }
+
+    static Request request(String id) {
+        return request(id, "floor", WorkClass.INTERACTIVE, 60_000, List.of());
+    }
+
+    static Request request(String id, String account, WorkClass workClass, long deadlineMillis, List<Long> prefixes) {
+        return new Request(
+                id,
+                account,
+                SERVICE,
+                workClass,
+                true,
+                Option.none(),
+                "suva",
+                Option.none(),
+                deadlineMillis,
+                4_000,
+                200,
+                prefixes,
+                false,
+                List.of(),
+                false);
+    }
+
+    /** Chooses, starts and ends one request, and returns where it went. */
+    static Route serve(Router router, Request request, AttemptResult result, long tookMillis, long nowMillis) {
+        Routing routing = router.choose(request, new Eligibility(Set.of("suva"), false, Set.of()), nowMillis);
+        Route route = ((Routing.Go) routing).route();
+        router.started(request, route, nowMillis);
+        router.ended(request, route, result, tookMillis, nowMillis + tookMillis);
+        router.finished(request, nowMillis + tookMillis);
+        return route;
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterPropertiesTest.java
@@ -0,0 +1,196 @@
+package org.rattanplank.core.route;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.rattanplank.core.host.ListedHost;
+import org.rattanplank.core.request.AttemptResult;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.Step;
+import org.rattanplank.core.request.WorkClass;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What holds for every policy, whatever happened before. */
+class RouterPropertiesTest {
+    private static final int STEPS = 300;
+
+    @Property(tries = 200, seed = "42")
+    void shouldChooseOnlyEligiblePeersWhenAnythingHappens(@ForAll Policy policy, @ForAll Random random) {
+        Router router = Router.of(Fixtures.SUVA, policy, random.nextLong());
+        Session session = new Session(router, random);
+        for (int i = 0; i < STEPS; i++) {
+            session.step(i * 37L);
+        }
+    }
+
+    @Property(tries = 50, seed = "42")
+    void shouldDecideAlikeWhenSeedAndEventsAreTheSame(@ForAll Policy policy, @ForAll long seed) {
+        List<Routing> first = decisions(policy, seed);
+        assertEquals(first, decisions(policy, seed));
+    }
+
+    /** At most half of the targets are left out, however many fail, so that some are always tried. */
+    @Property(tries = 100, seed = "42")
+    void shouldKeepHalfInWhenAllFail(@ForAll @IntRange(min = 1, max = 12) int targets, @ForAll Random random) {
+        ServiceTargets service = new ServiceTargets(Policy.COST);
+        Target[] all = new Target[targets];
+        for (int i = 0; i < targets; i++) {
+            all[i] = Target.warm("t" + i, 0);
+        }
+        service.targets(all, 0);
+        for (int i = 0; i < 100; i++) {
+            service.eject(all[random.nextInt(targets)], i * 10L);
+            long nowMillis = i * 10L;
+            long out = List.of(all).stream()
+                    .filter(target -> target.ejection.isOut(nowMillis))
+                    .count();
+            assertTrue(out * 2 <= targets);
+        }
+        Target[] fewer = java.util.Arrays.copyOf(all, (targets + 1) / 2);
+        service.targets(fewer, 1_000);
+        long out = List.of(fewer).stream()
+                .filter(target -> target.ejection.isOut(1_000))
+                .count();
+        assertTrue(out * 2 <= fewer.length);
+    }
+
+    @Example
+    void shouldBoundCandidatesWhenThereAreManyTargetsAndRegions() {
+        Router router = Fixtures.router(500);
+        Request request = Fixtures.request("a", "floor", WorkClass.DRAFT, 60_000, List.of(1L, 2L));
+        Routing routing = router.choose(request, Fixtures.anywhere(Set.of("t1")), 10);
+        assertTrue(routing.candidates().size() <= Considered.MAX_CANDIDATES);
+    }
+
+    private static List<Routing> decisions(Policy policy, long seed) {
+        Router router = Router.of(Fixtures.SUVA, policy, seed);
+        Session session = new Session(router, new Random(seed));
+        List<Routing> decisions = new ArrayList<>();
+        for (int i = 0; i < STEPS; i++) {
+            session.step(i * 37L).forEach(decisions::add);
+        }
+        return decisions;
+    }
+
+    /** A random session that checks each decision. */
+    private static final class Session {
+        private final Router router;
+        private final Random random;
+        private final Set<String> listed = new HashSet<>();
+        private final Set<String> leaving = new HashSet<>();
+        private final List<Request> running = new ArrayList<>();
+        private int requests;
+
+        Session(Router router, Random random) {
+            this.router = router;
+            this.random = random;
+        }
+
+        List<Routing> step(long nowMillis) {
+            switch (random.nextInt(8)) {
+                case 0 -> list(nowMillis);
+                case 1 -> report(nowMillis);
+                case 2 -> router.missed("t" + random.nextInt(8), nowMillis);
+                case 3 -> router.regions(
+                        random.nextBoolean() ? List.of(Fixtures.lautoka(random.nextInt(60), nowMillis)) : List.of(),
+                        nowMillis);
+                case 4 -> end(nowMillis);
+                default -> {
+                    return List.of(choose(nowMillis));
+                }
+            }
+            return List.of();
+        }
+
+        private void list(long nowMillis) {
+            List<ListedHost> now = Fixtures.targets(8).stream()
+                    .filter(target -> random.nextInt(4) > 0)
+                    .toList();
+            Set<String> names = new HashSet<>();
+            now.forEach(target -> names.add(target.name()));
+            // A target that goes from the list and comes back is a new one, which is not leaving.
+            leaving.removeIf(name -> !names.contains(name));
+            listed.clear();
+            listed.addAll(names);
+            router.targets(now, nowMillis);
+        }
+
+        private void report(long nowMillis) {
+            String target = "t" + random.nextInt(8);
+            boolean leaves = random.nextInt(6) == 0;
+            if (leaves && listed.contains(target)) {
+                leaving.add(target);
+            }
+            int runs = random.nextInt(9);
+            int queued = random.nextInt(5);
+            List<String> models = List.of("plank@1");
+            router.reported(
+                    new TargetLoad(target, Fixtures.SERVICE, models, runs, queued, 8, 40, 9_000, leaves, nowMillis),
+                    nowMillis);
+        }
+
+        private void end(long nowMillis) {
+            if (running.isEmpty()) {
+                return;
+            }
+            Request request = running.remove(random.nextInt(running.size()));
+            AttemptResult result =
+                    switch (random.nextInt(4)) {
+                        case 0 -> Fixtures.REFUSED;
+                        case 1 -> new AttemptResult.Lost(Failure.of(Step.RECEIVE, "", "reset"), 0);
+                        default -> Fixtures.ANSWERED;
+                    };
+            router.ended(request, new Route.ToTarget("any"), result, random.nextInt(5_000), nowMillis);
+            router.finished(request, nowMillis);
+        }
+
+        private Routing choose(long nowMillis) {
+            Request request = Fixtures.request(
+                    "r" + requests++,
+                    "a" + random.nextInt(3),
+                    WorkClass.values()[random.nextInt(3)],
+                    nowMillis + random.nextInt(20_000),
+                    List.of((long) random.nextInt(5), 100L + random.nextInt(20)));
+            Set<String> tried = new HashSet<>();
+            for (int i = random.nextInt(6); i > 0; i--) {
+                tried.add("t" + random.nextInt(8));
+            }
+            if (random.nextBoolean()) {
+                tried.add("lautoka-1");
+            }
+            Set<String> allowed = random.nextInt(4) == 0 ? Set.of("lautoka") : Fixtures.ANYWHERE;
+            boolean mayCross = random.nextBoolean();
+            router.admit(request, nowMillis);
+            Routing routing = router.choose(request, new Eligibility(allowed, mayCross, tried), nowMillis);
+            if (routing instanceof Routing.Go go) {
+                check(go.route(), allowed, mayCross, tried);
+                router.started(request, go.route(), nowMillis);
+                running.add(request);
+            }
+            assertTrue(routing.candidates().size() <= Considered.MAX_CANDIDATES);
+            return routing;
+        }
+
+        private void check(Route route, Set<String> allowed, boolean mayCross, Set<String> tried) {
+            assertFalse(tried.contains(route.peer()), "tried before");
+            if (route instanceof Route.ToHost host) {
+                assertTrue(mayCross && allowed.contains(host.region()), "crossing where it may not");
+            } else {
+                assertTrue(allowed.contains("suva"), "served outside its residency");
+                assertTrue(listed.contains(route.peer()), "not listed");
+                assertFalse(leaving.contains(route.peer()), "leaving");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterTest.java
@@ -0,0 +1,277 @@
+package org.rattanplank.core.route;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanplank.core.request.AttemptResult;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.Step;
+import org.rattanplank.core.request.WorkClass;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RouterTest {
+    private static final List<Long> MANUAL = List.of(11L, 12L, 13L);
+
+    @Nested
+    class Choose {
+        @Test
+        void shouldReturnToCachedTargetWhenPrefixWasSeen() {
+            Router router = Fixtures.router(20);
+            Request first = Fixtures.request("a", "floor", WorkClass.DRAFT, 60_000, MANUAL);
+            Route route = Fixtures.serve(router, first, Fixtures.ANSWERED, 1_000, 10);
+            for (int i = 0; i < 10; i++) {
+                Request next = Fixtures.request("b" + i, "floor", WorkClass.DRAFT, 60_000, MANUAL);
+                assertEquals(route, Fixtures.serve(router, next, Fixtures.ANSWERED, 1_000, 2_000 + i));
+            }
+        }
+
+        @Test
+        void shouldLeavePopularPrefixToOthersWhenItsTargetIsFull() {
+            Router router = Fixtures.router(4);
+            for (int i = 0; i < 10; i++) {
+                Fixtures.serve(router, Fixtures.request("l" + i), Fixtures.ANSWERED, 4_000, 10 + i);
+            }
+            Map<String, Integer> loads = new TreeMap<>();
+            for (int i = 0; i < 32; i++) {
+                Request request = Fixtures.request("r" + i, "floor", WorkClass.DRAFT, 60_000, MANUAL);
+                Routing.Go go = go(router, request, 5_000);
+                router.started(request, go.route(), 5_000);
+                loads.merge(go.route().peer(), 1, Integer::sum);
+            }
+            assertTrue(loads.size() > 2, "the first two in rendezvous order alone would have 16 each: " + loads);
+            assertTrue(loads.values().stream().allMatch(load -> load <= 1.5 * (8 + 1)), "bounded load: " + loads);
+        }
+
+        /**
+         * Symptom: hosts sent all work to one target for as long as its report was old. Sequence: a report shows a target
+         * idle, the next report is late, every request meanwhile picks the idle one. Cause: own sends since the report
+         * were not counted.
+         */
+        @Test
+        void shouldCountOwnSendsWhenReportsAreLate() {
+            Router router = Fixtures.router(2);
+            router.reported(Fixtures.load("t1", 7, 100), 100);
+            int toIdle = 0;
+            for (int i = 0; i < 16; i++) {
+                Request request = Fixtures.request("r" + i);
+                Routing.Go go = go(router, request, 200);
+                router.started(request, go.route(), 200);
+                toIdle += go.route().peer().equals("t0") ? 1 : 0;
+            }
+            assertTrue(toIdle >= 9 && toIdle <= 14, "sent to the idle one: " + toIdle);
+        }
+
+        @Test
+        void shouldRefuseAtOnceWhenBacklogIsLongerThanDeadline() {
+            Router router = Fixtures.router(1);
+            for (int i = 0; i < 10; i++) {
+                Fixtures.serve(router, Fixtures.request("l" + i), Fixtures.ANSWERED, 4_000, 10 + i);
+            }
+            router.reported(Fixtures.load("t0", 40, 100), 100);
+            Request hasty = Fixtures.request("r", "floor", WorkClass.INTERACTIVE, 5_100, List.of());
+            Routing.Refuse refuse =
+                    assertInstanceOf(Routing.Refuse.class, router.choose(hasty, Fixtures.anywhere(Set.of()), 100));
+            assertTrue(refuse.retryAfterMillis() >= 10_000, "33 runs of 4 s on 8 slots: " + refuse.retryAfterMillis());
+        }
+
+        @Test
+        void shouldServeOldVersionOnlyWhenNoTargetHasWantedOne() {
+            Router router = Fixtures.router(3);
+            var service = new org.rattanplank.core.intent.Service(Fixtures.SERVICE, true, "plank@2", true, true);
+            router.configured(
+                    new org.rattanplank.core.intent.Configuration(
+                            2, "", Map.of(Fixtures.SERVICE, service), Map.of(), Map.of(), Map.of(), Set.of()),
+                    10);
+            assertInstanceOf(Routing.Go.class, router.choose(Fixtures.request("a"), Fixtures.anywhere(Set.of()), 10));
+            router.reported(
+                    new TargetLoad(
+                            "t1", Fixtures.SERVICE, List.of("plank@1", "plank@2"), 8, 8, 8, 40, 10_000, false, 20),
+                    20);
+            for (int i = 0; i < 20; i++) {
+                assertEquals(
+                        "t1", go(router, Fixtures.request("b" + i), 30).route().peer());
+            }
+        }
+
+        @Test
+        void shouldLeaveRegionAndReturnWhenHomeIsFullAndThenIdle() {
+            Router router = Fixtures.router(2);
+            for (int i = 0; i < 10; i++) {
+                Fixtures.serve(router, Fixtures.request("l" + i), Fixtures.ANSWERED, 4_000, 10 + i);
+            }
+            router.regions(List.of(Fixtures.lautoka(2, 5_000)), 5_000);
+            assertEquals(0, shareAway(router, 5_100, 50), 0, "an idle home keeps its work");
+            router.reported(Fixtures.load("t0", 30, 5_200), 5_200);
+            router.reported(Fixtures.load("t1", 30, 5_200), 5_200);
+            assertTrue(shareAway(router, 5_300, 50) > 0.8, "a home with a queue of 11 s sends work away");
+            router.reported(Fixtures.load("t0", 2, 5_400), 5_400);
+            router.reported(Fixtures.load("t1", 2, 5_400), 5_400);
+            shareAway(router, 5_500, 30);
+            assertEquals(0, shareAway(router, 5_600, 50), 0, "an idle home takes its work back");
+        }
+
+        /**
+         * Symptom: a region that came back was slow again at once. Sequence: its links break and heal, its summary shows
+         * it idle, every host sends it all it has. Cause: its caches were cold, and nothing bounded the rate.
+         */
+        @Test
+        void shouldFillReturningRegionSlowlyWhenItsCachesAreCold() {
+            Router router = Fixtures.router(0);
+            router.regions(List.of(Fixtures.lautoka(0, 0)), 0);
+            router.regions(List.of(), 1_000);
+            router.regions(List.of(Fixtures.lautoka(0, 2_000)), 2_000);
+            assertTrue(sentAway(router, "a", 2_100) <= 4, "a tenth of 32 slots at first");
+            router.regions(List.of(Fixtures.lautoka(0, 12_000)), 12_000);
+            assertTrue(sentAway(router, "b", 12_100) >= 30, "all slots after ten seconds");
+        }
+
+        @Test
+        void shouldMoveToNewShareGraduallyWhenItChanges() {
+            RemoteTable table = new RemoteTable();
+            table.configured(Fixtures.shares(Map.of("suva", 1.0)), 0);
+            table.configured(Fixtures.shares(Map.of("suva", 0.2)), 1_000);
+            assertEquals(0.9, table.share("suva", 2_000), 1e-9);
+            assertEquals(0.2, table.share("suva", 20_000), 1e-9);
+            table.configured(Fixtures.shares(Map.of()), 20_000);
+            assertEquals(0.3, table.share("suva", 21_000), 1e-9);
+        }
+    }
+
+    @Nested
+    class Ended {
+        @Test
+        void shouldLetTargetBackOneRequestAtATimeWhenItHadFailed() {
+            Router router = Fixtures.router(4);
+            failUntilLeftOut(router, "t2");
+            assertFalse(routes(router, "x", 900, 40).contains("t2"), "left out");
+            List<String> back = routes(router, "y", 10_000, 40);
+            assertEquals(1, back.stream().filter("t2"::equals).count(), "one probe while it has not answered");
+        }
+
+        /** A target that asks for a pause is not at fault: it is left alone for that time and not longer. */
+        @Test
+        void shouldPauseTargetWhenItSaysWhenToComeBack() {
+            Router router = Fixtures.router(2);
+            AttemptResult busy = new AttemptResult.NotRun(Failure.of(Step.SEND, "", "no room"), 1_500);
+            String peer =
+                    Fixtures.serve(router, Fixtures.request("a"), busy, 1, 10).peer();
+            assertFalse(routes(router, "x", 500, 20).contains(peer));
+            assertTrue(routes(router, "y", 3_000, 20).contains(peer));
+        }
+    }
+
+    @Nested
+    class Finished {
+        /**
+         * Symptom: a silent target looked idle and got more and more requests. Sequence: it takes requests and never
+         * answers; each is given up at its deadline, so its load falls. Cause: given-up attempts did not count as
+         * failures.
+         */
+        @Test
+        void shouldLeaveOutSilentTargetWhenItsRequestsPassTheirDeadlines() {
+            Router router = Fixtures.router(4);
+            for (int i = 0; i < Ejection.FAILURES; i++) {
+                Request request = Fixtures.request("s" + i, "floor", WorkClass.INTERACTIVE, 1_000, List.of());
+                router.started(request, new Route.ToTarget("t3"), 10);
+                router.finished(request, 1_000);
+            }
+            assertFalse(routes(router, "x", 1_100, 40).contains("t3"));
+        }
+
+        @Test
+        void shouldForgetLoadWhenCallerCancels() {
+            Router router = Fixtures.router(1);
+            for (int i = 0; i < 200; i++) {
+                Request request = Fixtures.request("c" + i);
+                router.started(request, new Route.ToTarget("t0"), 10 + i);
+                router.finished(request, 20 + i);
+            }
+            RemoteRegion.ServiceLoad sum = router.summary(300).get(Fixtures.SERVICE);
+            assertEquals(0, sum.running() + sum.queued());
+        }
+    }
+
+    @Nested
+    class MayRetry {
+        /** Symptom: attempts grew to several times the requests. Cause: everything failed, and every failure retried. */
+        @Test
+        void shouldBoundAttemptsWhenEverythingFails() {
+            Router router = Fixtures.router(10);
+            int requests = 1_000;
+            int attempts = 0;
+            for (int i = 0; i < requests; i++) {
+                Request request = Fixtures.request("r" + i);
+                router.admit(request, 10 + i);
+                int had = 1;
+                while (router.mayRetry(request, had, 10 + i)) {
+                    had++;
+                }
+                attempts += had;
+            }
+            assertTrue(attempts <= 1.1 * requests, "attempts: " + attempts);
+        }
+    }
+
+    private static Routing.Go go(Router router, Request request, long nowMillis) {
+        return assertInstanceOf(Routing.Go.class, router.choose(request, Fixtures.anywhere(Set.of()), nowMillis));
+    }
+
+    private static void failUntilLeftOut(Router router, String target) {
+        for (int i = 0; i < Ejection.FAILURES; i++) {
+            Request request = Fixtures.request("f" + i);
+            Route route = new Route.ToTarget(target);
+            router.started(request, route, 10 + i);
+            router.ended(request, route, Fixtures.REFUSED, 1, 10 + i);
+        }
+    }
+
+    /** Starts so many requests without ending them, and returns where they went. */
+    private static List<String> routes(Router router, String prefix, long nowMillis, int count) {
+        List<String> peers = new ArrayList<>();
+        List<Request> started = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Request request = Fixtures.request(prefix + i);
+            Route route = go(router, request, nowMillis).route();
+            router.started(request, route, nowMillis);
+            started.add(request);
+            peers.add(route.peer());
+        }
+        started.forEach(request -> router.finished(request, nowMillis));
+        return peers;
+    }
+
+    private static double shareAway(Router router, long nowMillis, int count) {
+        int away = 0;
+        for (int i = 0; i < count; i++) {
+            away += go(router, Fixtures.request("s" + i), nowMillis).route() instanceof Route.ToHost ? 1 : 0;
+        }
+        return away / (double) count;
+    }
+
+    /** Sends requests away until the region takes no more as one with known room. */
+    private static int sentAway(Router router, String prefix, long nowMillis) {
+        List<Request> sent = new ArrayList<>();
+        while (sent.size() < 100) {
+            Request request = Fixtures.request(prefix + sent.size());
+            Routing.Go go = go(router, request, nowMillis);
+            if (go.candidates().stream()
+                    .anyMatch(candidate -> candidate.verdict().equals("last resort"))) {
+                break;
+            }
+            router.started(request, go.route(), nowMillis);
+            sent.add(request);
+        }
+        sent.forEach(request -> router.finished(request, nowMillis));
+        return sent.size();
+    }
+}
