--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/ScoredChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/ScoredChooser.java
@@ -109,19 +109,14 @@
                 return;
             }
             Predicate<Target> withinBound = target -> isOpen(target) && isWithinBound(target, known);
-            // Two services may be asked with the same prefix. Without the check of the service, a booking could go to
-            // the
-            // model engine that last saw the prefix; one would notice answers of the wrong service.
+            // Two services may be asked with the same prefix. Without the check of the service, a booking could go to the
+            // model engine that saw the prefix last; one would notice answers of the wrong service.
             affinity.lastTarget(key.get())
                     .filter(target -> target.service.equals(request.service()))
                     .filter(withinBound)
                     .forEach(target -> consider(target, known));
-            Option<Target> first = PrefixAffinity.first(known.targets(), key.get(), withinBound, Option.none());
-            first.forEach(target -> consider(target, known));
-            if (first.isDefined()) {
-                PrefixAffinity.first(known.targets(), key.get(), withinBound, first)
-                        .forEach(target -> consider(target, known));
-            }
+            PrefixAffinity.firstTwo(known.targets(), known.seeds(), key.get(), withinBound)
+                    .forEach(target -> consider(target, known));
         }
 
         /** Bounded load: a popular prefix fills its target up to a bound and then goes to the next in order. */
