--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/ScoredChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/ScoredChooser.java
@@ -109,7 +109,8 @@
                 return;
             }
             Predicate<Target> withinBound = target -> isOpen(target) && isWithinBound(target, known);
-            // Two services may be asked with the same prefix. Without the check of the service, a booking could go to the
+            // Two services may be asked with the same prefix. Without the check of the service, a booking could go to
+            // the
             // model engine that saw the prefix last; one would notice answers of the wrong service.
             affinity.lastTarget(key.get())
                     .filter(target -> target.service.equals(request.service()))
--- a/rattanplank-core/src/test/java/org/rattanplank/core/route/EstimatePropertiesTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/EstimatePropertiesTest.java
@@ -69,7 +69,7 @@
     @Example
     void shouldHoldBoundedPrefixesWhenAllAreNew() {
         PrefixAffinity affinity = new PrefixAffinity();
-        Target target = Target.warm("t", 0);
+        Target target = Target.warm("t", "plank-serve", 0);
         for (long i = 0; i < 2L * PrefixAffinity.MAX_PREFIXES; i++) {
             affinity.sent(List.of(i), target);
         }
@@ -82,7 +82,7 @@
         Target[] targets = new Target[10];
         long[] seeds = new long[10];
         for (int i = 0; i < 10; i++) {
-            targets[i] = Target.warm("t" + i, 0);
+            targets[i] = Target.warm("t" + i, "plank-serve", 0);
             seeds[i] = targets[i].seed;
         }
         List<Target> all = PrefixAffinity.firstTwo(targets, seeds, key, target -> true);
--- a/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterPropertiesTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterPropertiesTest.java
@@ -46,7 +46,7 @@
         ServiceTargets service = new ServiceTargets(Policy.COST);
         Target[] all = new Target[targets];
         for (int i = 0; i < targets; i++) {
-            all[i] = Target.warm("t" + i, 0);
+            all[i] = Target.warm("t" + i, "plank-serve", 0);
         }
         service.targets(all, 0);
         for (int i = 0; i < 100; i++) {
