Try a key's other home host, and name openers apart

Cause: (1) a booking asked away from its key's home was refused when the first home host was leaving, although the second took work (ClaimSessionTest shouldTryOtherHomeHostWhenTheFirstIsLeaving). Ruled out: the retry budget (two attempts were made, not many), resending (no time passed). Change: the next reachable home host is tried within the retry budget; a claim's opener is the request at one process; the accept rules stand apart. A session now fails when its messages never end.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
@@ -1,9 +1,7 @@
 package org.rattanplank.core;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.Lock;
 import java.util.concurrent.locks.ReentrantLock;
@@ -186,7 +184,9 @@
             return;
         }
         Configuration configuration = configurations.current();
-        Option<Failure> fault = faultOf(request, configuration);
+        Option<Failure> fault = draining
+                ? Option.some(Failure.of(Step.ADMIT, self.host(), "this host is leaving"))
+                : AcceptRules.faultOf(request, configuration, self.host());
         if (fault.isDefined()) {
             refuse(request, fault.get(), effects);
             return;
@@ -198,7 +198,7 @@
                     new Action.Finish(request.id(), new Outcome.NotRun(refuse.failure(), refuse.retryAfterMillis())));
             return;
         }
-        LiveRequest started = new LiveRequest(request, allowedRegions(request, configuration));
+        LiveRequest started = new LiveRequest(request, AcceptRules.allowedRegions(request, configuration));
         live.put(request.id(), started);
         if (request.repeatable() || request.claimed()) {
             route(started, nowMillis, effects);
@@ -207,39 +207,6 @@
         claim(started, configuration, nowMillis, effects);
     }
 
-    private Option<Failure> faultOf(Request request, Configuration configuration) {
-        if (draining) {
-            return Option.some(Failure.of(Step.ADMIT, self.host(), "this host is leaving"));
-        }
-        if (request.passedHosts().contains(self.host())) {
-            return Option.some(Failure.of(Step.ACCEPT, self.host(), "the request has been here before"));
-        }
-        if (configuration.service(request.service()).isEmpty()) {
-            return Option.some(Failure.of(Step.ACCEPT, request.service(), "no such service"));
-        }
-        if (configuration.account(request.account()).isEmpty()) {
-            return Option.some(Failure.of(Step.ACCEPT, request.account(), "no such account"));
-        }
-        if (!request.repeatable() && request.idempotencyKey().isEmpty()) {
-            return Option.some(
-                    Failure.of(Step.ACCEPT, request.service(), "a call that may not be repeated needs a key"));
-        }
-        return Option.none();
-    }
-
-    private static Set<String> allowedRegions(Request request, Configuration configuration) {
-        Option<String> ofAccount =
-                configuration.account(request.account()).map(Account::residency).filter(label -> !label.isEmpty());
-        Option<String> narrowest = request.residency().orElse(ofAccount);
-        Set<String> allowed = new HashSet<>(configuration.allowedRegions(request.homeRegion(), narrowest));
-        if (ofAccount.isDefined()) {
-            // A caller's own label can only narrow its account's residency; taken alone, a wrong label would let data
-            // out.
-            allowed.retainAll(configuration.allowedRegions(request.homeRegion(), ofAccount));
-        }
-        return allowed;
-    }
-
     private void claim(LiveRequest request, Configuration configuration, long nowMillis, Effects effects) {
         String home = configuration
                 .account(request.request.account())
@@ -255,20 +222,23 @@
         forwardToHome(request, home, nowMillis, effects);
     }
 
+    /** Hands the request to a host of the data centre that holds its key, where it has not been yet. */
     private void forwardToHome(LiveRequest request, String home, long nowMillis, Effects effects) {
-        List<String> hosts = members.reachable(home);
-        if (request.request.isForwarded() || hosts.isEmpty()) {
+        Option<String> host = Option.ofOptional(members.reachable(home).stream()
+                .filter(name -> !request.tried.contains(name))
+                .findFirst());
+        if (request.request.isForwarded() || host.isEmpty()) {
             Failure failure = Failure.of(Step.CLAIM, home, "the data centre that holds the key cannot be reached");
-            finish(request, new Outcome.NotRun(failure, RETRY_AFTER_MILLIS), nowMillis, effects);
+            giveUp(request, failure, RETRY_AFTER_MILLIS, nowMillis, effects);
             return;
         }
-        String region = members.regionOf(hosts.get(0)).getOrElse("");
+        String region = members.regionOf(host.get()).getOrElse("");
         if (!request.allowedRegions.contains(region)) {
             Failure failure = Failure.of(Step.CLAIM, home, "the residency does not allow the key's data centre");
-            finish(request, new Outcome.NotRun(failure, 0), nowMillis, effects);
+            giveUp(request, failure, 0, nowMillis, effects);
             return;
         }
-        start(request, new Route.ToHost(hosts.get(0), region), 0, nowMillis, effects);
+        start(request, new Route.ToHost(host.get(), region), 0, nowMillis, effects);
     }
 
     private void giveClaimBack(ClaimStep.Decide decide, long nowMillis, Effects effects) {
@@ -373,7 +343,6 @@
     private boolean mayTryAgain(LiveRequest request, long nowMillis) {
         return !request.finished
                 && nowMillis < request.request.deadlineMillis()
-                && !(request.route.get() instanceof Route.ToHost && needsHomeClaim(request))
                 && router.mayRetry(request.request, request.attempt, nowMillis);
     }
 
@@ -383,6 +352,10 @@
 
     private void tryAgain(LiveRequest request, long nowMillis, Effects effects) {
         request.route = Option.none();
+        if (needsHomeClaim(request)) {
+            claim(request, configurations.current(), nowMillis, effects);
+            return;
+        }
         route(request, nowMillis, effects);
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/claim/Claims.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/Claims.java
@@ -36,13 +36,15 @@
  */
 public final class Claims {
     private final ReentrantLock lock = new ReentrantLock();
+    private final Opener opener;
     private final ClaimLimits limits;
     private final ClaimTable table;
     private final ViewKeeper keeper;
     private final ClaimDesk desk;
     private boolean leftInTime;
 
-    private Claims(ClaimLimits limits, ClaimTable table, ViewKeeper keeper, ClaimDesk desk) {
+    private Claims(Opener opener, ClaimLimits limits, ClaimTable table, ViewKeeper keeper, ClaimDesk desk) {
+        this.opener = opener;
         this.limits = limits;
         this.table = table;
         this.keeper = keeper;
@@ -73,7 +75,7 @@
     static Claims of(NodeIdentity self, ClaimLimits limits, TakeoverRule rule) {
         ClaimTable table = new ClaimTable(limits);
         ViewKeeper keeper = new ViewKeeper(self, limits, rule, table);
-        return new Claims(limits, table, keeper, new ClaimDesk(keeper, table, limits));
+        return new Claims(Opener.of(self), limits, table, keeper, new ClaimDesk(keeper, table, limits));
     }
 
     Claims copy() {
@@ -81,7 +83,7 @@
         try {
             ClaimTable copiedTable = table.copy();
             ViewKeeper copiedKeeper = keeper.copy(copiedTable);
-            return new Claims(limits, copiedTable, copiedKeeper, desk.copy(copiedKeeper, copiedTable));
+            return new Claims(opener, limits, copiedTable, copiedKeeper, desk.copy(copiedKeeper, copiedTable));
         } finally {
             lock.unlock();
         }
@@ -106,7 +108,7 @@
      * @return what to do
      */
     public List<ClaimStep> open(ClaimKey key, String requestId, long nowMillis) {
-        return apply(nowMillis, out -> desk.open(key, requestId, nowMillis, out));
+        return apply(nowMillis, out -> desk.open(key, opener.nameOf(requestId), nowMillis, out));
     }
 
     /**
@@ -119,7 +121,7 @@
      * @return what to do
      */
     public List<ClaimStep> settle(ClaimKey key, String requestId, ClaimResult result, long nowMillis) {
-        return apply(nowMillis, out -> desk.settle(key, requestId, result, nowMillis, out));
+        return apply(nowMillis, out -> desk.settle(key, opener.nameOf(requestId), result, nowMillis, out));
     }
 
     /**
@@ -133,7 +135,7 @@
     public ClaimDecision abandon(ClaimKey key, String requestId, long nowMillis) {
         lock.lock();
         try {
-            return desk.abandon(key, requestId, nowMillis);
+            return desk.abandon(key, opener.nameOf(requestId), nowMillis);
         } finally {
             lock.unlock();
         }
@@ -274,7 +276,7 @@
             keeper.noticeTime(nowMillis, out);
             change.accept(out);
             desk.follow(nowMillis, out);
-            return out.toList();
+            return opener.withRequestIds(out.toList());
         } finally {
             lock.unlock();
         }
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/Opener.java
@@ -0,0 +1,42 @@
+package org.rattanplank.core.claim;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.rattanplank.core.NodeIdentity;
+
+/**
+ * Names requests so that no two hosts open a claim under one name. Immutable and thread safe.
+ *
+ * <p>A request that one host of the data centre refused may come to another host of it. Under the same name, the second
+ * opening would be taken for the first, which is settled: its primary would answer with the old end, and the host would
+ * ask again, without end. One would notice two hosts that send each other claims as fast as they can.
+ *
+ * @param suffix what this process adds to the identifier of a request
+ */
+record Opener(String suffix) {
+    Opener {
+        Objects.requireNonNull(suffix, "suffix");
+    }
+
+    static Opener of(NodeIdentity self) {
+        return new Opener("@" + self.host() + "/" + self.incarnation());
+    }
+
+    String nameOf(String requestId) {
+        return requestId + suffix;
+    }
+
+    List<ClaimStep> withRequestIds(List<ClaimStep> steps) {
+        return steps.stream().map(this::withRequestId).toList();
+    }
+
+    private ClaimStep withRequestId(ClaimStep step) {
+        if (step instanceof ClaimStep.Decide decide && decide.requestId().endsWith(suffix)) {
+            String requestId =
+                    decide.requestId().substring(0, decide.requestId().length() - suffix.length());
+            return new ClaimStep.Decide(requestId, decide.key(), decide.decision());
+        }
+        return step;
+    }
+}
--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/ClaimSessionTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/ClaimSessionTest.java
@@ -84,6 +84,17 @@
         assertInstanceOf(Outcome.Answered.class, session.onlyOutcome("r1"));
     }
 
+    @Test
+    void shouldTryOtherHomeHostWhenTheFirstIsLeaving() {
+        Session session = Koro.start();
+        session.ask("suva-1", Koro.draft(session, "r0", "suva"));
+        session.feed("suva-1", new Event.DrainAsked());
+        session.ask("lautoka-1", Koro.booking(session, "r1", "suva", Koro.KEY));
+        assertEquals(List.of("desk-suva"), session.waitingAt("r1"));
+        session.end("r1", Koro.whole("seal 7"));
+        assertInstanceOf(Outcome.Answered.class, session.onlyOutcome("r1"));
+    }
+
     @Test
     void shouldTellWhenToComeBackWhenHomeOfKeyIsCutOff() {
         Session session = Koro.start();
--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/Session.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/Session.java
@@ -44,6 +44,7 @@
     static final long TICK_MILLIS = 100;
 
     private static final long LOAD_EVERY_MILLIS = 500;
+    private static final int MOST_DELIVERIES = 100_000;
 
     private final Map<String, Node> nodes = new TreeMap<>();
     private final Map<String, NodeIdentity> identities = new TreeMap<>();
@@ -273,8 +274,12 @@
     }
 
     private void drainDeliveries() {
+        int count = 0;
         while (!deliveries.isEmpty()) {
             deliveries.poll().run();
+            if (++count > MOST_DELIVERIES) {
+                throw new AssertionError("messages never end: " + transcript.tail());
+            }
         }
     }
 
--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/Transcript.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/Transcript.java
@@ -23,6 +23,7 @@
     private static final Pattern REQUEST =
             Pattern.compile("Request\\[id=([^,]*), account=([^,]*), service=([^,]*), .*?claimed=\\w+\\]");
     private static final Pattern ARRAY = Pattern.compile("\\[B@[0-9a-f]+");
+    private static final int TAIL_LENGTH = 2_000;
     private static final Path FOLDER = Path.of("src/test/resources/golden");
 
     private final StringBuilder text = new StringBuilder();
@@ -48,6 +49,11 @@
                 .append('\n');
     }
 
+    /** The newest part of what was written down. */
+    String tail() {
+        return text.substring(Math.max(0, text.length() - TAIL_LENGTH));
+    }
+
     /** Forgets what was written down so far. */
     void clear() {
         text.setLength(0);
