Move the copying of claims out of the keeper of views

Cause: one file held the views and both sides of the copying to joiners. Change: SyncSessions is the members' side, SyncCopy the joining host's; no change of behaviour intended.

--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/SyncSessions.java
@@ -0,0 +1,100 @@
+package org.rattanplank.core.claim;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.vavr.control.Option;
+import org.rattanplank.schema.message.ClaimEntry;
+import org.rattanplank.schema.message.ViewSync;
+import org.rattanplank.schema.message.ViewSynced;
+
+/**
+ * The copying of claims to all hosts that join through this one; at most one session a host. Not thread safe; guarded by
+ * the lock of {@link Claims}.
+ */
+final class SyncSessions {
+    private final ClaimTable table;
+    private final Links links;
+    private final long resendMillis;
+    private final Map<String, SyncSession> sessions = new TreeMap<>();
+
+    SyncSessions(ClaimTable table, Links links, long resendMillis) {
+        this.table = table;
+        this.links = links;
+        this.resendMillis = resendMillis;
+    }
+
+    SyncSessions copy(ClaimTable copiedTable, Links copiedLinks) {
+        SyncSessions copy = new SyncSessions(copiedTable, copiedLinks, resendMillis);
+        sessions.forEach((host, session) -> copy.sessions.put(host, session.copy()));
+        return copy;
+    }
+
+    Option<SyncSession> find(String host) {
+        return Option.of(sessions.get(host));
+    }
+
+    /** The reachable hosts that hold all that this host does. */
+    List<ViewMemberId> cleanJoiners() {
+        return sessions.values().stream()
+                .filter(SyncSession::isClean)
+                .map(SyncSession::joiner)
+                .filter(links::isUp)
+                .toList();
+    }
+
+    void changed(ClaimKey key) {
+        sessions.values().forEach(session -> session.changed(key));
+    }
+
+    /** Begins to copy, unless a session with the same process goes on and that process keeps track of it. */
+    void begin(String newId, ViewMemberId joiner, String joinersSessionId) {
+        Option<SyncSession> running =
+                find(joiner.host()).filter(session -> session.joiner().equals(joiner));
+        boolean lostTrack =
+                running.exists(session -> session.hasBegun() && !session.id().equals(joinersSessionId));
+        if (running.isEmpty() || lostTrack) {
+            sessions.put(joiner.host(), new SyncSession(newId, joiner, table.all()));
+        }
+    }
+
+    void end(String host) {
+        sessions.remove(host);
+    }
+
+    void endMembers(ClaimView view) {
+        sessions.keySet().removeIf(host -> view.memberAt(host).isDefined());
+    }
+
+    void endAll() {
+        sessions.clear();
+    }
+
+    void acknowledged(String host, ViewSynced message) {
+        find(host).forEach(session -> session.acknowledge(message.sessionId(), message.number()));
+    }
+
+    /** Sends every chunk that is due. */
+    void send(long nowMillis, StepList out) {
+        sessions.values().removeIf(session -> !links.isUp(session.joiner()));
+        for (SyncSession session : sessions.values()) {
+            if (session.isDue(resendMillis, nowMillis)) {
+                sendChunk(session, nowMillis, out);
+            }
+        }
+    }
+
+    private void sendChunk(SyncSession session, long nowMillis, StepList out) {
+        session.send(nowMillis);
+        List<ClaimEntry> claims = session.chunk().stream()
+                .flatMap(key -> table.find(key).toJavaStream())
+                .map(ClaimEntries::toEntry)
+                .toList();
+        out.send(session.joiner().host(), new ViewSync(session.id(), session.number(), claims));
+    }
+
+    String describe() {
+        return sessions.values().stream().map(SyncSession::describe).toList().toString();
+    }
+}
--- a/rattanplank-core/src/main/java/org/rattanplank/core/claim/ViewKeeper.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ViewKeeper.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.stream.Stream;
 
@@ -13,7 +11,6 @@
 import org.rattanplank.core.host.HostList;
 import org.rattanplank.core.store.StoreEntry;
 import org.rattanplank.core.store.StoreReply;
-import org.rattanplank.schema.message.ClaimEntry;
 import org.rattanplank.schema.message.ViewAsk;
 import org.rattanplank.schema.message.ViewConsent;
 import org.rattanplank.schema.message.ViewInstall;
@@ -36,8 +33,6 @@
  * thread safe; guarded by the lock of {@link Claims}.
  */
 final class ViewKeeper {
-    private static final int QUIET_JOINS = 4;
-
     private final ViewMemberId me;
     private final String dataCentre;
     private final ClaimLimits limits;
@@ -46,7 +41,8 @@
     private final Links links;
     private final Evidence evidence;
     private final ViewStore store;
-    private final Map<String, SyncSession> syncs = new TreeMap<>();
+    private final SyncSessions syncs;
+    private final SyncCopy copying;
     private final Set<String> leavers = new TreeSet<>();
     private final Set<String> uninstalled = new TreeSet<>();
     private final Set<String> unconfirmed = new TreeSet<>();
@@ -55,13 +51,8 @@
     private Option<ViewChange> change = Option.none();
     private Option<ClaimView> consented = Option.none();
     private String consentedTo = "";
-    private String sessionId = "";
-    private long sessionNumber = -1;
-    private String preparedFor = "";
     private long epoch;
     private long nextId = 1;
-    private int joinsSinceHeard;
-    private int contact;
     private boolean leaving;
     private long leaveSinceMillis;
     private long lastEventMillis = -1;
@@ -74,6 +65,8 @@
         this.limits = limits;
         this.rule = rule;
         links = new Links();
+        syncs = new SyncSessions(table, links, limits.resendMillis());
+        copying = new SyncCopy(table);
         evidence = new Evidence(self.place(), limits.listLagMillis());
         store = new ViewStore(dataCentre);
     }
@@ -87,7 +80,8 @@
         links = other.links.copy();
         evidence = other.evidence.copy();
         store = other.store.copy();
-        other.syncs.forEach((host, sync) -> syncs.put(host, sync.copy()));
+        syncs = other.syncs.copy(table, links);
+        copying = other.copying.copy(table);
         leavers.addAll(other.leavers);
         uninstalled.addAll(other.uninstalled);
         unconfirmed.addAll(other.unconfirmed);
@@ -96,13 +90,8 @@
         change = other.change;
         consented = other.consented;
         consentedTo = other.consentedTo;
-        sessionId = other.sessionId;
-        sessionNumber = other.sessionNumber;
-        preparedFor = other.preparedFor;
         epoch = other.epoch;
         nextId = other.nextId;
-        joinsSinceHeard = other.joinsSinceHeard;
-        contact = other.contact;
         leaving = other.leaving;
         leaveSinceMillis = other.leaveSinceMillis;
         lastEventMillis = other.lastEventMillis;
@@ -178,7 +167,7 @@
     }
 
     void changed(ClaimKey key) {
-        syncs.values().forEach(sync -> sync.changed(key));
+        syncs.changed(key);
     }
 
     void connected(String host, long incarnation) {
@@ -252,7 +241,7 @@
             case ACTIVE -> keep(resultsKnown, nowMillis, out);
             default -> throw new IllegalStateException("no such phase");
         }
-        sync(nowMillis, out);
+        syncs.send(nowMillis, out);
     }
 
     // Outside: find a view to join, or form one.
@@ -275,26 +264,16 @@
         }
         List<ViewMemberId> members = reachableMembers();
         if (!members.isEmpty()) {
-            askToJoin(members, out);
+            copying.ask(members, out);
         }
         if (members.isEmpty()) {
             links.hosts().forEach(host -> out.send(host, new ViewAsk(0, "")));
         }
-        if (members.isEmpty() || joinsSinceHeard > QUIET_JOINS) {
+        if (members.isEmpty() || copying.isQuiet()) {
             store.read(out);
         }
     }
 
-    private void askToJoin(List<ViewMemberId> members, StepList out) {
-        joinsSinceHeard++;
-        if (joinsSinceHeard > QUIET_JOINS) {
-            contact++;
-            joinsSinceHeard = 1;
-            sessionId = "";
-        }
-        out.send(members.get(contact % members.size()).host(), new ViewJoin(sessionId));
-    }
-
     private List<ViewMemberId> reachableMembers() {
         return view.map(known -> known.members().stream().filter(links::isUp).toList())
                 .getOrElse(List.of());
@@ -419,11 +398,7 @@
     }
 
     private void adjust(long nowMillis, StepList out) {
-        List<ViewMemberId> joiners = syncs.values().stream()
-                .filter(SyncSession::isClean)
-                .map(SyncSession::joiner)
-                .filter(links::isUp)
-                .toList();
+        List<ViewMemberId> joiners = syncs.cleanJoiners();
         List<ViewMemberId> staying = view.get().members().stream()
                 .filter(member -> !leavers.contains(member.host()))
                 .toList();
@@ -491,7 +466,7 @@
         if (view.get().memberAt(host).isDefined()) {
             links.silent(host);
         } else {
-            syncs.remove(host);
+            syncs.end(host);
         }
     }
 
@@ -512,7 +487,7 @@
     private void propose(StepList out) {
         ViewChange pending = change.get();
         for (String host : pending.awaited()) {
-            Option<SyncSession> sync = Option.of(syncs.get(host));
+            Option<SyncSession> sync = syncs.find(host);
             boolean member = view.get().memberAt(host).isDefined();
             // A joining host must hold every claim of the old view before it agrees to be in the next one.
             if (member || sync.exists(SyncSession::isClean)) {
@@ -613,9 +588,11 @@
         change = Option.none();
         consented = Option.none();
         // A host that only learns of a view may still be ready for the one after it.
-        preparedFor = next.contains(me) ? "" : preparedFor;
+        if (next.contains(me)) {
+            copying.unready();
+        }
         unconfirmed.clear();
-        syncs.values().removeIf(sync -> next.memberAt(sync.joiner().host()).isDefined());
+        syncs.endMembers(next);
         leavers.removeIf(host -> next.memberAt(host).isEmpty());
         evidence.viewLearned(nowMillis);
         links.viewChanged();
@@ -626,7 +603,7 @@
         phase = next;
         epoch++;
         if (!next.isMember()) {
-            syncs.clear();
+            syncs.endAll();
             leavers.clear();
         }
     }
@@ -642,7 +619,7 @@
             return;
         }
         boolean continuing = phase.isMember() && view.exists(current -> current.contains(me));
-        boolean prepared = next.changeId().equals(preparedFor);
+        boolean prepared = copying.isReadyFor(next.changeId());
         boolean own = change.exists(pending -> pending.proposed().equals(next));
         if (!next.contains(me) || continuing || prepared || own) {
             install(next, nowMillis);
@@ -727,8 +704,7 @@
         }
         ClaimView proposed = told.get();
         if (phase == ViewPhase.OUTSIDE) {
-            boolean ready = !sessionId.isEmpty() && sessionId.equals(message.sessionId()) && proposed.contains(me);
-            preparedFor = ready ? proposed.changeId() : preparedFor;
+            boolean ready = proposed.contains(me) && copying.agree(message.sessionId(), proposed.changeId());
             out.send(host, new ViewConsent(proposed.changeId(), ready));
             return;
         }
@@ -768,13 +744,13 @@
 
     private void blameJoiner(String host) {
         if (view.get().memberAt(host).isEmpty()) {
-            syncs.remove(host);
+            syncs.end(host);
         }
     }
 
     void receiveWithdraw(String changeId) {
-        if (preparedFor.equals(changeId)) {
-            preparedFor = "";
+        if (copying.isReadyFor(changeId)) {
+            copying.unready();
         }
         boolean agreed = consented.exists(next -> next.changeId().equals(changeId));
         if (agreed && change.isEmpty()) {
@@ -808,58 +784,18 @@
             tellView(host, out);
             return;
         }
-        Option<SyncSession> running =
-                Option.of(syncs.get(host)).filter(sync -> sync.joiner().equals(joiner));
-        boolean lostTrack = running.exists(sync -> sync.hasBegun() && !sync.id().equals(message.sessionId()));
-        if (running.isEmpty() || lostTrack) {
-            syncs.put(host, new SyncSession(newId(), joiner, table.all()));
-        }
-    }
-
-    private void sync(long nowMillis, StepList out) {
-        syncs.values().removeIf(sync -> !links.isUp(sync.joiner()));
-        for (SyncSession sync : syncs.values()) {
-            if (sync.isDue(limits.resendMillis(), nowMillis)) {
-                sendChunk(sync, nowMillis, out);
-            }
-        }
-    }
-
-    private void sendChunk(SyncSession sync, long nowMillis, StepList out) {
-        sync.send(nowMillis);
-        List<ClaimEntry> claims = sync.chunk().stream()
-                .flatMap(key -> table.find(key).toJavaStream())
-                .map(ClaimEntries::toEntry)
-                .toList();
-        out.send(sync.joiner().host(), new ViewSync(sync.id(), sync.number(), claims));
+        syncs.begin(newId(), joiner, message.sessionId());
     }
 
     void receiveSynced(String host, ViewSynced message, long nowMillis, StepList out) {
-        Option.of(syncs.get(host)).forEach(sync -> sync.acknowledge(message.sessionId(), message.number()));
-        sync(nowMillis, out);
+        syncs.acknowledged(host, message);
+        syncs.send(nowMillis, out);
     }
 
     void receiveSync(String host, ViewSync message, StepList out) {
-        if (phase.isMember() || leaving) {
-            return;
-        }
-        boolean starts = message.number() == 0 && !sessionId.equals(message.sessionId());
-        if (starts) {
-            // What this host held may be older than what the members hold, and they hold every claim that counts.
-            table.clear();
-            sessionId = message.sessionId();
-            sessionNumber = -1;
-            preparedFor = "";
-        }
-        if (!sessionId.equals(message.sessionId()) || message.number() > sessionNumber + 1) {
-            return;
-        }
-        joinsSinceHeard = 0;
-        if (message.number() == sessionNumber + 1) {
-            message.claims().forEach(entry -> table.merge(ClaimEntries.fromEntry(entry)));
-            sessionNumber++;
+        if (!phase.isMember() && !leaving) {
+            copying.receive(host, message, out);
         }
-        out.send(host, new ViewSynced(sessionId, message.number()));
     }
 
     private String idPrefix() {
@@ -875,12 +811,11 @@
         return String.join(
                 "; ",
                 phase + " " + view + " " + change.map(ViewKeeper::withoutTimes) + " " + consented + consentedTo,
-                sessionId + " " + sessionNumber + " " + preparedFor + " " + uninstalled + unconfirmed + leavers
-                        + leaving,
+                copying.describe() + " " + uninstalled + unconfirmed + leavers + leaving,
                 links.describe(),
                 evidence.describe(),
                 store.describe(),
-                syncs.values().stream().map(SyncSession::describe).toList().toString());
+                syncs.describe());
     }
 
     private static ViewChange withoutTimes(ViewChange pending) {
