Share work out over a minute instead of ten seconds

Cause: accounts send one request in ten seconds; within so short a memory chance decided who was over its share. Change: half-life 60 s, floor 1.1 times the mean.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/limit/FairShare.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/limit/FairShare.java
@@ -17,7 +17,7 @@
     public static final long EPOCH_MILLIS = 1_000;
 
     /** How fast past work is forgotten; long enough that a small account's single requests do not look like a burst. */
-    public static final long HALF_LIFE_MILLIS = 10_000;
+    public static final long HALF_LIFE_MILLIS = 60_000;
 
     /** How many accounts are held at most. */
     public static final int MAX_ACCOUNTS = 8_192;
@@ -26,7 +26,7 @@
     private static final double SHARED_PART = 0.9;
 
     /** The lowest level, in units of the mean work per weight; above one, since work comes in lumps. */
-    private static final double FLOOR_OF_MEAN = 1.5;
+    private static final double FLOOR_OF_MEAN = 1.1;
 
     private static final double IDLE_WORK_MILLIS = 1;
     private static final int BISECTIONS = 16;
