Forget services that are neither listed nor configured

Cause: the table kept an entry for every service that was ever listed, which nothing bounded. Ruled out: forgetting a service as soon as its last target goes (its targets would come back as warm). Change: an unlisted service goes with the next configuration that does not name it. Measured: nothing; it is a bound.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/TargetTable.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/TargetTable.java
@@ -13,7 +13,7 @@
 /**
  * The targets of this region by name and by service.
  *
- * <p>Invariant: it holds the listed targets and no others, and one entry for each service that was ever listed. A target
+ * <p>Invariant: it holds the listed targets and no others, and one entry for each service that is listed or configured. A target
  * that is listed after its service had others starts cold. Confined to the router's lock.
  */
 final class TargetTable {
@@ -70,6 +70,9 @@
 
     void configured(Configuration newer) {
         configuration = newer;
+        services.entrySet()
+                .removeIf(service -> service.getValue().size() == 0
+                        && newer.service(service.getKey()).isEmpty());
         services.forEach((name, service) -> service.wantedVersion(wantedVersion(name)));
     }
 
