Ask for two services with the same prefixes in the routing property

Cause: the property knew one service, so it missed that a prefix could lead to another service's target. Ruled out: an example test alone (the next such path would be missed again). Change: three of the eight targets run a second service, and each choice is checked against the request's. Measured: with the check of the service taken out of the chooser the property fails (runs another service); with it, it holds. Conclusion: kept.

--- a/rattanplank-core/src/test/java/org/rattanplank/core/route/Fixtures.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/Fixtures.java
@@ -36,6 +36,29 @@
         return targets;
     }
 
+    static ListedHost ofService(ListedHost target, String service) {
+        return new ListedHost(target.name(), HostRole.TARGET, SUVA, "127.0.0.1", 1, 0, service, false);
+    }
+
+    static Request ofService(Request request, String service) {
+        return new Request(
+                request.id(),
+                request.account(),
+                service,
+                request.workClass(),
+                true,
+                Option.none(),
+                "suva",
+                Option.none(),
+                request.deadlineMillis(),
+                request.promptTokens(),
+                request.maxTokens(),
+                request.prefixHashes(),
+                false,
+                List.of(),
+                false);
+    }
+
     static Router router(int targets) {
         Router router = Router.of(SUVA, Policy.COST, 7);
         router.targets(targets(targets), 0);
--- a/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterPropertiesTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterPropertiesTest.java
@@ -24,6 +24,7 @@
 /** What holds for every policy, whatever happened before. */
 class RouterPropertiesTest {
     private static final int STEPS = 300;
+    private static final String OTHER = "crew-desk";
 
     @Property(tries = 200, seed = "42")
     void shouldChooseOnlyEligiblePeersWhenAnythingHappens(@ForAll Policy policy, @ForAll Random random) {
@@ -113,8 +114,13 @@
             return List.of();
         }
 
+        private static boolean runsOther(String target) {
+            return target.equals("t5") || target.equals("t6") || target.equals("t7");
+        }
+
         private void list(long nowMillis) {
             List<ListedHost> now = Fixtures.targets(8).stream()
+                    .map(target -> runsOther(target.name()) ? Fixtures.ofService(target, OTHER) : target)
                     .filter(target -> random.nextInt(4) > 0)
                     .toList();
             Set<String> names = new HashSet<>();
@@ -156,12 +162,13 @@
         }
 
         private Routing choose(long nowMillis) {
-            Request request = Fixtures.request(
+            Request drawn = Fixtures.request(
                     "r" + requests++,
                     "a" + random.nextInt(3),
                     WorkClass.values()[random.nextInt(3)],
                     nowMillis + random.nextInt(20_000),
                     List.of((long) random.nextInt(5), 100L + random.nextInt(20)));
+            Request request = random.nextInt(3) == 0 ? Fixtures.ofService(drawn, OTHER) : drawn;
             Set<String> tried = new HashSet<>();
             for (int i = random.nextInt(6); i > 0; i--) {
                 tried.add("t" + random.nextInt(8));
@@ -174,7 +181,7 @@
             router.admit(request, nowMillis);
             Routing routing = router.choose(request, new Eligibility(allowed, mayCross, tried), nowMillis);
             if (routing instanceof Routing.Go go) {
-                check(go.route(), allowed, mayCross, tried);
+                check(request, go.route(), allowed, mayCross, tried);
                 router.started(request, go.route(), nowMillis);
                 running.add(request);
             }
@@ -182,13 +189,14 @@
             return routing;
         }
 
-        private void check(Route route, Set<String> allowed, boolean mayCross, Set<String> tried) {
+        private void check(Request request, Route route, Set<String> allowed, boolean mayCross, Set<String> tried) {
             assertFalse(tried.contains(route.peer()), "tried before");
             if (route instanceof Route.ToHost host) {
                 assertTrue(mayCross && allowed.contains(host.region()), "crossing where it may not");
             } else {
                 assertTrue(allowed.contains("suva"), "served outside its residency");
                 assertTrue(listed.contains(route.peer()), "not listed");
+                assertEquals(request.service().equals(OTHER), runsOther(route.peer()), "runs another service");
                 assertFalse(leaving.contains(route.peer()), "leaving");
             }
         }
