Never hold an account back while it is alone, or while all work rises

Ruled out: finding the level anew at each request (it runs through all accounts). Change: the floor of the level follows running sums of this moment; the account is told the sooner of the time at which it is back at its share and the time at which the backlog is gone.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/limit/Admission.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/limit/Admission.java
@@ -84,7 +84,10 @@
         }
         long overShareMillis = backlog.depth() > FAIR_SHARE_DEPTH ? shares.overMillis(request.account()) : 0;
         if (overShareMillis > 0) {
-            return Option.some(new Refusal("the account is over its fair share", comeBack(overShareMillis)));
+            // The account may go on when it is back at its share, or when the backlog is gone, whichever comes first.
+            double backlogMillis = backlog.waitMillis() - FAIR_SHARE_DEPTH * backlog.meanRunMillis();
+            long soonestMillis = Math.round(Math.min(overShareMillis, backlogMillis));
+            return Option.some(new Refusal("the account is over its fair share", comeBack(soonestMillis)));
         }
         return late(request, backlog, nowMillis);
     }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/limit/FairShare.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/limit/FairShare.java
@@ -36,9 +36,15 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Use> eldest) {
-            return size() > MAX_ACCOUNTS;
+            if (size() <= MAX_ACCOUNTS) {
+                return false;
+            }
+            forget(eldest.getValue());
+            return true;
         }
     };
+    private double admittedMillis;
+    private double weights;
     private double levelMillis = Double.POSITIVE_INFINITY;
     private long epochEndsMillis;
 
@@ -73,6 +79,7 @@
     public void demanded(String account, double weight, double workMillis, long nowMillis) {
         roll(nowMillis);
         Use use = uses.computeIfAbsent(account, name -> new Use());
+        weights += weight - use.weight;
         use.weight = weight;
         use.demandedMillis += workMillis;
     }
@@ -87,6 +94,7 @@
         Use use = uses.get(account);
         if (use != null) {
             use.admittedMillis += workMillis;
+            admittedMillis += workMillis;
         }
     }
 
@@ -98,13 +106,28 @@
      */
     public long overMillis(String account) {
         Use use = uses.get(account);
-        if (use == null || use.admittedMillis <= levelMillis * use.weight) {
+        if (use == null) {
+            return 0;
+        }
+        double shareMillis = Math.max(levelMillis, floorMillis()) * use.weight;
+        if (use.admittedMillis <= shareMillis) {
             return 0;
         }
-        double halvings = Math.log(use.admittedMillis / (levelMillis * use.weight)) / Math.log(2);
+        double halvings = Math.log(use.admittedMillis / shareMillis) / Math.log(2);
         return Math.max(EPOCH_MILLIS, Math.round(halvings * HALF_LIFE_MILLIS));
     }
 
+    /**
+     * The level below which no account is held back, by the work of this moment.
+     *
+     * <p>What goes wrong without it: the backlog may come from other hosts, and holding this host's accounts back does not
+     * shrink it, so the level would fall to nothing; or all work rises within one epoch, and the level found before is too
+     * low for everyone. One would notice a host that refuses all its accounts, or its only one.
+     */
+    private double floorMillis() {
+        return FLOOR_OF_MEAN * admittedMillis / weights;
+    }
+
     private void roll(long nowMillis) {
         if (nowMillis < epochEndsMillis) {
             return;
@@ -115,6 +138,12 @@
         double kept = Math.pow(0.5, (double) epochs * EPOCH_MILLIS / HALF_LIFE_MILLIS);
         uses.values().forEach(use -> use.decay(kept));
         uses.values().removeIf(Use::isIdle);
+        admittedMillis = 0;
+        weights = 0;
+        for (Use use : uses.values()) {
+            admittedMillis += use.admittedMillis;
+            weights += use.weight;
+        }
     }
 
     private double level() {
@@ -133,23 +162,12 @@
                 low = middle;
             }
         }
-        return Math.max(high, floor());
+        return high;
     }
 
-    /**
-     * The level below which no account is held back.
-     *
-     * <p>What goes wrong without it: the backlog may come from other hosts, and holding this host's accounts back does not
-     * shrink it, so the level would fall to nothing. One would notice a host that refuses all its accounts.
-     */
-    private double floor() {
-        double admitted = 0;
-        double weights = 0;
-        for (Use use : uses.values()) {
-            admitted += use.admittedMillis;
-            weights += use.weight;
-        }
-        return weights == 0 ? Double.POSITIVE_INFINITY : FLOOR_OF_MEAN * admitted / weights;
+    private void forget(Use use) {
+        admittedMillis -= use.admittedMillis;
+        weights -= use.weight;
     }
 
     private double servedAt(double level) {
@@ -161,7 +179,7 @@
     }
 
     private static final class Use {
-        private double weight = 1;
+        private double weight;
         private double demandedMillis;
         private double admittedMillis;
 
--- a/rattanplank-core/src/test/java/org/rattanplank/core/limit/AdmissionTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/limit/AdmissionTest.java
@@ -64,6 +64,22 @@
             assertEquals(0, refused[1], "light refused");
         }
 
+        /**
+         * Symptom: a burst of the only account was refused as over its share. Sequence: the level is found while the
+         * account is quiet, then it sends as much as ever within the same second. Cause: the level of a quiet time held
+         * until the next one was found.
+         */
+        @Test
+        void shouldNotHoldAccountBackWhenItIsAlone() {
+            Backlog overload = new Backlog(2_000, 1_000, 1_000);
+            for (int i = 0; i < 200; i++) {
+                long nowMillis = i < 3 ? i * 5_000L : 10_100;
+                assertTrue(admission
+                        .admit(request("only", WorkClass.INTERACTIVE, 90_000), 1, overload, nowMillis)
+                        .isEmpty());
+            }
+        }
+
         @Test
         void shouldRefuseNobodyWhenThereIsNoBacklog() {
             for (int i = 0; i < 3_000; i++) {
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/RoutingSessionTest.java
@@ -0,0 +1,105 @@
+package org.rattanplank.core.session;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.rattanplank.core.Event;
+import org.rattanplank.core.limit.RetryBudget;
+import org.rattanplank.core.request.Outcome;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Sessions that show what the router decides over time. */
+class RoutingSessionTest {
+    private static final int REQUESTS = 24;
+
+    @Test
+    void shouldSpillAndReturnWhenHomeIsFullAndThenIdle() {
+        Session session = Koro.start();
+        learnRunTimes(session, "suva");
+        session.transcript().clear();
+        List<String> asked = ask(session, "full", "suva", 32);
+        assertTrue(asked.stream().anyMatch(id -> !isAt(session, id, "plank-suva")), "none has left the region");
+        assertTrue(asked.stream().filter(id -> isAt(session, id, "plank-suva")).count() >= 8, "home has free slots");
+        asked.forEach(id -> session.end(id, Koro.whole("steps")));
+        session.pass(2_000);
+        for (String id : ask(session, "idle", "suva", 4)) {
+            assertTrue(isAt(session, id, "plank-suva"), "an idle home keeps its work");
+        }
+        session.transcript().assertMatches("spill-and-return");
+    }
+
+    /*
+     * Symptom: a target that had restarted was slow for all. Sequence: it stops answering, comes back, and gets as much
+     * as before at once. Cause: its reports looked idle, and nothing let it back a little at a time.
+     */
+    @Test
+    void shouldLetTargetBackOneRequestAtATimeWhenItHadStoppedAnswering() {
+        Session session = twoTargets("suva");
+        session.transcript().clear();
+        for (int missed = 0; missed < 3; missed++) {
+            session.feed("suva-1", new Event.LoadMissed("plank-suva"));
+        }
+        for (String id : ask(session, "out", "suva", 4)) {
+            assertTrue(isAt(session, id, "plank-suva-2"), "left out");
+        }
+        session.pass(1_500);
+        List<String> back = ask(session, "back", "suva", 8);
+        assertEquals(
+                1, back.stream().filter(id -> isAt(session, id, "plank-suva")).count());
+        session.transcript().assertMatches("ejection");
+    }
+
+    /*
+     * Symptom: attempts grew to a multiple of the requests. Sequence: both targets refuse everything, and every refused
+     * request is tried again. Cause: retries were bounded for each request, not over all.
+     */
+    @Test
+    void shouldBoundAttemptsWhenBothTargetsRefuseAll() {
+        Session session = twoTargets("labasa");
+        session.transcript().clear();
+        int attempts = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            String id = "storm-" + i;
+            session.ask("labasa-1", Koro.draft(session, id, "labasa"));
+            while (!session.waitingAt(id).isEmpty()) {
+                attempts++;
+                session.end(id, Koro.refused(session.waitingAt(id).get(0)));
+            }
+            assertInstanceOf(Outcome.NotRun.class, session.onlyOutcome(id));
+        }
+        assertTrue(attempts <= REQUESTS * (1 + RetryBudget.PER_REQUEST) + RetryBudget.BURST, "attempts: " + attempts);
+        session.transcript().assertMatches("retry-storm");
+    }
+
+    private static Session twoTargets(String region) {
+        return Koro.start()
+                .target("plank-" + region + "-2", "plank-serve", region, region + "-hall")
+                .relist()
+                .pass(5_000);
+    }
+
+    /** Lets the router see that requests run for four seconds. */
+    private static void learnRunTimes(Session session, String region) {
+        List<String> asked = ask(session, "learn", region, 5);
+        session.pass(4_000);
+        asked.forEach(id -> session.end(id, Koro.whole("steps")));
+    }
+
+    private static List<String> ask(Session session, String name, String region, int count) {
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String id = name + "-" + i;
+            session.ask(region + "-1", Koro.draft(session, id, region));
+            ids.add(id);
+        }
+        return ids;
+    }
+
+    private static boolean isAt(Session session, String requestId, String target) {
+        return session.waitingAt(requestId).contains(target);
+    }
+}
