--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/EntryHostsCommand.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/EntryHostsCommand.java
@@ -37,7 +37,7 @@
     private static Report show(JsonNode entryHosts) {
         List<String> lines = new ArrayList<>();
         for (JsonNode host : entryHosts.path("hosts")) {
-            lines.add(host.path("name").asText() + " in "
+            lines.add(host.path("host").asText() + " in "
                     + host.path("dataCentre").asText() + " at "
                     + host.path("address").asText() + ":" + host.path("port").asInt());
         }
--- a/rattanplank-cli/src/test/java/org/rattanplank/cli/MainTest.java
+++ b/rattanplank-cli/src/test/java/org/rattanplank/cli/MainTest.java
@@ -130,6 +130,36 @@
         assertEquals(ExitCode.REFUSED, run("drain", "--operators", host, "suva-9"));
     }
 
+    @Test
+    void shouldNameHostsAndTheirAddressesWhenCallersAreSentToThem() {
+        String host = Addresses.write(loop.serve(0, MainTest::answerEntryHosts));
+        assertEquals(ExitCode.DONE, run("entry-hosts", "--operators", host));
+        assertTrue(out.toString().contains("suva-1 in suva-hall at 127.0.0.1:8080"), out.toString());
+    }
+
+    @Test
+    void shouldTellCandidatesAndScoresWhenRequestIsExplained() {
+        String host = Addresses.write(loop.serve(0, MainTest::answerExplanation));
+        assertEquals(ExitCode.DONE, run("explain", "--operators", host, "r1"));
+        assertTrue(out.toString().contains("attempt 1: desk-1"), out.toString());
+        assertTrue(out.toString().contains("desk-2: leaving, score 0.5"), out.toString());
+    }
+
+    private static void answerEntryHosts(Exchange exchange) {
+        exchange.respond(
+                200,
+                Json.readOrEmpty("{\"hosts\":[{\"host\":\"suva-1\",\"dataCentre\":\"suva-hall\","
+                        + "\"address\":\"127.0.0.1\",\"port\":8080}],\"ttlMillis\":2000}"));
+    }
+
+    private static void answerExplanation(Exchange exchange) {
+        exchange.respond(
+                200,
+                Json.readOrEmpty("{\"requestId\":\"r1\",\"service\":\"crew-desk\",\"outcome\":\"answered\",\"routings\":["
+                        + "{\"route\":{\"target\":\"desk-1\"},\"candidates\":["
+                        + "{\"peer\":\"desk-2\",\"verdict\":\"leaving\",\"score\":0.5}]}]}"));
+    }
+
     private static void answerStatus(Exchange exchange) {
         String status =
                 "{\"identity\":{\"host\":\"suva-1\",\"place\":{\"region\":\"suva\",\"dataCentre\":\"suva-hall\"}},"
