--- a/rattanplank-cli/src/test/java/org/rattanplank/cli/MainTest.java
+++ b/rattanplank-cli/src/test/java/org/rattanplank/cli/MainTest.java
@@ -155,9 +155,10 @@
     private static void answerExplanation(Exchange exchange) {
         exchange.respond(
                 200,
-                Json.readOrEmpty("{\"requestId\":\"r1\",\"service\":\"crew-desk\",\"outcome\":\"answered\",\"routings\":["
-                        + "{\"route\":{\"target\":\"desk-1\"},\"candidates\":["
-                        + "{\"peer\":\"desk-2\",\"verdict\":\"leaving\",\"score\":0.5}]}]}"));
+                Json.readOrEmpty(
+                        "{\"requestId\":\"r1\",\"service\":\"crew-desk\",\"outcome\":\"answered\",\"routings\":["
+                                + "{\"route\":{\"target\":\"desk-1\"},\"candidates\":["
+                                + "{\"peer\":\"desk-2\",\"verdict\":\"leaving\",\"score\":0.5}]}]}"));
     }
 
     private static void answerStatus(Exchange exchange) {
