--- a/rattanplank-core/src/main/java/org/rattanplank/core/claim/ViewKeeper.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ViewKeeper.java
@@ -363,7 +363,9 @@
     /** Takes lost members out: this host, a member of the old view, stops it first and lets the store decide. */
     private void remove(List<ViewMemberId> lost, long nowMillis, StepList out) {
         List<ViewMemberId> wanted = view.get().members().stream()
-                .filter(member -> !lost.contains(member) && !leavers.contains(member.host()))
+                .filter(member -> !lost.contains(member))
+                // A host that is leaving still has to take out the lost ones, or it could neither claim nor leave.
+                .filter(member -> member.equals(me) || !leavers.contains(member.host()))
                 .filter(member -> consented.forAll(next -> next.contains(member)))
                 .toList();
         if (wanted.contains(me)) {
