Say when to come back after a target that could not be reached

Cause: a request whose attempts all failed to connect was finished with retryAfterMillis 0, which means that coming back does not help; in an attempt's result zero means that the target said nothing. Ruled out: changing the meaning of zero in AttemptResult (the daemon and the stand-ins use it). Change: in RequestFlow, a target's silence becomes the flow's usual second; what another entry host decided stays as it is.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
@@ -313,7 +313,16 @@
             tryAgain(request, nowMillis, effects);
             return;
         }
-        giveUp(request, notRun.failure(), notRun.retryAfterMillis(), nowMillis, effects);
+        giveUp(request, notRun.failure(), retryAfterMillis(request, notRun), nowMillis, effects);
+    }
+
+    /**
+     * When the caller should come back. A target that says nothing, or cannot be connected to, may be there again soon;
+     * zero would tell the caller that coming back does not help. Another entry host has decided that already.
+     */
+    private static long retryAfterMillis(LiveRequest request, AttemptResult.NotRun notRun) {
+        boolean isDecided = notRun.retryAfterMillis() > 0 || request.route.exists(Route.ToHost.class::isInstance);
+        return isDecided ? notRun.retryAfterMillis() : RETRY_AFTER_MILLIS;
     }
 
     private void lost(LiveRequest request, AttemptResult.Lost lost, long nowMillis, Effects effects) {
