Bound the bytes of control, and measure them

Cause: bin/measure control-cost showed 24.6 KB/s sent and 21.1 KB/s received with 4 peers and 82 other data centres, against a goal of 8 KB/s; processor time (1.4 to 2.2 % of a core) and memory (13.6 MiB) were within theirs. Ruled out: summaries at longer gaps only (the router passes over loads older than 15 s). Change: between data centres a beat carries only the generation; one data centre of a region tells the region's load; load goes out at most every 250 ms for each other data centre, 1 s to 10 s. The measurement's stand-ins had also let a node speak to every data centre; now they follow the links that it keeps.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/fleet/ControlCostMeasurement.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/fleet/ControlCostMeasurement.java
@@ -12,6 +12,9 @@
 public final class ControlCostMeasurement {
     private static final int[] PEERS = {2, 4, 8};
     private static final int[] CENTRES = {3, 10, 30, 82};
+    private static final int[] STORE_CENTRES = {3, 12};
+    private static final int[] STORE_HOSTS = {2, 4, 8};
+    private static final long STORE_MILLIS = 30_000;
     private static final int TARGETS = 67;
     private static final int SERVICES = 30;
     private static final int ACCOUNTS = 3_100;
@@ -58,6 +61,36 @@
         }
         printSlopes(out, costs);
         printKinds(out, costs.get(CENTRES.length + CENTRES.length - 1));
+        printStoreCalls(out);
+    }
+
+    private static void printStoreCalls(PrintStream out) {
+        out.printf("%nstore calls a second of a whole fleet, store well, after %d s%n", WARM_UP_MILLIS / 1_000);
+        out.println("data centres  hosts in each  calls/s  by part");
+        for (int centres : STORE_CENTRES) {
+            for (int hosts : STORE_HOSTS) {
+                VirtualFleet fleet = new VirtualFleet();
+                for (int host = 0; host < centres * hosts; host++) {
+                    int centre = host % centres;
+                    fleet.add("host-" + host, "region-" + centre, "centre-" + centre);
+                }
+                fleet.configure(FleetDocuments.of(1, centres, 3, 2).toText())
+                        .relist(0)
+                        .run(WARM_UP_MILLIS);
+                fleet.storeCallsInSecond().clear();
+                fleet.storeCallsOfPart().clear();
+                fleet.run(STORE_MILLIS);
+                int calls = fleet.storeCallsInSecond().values().stream()
+                        .mapToInt(Integer::intValue)
+                        .sum();
+                out.printf(
+                        "%12d  %13d  %7.2f  %s%n",
+                        centres,
+                        hosts,
+                        calls * 1_000.0 / STORE_MILLIS,
+                        new java.util.TreeMap<>(fleet.storeCallsOfPart()));
+            }
+        }
     }
 
     private static Cost measure(int peers, int centres) {
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/fleet/LoneNode.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/fleet/LoneNode.java
@@ -22,10 +22,12 @@
 import org.rattanplank.core.host.HostRole;
 import org.rattanplank.core.host.ListedHost;
 import org.rattanplank.core.host.Place;
+import org.rattanplank.core.host.Rendezvous;
 import org.rattanplank.core.intent.Document;
 import org.rattanplank.core.route.Policy;
 import org.rattanplank.core.route.TargetLoad;
 import org.rattanplank.core.store.StoreCommand;
+import org.rattanplank.schema.message.CentreBeat;
 import org.rattanplank.schema.message.Heartbeat;
 import org.rattanplank.schema.message.PeerMessage;
 import org.rattanplank.schema.message.RegionSummary;
@@ -51,7 +53,7 @@
     private final Map<String, Integer> storeCalls = new TreeMap<>();
     private final List<ListedHost> targets = new ArrayList<>();
     private final Set<String> peers = new TreeSet<>();
-    private final Set<String> spokenTo = new TreeSet<>();
+    private final Set<String> links = new TreeSet<>();
     private final Map<String, Long> sentBytes = new HashMap<>();
     private final Map<String, Long> receivedBytes = new HashMap<>();
     private final int centres;
@@ -67,7 +69,7 @@
         this.centres = centres;
         this.services = services;
         hostsInCentre = peerCount + 1;
-        loadGapMillis = Math.max(1_000, 125L * centres);
+        loadGapMillis = Math.max(1_000, Math.min(10_000, 250L * centres));
         node = Node.of(new NodeIdentity("host-0-0", nowMillis, HERE), Policy.COST, 1);
         for (int i = 1; i <= peerCount; i++) {
             peers.add("host-0-" + i);
@@ -132,7 +134,7 @@
     }
 
     int centresSpokenTo() {
-        return spokenTo.size();
+        return links.size();
     }
 
     private HostList list() {
@@ -161,19 +163,17 @@
     private void fromOtherCentres() {
         for (int centre = 1; centre <= centres; centre++) {
             long offset = centre * 37L % loadGapMillis / TICK_MILLIS * TICK_MILLIS;
-            boolean loadDue = nowMillis % loadGapMillis / TICK_MILLIS == offset / TICK_MILLIS;
+            boolean loadDue = centre <= REGIONS && nowMillis % loadGapMillis / TICK_MILLIS == offset / TICK_MILLIS;
             boolean beatDue = nowMillis % REMOTE_BEAT_MILLIS == offset % REMOTE_BEAT_MILLIS;
-            boolean spoken = spokenTo.contains("centre-" + centre);
+            boolean spoken = speaksTo(centre);
             if (loadDue) {
                 String relay = peers.isEmpty()
                         ? "host-" + centre + "-0"
                         : peers.iterator().next();
-                receive(spoken ? "host-" + centre + "-0" : relay, summary(centre));
+                receive(speaksFirstTo(centre) ? "host-" + centre + "-0" : relay, summary(centre));
             }
             if (beatDue && spoken) {
-                Heartbeat beat = new Heartbeat(1, document.generation(), false, 20, true, List.of());
-                receive("host-" + centre + "-0", beat);
-                receive("host-" + centre + "-1", beat);
+                receive("host-" + centre + "-0", new CentreBeat(document.generation()));
             }
         }
     }
@@ -249,21 +249,43 @@
             if (!(call.command() instanceof StoreCommand.Watch)) {
                 handle(new Event.StoreReplied(call.owner(), call.callId(), store.call(call.command(), nowMillis)));
             }
-        } else if (action instanceof Action.KeepLinks links) {
-            connect(links.hosts());
+        } else if (action instanceof Action.KeepLinks keep) {
+            connect(keep.hosts());
         }
     }
 
     private void connect(List<String> hosts) {
+        Set<String> wanted = new TreeSet<>(hosts);
+        for (String old : List.copyOf(links)) {
+            if (!wanted.contains(old)) {
+                links.remove(old);
+                handle(new Event.PeerLost(old, false));
+            }
+        }
         for (String host : hosts) {
-            int centre = Integer.parseInt(host.split("-")[1]);
-            if (centre != 0 && spokenTo.add("centre-" + centre)) {
+            int centre = centreOf(host);
+            if (centre != 0 && links.add(host)) {
                 Place place = placeOf(centre);
                 handle(new Event.PeerConnected(host, 1, place.region(), place.dataCentre()));
             }
         }
     }
 
+    private static int centreOf(String host) {
+        return Integer.parseInt(host.split("-")[1]);
+    }
+
+    private boolean speaksTo(int centre) {
+        return links.stream().anyMatch(host -> centreOf(host) == centre);
+    }
+
+    /** Whether this host is the first of its data centre's two speakers, the one that load is told to. */
+    private boolean speaksFirstTo(int centre) {
+        Set<String> all = new TreeSet<>(peers);
+        all.add("host-0-0");
+        return Rendezvous.rank(all, "speaker/centre-" + centre).get(0).equals("host-0-0");
+    }
+
     private byte[] encode(PeerMessage message) {
         try {
             return messagePack.writeValueAsBytes(message);
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Centres.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Centres.java
@@ -15,7 +15,7 @@
 import org.rattanplank.core.host.ListedHost;
 import org.rattanplank.core.host.Place;
 import org.rattanplank.core.host.Rendezvous;
-import org.rattanplank.schema.message.Heartbeat;
+import org.rattanplank.schema.message.CentreBeat;
 import org.rattanplank.schema.message.MemberMessage;
 import org.rattanplank.schema.message.RegionSummary;
 
@@ -37,7 +37,8 @@
     private static final long PATIENCE_MILLIS = 2_000;
     private static final long MIN_GAP_MILLIS = 250;
     private static final long MIN_LOAD_GAP_MILLIS = 1_000;
-    private static final long LOAD_GAP_MILLIS_FOR_EACH_CENTRE = 125;
+    private static final long LOAD_GAP_MILLIS_FOR_EACH_CENTRE = 250;
+    private static final long MAX_LOAD_GAP_MILLIS = 10_000;
 
     private final NodeIdentity self;
     private final Map<String, Centre> centres = new TreeMap<>();
@@ -154,7 +155,7 @@
 
     /** Finds what to tell each data centre that this host speaks to. */
     List<MemberStep> tell(
-            Map<String, String> chosen, PeerTable peers, RegionSummary summary, Heartbeat heartbeat, long nowMillis) {
+            Map<String, String> chosen, PeerTable peers, RegionSummary summary, CentreBeat beat, long nowMillis) {
         List<MemberStep> steps = new ArrayList<>();
         RegionSummary forOwnRegion = Summaries.withoutServices(summary);
         chosen.forEach(
@@ -163,14 +164,14 @@
                     boolean sameRegion =
                             centre.place.region().equals(self.place().region());
                     boolean first = centre.speakers.indexOf(self.host()) == 0;
-                    message(centre, peer, sameRegion ? forOwnRegion : summary, heartbeat, first, nowMillis)
+                    message(centre, peer, sameRegion ? forOwnRegion : summary, beat, first, nowMillis)
                             .forEach(message -> steps.add(new MemberStep.Send(host, message)));
                 }));
         return steps;
     }
 
     private Option<MemberMessage> message(
-            Centre centre, Peer peer, RegionSummary summary, Heartbeat heartbeat, boolean first, long nowMillis) {
+            Centre centre, Peer peer, RegionSummary summary, CentreBeat beat, boolean first, long nowMillis) {
         String process = peer.host + "/" + peer.incarnation;
         boolean fresh = !process.equals(centre.toldProcess);
         long sinceTold = nowMillis - centre.toldMillis;
@@ -186,18 +187,33 @@
         }
         if (nowMillis - centre.beatMillis >= BEAT_MILLIS) {
             centre.beatMillis = nowMillis;
-            return Option.some(heartbeat);
+            return Option.some(beat);
         }
         return Option.none();
     }
 
+    /**
+     * Tells whether this data centre tells others of its region's load: one for each region does, the best by rendezvous
+     * of those that can be reached, because all of a region would say the same.
+     */
+    boolean tellsLoads() {
+        List<String> ofRegion = new ArrayList<>(List.of(self.place().dataCentre()));
+        for (Centre centre : centres.values()) {
+            if (centre.reachable && centre.place.region().equals(self.place().region())) {
+                ofRegion.add(centre.place.dataCentre());
+            }
+        }
+        return Rendezvous.rank(ofRegion, "loads").get(0).equals(self.place().dataCentre());
+    }
+
     /** When the loads of a data centre were last known to hold: every change is told within the gap between loads. */
     long loadsHoldMillis(Centre centre, long nowMillis) {
         return centre.reachable ? Math.max(centre.summaryMillis, nowMillis - loadGapMillis()) : centre.summaryMillis;
     }
 
     private long loadGapMillis() {
-        return Math.max(MIN_LOAD_GAP_MILLIS, LOAD_GAP_MILLIS_FOR_EACH_CENTRE * centres.size());
+        long gap = LOAD_GAP_MILLIS_FOR_EACH_CENTRE * centres.size();
+        return Math.max(MIN_LOAD_GAP_MILLIS, Math.min(MAX_LOAD_GAP_MILLIS, gap));
     }
 
     /** The hosts of a data centre as it says itself, or as the platform lists them while it has said nothing. */
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Members.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Members.java
@@ -16,6 +16,7 @@
 import org.rattanplank.core.host.Place;
 import org.rattanplank.core.host.Rendezvous;
 import org.rattanplank.core.route.RemoteRegion;
+import org.rattanplank.schema.message.CentreBeat;
 import org.rattanplank.schema.message.Heartbeat;
 import org.rattanplank.schema.message.Hello;
 import org.rattanplank.schema.message.LeavingNews;
@@ -166,6 +167,9 @@
         if (message instanceof Heartbeat heartbeat) {
             return receive(peer, heartbeat);
         }
+        if (message instanceof CentreBeat beat) {
+            return List.of(new MemberStep.Heard(peer.host, beat.generation()));
+        }
         if (message instanceof LeavingNews news) {
             news.notices().forEach(notice -> learn(notice, true));
         } else if (message instanceof RegionSummary summary) {
@@ -293,15 +297,10 @@
 
     private List<MemberStep> tellCentres(SelfReport report, Map<String, String> chosen) {
         Set<String> hosts = workingHosts();
-        RegionSummary summary =
+        RegionSummary whole =
                 Summaries.of(self.place(), report.generation(), hosts, report, leavings.newest(Summaries.MAX_LEAVING));
-        Heartbeat beat = new Heartbeat(
-                self.incarnation(),
-                report.generation(),
-                report.draining(),
-                report.inFlight(),
-                report.storeReachable(),
-                List.of());
+        RegionSummary summary = centres.tellsLoads() ? whole : Summaries.withoutServices(whole);
+        CentreBeat beat = new CentreBeat(report.generation());
         return centres.tell(chosen, peers, summary, beat, nowMillis);
     }
 
@@ -445,15 +444,16 @@
                 continue;
             }
             hosts.computeIfAbsent(region, name -> new TreeSet<>()).addAll(there);
-            if (!newest.containsKey(region) || newest.get(region).summaryMillis < centre.summaryMillis) {
+            boolean tells = centre.summary.exists(summary -> !summary.services().isEmpty());
+            if (tells && (!newest.containsKey(region) || newest.get(region).summaryMillis < centre.summaryMillis)) {
                 newest.put(region, centre);
             }
         }
         List<RemoteRegion> summed = new ArrayList<>();
         hosts.forEach((region, names) -> {
-            Centre centre = newest.get(region);
-            var loads = centre.summary
-                    .map(summary -> Summaries.loads(summary, centres.loadsHoldMillis(centre, nowMillis)))
+            Map<String, RemoteRegion.ServiceLoad> loads = Option.of(newest.get(region))
+                    .flatMap(centre -> centre.summary.map(
+                            summary -> Summaries.loads(summary, centres.loadsHoldMillis(centre, nowMillis))))
                     .getOrElse(Map.of());
             summed.add(new RemoteRegion(region, Rendezvous.rank(names, self.host()), loads));
         });
--- a/rattanplank-schema/src/main/java/org/rattanplank/schema/message/MemberMessage.java
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/MemberMessage.java
@@ -4,5 +4,5 @@
 /**
  * Messages about which hosts are there and what they know.
  */
-public sealed interface MemberMessage extends PeerMessage permits Hello, Ping, Pong, Heartbeat, LeavingNews, RegionSummary {
+public sealed interface MemberMessage extends PeerMessage permits Hello, Ping, Pong, Heartbeat, CentreBeat, LeavingNews, RegionSummary {
 }
--- a/rattanplank-schema/src/main/java/org/rattanplank/schema/message/PeerMessage.java
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/PeerMessage.java
@@ -36,6 +36,7 @@
         @JsonSubTypes.Type(value = Ping.class, name = "Ping"),
         @JsonSubTypes.Type(value = Pong.class, name = "Pong"),
         @JsonSubTypes.Type(value = Heartbeat.class, name = "Heartbeat"),
+        @JsonSubTypes.Type(value = CentreBeat.class, name = "CentreBeat"),
         @JsonSubTypes.Type(value = LeavingNews.class, name = "LeavingNews"),
         @JsonSubTypes.Type(value = RegionSummary.class, name = "RegionSummary"),
         @JsonSubTypes.Type(value = ForwardRequest.class, name = "ForwardRequest"),
--- a/rattanplank-schema/src/main/java/org/rattanplank/schema/message/RegionSummary.java
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/RegionSummary.java
@@ -14,7 +14,7 @@
  * @param dataCentre the data centre that is summed up
  * @param generation the configuration generation in force there
  * @param hosts its entry hosts that live and take new work, bounded in number
- * @param services targets, slots, running and queued of each service of the region, bounded in number
+ * @param services targets, slots, running and queued of each service of the region, bounded in number; empty unless this data centre speaks for its region
  * @param leaving the newest words of hosts and targets that are leaving, bounded in number
  */
 public record RegionSummary(String region, String dataCentre, long generation, List<String> hosts,
