Prove the fleet's tests against naive variants

Cause: a test that no fault can fail proves nothing; the one of the silent watch passed while the watch was never renewed. Change: after the slow read found the watch silent, the next change has to be in force within 200 ms of virtual time, which only a new watch can do.

--- a/rattanplank-bench/src/test/java/org/rattanplank/bench/fleet/FleetTest.java
+++ b/rattanplank-bench/src/test/java/org/rattanplank/bench/fleet/FleetTest.java
@@ -18,6 +18,7 @@
     private static final List<String> REGIONS = List.of("suva", "lautoka", "labasa");
     private static final long NOTICED_MILLIS = 3_000;
     private static final long IN_FORCE_MILLIS = 2_000;
+    private static final long WATCHED_MILLIS = 200;
 
     private final VirtualFleet fleet = new VirtualFleet();
 
@@ -115,7 +116,7 @@
         koro();
         fleet.silenceWatches().configure(document(2)).run(11_000);
         fleet.live().forEach(host -> assertEquals(2, generation(host), host));
-        fleet.configure(document(3)).run(IN_FORCE_MILLIS);
+        fleet.configure(document(3)).run(WATCHED_MILLIS);
         fleet.live().forEach(host -> assertEquals(3, generation(host), host + " by a new watch"));
     }
 
