End what waits for a caller who has gone; close the gate before the port

And a request whose caller had left waited for its reply for ever, which kept a stop from ending. Ruled out: load on the machine; the assertion failed by the connection's idle timeout, not by a slow answer. Change: the port is announced only once the gate is in place; a caller who has gone ends the wait for its reply; a cancelled attempt passes no byte on from that moment; watches start on their event loop. The check for unsent replies fails on the code before ('a reply never left') and passes after. Conclusion: both faults were real, and the tests that show them stay.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Observer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Observer.java
@@ -23,6 +23,7 @@
 final class Observer implements Events {
     private static final String TARGET = "target";
     private static final String FORWARD = "forward";
+    private static final String NOT_TAKEN = "not run";
 
     private final Events node;
     private final Calls calls;
@@ -55,7 +56,13 @@
         } else if (event instanceof Event.PeerAsked asked) {
             requestStarted(asked.request().id(), "peer");
         }
-        return node.offer(event);
+        boolean taken = node.offer(event);
+        if (!taken && event instanceof Event.CallerAsked asked) {
+            traces.requestEnded(asked.request().id(), NOT_TAKEN, "admit");
+        } else if (!taken && event instanceof Event.PeerAsked asked) {
+            traces.requestEnded(asked.request().id(), NOT_TAKEN, "admit");
+        }
+        return taken;
     }
 
     /** Takes note of an attempt; the trace context for the other side comes back. */
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerConnection.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerConnection.java
@@ -36,6 +36,7 @@
     private Option<Future<?>> deadline = Option.none();
     private boolean refused;
     private boolean answered;
+    private boolean awaitingReply;
 
     CallerConnection(String host, boolean full, long readTimeoutMillis) {
         this.host = host;
@@ -60,7 +61,7 @@
             context.read();
             return;
         }
-        if (deadline.isEmpty()) {
+        if (deadline.isEmpty() && !awaitingReply) {
             answered = false;
             deadline = Option.some(
                     context.executor().schedule(() -> tooSlow(context), readTimeoutMillis, TimeUnit.MILLISECONDS));
@@ -76,6 +77,7 @@
             return;
         }
         answered = true;
+        awaitingReply = false;
         context.write(message, promise);
     }
 
@@ -140,6 +142,7 @@
             }
             if (part instanceof LastHttpContent) {
                 stopTimer();
+                awaitingReply = true;
             }
             context.fireChannelRead(part);
         }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
@@ -180,13 +180,10 @@
         String requestId = asked.request().id();
         long deadlineMillis = asked.request().deadlineMillis();
         Channel channel = context.getDirectChannelAccess().getChannel();
-        PartQueue parts = new PartQueue(channel, limits.streamBufferBytes(), () -> {
-            Logger.warn("caller: a caller reads a stream too slowly and is cut off");
-            left(requestId);
-        });
+        PartQueue parts = new PartQueue(channel, limits.streamBufferBytes());
         HttpAsker asker = new HttpAsker(requestId, host, () -> clock.nowMillis() >= deadlineMillis, parts);
         context.getRequest().setIdleTimeout(Duration.ofMillis(deadlineMillis - clock.nowMillis() + IDLE_GRACE_MILLIS));
-        noticeWhenGone(context, channel, requestId);
+        noticeWhenGone(context, channel, requestId, asker);
         calls.add(Call.of(asked.request(), asked.envelope(), asker));
         if (!events.offer(new Event.CallerAsked(asked.request()))) {
             calls.remove(requestId);
@@ -196,20 +193,21 @@
         await(asker.reply()).then(reply -> send(context, reply, parts));
     }
 
-    /** A caller who is gone would otherwise hold a target until the deadline. */
-    private void noticeWhenGone(Context context, Channel channel, String requestId) {
-        ChannelFutureListener gone = future -> left(requestId);
+    /** A caller who is gone would otherwise hold a target until the deadline, and this host's stop for ever. */
+    private void noticeWhenGone(Context context, Channel channel, String requestId, HttpAsker asker) {
+        ChannelFutureListener gone = future -> left(requestId, asker);
         channel.closeFuture().addListener(gone);
         context.onClose(outcome -> {
             channel.closeFuture().removeListener(gone);
-            left(requestId);
+            left(requestId, asker);
         });
     }
 
-    private void left(String requestId) {
+    private void left(String requestId, HttpAsker asker) {
         if (calls.find(requestId).isDefined()) {
             calls.remove(requestId);
             events.raise(new Event.AskerLeft(requestId));
+            asker.abandon();
         }
     }
 
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/GatedServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/GatedServer.java
@@ -20,7 +20,9 @@
     @Override
     protected Channel buildChannel(ServerConfig config, ChannelHandler handler) throws InterruptedException {
         Channel open = super.buildChannel(config, handler);
-        open.pipeline().addFirst(gate);
+        // A handler that another thread adds takes effect only later: connections that came meanwhile would pass by the
+        // gate, unbounded and uncounted. Waiting for the event loop keeps that time before the port is announced.
+        open.eventLoop().submit(() -> open.pipeline().addFirst(gate)).sync();
         return open;
     }
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/HttpAsker.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/HttpAsker.java
@@ -5,14 +5,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
+import org.rattanplank.core.request.Failure;
 import org.rattanplank.core.request.Outcome;
+import org.rattanplank.core.request.Step;
 import org.rattanplank.daemon.call.Asker;
 
 /**
  * A caller who waits on a connection.
  *
  * <p>Invariant: it gets one reply, and a stream's closing event only with an outcome that is answered. Guarded by the
- * lock of its call.
+ * lock of its call but for {@link #abandon}, which any thread may call.
  */
 final class HttpAsker implements Asker {
     private static final byte[] CLOSING_EVENT = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
@@ -53,6 +55,13 @@
         }
     }
 
+    /** The caller has gone: what waits for its reply ends, and holds nothing any more. */
+    void abandon() {
+        Failure failure = Failure.of(Step.ACCEPT, host, "the caller has left");
+        reply.complete(Replies.of(requestId, new Outcome.Unknown(failure), false));
+        parts.breakOff();
+    }
+
     private void startStream(List<String> path) {
         if (!reply.isDone()) {
             reply.complete(Replies.streamHead(requestId, path));
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/PartQueue.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/PartQueue.java
@@ -11,6 +11,7 @@
 import org.reactivestreams.Publisher;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
+import org.tinylog.Logger;
 
 /**
  * The parts of a stream that wait for a caller who reads them at its own pace.
@@ -23,7 +24,6 @@
     private final Channel channel;
     private final EventLoop loop;
     private final long maxBytes;
-    private final Runnable overflowed;
     private final Deque<byte[]> waiting = new ArrayDeque<>();
     private Option<Subscriber<? super ByteBuf>> subscriber = Option.none();
     private long waitingBytes;
@@ -33,11 +33,10 @@
     private boolean over;
     private boolean draining;
 
-    PartQueue(Channel channel, long maxBytes, Runnable overflowed) {
+    PartQueue(Channel channel, long maxBytes) {
         this.channel = channel;
         loop = channel.eventLoop();
         this.maxBytes = maxBytes;
-        this.overflowed = overflowed;
     }
 
     void add(byte[] part) {
@@ -48,8 +47,8 @@
             waiting.add(part);
             waitingBytes += part.length;
             if (waitingBytes > maxBytes) {
+                Logger.warn("caller: a caller reads a stream too slowly and is cut off");
                 broken = true;
-                overflowed.run();
             }
             drain();
         });
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/store/EtcdWatch.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/store/EtcdWatch.java
@@ -36,6 +36,7 @@
     private final Changes changes;
     private final Consumer<EtcdWatch> broken;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private volatile boolean closed;
     private volatile Option<Exchange> exchange = Option.none();
     private volatile Option<Future<?>> renewal = Option.none();
 
@@ -52,11 +53,16 @@
                 EtcdJson.WATCH_PATH,
                 Map.of("Content-Type", "application/json"),
                 body);
-        exchange = Option.some(exchanges.start(loop, call, this));
-        renewal = Option.some(loop.schedule(this::end, renewMillis, TimeUnit.MILLISECONDS));
+        loop.execute(() -> {
+            if (!closed) {
+                exchange = Option.some(exchanges.start(loop, call, this));
+                renewal = Option.some(loop.schedule(this::end, renewMillis, TimeUnit.MILLISECONDS));
+            }
+        });
     }
 
     void close() {
+        closed = true;
         renewal.forEach(timer -> timer.cancel(false));
         exchange.forEach(Exchange::close);
     }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
@@ -71,6 +71,10 @@
         parser = new SseParser(limits.maxPartBytes());
     }
 
+    Call call() {
+        return call;
+    }
+
     TargetCall sent() {
         return sent;
     }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/Targets.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/Targets.java
@@ -69,6 +69,7 @@
     @Override
     public void cancel(String requestId, int attempt) {
         Option.of(running.remove(new AttemptKey(requestId, attempt))).forEach(stopped -> {
+            stopped.call().end(attempt);
             stopped.cancel();
             if (stopped.sent().model()) {
                 tellNobodyWaits(stopped.sent());
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/caller/CallerServerTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/caller/CallerServerTest.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -44,6 +45,7 @@
             """;
     private static final String TOKEN = "Authorization: Bearer token\r\n";
     private static final int MAX_BODY_BYTES = 2_048;
+    private static final long LIMIT_SECONDS = 20;
 
     private final RecordingEvents events = new RecordingEvents();
     private final Calls calls = Calls.of(2);
@@ -167,6 +169,7 @@
         caller.close();
         assertEquals(new Event.AskerLeft(requestId), events.next(Event.AskerLeft.class));
         assertEquals(0, calls.size());
+        awaitNoUnsentReply();
     }
 
     /*
@@ -189,6 +192,16 @@
             assertTrue(readToEnd(slowHead).startsWith("HTTP/1.1 408 "));
             assertTrue(readToEnd(slowBody).startsWith("HTTP/1.1 408 "));
         }
+        awaitNoUnsentReply();
+    }
+
+    /** A reply that never counts as sent would keep the host from stopping. */
+    private void awaitNoUnsentReply() {
+        long limitNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        while (server.unsentReplies() > 0) {
+            assertTrue(System.nanoTime() < limitNanos, "a reply never left");
+            Thread.onSpinWait();
+        }
     }
 
     private void open(long readTimeoutMillis, int maxConnections) {
