Show the cut calls when a planned stop cuts any

Cause: the test told how many calls were cut and not how.

Change: it compares the list of cut calls with none.

Found so: in 3 runs of 3, with a second run of all tests beside it, 1 to 4 calls of some 1400 ended with 'header parser received no bytes' at new connections, as the process ended while callers were connecting.

--- a/rattanplank-bench/src/test/java/org/rattanplank/bench/process/PlannedStopTest.java
+++ b/rattanplank-bench/src/test/java/org/rattanplank/bench/process/PlannedStopTest.java
@@ -1,11 +1,14 @@
 package org.rattanplank.bench.process;
 
 import java.time.Duration;
+import java.util.List;
 
 import org.junit.jupiter.api.Test;
 import org.rattanplank.bench.outcome.CallLoad;
+import org.rattanplank.bench.outcome.CallRecord;
 import org.rattanplank.bench.outcome.OutcomeAudit;
 import org.rattanplank.standins.caller.CallOutcome;
+import org.rattanplank.standins.caller.CallResult;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -30,10 +33,17 @@
                 host.restart();
                 fleet.awaitServing(BOUND_MILLIS);
             }
-            OutcomeAudit audit = OutcomeAudit.of(load.finish(), fleet.ledger());
+            List<CallRecord> records = load.finish();
+            OutcomeAudit audit = OutcomeAudit.of(records, fleet.ledger());
             assertTrue(audit.isClean(), audit.toString());
-            assertEquals(0, audit.outcomes().getOrDefault(CallOutcome.BROKEN, 0), audit.toString());
-            assertEquals(0, audit.outcomes().getOrDefault(CallOutcome.UNKNOWN, 0), audit.toString());
+            assertEquals(List.of(), cut(records));
         }
     }
+
+    private static List<CallResult> cut(List<CallRecord> records) {
+        return records.stream()
+                .flatMap(record -> record.results().stream())
+                .filter(result -> result.outcome() == CallOutcome.BROKEN || result.outcome() == CallOutcome.UNKNOWN)
+                .toList();
+    }
 }
