--- a/rattanplank-core/src/main/java/org/rattanplank/core/intent/Configurations.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/Configurations.java
@@ -138,7 +138,7 @@
             if (reply instanceof StoreReply.Found found) {
                 Option<Document> document = found.entry().flatMap(Configurations::parse);
                 long generation = document.map(Document::generation).getOrElse(0L);
-                reader.found(found.revision(), generation, current.generation(), nowMillis);
+                reader.found(found.revision(), generation, nowMillis);
                 document.forEach(read -> learn(read, nowMillis, steps));
                 putWaitingIntoForce(nowMillis, steps);
             } else if (reply instanceof StoreReply.Unsure || reply instanceof StoreReply.Unavailable) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/intent/StoreReader.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/StoreReader.java
@@ -47,6 +47,8 @@
     private boolean watching;
     private boolean readSinceWatch = true;
     private long watchFrom;
+    private long readGeneration;
+    private long watchedGeneration;
     private long missedGeneration;
     private long missedMillis;
     private int silentWatches;
@@ -97,6 +99,7 @@
         if (reader && !watching && isReachable(nowMillis) && watchFrom > 0 && readSinceWatch) {
             watching = true;
             readSinceWatch = false;
+            watchedGeneration = readGeneration;
             commands.add(new StoreCommand.Watch(key, watchFrom));
         }
         return commands;
@@ -111,13 +114,16 @@
     }
 
     /** Takes a read that the store answered. */
-    void found(long revision, long generation, long knownGeneration, long nowMillis) {
+    void found(long revision, long generation, long nowMillis) {
         backoff = backoff.succeeded();
         lastSuccessMillis = Option.some(nowMillis);
         readSinceWatch = true;
         settle(nowMillis);
         watchFrom = Math.max(watchFrom, revision + 1);
-        if (watching && generation > knownGeneration && missedGeneration < generation) {
+        readGeneration = generation;
+        // Compared with what the watch said, not with what is in force: peers often tell of a change before the read
+        // does, and the silent watch would never be found.
+        if (watching && generation > watchedGeneration && missedGeneration < generation) {
             missedGeneration = generation;
             missedMillis = nowMillis;
         }
@@ -143,6 +149,7 @@
 
     void changed(long revision, long generation) {
         watchFrom = Math.max(watchFrom, revision + 1);
+        watchedGeneration = Math.max(watchedGeneration, generation);
         if (generation >= missedGeneration) {
             missedGeneration = 0;
         }
