Judge no target by a time that was never expected

Cause: read anew, the first answer of a plain service took thousands of times what was expected of it, since nothing had been learned; its target was left out as slow. A restarted target's cache events were passed over, since it counts from one again. Ruled out: more samples before a target is slow (the one ratio of thousands outweighs them all). Change: without an expectation there is no ratio, and one answer counts at most tenfold; an event numbered one after others empties the belief. Methods that nothing called are gone.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/Ejection.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/Ejection.java
@@ -29,18 +29,10 @@
         return nowMillis < outUntilMillis;
     }
 
-    long outUntilMillis() {
-        return outUntilMillis;
-    }
-
     int failures() {
         return failures;
     }
 
-    boolean isReturning() {
-        return timesOut > 0;
-    }
-
     /** Whether one more request may go there while this host has so many there. */
     boolean allows(int own, long nowMillis) {
         if (nowMillis < outUntilMillis || nowMillis < busyUntilMillis) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/LoadEstimate.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/LoadEstimate.java
@@ -30,10 +30,6 @@
         return reportedAtMillis != Long.MIN_VALUE;
     }
 
-    long reportedAtMillis() {
-        return reportedAtMillis;
-    }
-
     /** Takes a report; one that is older than the last is passed over. */
     void reported(int newLoad, long atMillis) {
         if (atMillis < reportedAtMillis) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/PrefixCache.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/PrefixCache.java
@@ -66,6 +66,11 @@
     }
 
     void changed(CacheEvent event) {
+        if (event.sequence() == 1 && lastSequence > 0) {
+            // The target restarted and counts anew: without this, its events would be passed over as old until they
+            // outnumber the earlier ones, and prompts would go to a cache that is long gone.
+            clear();
+        }
         if (event.sequence() <= lastSequence) {
             return;
         }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/Router.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/Router.java
@@ -353,7 +353,8 @@
         double cached = target.get().cache.cachedTokens(request.prefixHashes(), request.promptTokens());
         double prefill = WorkEstimate.prefillMillis(request.promptTokens() - cached, rate);
         double wait = target.get().waitMillis(work.meanRunMillis(), 1, nowMillis);
-        return new Attempt(route, target, wait, prefill, prefill + work.outputMillis(request, rate));
+        double run = work.isLearned() ? prefill + work.outputMillis(request, rate) : 0;
+        return new Attempt(route, target, wait, prefill, run);
     }
 
     private void sent(Request request, Target target, long nowMillis) {
@@ -406,7 +407,9 @@
         }
         Target target = attempt.target().get();
         WorkEstimate work = service.get().work;
-        target.ejection.succeeded(work.relativeSlowness(tookMillis, attempt.expectedMillis()));
+        target.ejection.succeeded(attempt.expectedMillis()
+                .map(expected -> work.relativeSlowness(tookMillis, expected))
+                .getOrElse(1.0));
         work.learn(
                 tookMillis,
                 attempt.waitMillis() > 0,
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/WorkEstimate.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/WorkEstimate.java
@@ -17,11 +17,19 @@
     private static final double LOWEST_OUTPUT_PART = 0.02;
     private static final double HIGHEST_OUTPUT_PART = 2;
 
+    private static final double HIGHEST_RATIO = 10;
+    private static final double LOWEST_RATIO = 0.1;
+
     private double meanRunMillis = FIRST_RUN_MILLIS;
     private double outputPart = FIRST_OUTPUT_PART;
     private double slowness = 1;
     private boolean learned;
 
+    /** Whether any request has ended, so that expectations mean something. */
+    boolean isLearned() {
+        return learned;
+    }
+
     double meanRunMillis() {
         return meanRunMillis;
     }
@@ -68,11 +76,14 @@
         }
     }
 
-    /** Compares a time taken to the one expected, relative to the service's own mean of that ratio. */
+    /**
+     * Compares a time taken to the one expected, relative to the service's own mean of that ratio. One answer counts for
+     * so little that a single slow one cannot make a target look slow.
+     */
     double relativeSlowness(double tookMillis, double expectedMillis) {
-        double ratio = tookMillis / Math.max(1, expectedMillis);
-        double relative = ratio / Math.max(0.1, slowness);
-        slowness += SMOOTHING * (Math.min(ratio, 10) - slowness);
+        double ratio = Math.min(HIGHEST_RATIO, tookMillis / Math.max(1, expectedMillis));
+        double relative = Math.min(HIGHEST_RATIO, ratio / Math.max(LOWEST_RATIO, slowness));
+        slowness += SMOOTHING * (ratio - slowness);
         return relative;
     }
 }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/route/EstimatePropertiesTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/EstimatePropertiesTest.java
@@ -66,6 +66,15 @@
         assertTrue(cache.cachedTokens(List.of(1L, 2L), 1_000) < 500, "a removed prefix is not believed");
     }
 
+    @Example
+    void shouldForgetBeliefWhenTargetCountsItsEventsAnew() {
+        PrefixCache cache = new PrefixCache();
+        cache.sent(List.of(1L, 2L), 1_000);
+        cache.changed(new CacheEvent("t", 50, List.of(), List.of()));
+        cache.changed(new CacheEvent("t", 1, List.of(1L), List.of()));
+        assertEquals(500, cache.cachedTokens(List.of(1L, 2L), 1_000));
+    }
+
     @Example
     void shouldHoldBoundedPrefixesWhenAllAreNew() {
         PrefixAffinity affinity = new PrefixAffinity();
--- a/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterTest.java
@@ -1,6 +1,7 @@
 package org.rattanplank.core.route;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -158,6 +159,36 @@
             assertEquals(1, back.stream().filter("t2"::equals).count(), "one probe while it has not answered");
         }
 
+        @Test
+        void shouldLeaveOutOnlySlowTargetWhenOthersKeepTheirPace() {
+            Router router = Fixtures.router(4);
+            for (int i = 0; i < 80; i++) {
+                Request request = Fixtures.request("r" + i);
+                Route route = new Route.ToTarget("t" + i % 4);
+                long took = i % 4 == 1 && i > 40 ? 30_000 : 3_000;
+                router.started(request, route, 10);
+                router.ended(request, route, Fixtures.ANSWERED, took, 20);
+            }
+            Set<String> used = new HashSet<>(routes(router, "x", 30, 60));
+            assertEquals(Set.of("t0", "t2", "t3"), used);
+        }
+
+        /**
+         * Symptom: the first target to answer was left out as slow. Sequence: nothing is known of run times, so next to
+         * nothing is expected; the first answer takes seconds. Cause: a time was compared with no expectation.
+         */
+        @Test
+        void shouldLeaveNobodyOutWhenFirstAnswersTeachTheRunTime() {
+            Router router = Fixtures.router(2);
+            router.reported(new TargetLoad("t0", Fixtures.SERVICE, List.of(), 0, 0, 8, 0, 0, false, 5), 5);
+            for (int i = 0; i < 8; i++) {
+                Request request = Fixtures.request("r" + i);
+                router.started(request, new Route.ToTarget("t0"), 10);
+                router.ended(request, new Route.ToTarget("t0"), Fixtures.ANSWERED, 4_000, 20);
+            }
+            assertTrue(routes(router, "x", 30, 20).contains("t0"));
+        }
+
         /** A target that asks for a pause is not at fault: it is left alone for that time and not longer. */
         @Test
         void shouldPauseTargetWhenItSaysWhenToComeBack() {
