Tell a region's refusal of one request from its failure

Cause: read anew, three requests that another region refused, say of one account over its share, left the whole region out. Ruled out: no pause at all (a full region would be asked again by every request). Change: a refusal at the steps accept, admit, claim or route is not a failure, and pauses a region for 0.1 s at most.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/route/Call.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/route/Call.java
@@ -151,7 +151,7 @@
             @Override
             public void notRun(long retryAfterMillis) {
                 back(() -> ended(
-                        number, new AttemptResult.NotRun(Failure.of(Step.FORWARD, peer, "refused"), retryAfterMillis)));
+                        number, new AttemptResult.NotRun(Failure.of(Step.ROUTE, peer, "refused"), retryAfterMillis)));
             }
 
             @Override
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/Router.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/Router.java
@@ -34,6 +34,7 @@
 
     private static final long RETRY_AFTER_MILLIS = 1_000;
     private static final long LONGEST_BUSY_MILLIS = 2_000;
+    private static final long LONGEST_REGION_PAUSE_MILLIS = 100;
     private static final int SERVER_ERROR = 500;
 
     private final ReentrantLock lock = new ReentrantLock();
@@ -386,17 +387,25 @@
     private void judge(Request request, Attempt attempt, AttemptResult result, long tookMillis, long nowMillis) {
         if (result instanceof AttemptResult.Whole whole && whole.answer().status() < SERVER_ERROR) {
             succeeded(request, attempt, tookMillis, nowMillis);
-        } else if (result instanceof AttemptResult.NotRun notRun && isBusy(notRun)) {
-            long untilMillis = nowMillis + Math.min(LONGEST_BUSY_MILLIS, notRun.retryAfterMillis());
+        } else if (result instanceof AttemptResult.NotRun notRun && isRefusal(notRun)) {
+            long untilMillis = nowMillis + Math.min(longestPauseMillis(attempt), notRun.retryAfterMillis());
             ejection(attempt).forEach(ejection -> ejection.busy(untilMillis));
         } else {
             failed(request, attempt, nowMillis);
         }
     }
 
-    /** Whether the other side said itself when to come back: it is there, but it has no room. */
-    private static boolean isBusy(AttemptResult.NotRun notRun) {
-        return notRun.retryAfterMillis() > 0;
+    /** Whether the other side is there and has only refused this request, so that it has not failed. */
+    private static boolean isRefusal(AttemptResult.NotRun notRun) {
+        return switch (notRun.failure().step()) {
+            case ACCEPT, ADMIT, CLAIM, ROUTE -> true;
+            case FORWARD, CONNECT, SEND, RECEIVE -> notRun.retryAfterMillis() > 0;
+        };
+    }
+
+    /** A region refuses one account or one deadline and may have room for the next; a target refuses all alike. */
+    private static long longestPauseMillis(Attempt attempt) {
+        return attempt.route() instanceof Route.ToHost ? LONGEST_REGION_PAUSE_MILLIS : LONGEST_BUSY_MILLIS;
     }
 
     private void succeeded(Request request, Attempt attempt, long tookMillis, long nowMillis) {
--- a/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterTest.java
@@ -189,6 +189,26 @@
             assertTrue(routes(router, "x", 30, 20).contains("t0"));
         }
 
+        /**
+         * Symptom: a region with room got no work from here. Sequence: its hosts refuse three requests of one account that
+         * is over its share. Cause: refusals counted as failures of the region.
+         */
+        @Test
+        void shouldKeepRegionInWhenItRefusesSingleRequests() {
+            Router router = Fixtures.router(0);
+            router.regions(List.of(Fixtures.lautoka(0, 0)), 0);
+            AttemptResult refusal =
+                    new AttemptResult.NotRun(Failure.of(Step.ADMIT, "", "the account is over its fair share"), 5_000);
+            for (int i = 0; i < 2 * Ejection.FAILURES; i++) {
+                Request request = Fixtures.request("r" + i);
+                Route route = new Route.ToHost("lautoka-1", "lautoka");
+                router.started(request, route, 10);
+                router.ended(request, route, refusal, 250, 260);
+            }
+            Routing.Go go = go(router, Fixtures.request("next"), 400);
+            assertEquals("eligible", go.candidates().get(0).verdict());
+        }
+
         /** A target that asks for a pause is not at fault: it is left alone for that time and not longer. */
         @Test
         void shouldPauseTargetWhenItSaysWhenToComeBack() {
