Weigh waits fourfold where the tail counts, and hold the gate open longer

Change: TAIL weighs waits by 4 (was 3), opens its gate at 0 ms (was 50) and closes it below -500 ms (was -200).

--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/Policy.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/Policy.java
@@ -7,7 +7,7 @@
     /** Weighs cost and the share of requests sent away from home. */
     COST(1, 1.5, 2, 1_500, 300),
     /** Weighs the slowest answers. */
-    TAIL(3, 1, 1, 50, -200),
+    TAIL(4, 1, 1, 0, -500),
     /** A baseline: any eligible target at random. */
     RANDOM,
     /** A baseline: the eligible targets in turn. */
