Keep the port open until callers have gone, then stop

Cause: a trial with 24 callers and a SIGTERM in the middle had one draft cut off: its connection was taken while the process ended. Ruled out: closing the port at once when the node says Stop; it had one booking reset in three runs, by the kernel's queue of connections. Change: after Stop the port stays open, refusing with 503, until no caller came for 300 ms (3 s at most); then it closes, and the process ends once replies have left and connections are closed or quiet.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
@@ -246,7 +246,7 @@
         } else if (action instanceof Action.KeepLinks keep) {
             links.keep(keep.hosts());
         } else if (action instanceof Action.Stop) {
-            finishStop();
+            finishStop(new CallerDrain(callerServer, this::unfinished, clock));
         }
     }
 
@@ -254,12 +254,11 @@
         runner.raise(new Event.DrainAsked());
     }
 
-    /** Waits until every reply has left: an answer that is decided is not yet one that was sent. */
-    private void finishStop() {
-        if (unfinished() == 0) {
+    private void finishStop(CallerDrain drain) {
+        if (drain.isDone()) {
             stop.finished();
         } else if (!stop.isOver()) {
-            pollers.schedule(this::finishStop, FLUSH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+            pollers.schedule(() -> finishStop(drain), FLUSH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -28,7 +29,6 @@
 import ratpack.handling.Context;
 import ratpack.http.ConnectionClosedException;
 import ratpack.http.Response;
-import ratpack.server.RatpackServer;
 import ratpack.server.ServerConfig;
 
 /**
@@ -50,8 +50,9 @@
     private final Tokens tokens = new Tokens();
     private final AskReader reader;
     private final ConnectionGate gate;
+    private final AtomicLong requests = new AtomicLong();
     private final AtomicInteger unsentReplies = new AtomicInteger();
-    private Option<RatpackServer> server = Option.none();
+    private Option<GatedServer> server = Option.none();
 
     /**
      * Makes a server that is not open yet.
@@ -95,7 +96,7 @@
                     .maxHeaderSize(limits.maxHeaderBytes())
                     .idleTimeout(Duration.ofMillis(limits.idleTimeoutMillis()))
                     .build();
-            RatpackServer made = new GatedServer(
+            GatedServer made = new GatedServer(
                     spec -> spec.serverConfig(config)
                             .registryOf(registry -> registry.add(ServerErrorHandler.class, this::failed))
                             .handlers(chain -> chain.all(this::handle)),
@@ -124,12 +125,27 @@
         return gate.connections();
     }
 
+    /**
+     * Counts the connections and requests that ever came.
+     *
+     * @return the number, which only grows
+     */
+    public long arrivals() {
+        return gate.accepted() + requests.get();
+    }
+
+    /** Takes no more connections; requests on those that are open are still answered. */
+    public void stopAccepting() {
+        server.forEach(GatedServer::stopAccepting);
+    }
+
     @Override
     public void close() {
         server.forEach(open -> Try.run(open::stop));
     }
 
     private void handle(Context context) {
+        requests.incrementAndGet();
         unsentReplies.incrementAndGet();
         context.onClose(outcome -> unsentReplies.decrementAndGet());
         context.getRequest()
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/ConnectionGate.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/ConnectionGate.java
@@ -1,6 +1,7 @@
 package org.rattanplank.daemon.caller;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
@@ -20,6 +21,7 @@
     private final int maxConnections;
     private final long readTimeoutMillis;
     private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicLong accepted = new AtomicLong();
 
     ConnectionGate(String host, int maxConnections, long readTimeoutMillis) {
         this.host = host;
@@ -27,16 +29,21 @@
         this.readTimeoutMillis = readTimeoutMillis;
     }
 
+    long accepted() {
+        return accepted.get();
+    }
+
     int connections() {
         return connections.get();
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext context, Object accepted) {
-        Channel child = (Channel) accepted;
+    public void channelRead(ChannelHandlerContext context, Object connection) {
+        Channel child = (Channel) connection;
+        accepted.incrementAndGet();
         boolean full = connections.incrementAndGet() > maxConnections;
         child.closeFuture().addListener(closed -> connections.decrementAndGet());
         child.pipeline().addFirst(new CallerConnection(host, full, readTimeoutMillis));
-        context.fireChannelRead(accepted);
+        context.fireChannelRead(connection);
     }
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/GatedServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/GatedServer.java
@@ -17,6 +17,11 @@
         this.gate = gate;
     }
 
+    /** Takes no more connections; those that are open stay. */
+    void stopAccepting() {
+        channel.close();
+    }
+
     @Override
     protected Channel buildChannel(ServerConfig config, ChannelHandler handler) throws InterruptedException {
         Channel open = super.buildChannel(config, handler);
