Refuse a request at once that was given up on before

Cause: a request whose claim was given back, opened again by the same process, made it and the key's primary send each other ClaimOpen and ClaimSettle without end; naming openers by process keeps other hosts out of this, not the same one. Ruled out: granting it again, since a late copy of the first opening could not be told from the second. Change: it is not run, at once, with a time to come back. Before: shouldRefuseAtOnceWhenRequestThatWasGivenUpOnComesAgain ends with 'messages never end'.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimDesk.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimDesk.java
@@ -133,6 +133,11 @@
             decide(asked, known.get(), out);
             return;
         }
+        if (held.exists(claim -> claim.isOf(asked.requestId()) && claim.state().isFree())) {
+            // No primary will order it again; asking and being told so would go on without end.
+            refuse(asked, "the request was given up on before", nowMillis, out);
+            return;
+        }
         boolean heldByOther = held.exists(
                 claim -> !claim.isOf(asked.requestId()) && !claim.state().isFree());
         if (heldByOther) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/claim/Claims.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/Claims.java
@@ -83,7 +83,10 @@
         try {
             ClaimTable copiedTable = table.copy();
             ViewKeeper copiedKeeper = keeper.copy(copiedTable);
-            return new Claims(opener, limits, copiedTable, copiedKeeper, desk.copy(copiedKeeper, copiedTable));
+            ClaimDesk copiedDesk = desk.copy(copiedKeeper, copiedTable);
+            Claims copy = new Claims(opener, limits, copiedTable, copiedKeeper, copiedDesk);
+            copy.leftInTime = leftInTime;
+            return copy;
         } finally {
             lock.unlock();
         }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/claim/ClaimsTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/claim/ClaimsTest.java
@@ -221,6 +221,21 @@
         assertInstanceOf(ClaimDecision.Unknown.class, cluster.claims("c").abandon(key, "r3", cluster.nowMillis));
     }
 
+    @Test
+    void shouldRefuseAtOnceWhenRequestThatWasGivenUpOnComesAgain() {
+        // Symptom: two hosts send each other claims as fast as they can, and the caller hears nothing.
+        // Sequence: a request is given up on; the same request comes to the same host again.
+        // Cause: its primary answers with the old end, at which the host asks again.
+        for (String host : List.of("a", "b", "c")) {
+            cluster.open(host, key, "r " + host);
+            cluster.claims(host).abandon(key, "r " + host, cluster.nowMillis);
+            cluster.run(1_000);
+            cluster.open(host, key, "r " + host);
+            cluster.settleDown();
+            assertInstanceOf(ClaimDecision.NotRun.class, cluster.decision("r " + host));
+        }
+    }
+
     @Test
     void shouldRefuseNewKeysWhenMemoryIsFullAndForgetNoneBeforeTime() {
         ClaimCluster small = new ClaimCluster(
