--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/process/Child.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/process/Child.java
@@ -6,6 +6,7 @@
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -108,6 +109,15 @@
         return process.isAlive();
     }
 
+    /**
+     * The processor time that the process has used.
+     *
+     * @return the time, zero if the platform does not tell
+     */
+    public Duration cpuTime() {
+        return process.toHandle().info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
     /** Asks the process to stop gracefully. */
     public void terminate() {
         signal("TERM");
