End a measurement's processes when it is ended itself

Cause: a measurement ended from outside left its ten processes behind.

Change: a shutdown hook ends them, each by its own handle.

Conclusion: closing the fleet stays the usual way; the hook is for the rest.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/outcome/CallLoad.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/outcome/CallLoad.java
@@ -1,5 +1,6 @@
 package org.rattanplank.bench.outcome;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -26,7 +27,8 @@
  * Callers that go on calling through all that happens: bookings are repeated with their key at another host, queries
  * and drafts are made once.
  *
- * <p>Invariant: each call has one record. Thread safe; its callers share nothing but concurrent collections.
+ * <p>Each call has a connection of its own, since a call on an idle connection may meet its end by chance. Invariant:
+ * each call has one record. Thread safe; its callers share nothing but concurrent collections.
  */
 public final class CallLoad implements AutoCloseable {
     private static final int MAX_ATTEMPTS = 4;
@@ -38,7 +40,7 @@
     private final Deployment deployment;
     private final List<Host> hosts;
     private final long seed;
-    private final java.time.Duration timeout;
+    private final Duration timeout;
     private final ExecutorService callers;
     private final AtomicInteger next = new AtomicInteger();
     private final AtomicInteger ended = new AtomicInteger();
@@ -53,7 +55,7 @@
      * @param timeout how long they let the system take for one call
      * @param threads how many call at once
      */
-    public CallLoad(Fleet fleet, long seed, java.time.Duration timeout, int threads) {
+    public CallLoad(Fleet fleet, long seed, Duration timeout, int threads) {
         this.fleet = fleet;
         this.seed = seed;
         this.timeout = timeout;
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/process/Child.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/process/Child.java
@@ -10,6 +10,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -24,6 +26,15 @@
     private static final long READY_MILLIS = 60_000;
     private static final long END_MILLIS = 30_000;
 
+    private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
+
+    // A measurement that is ended from outside would leave its processes behind, which hold ports and memory; they
+    // would
+    // show as Java processes without a parent.
+    static {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
+    }
+
     private final String name;
     private final Process process;
     private final List<String> lines = new ArrayList<>();
@@ -58,6 +69,8 @@
             Process process = new ProcessBuilder(command)
                     .redirectError(ProcessBuilder.Redirect.appendTo(log))
                     .start();
+            STARTED.add(process);
+            process.onExit().thenAccept(STARTED::remove);
             Child child = new Child(name, process, readyPrefix);
             Thread reader = new Thread(child::read, "read-" + name);
             reader.setDaemon(true);
