Answer a repeat at once when its runner is lost and the store is out

Cause: with the store out and the host that ran a booking killed, the repeat waited for a call whose host could not leave the view: no answer in 60 s (found with real processes; ClaimSessionTest: 'r2 has outcomes [] ==> expected: <1> but was: <0>'). Ruled out: the links (the loss was known), the retry at the caller.

--- a/rattanplank-bench/src/test/java/org/rattanplank/bench/process/HostLossTest.java
+++ b/rattanplank-bench/src/test/java/org/rattanplank/bench/process/HostLossTest.java
@@ -10,6 +10,7 @@
 import org.rattanplank.standins.caller.CallOutcome;
 import org.rattanplank.standins.caller.CallRequest;
 import org.rattanplank.standins.caller.CallResult;
+import org.rattanplank.standins.http.Json;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -35,6 +36,7 @@
 
     @BeforeEach
     void heal() {
+        fleet.platformFaults(Json.object().put("storeDown", false));
         fleet.hosts().stream().filter(host -> !host.child().isAlive()).forEach(Host::restart);
         fleet.awaitServing(BOUND_MILLIS);
         // A view formed after all members were lost does not vouch for keys made before it or about then.
@@ -106,6 +108,22 @@
         assertEquals(1, calls.settledRuns(booking));
     }
 
+    // Symptom: seals are ordered twice, or a caller hears that nothing ran while it ran. Sequence: the store is out, a
+    // host is killed with a booking in flight, the key is repeated. Cause: the view cannot change while the store is
+    // out.
+    @Test
+    void shouldRunBookingOnceWhenStoreIsOutAndHostIsKilled() {
+        fleet.platformFaults(Json.object().put("storeDown", true));
+        CallRequest booking = calls.newBooking();
+        CompletableFuture<CallResult> lost = calls.start(first, booking);
+        calls.awaitRunning(booking);
+        first.child().kill();
+        Calls.await(lost);
+        CallResult repeated = calls.send(second, booking);
+        assertNotEquals(CallOutcome.NOT_RUN, repeated.outcome(), repeated.toString());
+        assertEquals(1, calls.settledRuns(booking));
+    }
+
     private static long viewNumber(Host host) {
         return fleet.status(host)
                 .map(status -> status.path("viewNumber").asLong())
--- a/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimDesk.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimDesk.java
@@ -140,6 +140,12 @@
         }
         boolean heldByOther = held.exists(
                 claim -> !claim.isOf(asked.requestId()) && !claim.state().isFree());
+        if (heldByOther && keeper.isLostForNow(held.get().runner(), nowMillis)) {
+            // The call's end would be known once its host is out of the view, which takes the store. Waiting for that
+            // holds the caller until its deadline; one would notice repeats that hang during an outage.
+            decide(asked, new ClaimDecision.Unknown(failure("the host that runs the call cannot be reached")), out);
+            return;
+        }
         if (heldByOther) {
             waitFor(held.get(), asked, nowMillis, out);
             return;
--- a/rattanplank-core/src/main/java/org/rattanplank/core/claim/ViewKeeper.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ViewKeeper.java
@@ -142,6 +142,11 @@
         return change.exists(ViewChange::byStore) || !lostMembers(nowMillis).isEmpty();
     }
 
+    /** Whether a member is lost and nothing but the store, which does not answer, could take it out of the view. */
+    boolean isLostForNow(ViewMemberId member, long nowMillis) {
+        return store.isDown() && view.isDefined() && lostMembers(nowMillis).contains(member);
+    }
+
     boolean hasLeft() {
         return phase == ViewPhase.OUTSIDE && change.isEmpty() && uninstalled.isEmpty();
     }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/ClaimSessionTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/ClaimSessionTest.java
@@ -139,6 +139,23 @@
         session.transcript().assertMatches("booking-host-killed");
     }
 
+    /*
+     * Symptom: a fitter waits for the whole deadline to learn that nobody knows about a booking. Sequence: the store is
+     * out; the host that runs a booking is killed; the key is repeated at the other host, which holds the claim. Cause:
+     * the repeat waits for the end of a call whose host cannot leave the view while the store is out.
+     */
+    @Test
+    void shouldSayUnknownSoonWhenStoreIsOutAndRunnerIsLost() {
+        Session session = Koro.start();
+        session.store().down(true);
+        session.ask("suva-1", Koro.booking(session, "r1", "suva", Koro.KEY));
+        session.kill("suva-1").pass(3_000);
+        session.ask("suva-2", Koro.booking(session, "r2", "suva", Koro.KEY));
+        session.pass(5_000);
+        assertInstanceOf(Outcome.Unknown.class, session.onlyOutcome("r2"));
+        assertEquals(List.of(), session.waitingAt("r2"));
+    }
+
     /*
      * Symptom: the same booking runs in Labasa and in Suva. Sequence: Labasa is cut from all others and from the
      * platform; its caller books there, walks away and repeats the key at Suva. Cause: Suva takes the key over because
