Show targets' loads in the status; say when to come back without configuration

Cause: rattanplank status listed targets without their load; a host that has just started answered a sound token with 401, which tells a caller to give up. Ruled out: the tool (it printed a load where there was one), the hashes. Change: the node's status carries the newest reports; before any configuration a request is 503, not run, with Retry-After. Before: no load, 401.

--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/StatusCommand.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/StatusCommand.java
@@ -10,6 +10,7 @@
 import com.beust.jcommander.ParametersDelegate;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /** Shows what each region's entry hosts know. Run once by one thread. */
@@ -60,9 +61,14 @@
         Map<String, String> targets = new TreeMap<>();
         TreeSet<String> leaving = new TreeSet<>();
         for (HostStatus host : hosts) {
+            Map<String, JsonNode> loads = new TreeMap<>();
             host.json()
-                    .path("targets")
-                    .forEach(target -> targets.putIfAbsent(target.path("name").asText(), targetLine(target)));
+                    .path("loads")
+                    .forEach(load -> loads.put(load.path("target").asText(), load));
+            host.json().path("targets").forEach(target -> {
+                String name = target.path("name").asText();
+                targets.putIfAbsent(name, targetLine(target, loads.getOrDefault(name, MissingNode.getInstance())));
+            });
             host.json().path("leaving").forEach(name -> leaving.add(name.asText()));
         }
         List<String> lines = new ArrayList<>(targets.values());
@@ -72,8 +78,7 @@
         return lines;
     }
 
-    private static String targetLine(JsonNode target) {
-        JsonNode load = target.path("load");
+    private static String targetLine(JsonNode target, JsonNode load) {
         String described = load.isObject()
                 ? ", running " + load.path("running").asLong() + " of "
                         + load.path("slots").asLong() + ", queued "
--- a/rattanplank-cli/src/test/java/org/rattanplank/cli/MainTest.java
+++ b/rattanplank-cli/src/test/java/org/rattanplank/cli/MainTest.java
@@ -145,6 +145,13 @@
         assertTrue(out.toString().contains("desk-2: leaving, score 0.5"), out.toString());
     }
 
+    @Test
+    void shouldShowLoadOfTargetsWhenAskedForStatus() {
+        String host = Addresses.write(loop.serve(0, MainTest::answerStatus));
+        assertEquals(ExitCode.DONE, run("status", "--operators", host));
+        assertTrue(out.toString().contains("target desk-1 of crew-desk, running 3 of 8, queued 1"), out.toString());
+    }
+
     private static void answerEntryHosts(Exchange exchange) {
         exchange.respond(
                 200,
@@ -164,7 +171,8 @@
     private static void answerStatus(Exchange exchange) {
         String status =
                 "{\"identity\":{\"host\":\"suva-1\",\"place\":{\"region\":\"suva\",\"dataCentre\":\"suva-hall\"}},"
-                        + "\"generation\":0}";
+                        + "\"generation\":0,\"targets\":[{\"name\":\"desk-1\",\"service\":\"crew-desk\"}],"
+                        + "\"loads\":[{\"target\":\"desk-1\",\"running\":3,\"queued\":1,\"slots\":8}]}";
         exchange.respond(200, Json.readOrEmpty(status));
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
@@ -125,6 +125,7 @@
                 requests.inFlight(),
                 requests.isDraining(),
                 members.targetsTakingWork(),
+                controller.reports(),
                 members.remoteRegions(),
                 members.leaving());
     }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/control/Controller.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/control/Controller.java
@@ -145,6 +145,15 @@
         });
     }
 
+    /**
+     * The newest reports of the region's targets.
+     *
+     * @return the reports, sorted by target
+     */
+    public List<TargetLoad> reports() {
+        return locked(() -> List.copyOf(reports.values()));
+    }
+
     /**
      * Takes the end of a call to the store.
      *
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/AskReader.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/AskReader.java
@@ -32,6 +32,11 @@
     private static final int MAX_KEY_LENGTH = 255;
 
     Either<Refusal, Asked> read(HttpAsk ask, Configuration configuration, long nowMillis) {
+        if (configuration.generation() == 0) {
+            // Without a configuration no token is known; 401 would tell a caller with a sound token to give up for
+            // good.
+            return Either.left(Refusal.busy("", "no configuration is in force yet"));
+        }
         Option<Account> account = tokens.accountOf(ask.header("Authorization"), configuration);
         if (account.isEmpty()) {
             return Either.left(Refusal.accept(Refusal.UNAUTHORIZED, "", "the token is not known"));
