Keep one fake store in the core's tests; order entry hosts in a class of their own

Cause: reading as a newcomer: three fakes of the store stood in the core's tests, and Members ordered entry hosts beside its own job. Change: sessions use core.store.FakeStore; EntryHostOrder.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Members.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Members.java
@@ -42,7 +42,6 @@
     private static final long LOST_MILLIS = 3_000;
     private static final long OLDER_LIST_MILLIS = 30_000;
     private static final long REGIONS_MILLIS = 1_000;
-    private static final int MAX_ENTRY_HOSTS = 24;
     private static final int MAX_NOTICES = 256;
     private static final int CONTROLLER_CANDIDATES = 2;
 
@@ -548,7 +547,7 @@
                         .filter(host -> !leavings.contains(host.name()))
                         .toList();
             }
-            return new EntryHosts(order(usable, account, homeDataCentre), TTL_MILLIS);
+            return new EntryHosts(EntryHostOrder.order(usable, account, homeDataCentre), TTL_MILLIS);
         });
     }
 
@@ -571,44 +570,6 @@
         return centre.exists(known -> workingHostsOf(known).contains(host.name()));
     }
 
-    private List<EntryHost> order(List<ListedHost> hosts, String account, String homeDataCentre) {
-        Map<String, ListedHost> byName = new TreeMap<>();
-        Map<String, List<String>> byDataCentre = new TreeMap<>();
-        Option<String> homeRegion = Option.none();
-        for (ListedHost host : hosts) {
-            byName.put(host.name(), host);
-            byDataCentre
-                    .computeIfAbsent(host.place().dataCentre(), name -> new ArrayList<>())
-                    .add(host.name());
-            if (host.place().dataCentre().equals(homeDataCentre)) {
-                homeRegion = Option.some(host.place().region());
-            }
-        }
-        List<String> dataCentres = new ArrayList<>(Rendezvous.rank(byDataCentre.keySet(), account));
-        Option<String> region = homeRegion;
-        dataCentres.sort(java.util.Comparator.comparingInt(name -> {
-            if (name.equals(homeDataCentre)) {
-                return 0;
-            }
-            String other = byName.get(byDataCentre.get(name).get(0)).place().region();
-            return region.contains(other) ? 1 : 2;
-        }));
-        List<EntryHost> ordered = new ArrayList<>();
-        for (String dataCentre : dataCentres) {
-            for (String name : Rendezvous.rank(byDataCentre.get(dataCentre), account)) {
-                if (ordered.size() < MAX_ENTRY_HOSTS) {
-                    ordered.add(entryHost(byName.get(name)));
-                }
-            }
-        }
-        return ordered;
-    }
-
-    private static EntryHost entryHost(ListedHost host) {
-        return new EntryHost(
-                host.name(), host.place().region(), host.place().dataCentre(), host.address(), host.port());
-    }
-
     /**
      * Finds everything that is known to be leaving.
      *
--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/ClaimSessionTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/ClaimSessionTest.java
@@ -147,7 +147,7 @@
     @Test
     void shouldSayUnknownSoonWhenStoreIsOutAndRunnerIsLost() {
         Session session = Koro.start();
-        session.store().down(true);
+        session.storeDown(true);
         session.ask("suva-1", Koro.booking(session, "r1", "suva", Koro.KEY));
         session.kill("suva-1").pass(3_000);
         session.ask("suva-2", Koro.booking(session, "r2", "suva", Koro.KEY));
--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/RandomSessionTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/RandomSessionTest.java
@@ -78,7 +78,7 @@
             case 11 -> restart(choice, session);
             case 12 -> cut(choice, session);
             case 13 -> session.healAll().pass(300);
-            case 14 -> session.store().down(choice % 2 == 0);
+            case 14 -> session.storeDown(choice % 2 == 0);
             default -> drain(choice, session);
         }
     }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/Session.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/Session.java
@@ -27,6 +27,7 @@
 import org.rattanplank.core.route.Policy;
 import org.rattanplank.core.route.Route;
 import org.rattanplank.core.route.TargetLoad;
+import org.rattanplank.core.store.FakeStore;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -58,15 +59,17 @@
     private final Transcript transcript = new Transcript();
     private final List<String> cancelled = new ArrayList<>();
     private final FakeStore store = new FakeStore();
+    private FakeStore.Fault storeFault = FakeStore.Fault.NONE;
     private final Set<String> storeless = new HashSet<>();
     private long nowMillis = START_MILLIS;
     private long listRevision;
 
     private record Attempt(String node, String requestId, int number, Route route) {}
 
-    /** The platform's store. */
-    FakeStore store() {
-        return store;
+    /** Takes the platform's store down or brings it back. */
+    Session storeDown(boolean isDown) {
+        storeFault = isDown ? FakeStore.Fault.DOWN : FakeStore.Fault.NONE;
+        return this;
     }
 
     /** What went in and came out so far. */
@@ -135,7 +138,7 @@
 
     /** Applies a configuration document, and lets every node that runs learn the list and the document. */
     Session configure(String document) {
-        store.force(Configurations.KEY, document);
+        store.write(Configurations.KEY, document);
         relist();
         return pass(2_000);
     }
@@ -300,7 +303,7 @@
         } else if (action instanceof Action.CallStore call) {
             var reply = storeless.contains(host)
                     ? new org.rattanplank.core.store.StoreReply.Unavailable("cut off")
-                    : store.call(call.command());
+                    : store.call(call.command(), storeFault, nowMillis);
             deliveries.add(() -> handle(host, new Event.StoreReplied(call.owner(), call.callId(), reply)));
         } else if (action instanceof Action.StartAttempt start) {
             startAttempt(host, start);
