Make the bounds of remembered keys settings

Cause: the bounds on claims were constants, and whoever runs the daemon has to fit them to its memory and its callers' clocks. Ruled out: one setting for memory (the number of keys and the bytes of answers run out apart).

--- a/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import io.vavr.control.Option;
+import org.rattanplank.core.claim.ClaimLimits;
 import org.rattanplank.core.claim.Claims;
 import org.rattanplank.core.control.ControlStep;
 import org.rattanplank.core.control.Controller;
@@ -44,11 +45,11 @@
     private volatile boolean leaveAsked;
     private volatile boolean stopped;
 
-    private Node(NodeIdentity self, Policy policy, long seed) {
+    private Node(NodeIdentity self, Policy policy, ClaimLimits claimLimits, long seed) {
         this.self = self;
         members = Members.of(self);
         configurations = Configurations.of(self);
-        claims = Claims.of(self);
+        claims = Claims.of(self, claimLimits);
         router = Router.of(self.place(), policy, seed);
         controller = Controller.of(self);
         requests = new RequestFlow(self, members, configurations, claims, router, explanations);
@@ -63,7 +64,20 @@
      * @return the node
      */
     public static Node of(NodeIdentity self, Policy policy, long seed) {
-        return new Node(self, policy, seed);
+        return of(self, policy, ClaimLimits.defaults(), seed);
+    }
+
+    /**
+     * Makes a node that knows nothing yet.
+     *
+     * @param self which entry host it is
+     * @param policy what the deployment weighs
+     * @param claimLimits the bounds on remembered idempotency keys
+     * @param seed the seed of random choices
+     * @return the node
+     */
+    public static Node of(NodeIdentity self, Policy policy, ClaimLimits claimLimits, long seed) {
+        return new Node(self, policy, claimLimits, seed);
     }
 
     /**
--- a/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimLimits.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimLimits.java
@@ -49,6 +49,17 @@
         return DEFAULTS;
     }
 
+    /**
+     * Bounds the time for which claims are kept.
+     *
+     * @param retention how long a claim is kept
+     * @param clockMargin by how much the clocks of hosts and callers may differ
+     * @return the changed limits
+     */
+    public ClaimLimits withTimes(long retention, long clockMargin) {
+        return with(retention, maxClaims, maxAnswerBytes, maxTotalAnswerBytes, clockMargin);
+    }
+
     /**
      * Bounds the number of claims.
      *
@@ -56,12 +67,27 @@
      * @return the changed limits
      */
     public ClaimLimits withMaxClaims(int claims) {
+        return with(retentionMillis, claims, maxAnswerBytes, maxTotalAnswerBytes, clockMarginMillis);
+    }
+
+    /**
+     * Bounds the memory of kept answers.
+     *
+     * @param answerBytes the largest answer that is kept
+     * @param totalAnswerBytes the most bytes of all kept answers
+     * @return the changed limits
+     */
+    public ClaimLimits withAnswerBytes(int answerBytes, long totalAnswerBytes) {
+        return with(retentionMillis, maxClaims, answerBytes, totalAnswerBytes, clockMarginMillis);
+    }
+
+    private ClaimLimits with(long retention, int claims, int answerBytes, long totalAnswerBytes, long clockMargin) {
         return new ClaimLimits(
-                retentionMillis,
+                retention,
                 claims,
-                maxAnswerBytes,
-                maxTotalAnswerBytes,
-                clockMarginMillis,
+                answerBytes,
+                totalAnswerBytes,
+                clockMargin,
                 openTimeoutMillis,
                 silentMillis,
                 resendMillis,
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import org.rattanplank.core.Event;
 import org.rattanplank.core.Node;
 import org.rattanplank.core.NodeIdentity;
+import org.rattanplank.core.claim.ClaimLimits;
 import org.rattanplank.core.host.Place;
 import org.rattanplank.core.request.AttemptResult;
 import org.rattanplank.core.request.Failure;
@@ -94,7 +95,7 @@
         NodeIdentity self = new NodeIdentity(
                 settings.host(), clock.startMillis(), Place.of(settings.region(), settings.dataCentre()));
         long seed = settings.seed() == 0 ? clock.startMillis() : settings.seed();
-        node = Node.of(self, Policy.of(settings.policy()).getOrElse(Policy.COST), seed);
+        node = Node.of(self, Policy.of(settings.policy()).getOrElse(Policy.COST), claimLimits(settings), seed);
         runner = NodeRunner.of(node, clock, this::carryOut, (int) settings.workers(), (int) settings.maxBacklog());
         traces = Traces.of(TraceExporter.of(settings.traceExporter()), settings.host(), settings.traceUrl());
         observer = new Observer(runner, calls, metrics, traces);
@@ -319,4 +320,11 @@
         thread.setDaemon(true);
         return thread;
     }
+
+    private static ClaimLimits claimLimits(DaemonSettings settings) {
+        return ClaimLimits.defaults()
+                .withTimes(settings.claimRetentionMillis(), settings.claimClockMarginMillis())
+                .withMaxClaims((int) settings.maxClaims())
+                .withAnswerBytes((int) settings.maxKeptAnswerBytes(), settings.maxKeptAnswersBytes());
+    }
 }
