Name other entry hosts with every 503

Cause: a host that leaves refused new work without saying who takes it, so a caller waited out its list's time to live. Change: 503 carries Rattanplank-Entry-Hosts, up to four others. Before: no header (the new test fails without the change by its absence).

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -38,6 +39,8 @@
  * reply frees what the request holds. Thread safe.
  */
 public final class CallerServer implements AutoCloseable {
+    private static final String ENTRY_HOSTS = "Rattanplank-Entry-Hosts";
+    private static final int MAX_OTHER_HOSTS = 4;
     private static final long IDLE_GRACE_MILLIS = 60_000;
     private static final int OK = 200;
 
@@ -271,11 +274,11 @@
         return Promise.async(downstream -> reply.thenAccept(downstream::success));
     }
 
-    private static void send(Context context, CallerReply reply) {
+    private void send(Context context, CallerReply reply) {
         head(context, reply).send(reply.body());
     }
 
-    private static void send(Context context, CallerReply reply, PartQueue parts) {
+    private void send(Context context, CallerReply reply, PartQueue parts) {
         if (reply.stream()) {
             head(context, reply).sendStream(parts);
         } else {
@@ -283,10 +286,22 @@
         }
     }
 
-    private static Response head(Context context, CallerReply reply) {
+    private Response head(Context context, CallerReply reply) {
         Response response = context.getResponse().noCompress();
         response.status(ratpack.http.Status.of(reply.status()));
         reply.headers().forEach((name, value) -> response.getHeaders().set(name, value));
+        if (reply.status() == Refusal.UNAVAILABLE) {
+            response.getHeaders().set(ENTRY_HOSTS, otherHosts());
+        }
         return reply.contentType().isEmpty() ? response : response.contentType(reply.contentType());
     }
+
+    /** A host that leaves or is full names others, so that its callers need not wait to ask elsewhere. */
+    private String otherHosts() {
+        return node.entryHosts("", clock.nowMillis()).hosts().stream()
+                .filter(other -> !other.host().equals(host))
+                .limit(MAX_OTHER_HOSTS)
+                .map(other -> other.address() + ":" + other.port())
+                .collect(Collectors.joining(","));
+    }
 }
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/caller/CallerServerTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/caller/CallerServerTest.java
@@ -13,6 +13,9 @@
 import org.rattanplank.core.Event;
 import org.rattanplank.core.Node;
 import org.rattanplank.core.NodeIdentity;
+import org.rattanplank.core.host.HostList;
+import org.rattanplank.core.host.HostRole;
+import org.rattanplank.core.host.ListedHost;
 import org.rattanplank.core.request.Answer;
 import org.rattanplank.core.request.Failure;
 import org.rattanplank.core.request.Outcome;
@@ -103,6 +106,19 @@
         }
     }
 
+    @Test
+    void shouldNameOtherHostsWhenItCannotTakeTheRequest() throws Exception {
+        ListedHost other =
+                new ListedHost("suva-2", HostRole.ENTRY, TestHosts.SUVA, "127.0.0.1", 8_080, 9_090, "", false);
+        node.handle(new Event.HostsListed(new HostList(1, List.of(other))), clock.nowMillis());
+        try (Socket caller = ask("POST", "/services/crew-desk/book", TOKEN + "Idempotency-Key: k\r\n", "{}")) {
+            Request request = events.next(Event.CallerAsked.class).request();
+            Failure failure = Failure.of(Step.ADMIT, "suva-1", "this host is leaving");
+            calls.finish(request.id(), new Outcome.NotRun(failure, 1_000));
+            assertEquals("127.0.0.1:8080", RawServer.header(read(caller, "}}"), "Rattanplank-Entry-Hosts"));
+        }
+    }
+
     @Test
     void shouldRefuseBeforeTheCoreWhenRequestIsUnsound() throws Exception {
         assertEquals(401, status("POST", "/v1/chat/completions", "", chat("plank-serve", false)));
