Refuse keys without a time for calls that may not be repeated

Cause: a key that is no version 7 UUID looks new once its claim is forgotten after the retention, so its call would run again: the promise of at most once did not hold for such keys (docs/AT-MOST-ONCE.md said so). Ruled out: keeping such claims for ever (memory has no bound), fixed quotas. Change: the accept step refuses them with 400 and says where keys come from. Before: ClaimSessionTest.shouldRefuseKeyOfBookingWhenItCarriesNoTime, 'r1 has outcomes [] ==> expected: <1> but was: <0>'.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/AcceptRules.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/AcceptRules.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import io.vavr.control.Option;
+import org.rattanplank.core.claim.ClaimKey;
 import org.rattanplank.core.intent.Account;
 import org.rattanplank.core.intent.Configuration;
 import org.rattanplank.core.request.Failure;
@@ -28,9 +29,20 @@
             String reason = "a call that may not be repeated needs a key";
             return Option.some(Failure.of(Step.ACCEPT, request.service(), reason));
         }
+        // A key without a time looks new once its claim is forgotten: its call would run again, which one would notice
+        // as a second booking days later. A key that carries its age is refused instead.
+        if (!request.repeatable() && !request.claimed() && !hasTimedKey(request)) {
+            String reason = "the key must be a version 7 UUID; POST /v1/idempotency-keys gives one";
+            return Option.some(Failure.of(Step.ACCEPT, request.service(), reason));
+        }
         return Option.none();
     }
 
+    private static boolean hasTimedKey(Request request) {
+        return request.idempotencyKey()
+                .exists(key -> ClaimKey.of(request.account(), key).hasTime());
+    }
+
     static Set<String> allowedRegions(Request request, Configuration configuration) {
         Option<String> ofAccount =
                 configuration.account(request.account()).map(Account::residency).filter(label -> !label.isEmpty());
--- a/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimKey.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/claim/ClaimKey.java
@@ -24,4 +24,13 @@
     public static ClaimKey of(String account, String key) {
         return new ClaimKey(account, key);
     }
+
+    /**
+     * Tells whether the key carries the time at which it was made, as a version 7 UUID does.
+     *
+     * @return whether its age can be known
+     */
+    public boolean hasTime() {
+        return KeyTime.of(key).isDefined();
+    }
 }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/ClaimSessionTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/ClaimSessionTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.rattanplank.core.Event;
 import org.rattanplank.core.request.Outcome;
+import org.rattanplank.core.request.Step;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -156,6 +157,20 @@
         assertEquals(List.of(), session.waitingAt("r2"));
     }
 
+    /*
+     * Symptom: a booking that is repeated the next day runs again. Sequence: the key carries no time; its claim is
+     * forgotten when the retention has passed; the key comes again. Cause: nothing tells an old key without a time from
+     * a new one.
+     */
+    @Test
+    void shouldRefuseKeyOfBookingWhenItCarriesNoTime() {
+        Session session = Koro.start();
+        session.ask("suva-1", Koro.booking(session, "r1", "suva", "order-17"));
+        Outcome.NotRun notRun = assertInstanceOf(Outcome.NotRun.class, session.onlyOutcome("r1"));
+        assertEquals(Step.ACCEPT, notRun.failure().step());
+        assertEquals(List.of(), session.waitingAt("r1"));
+    }
+
     /*
      * Symptom: the same booking runs in Labasa and in Suva. Sequence: Labasa is cut from all others and from the
      * platform; its caller books there, walks away and repeats the key at Suva. Cause: Suva takes the key over because
