Mix bits in one place

Cause: reading the whole change once more: PrefixAffinity held the same finalizer as core.host.Rendezvous, line for line. Ruled out: sharing it with the claims, whose mixer is another and decides each key's primary. Change: the router calls Rendezvous.mix. Behaviour is the same: the golden files are untouched.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/host/Rendezvous.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/host/Rendezvous.java
@@ -45,7 +45,13 @@
         return mix(hash);
     }
 
-    private static long mix(long value) {
+    /**
+     * Spreads the bits of a number over all of its 64 bits.
+     *
+     * @param value the number
+     * @return the mixed number
+     */
+    public static long mix(long value) {
         long mixed = (value ^ (value >>> 33)) * 0xff51afd7ed558ccdL;
         mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
         return mixed ^ (mixed >>> 33);
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/PrefixAffinity.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/PrefixAffinity.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 
 import io.vavr.control.Option;
+import org.rattanplank.core.host.Rendezvous;
 
 /**
  * Where prompts with a common prefix go: to the target that had the prefix last, else by rendezvous hashing, so that
@@ -65,7 +66,7 @@
         long firstRank = Long.MIN_VALUE;
         long secondRank = Long.MIN_VALUE;
         for (int i = 0; i < seeds.length; i++) {
-            long rank = mix(key ^ seeds[i]);
+            long rank = Rendezvous.mix(key ^ seeds[i]);
             if (rank <= secondRank || !mayBeChosen.test(targets[i])) {
                 continue;
             }
@@ -84,11 +85,4 @@
         }
         return second < 0 ? List.of(targets[first]) : List.of(targets[first], targets[second]);
     }
-
-    /** Spreads the bits of a number over all of its 64 bits. */
-    static long mix(long bits) {
-        long mixed = (bits ^ (bits >>> 33)) * 0xff51afd7ed558ccdL;
-        mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
-        return mixed ^ (mixed >>> 33);
-    }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/Target.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/Target.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.rattanplank.core.host.Rendezvous;
+
 /**
  * What the router knows of one target.
  *
@@ -36,7 +38,7 @@
     private Target(String name, String service, Ramp warmth) {
         this.name = name;
         this.service = service;
-        this.seed = PrefixAffinity.mix(name.hashCode());
+        this.seed = Rendezvous.mix(name.hashCode());
         this.warmth = warmth;
     }
 
