Bound whole exchanges, and reset links in their own event loop

Cause: the HTTP client's time-out ends with an answer's head, so a body that never comes holds its caller (a test's wait hung for 280 s past a bound of 60 s); and a stand-in link set an option on a channel that had closed meanwhile ("Socket is closed"), which failed the cut itself. Ruled out: a silent connection before the head (the client's own time-out ends that).

--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/Web.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/Web.java
@@ -48,7 +48,7 @@
     private Either<WebFailure, WebAnswer> send(HttpRequest.Builder builder) {
         HttpRequest request = builder.build();
         try {
-            HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> response = WholeExchange.send(client, request, timeout);
             return Either.right(new WebAnswer(response.statusCode(), JSON.readTree(response.body())));
         } catch (ConnectException | HttpConnectTimeoutException e) {
             return Either.left(new WebFailure(true, "cannot connect to " + request.uri()));
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/link/Link.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/link/Link.java
@@ -108,9 +108,16 @@
         near.closeFuture().addListener(closed -> far.close());
     }
 
-    private static void reset(Channel channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        channel.close();
+    /** Resets a connection, which may have closed already. */
+    static void reset(Channel channel) {
+        channel.eventLoop().execute(() -> {
+            // The socket of a channel that has closed takes no option and throws: a cut that meets a connection which
+            // ends just then would fail the cut itself. Only the channel's own loop can tell, as channels close there.
+            if (channel.isOpen()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+            }
+        });
     }
 
     /** Passes one direction on. */
