--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Choice.java
@@ -0,0 +1,16 @@
+package org.rattanplank.core.gateway;
+
+import java.util.Objects;
+
+/**
+ * A target chosen for a request. Immutable but for the target, which is confined to its owner's thread.
+ *
+ * @param target the target
+ * @param expectedMillis the time expected to its first event or answer
+ * @param candidates how many targets could have been chosen
+ */
+public record Choice(GatewayTarget target, double expectedMillis, int candidates) {
+    public Choice {
+        Objects.requireNonNull(target, "target");
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
@@ -0,0 +1,133 @@
+package org.rattanplank.core.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+import io.vavr.control.Option;
+
+/**
+ * Routes and services of one version.
+ *
+ * <p>Invariant: among the routes that take a request, the one with the longest prefix is found. Immutable and thread
+ * safe.
+ */
+public final class GatewayConfiguration {
+    private final long version;
+    private final Map<String, List<RouteRule>> routesByHostName;
+    private final Map<String, ServiceRule> services;
+    private final CallerBounds bounds;
+
+    private GatewayConfiguration(
+            long version,
+            Map<String, List<RouteRule>> routesByHostName,
+            Map<String, ServiceRule> services,
+            CallerBounds bounds) {
+        this.version = version;
+        this.routesByHostName = routesByHostName;
+        this.services = services;
+        this.bounds = bounds;
+    }
+
+    /**
+     * Makes a configuration.
+     *
+     * @param version its version
+     * @param routes its routes
+     * @param services its services
+     * @param bounds what callers may send
+     * @return the configuration
+     */
+    public static GatewayConfiguration of(
+            long version, List<RouteRule> routes, List<ServiceRule> services, CallerBounds bounds) {
+        Map<String, List<RouteRule>> byHostName = new HashMap<>();
+        for (RouteRule route : routes) {
+            byHostName
+                    .computeIfAbsent(route.hostName(), name -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<RouteRule> longestFirst =
+                Comparator.comparingInt(route -> -route.pathPrefix().length());
+        byHostName.values().forEach(list -> list.sort(longestFirst));
+        Map<String, ServiceRule> byName = new HashMap<>();
+        services.forEach(service -> byName.put(service.name(), service));
+        return new GatewayConfiguration(version, byHostName, byName, bounds);
+    }
+
+    /**
+     * The version.
+     *
+     * @return a number that rises with each change
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * What callers may send.
+     *
+     * @return the bounds
+     */
+    public CallerBounds bounds() {
+        return bounds;
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return the service, or none if it isn't configured
+     */
+    public Option<ServiceRule> service(String name) {
+        return Option.of(services.get(name));
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param authority what the caller addressed, with or without a port
+     * @param path the path, without its query
+     * @return the route with the longest prefix, or none
+     */
+    public Option<RouteRule> route(String authority, String path) {
+        for (RouteRule route : routesByHostName.getOrDefault(hostName(authority), List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Option.some(route);
+            }
+        }
+        return Option.none();
+    }
+
+    /**
+     * The regions that every route with homes names, for callers of a host name.
+     *
+     * @param authority what the callers address
+     * @return the regions that all such routes allow; empty if no route has homes
+     */
+    public Set<String> homeRegions(String authority) {
+        Set<String> homes = new HashSet<>();
+        boolean first = true;
+        for (RouteRule route : routesByHostName.getOrDefault(hostName(authority), List.of())) {
+            if (route.homeRegions().isEmpty()) {
+                continue;
+            }
+            if (first) {
+                homes.addAll(route.homeRegions());
+                first = false;
+            } else {
+                homes.retainAll(route.homeRegions());
+            }
+        }
+        return homes;
+    }
+
+    private static String hostName(String authority) {
+        int colon = authority.lastIndexOf(':');
+        return (colon < 0 ? authority : authority.substring(0, colon)).toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -0,0 +1,299 @@
+package org.rattanplank.core.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What this host believes of one target of its region.
+ *
+ * <p>Invariants: a target known to leave never takes work again under this identifier; a cold one gets no more than its
+ * gate lets through. Confined to its owner's thread.
+ */
+public final class GatewayTarget {
+    /** A target that reports no slots is taken to work on so many requests at once. */
+    private static final int UNKNOWN_SLOTS = 8;
+
+    /** The part of an engine's memory that may be planned for; the rest is for what estimates miss. */
+    private static final double MEMORY_PLANNED = 0.9;
+
+    /** Bytes of any answer so recently show that a target lives, whatever one connection does. */
+    private static final long HEARD_MILLIS = 1_000;
+
+    private static final long SECOND_MILLIS = 1_000;
+
+    private final String id;
+    private final TargetHealth health = new TargetHealth();
+    private final CachedParts cached = new CachedParts();
+    private final SlidingCount coldSends = new SlidingCount(SECOND_MILLIS);
+    private final Map<String, SentWork> byOtherHosts = new HashMap<>();
+    private TargetEntry entry;
+    private boolean leaving;
+    private long coldUntilMillis;
+    private long missingSinceMillis = -1;
+    private long lastHeardMillis;
+    private long busyUntilMillis;
+    private int connections;
+    private SentWork own = SentWork.NONE;
+    private SentWork others = SentWork.NONE;
+
+    GatewayTarget(TargetEntry entry, long nowMillis) {
+        id = entry.id();
+        lastHeardMillis = nowMillis;
+        update(entry, nowMillis);
+    }
+
+    /**
+     * The identifier.
+     *
+     * @return the identifier of this run of the target
+     */
+    public String id() {
+        return id;
+    }
+
+    /**
+     * What the target says of itself.
+     *
+     * @return the newest entry
+     */
+    public TargetEntry entry() {
+        return entry;
+    }
+
+    /**
+     * What this host has under way there.
+     *
+     * @return the work
+     */
+    public SentWork own() {
+        return own;
+    }
+
+    /**
+     * What is under way there from all hosts, as far as known.
+     *
+     * @return the work
+     */
+    public SentWork all() {
+        return own.plus(others);
+    }
+
+    /**
+     * Whether it takes no more work.
+     *
+     * @return whether it is known to leave
+     */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
+    /**
+     * The requests that it works on at once.
+     *
+     * @return its slots
+     */
+    public int slots() {
+        return entry.slots() > 0 ? entry.slots() : UNKNOWN_SLOTS;
+    }
+
+    /** Takes note that it leaves, which is never taken back. */
+    public void leave() {
+        leaving = true;
+    }
+
+    boolean update(TargetEntry newer, long nowMillis) {
+        boolean newlyLeaving = newer.leaving() && !leaving;
+        entry = newer;
+        missingSinceMillis = -1;
+        leaving |= newer.leaving();
+        if (newer.coldMillis() > 0) {
+            coldUntilMillis = Math.max(coldUntilMillis, nowMillis + newer.coldMillis());
+        }
+        return newlyLeaving;
+    }
+
+    void missing(long nowMillis) {
+        if (missingSinceMillis < 0) {
+            missingSinceMillis = nowMillis;
+        }
+    }
+
+    boolean isMissingFor(long millis, long nowMillis) {
+        return missingSinceMillis >= 0 && nowMillis - missingSinceMillis >= millis;
+    }
+
+    void coldFor(long millis, long nowMillis) {
+        coldUntilMillis = Math.max(coldUntilMillis, nowMillis + millis);
+    }
+
+    /**
+     * Tells whether it is cold.
+     *
+     * @param nowMillis the time
+     * @return whether it bears only few requests a second now
+     */
+    public boolean isCold(long nowMillis) {
+        return nowMillis < coldUntilMillis;
+    }
+
+    boolean coldGateOpen(int mostPerSecond, long nowMillis) {
+        return coldSends.count(nowMillis) < mostPerSecond;
+    }
+
+    boolean mayTakeMore(long nowMillis) {
+        return !leaving && nowMillis >= busyUntilMillis && health.allows(own.requests(), nowMillis);
+    }
+
+    /**
+     * Tells whether nothing has come from it for a while though it was asked.
+     *
+     * @param nowMillis the time
+     * @return whether it is silent
+     */
+    public boolean isSilent(long nowMillis) {
+        return nowMillis - lastHeardMillis > HEARD_MILLIS;
+    }
+
+    /**
+     * Whether it is left out because of failures.
+     *
+     * @param nowMillis the time
+     * @return whether it is left out
+     */
+    public boolean isOut(long nowMillis) {
+        return health.isOut(nowMillis);
+    }
+
+    double waitingTokens(Work work) {
+        return all().waitingTokens() + uncachedTokens(work);
+    }
+
+    /**
+     * The tokens of a prompt that it would have to read.
+     *
+     * @param work the request
+     * @return tokens that aren't believed cached
+     */
+    public int uncachedTokens(Work work) {
+        return Math.max(0, work.promptTokens() - cached.cachedTokens(work.parts()));
+    }
+
+    double missingMemoryTokens(Work work, long memoryTokens) {
+        return Math.max(0, all().memoryTokens() + work.ownTokens() - MEMORY_PLANNED * memoryTokens);
+    }
+
+    /**
+     * Takes note of a request that goes there.
+     *
+     * @param work the request
+     * @param memoryTokens the tokens that its memory holds, zero if it is no engine
+     * @param nowMillis the time
+     * @return the work to be given back by {@link #release}
+     */
+    public SentWork reserve(Work work, long memoryTokens, long nowMillis) {
+        SentWork sent = new SentWork(1, uncachedTokens(work), work.ownTokens());
+        if (own.requests() == 0) {
+            // An idle target has nothing to say: its silence counts from the first question on.
+            lastHeardMillis = Math.max(lastHeardMillis, nowMillis);
+        }
+        cached.sent(work.parts(), memoryTokens);
+        if (isCold(nowMillis)) {
+            coldSends.add(nowMillis);
+        }
+        own = own.plus(sent);
+        return sent;
+    }
+
+    /**
+     * Takes note that a request's prompt has been read.
+     *
+     * @param sent what was reserved
+     * @return what is left to be given back
+     */
+    public SentWork started(SentWork sent) {
+        SentWork left = new SentWork(sent.requests(), 0, sent.memoryTokens());
+        release(sent);
+        own = own.plus(left);
+        return left;
+    }
+
+    /**
+     * Takes note that a request has ended.
+     *
+     * @param sent what was reserved and is left
+     */
+    public void release(SentWork sent) {
+        own = own.plus(new SentWork(-sent.requests(), -sent.waitingTokens(), -sent.memoryTokens()));
+    }
+
+    /**
+     * Takes note of another host's work there.
+     *
+     * @param host the other host
+     * @param sent what it has under way
+     */
+    public void sentByOther(String host, SentWork sent) {
+        if (sent.requests() == 0) {
+            byOtherHosts.remove(host);
+        } else {
+            byOtherHosts.put(host, sent);
+        }
+        others = byOtherHosts.values().stream().reduce(SentWork.NONE, SentWork::plus);
+    }
+
+    /**
+     * Takes note of bytes that came from it.
+     *
+     * @param nowMillis the time
+     */
+    public void heard(long nowMillis) {
+        lastHeardMillis = nowMillis;
+    }
+
+    /** Takes note of an answer that was no failure of the target. */
+    public void succeeded() {
+        health.succeeded();
+    }
+
+    /**
+     * Takes note of a failure.
+     *
+     * @param nowMillis the time
+     */
+    public void failed(long nowMillis) {
+        health.failed(nowMillis);
+    }
+
+    /**
+     * Takes note that no connection could be had.
+     *
+     * @param nowMillis the time
+     */
+    public void unreachable(long nowMillis) {
+        health.unreachable(nowMillis);
+    }
+
+    /**
+     * Takes note that it had no room.
+     *
+     * @param pauseMillis how long it gets nothing from here
+     * @param nowMillis the time
+     */
+    public void full(long pauseMillis, long nowMillis) {
+        busyUntilMillis = nowMillis + pauseMillis;
+    }
+
+    /** Takes note of a connection that was opened. */
+    public void connected() {
+        connections++;
+    }
+
+    /** Takes note of a connection that was closed. */
+    public void disconnected() {
+        connections--;
+    }
+
+    int connections() {
+        return connections;
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/PromptPart.java
@@ -0,0 +1,15 @@
+package org.rattanplank.core.gateway;
+
+import java.util.Objects;
+
+/**
+ * A part of a prompt that other requests may share. Immutable and thread safe.
+ *
+ * @param id its identifier
+ * @param tokens its tokens
+ */
+public record PromptPart(String id, int tokens) {
+    public PromptPart {
+        Objects.requireNonNull(id, "id");
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
@@ -0,0 +1,75 @@
+package org.rattanplank.core.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How soon other regions are expected to answer, as their hosts report it.
+ *
+ * <p>Invariant: a report counts for a while only, and what this host has sent there since is added to it. Confined to
+ * its owner's thread.
+ */
+public final class RegionLoads {
+    /** A region not heard of for so long is taken to be out of reach. */
+    static final long REPORT_MILLIS = 3_000;
+
+    private final Map<String, Map<String, Load>> byRegion = new HashMap<>();
+
+    /**
+     * Takes a report.
+     *
+     * @param region the region
+     * @param service the service
+     * @param expectedMillis the time to an answer that its best target is expected to take
+     * @param perTokenMillis how much each further token of a prompt adds, spread over its targets
+     * @param nowMillis the time
+     */
+    public void reported(String region, String service, double expectedMillis, double perTokenMillis, long nowMillis) {
+        byRegion.computeIfAbsent(region, name -> new HashMap<>())
+                .put(service, new Load(expectedMillis, perTokenMillis, nowMillis));
+    }
+
+    /**
+     * Expects the time to an answer of another region, without the way there.
+     *
+     * @param region the region
+     * @param service the service
+     * @param tokens the tokens of the prompt
+     * @param nowMillis the time
+     * @return milliseconds, or infinite if the region is not known to serve it
+     */
+    public double expectedMillis(String region, String service, int tokens, long nowMillis) {
+        Load load = byRegion.getOrDefault(region, Map.of()).get(service);
+        if (load == null || nowMillis - load.atMillis > REPORT_MILLIS) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return load.expectedMillis + load.addedMillis + tokens * load.perTokenMillis;
+    }
+
+    /**
+     * Takes note of a request that this host sends there.
+     *
+     * @param region the region
+     * @param service the service
+     * @param tokens the tokens of its prompt
+     */
+    public void sent(String region, String service, int tokens) {
+        Load load = byRegion.getOrDefault(region, Map.of()).get(service);
+        if (load != null) {
+            load.addedMillis += Math.max(1, tokens) * load.perTokenMillis;
+        }
+    }
+
+    private static final class Load {
+        private final double expectedMillis;
+        private final double perTokenMillis;
+        private final long atMillis;
+        private double addedMillis;
+
+        private Load(double expectedMillis, double perTokenMillis, long atMillis) {
+            this.expectedMillis = expectedMillis;
+            this.perTokenMillis = perTokenMillis;
+            this.atMillis = atMillis;
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RepeatAllowance.java
@@ -0,0 +1,85 @@
+package org.rattanplank.core.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * This host's part of the repeats that a service's targets may get from all hosts together.
+ *
+ * <p>Invariant: in any window, the repeats granted are at most {@link #RATIO_MARGIN} of the ratio times the first sends
+ * of that window, plus this host's part of the slack. As each host counts its own first sends alone, the sum over all
+ * hosts keeps the bound whatever each believes of the others. Confined to its owner's thread.
+ */
+public final class RepeatAllowance {
+    /** What is kept back of the ratio, as the window of the bound and ours don't start together. */
+    static final double RATIO_MARGIN = 0.8;
+
+    private final double ratio;
+    private final double ownSlack;
+    private final long windowMillis;
+    private final Map<String, SlidingCount> firsts = new HashMap<>();
+    private final Map<String, SlidingCount> repeats = new HashMap<>();
+
+    private RepeatAllowance(double ratio, double ownSlack, long windowMillis) {
+        this.ratio = ratio;
+        this.ownSlack = ownSlack;
+        this.windowMillis = windowMillis;
+    }
+
+    /**
+     * Makes an allowance.
+     *
+     * @param ratio the repeats allowed for each first send
+     * @param slack the repeats allowed besides, for all hosts together
+     * @param hosts the most hosts that share the slack
+     * @param windowMillis the window in which both are counted
+     * @return the allowance
+     */
+    public static RepeatAllowance of(double ratio, double slack, int hosts, long windowMillis) {
+        return new RepeatAllowance(ratio * RATIO_MARGIN, Math.floor(slack / Math.max(1, hosts)), windowMillis);
+    }
+
+    /**
+     * Takes note of a request's first send.
+     *
+     * @param service the service that it goes to
+     * @param nowMillis the time
+     */
+    public void first(String service, long nowMillis) {
+        firsts.computeIfAbsent(service, name -> new SlidingCount(windowMillis)).add(nowMillis);
+    }
+
+    /**
+     * Tells how many repeats are left.
+     *
+     * @param service the service
+     * @param nowMillis the time
+     * @return the repeats that would be granted now
+     */
+    public int left(String service, long nowMillis) {
+        int seen = count(firsts, service, nowMillis);
+        return (int) (Math.floor(ratio * seen + ownSlack) - count(repeats, service, nowMillis));
+    }
+
+    /**
+     * Takes a repeat out of the allowance if there is one.
+     *
+     * @param service the service
+     * @param nowMillis the time
+     * @return whether the request may be sent once more
+     */
+    public boolean spend(String service, long nowMillis) {
+        // When a fault fails everything, each failed attempt would start another and the targets that are left would
+        // drown in them; one would notice arrivals grow while answers do not.
+        if (left(service, nowMillis) < 1) {
+            return false;
+        }
+        repeats.computeIfAbsent(service, name -> new SlidingCount(windowMillis)).add(nowMillis);
+        return true;
+    }
+
+    private static int count(Map<String, SlidingCount> counts, String service, long nowMillis) {
+        SlidingCount count = counts.get(service);
+        return count == null ? 0 : count.count(nowMillis);
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -0,0 +1,146 @@
+package org.rattanplank.core.gateway;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.vavr.control.Option;
+import org.rattanplank.core.host.Rendezvous;
+
+/**
+ * Chooses the target of the own region that is expected to answer first.
+ *
+ * <p>Invariants: eligibility goes before the estimate; a cold target gets work only from the one host of the region that
+ * owns it. Confined to its owner's thread.
+ */
+public final class TargetChooser {
+    /** The part of a target's connections that one host may use while it knows of others. */
+    private static final double CONNECTION_SHARE = 0.9;
+
+    /** Estimates so close are drawn between at random, so that hosts with the same view don't all send to one target. */
+    private static final double TIE = 0.02;
+
+    private final String self;
+    private final TargetPool pool;
+    private final RandomGenerator random;
+    private final Map<String, LatencyModel> models = new HashMap<>();
+
+    private TargetChooser(String self, TargetPool pool, RandomGenerator random) {
+        this.self = self;
+        this.pool = pool;
+        this.random = random;
+    }
+
+    /**
+     * Makes a chooser.
+     *
+     * @param self this host's name
+     * @param pool the targets of its region
+     * @param random what breaks ties
+     * @return the chooser
+     */
+    public static TargetChooser of(String self, TargetPool pool, RandomGenerator random) {
+        return new TargetChooser(self, pool, random);
+    }
+
+    /**
+     * What is learnt of a service's times.
+     *
+     * @param service the service
+     * @return its model
+     */
+    public LatencyModel model(String service) {
+        return models.computeIfAbsent(service, name -> new LatencyModel());
+    }
+
+    /**
+     * Chooses a target.
+     *
+     * @param service the service
+     * @param work what is asked
+     * @param excluded the identifiers of targets that must not be chosen
+     * @param regionHosts the hosts of this region, this one included
+     * @param nowMillis the time
+     * @return the choice, or none if no target may take it
+     */
+    public Option<Choice> choose(
+            ServiceRule service, Work work, Set<String> excluded, Collection<String> regionHosts, long nowMillis) {
+        GatewayTarget best = null;
+        double bestMillis = Double.MAX_VALUE;
+        int candidates = 0;
+        for (GatewayTarget target : pool.all()) {
+            if (!isEligible(target, service, excluded, regionHosts, nowMillis)) {
+                continue;
+            }
+            candidates++;
+            double millis = expectedMillis(target, service, work) * (1 + TIE * random.nextDouble());
+            if (millis < bestMillis) {
+                best = target;
+                bestMillis = millis;
+            }
+        }
+        return best == null ? Option.none() : Option.some(new Choice(best, bestMillis, candidates));
+    }
+
+    /**
+     * Expects the time to a target's first event or answer.
+     *
+     * @param target the target
+     * @param service its service
+     * @param work what is asked
+     * @return milliseconds
+     */
+    public double expectedMillis(GatewayTarget target, ServiceRule service, Work work) {
+        LatencyModel model = model(service.name());
+        if (!service.isModel()) {
+            return model.answerMillis(target.all().requests(), target.slots());
+        }
+        double tokens = target.waitingTokens(work) + target.missingMemoryTokens(work, service.memoryTokens());
+        double millis = model.firstEventMillis(tokens);
+        int over = target.all().requests() + 1 - target.slots();
+        // A request beyond the slots waits for another to end; how long isn't known, so it counts as a slow first
+        // event.
+        return over > 0
+                ? millis + OVER_SLOTS_MILLIS * over
+                : millis + PER_RUNNING_MILLIS * target.all().requests();
+    }
+
+    /** A running generation ends about every so often when all of an engine's slots are taken. */
+    private static final double OVER_SLOTS_MILLIS = 50;
+
+    /** Each running generation slows the others' tokens a little; this spreads work between idle engines. */
+    private static final double PER_RUNNING_MILLIS = 2;
+
+    private boolean isEligible(
+            GatewayTarget target,
+            ServiceRule service,
+            Set<String> excluded,
+            Collection<String> regionHosts,
+            long nowMillis) {
+        if (!target.entry().service().equals(service.name()) || excluded.contains(target.id())) {
+            return false;
+        }
+        if (!pool.mayUse(target, nowMillis)) {
+            return false;
+        }
+        if (service.maxConnections() > 0 && target.all().requests() >= CONNECTION_SHARE * service.maxConnections()) {
+            return false;
+        }
+        return !target.isCold(nowMillis) || mayWarm(target, service, regionHosts, nowMillis);
+    }
+
+    /**
+     * Whether this host may send to a cold target. Without one owner, each host would send as much as the target bears
+     * by itself, and it would crash again; one would see it restart in a loop. Hosts that disagree on the members may
+     * both think that they own it: then each keeps to the part that the target bears without its slack.
+     */
+    private boolean mayWarm(GatewayTarget target, ServiceRule service, Collection<String> regionHosts, long nowMillis) {
+        if (!Rendezvous.rank(regionHosts, target.id()).get(0).equals(self)) {
+            return false;
+        }
+        int mostPerSecond = Math.max(1, (int) Math.floor(service.coldPerSecond()));
+        return target.coldGateOpen(mostPerSecond, nowMillis);
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -0,0 +1,186 @@
+package org.rattanplank.core.gateway;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.vavr.control.Option;
+
+/**
+ * The targets of this host's region and what may be sent to them.
+ *
+ * <p>Invariants: a target in a data centre that is being evacuated takes nothing; one that left takes nothing even if
+ * an old entry of it turns up again. Confined to its owner's thread.
+ */
+public final class TargetPool {
+    /** Entries that lapsed while the store was out are back about two seconds after it; a margin is added. */
+    static final long RETURN_MILLIS = 2_300;
+
+    /** How long a target that left is remembered, longer than any old entry of it can turn up. */
+    private static final long LEFT_MILLIS = 120_000;
+
+    /** How long targets of a data centre count as cold after its evacuation if their entries don't say more. */
+    private static final long COLD_AFTER_EVACUATION_MILLIS = 1_500;
+
+    private final Set<String> dataCentres;
+    private final Map<String, GatewayTarget> targets = new LinkedHashMap<>();
+    private final Map<String, Long> leftAtMillis = new HashMap<>();
+    private final Set<String> evacuated = new HashSet<>();
+    private long lenientUntilMillis = Long.MIN_VALUE;
+
+    private TargetPool(Set<String> dataCentres) {
+        this.dataCentres = Set.copyOf(dataCentres);
+    }
+
+    /**
+     * Makes an empty pool.
+     *
+     * @param dataCentres the data centres of this host's region; targets elsewhere can't be reached from here
+     * @return the pool
+     */
+    public static TargetPool of(Set<String> dataCentres) {
+        return new TargetPool(dataCentres);
+    }
+
+    /**
+     * All targets of the region.
+     *
+     * @return the targets, those that leave included
+     */
+    public Collection<GatewayTarget> all() {
+        return targets.values();
+    }
+
+    /**
+     * Finds a target.
+     *
+     * @param id its identifier
+     * @return the target, or none
+     */
+    public Option<GatewayTarget> find(String id) {
+        return Option.of(targets.get(id));
+    }
+
+    /**
+     * Takes a target's newest entry.
+     *
+     * @param entry the entry
+     * @param nowMillis the time
+     * @return whether this changed what is believed of the target
+     */
+    public boolean entered(TargetEntry entry, long nowMillis) {
+        if (!dataCentres.contains(entry.dataCentre()) || leftAtMillis.containsKey(entry.id())) {
+            return false;
+        }
+        GatewayTarget known = targets.get(entry.id());
+        if (known != null) {
+            return known.update(entry, nowMillis);
+        }
+        targets.put(entry.id(), new GatewayTarget(entry, nowMillis));
+        return true;
+    }
+
+    /**
+     * Takes note that the store is back after a time without it.
+     *
+     * @param nowMillis the time
+     */
+    public void storeReturned(long nowMillis) {
+        lenientUntilMillis = nowMillis + RETURN_MILLIS;
+    }
+
+    /**
+     * Takes note that a target has no entry any more.
+     *
+     * @param id its identifier
+     * @param nowMillis the time
+     */
+    public void removed(String id, long nowMillis) {
+        GatewayTarget target = targets.get(id);
+        if (target == null) {
+            return;
+        }
+        if (nowMillis < lenientUntilMillis) {
+            // The entry may have lapsed while the store was out, and the target lives: dropping it now would leave the
+            // region with few targets or none for seconds, which one would see as refusals right after an outage.
+            target.missing(nowMillis);
+        } else {
+            drop(id, nowMillis);
+        }
+    }
+
+    /**
+     * Ends the targets that stayed away.
+     *
+     * @param nowMillis the time
+     * @return the identifiers of those that are gone now
+     */
+    public List<String> tick(long nowMillis) {
+        List<String> gone = new ArrayList<>();
+        if (nowMillis >= lenientUntilMillis) {
+            for (GatewayTarget target : targets.values()) {
+                if (target.isMissingFor(0, nowMillis)) {
+                    gone.add(target.id());
+                }
+            }
+        }
+        gone.forEach(id -> drop(id, nowMillis));
+        leftAtMillis.values().removeIf(at -> nowMillis - at > LEFT_MILLIS);
+        return gone;
+    }
+
+    /**
+     * Takes note that the target at an address is another one now.
+     *
+     * @param id the identifier of the one that was expected
+     * @param nowMillis the time
+     */
+    public void replaced(String id, long nowMillis) {
+        drop(id, nowMillis);
+    }
+
+    /**
+     * Starts or ends the evacuation of a data centre.
+     *
+     * @param dataCentre the data centre
+     * @param active whether nothing may be sent there
+     * @param nowMillis the time
+     */
+    public void evacuate(String dataCentre, boolean active, long nowMillis) {
+        if (active) {
+            evacuated.add(dataCentre);
+        } else if (evacuated.remove(dataCentre)) {
+            // Targets may have become cold meanwhile and their entries may say so a little later: the first burst after
+            // an evacuation would crash them.
+            targets.values().stream()
+                    .filter(target -> target.entry().dataCentre().equals(dataCentre))
+                    .forEach(target -> target.coldFor(COLD_AFTER_EVACUATION_MILLIS, nowMillis));
+        }
+    }
+
+    /**
+     * The data centres that are being evacuated.
+     *
+     * @return their names
+     */
+    public Set<String> evacuated() {
+        return evacuated;
+    }
+
+    boolean mayUse(GatewayTarget target, long nowMillis) {
+        return !evacuated.contains(target.entry().dataCentre()) && target.mayTakeMore(nowMillis);
+    }
+
+    private void drop(String id, long nowMillis) {
+        GatewayTarget target = targets.remove(id);
+        if (target != null) {
+            target.leave();
+            leftAtMillis.put(id, nowMillis);
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Work.java
@@ -0,0 +1,35 @@
+package org.rattanplank.core.gateway;
+
+import java.util.List;
+
+/**
+ * What a request asks of a target. Immutable and thread safe.
+ *
+ * @param promptTokens the tokens of the prompt; zero if it is no generation
+ * @param outputTokens the tokens that it is expected to generate
+ * @param parts the parts of its prompt, in order; the last is the request's own
+ */
+public record Work(int promptTokens, int outputTokens, List<PromptPart> parts) {
+    /** A request that is no generation. */
+    public static final Work PLAIN = new Work(0, 0, List.of());
+
+    public Work {
+        parts = List.copyOf(parts);
+        if (promptTokens < 0 || outputTokens < 0) {
+            throw new IllegalArgumentException("negative tokens");
+        }
+    }
+
+    /**
+     * The memory that the request needs for itself, beside what its shared parts need.
+     *
+     * @return tokens
+     */
+    public int ownTokens() {
+        int shared = 0;
+        for (int i = 0; i + 1 < parts.size(); i++) {
+            shared += parts.get(i).tokens();
+        }
+        return Math.max(0, promptTokens - shared) + outputTokens;
+    }
+}
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/metric/DaemonMetrics.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/metric/DaemonMetrics.java
@@ -9,6 +9,7 @@
 import org.rattanplank.core.request.Failure;
 import org.rattanplank.core.request.Outcome;
 import org.rattanplank.core.store.StoreReply;
+import org.rattanplank.gateway.PrometheusText;
 
 /** The numbers of one entry host, by Dropwizard Metrics. Thread safe. */
 public final class DaemonMetrics {
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/AdminServer.java
@@ -0,0 +1,86 @@
+package org.rattanplank.gateway;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+/** Serves small answers that are at hand, such as readiness and metrics. Confined to the event loop. */
+public final class AdminServer {
+    private static final int MAX_BODY_BYTES = 65_536;
+
+    private AdminServer() {}
+
+    /**
+     * Serves a port.
+     *
+     * @param group the event loop
+     * @param address where
+     * @param answers makes the answer from a path with its query
+     */
+    public static void listen(EventLoopGroup group, InetSocketAddress address, Function<String, AdminAnswer> answers) {
+        new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                .addLast(new Handler(answers));
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly();
+    }
+
+    private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Function<String, AdminAnswer> answers;
+
+        private Handler(Function<String, AdminAnswer> answers) {
+            this.answers = answers;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            AdminAnswer answer = answers.apply(request.uri());
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(answer.status()),
+                    Unpooled.copiedBuffer(answer.body(), StandardCharsets.UTF_8));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
+            response.headers()
+                    .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+            ChannelFuture write = context.writeAndFlush(response);
+            if (!HttpUtil.isKeepAlive(request)) {
+                write.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
@@ -0,0 +1,94 @@
+package org.rattanplank.gateway;
+
+import org.rattanplank.core.gateway.GatewayConfiguration;
+import org.rattanplank.core.gateway.TargetEntry;
+import org.rattanplank.gateway.log.LogEvent;
+import org.rattanplank.gateway.log.LogLine;
+import org.rattanplank.gateway.pass.GatewayState;
+import org.rattanplank.gateway.peer.PeerLinks;
+import org.rattanplank.gateway.store.ClusterFact;
+import org.rattanplank.gateway.store.FeedListener;
+import org.rattanplank.gateway.store.StoreFailure;
+import org.rattanplank.gateway.store.StoreItem;
+
+/** Turns what the store says into what this host believes, with a log line for each change. Confined to the event loop. */
+final class Beliefs implements FeedListener {
+    private final GatewayState state;
+    private final PeerLinks links;
+    private final Runnable ownKeyLost;
+
+    Beliefs(GatewayState state, PeerLinks links, Runnable ownKeyLost) {
+        this.state = state;
+        this.links = links;
+        this.ownKeyLost = ownKeyLost;
+    }
+
+    @Override
+    public void learnt(StoreItem item, ClusterFact fact) {
+        if (fact instanceof ClusterFact.Configured configured) {
+            configured(configured.configuration());
+        } else if (fact instanceof ClusterFact.TargetEntered entered) {
+            entered(entered.entry());
+        } else if (fact instanceof ClusterFact.TargetRemoved removed) {
+            state.pool().removed(removed.id(), state.nowMillis());
+            gone(removed.id(), "no entry");
+        } else if (fact instanceof ClusterFact.Evacuation evacuation) {
+            state.pool().evacuate(evacuation.dataCentre(), evacuation.active(), state.nowMillis());
+            state.log()
+                    .important(LogLine.of(LogEvent.EVACUATION)
+                            .with("dataCentre", evacuation.dataCentre())
+                            .with("active", evacuation.active())
+                            .with("revision", item.revision()));
+        } else if (fact instanceof ClusterFact.HostEntered host) {
+            links.entered(host.host());
+        } else if (fact instanceof ClusterFact.HostRemoved host) {
+            if (host.name().equals(state.self().name())) {
+                ownKeyLost.run();
+            }
+        } else if (fact instanceof ClusterFact.Unreadable unreadable) {
+            state.log()
+                    .important(LogLine.of(LogEvent.ITEM_UNREADABLE)
+                            .with("key", item.key())
+                            .with("revision", item.revision())
+                            .with("reason", unreadable.reason()));
+        }
+    }
+
+    @Override
+    public void storeReturned() {
+        state.pool().storeReturned(state.nowMillis());
+        state.log().important(LogLine.of(LogEvent.STORE_RETURNED));
+    }
+
+    @Override
+    public void storeLost(StoreFailure reason) {
+        state.log().important(LogLine.of(LogEvent.STORE_LOST).with("reason", reason.name()));
+    }
+
+    void tick(long nowMillis) {
+        state.pool().tick(nowMillis).forEach(id -> gone(id, "its entry did not come back"));
+    }
+
+    private void configured(GatewayConfiguration configuration) {
+        if (state.configure(configuration)) {
+            state.log()
+                    .important(LogLine.of(LogEvent.CONFIGURED).with("configurationVersion", configuration.version()));
+        }
+    }
+
+    private void entered(TargetEntry entry) {
+        if (state.pool().entered(entry, state.nowMillis())) {
+            state.log()
+                    .important(LogLine.of(LogEvent.TARGET_CHANGED)
+                            .with("target", entry.id())
+                            .with("service", entry.service())
+                            .with("leaving", entry.leaving())
+                            .with("coldMillis", entry.coldMillis()));
+        }
+    }
+
+    private void gone(String id, String reason) {
+        state.log()
+                .important(LogLine.of(LogEvent.TARGET_GONE).with("target", id).with("reason", reason));
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -0,0 +1,347 @@
+package org.rattanplank.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpRequest;
+import io.vavr.control.Option;
+import org.rattanplank.core.gateway.CallerBounds;
+import org.rattanplank.core.gateway.CallerDirectory;
+import org.rattanplank.core.gateway.GatewayConfiguration;
+import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.gateway.RepeatAllowance;
+import org.rattanplank.core.gateway.TargetPool;
+import org.rattanplank.gateway.caller.CallerCall;
+import org.rattanplank.gateway.caller.CallerConnection;
+import org.rattanplank.gateway.caller.CallerServer;
+import org.rattanplank.gateway.log.EventLog;
+import org.rattanplank.gateway.log.LogEvent;
+import org.rattanplank.gateway.log.LogLine;
+import org.rattanplank.gateway.pass.CallerReply;
+import org.rattanplank.gateway.pass.ForwardedCall;
+import org.rattanplank.gateway.pass.GatewayState;
+import org.rattanplank.gateway.pass.PassThrough;
+import org.rattanplank.gateway.peer.PeerFrame;
+import org.rattanplank.gateway.peer.PeerLink;
+import org.rattanplank.gateway.peer.PeerLinks;
+import org.rattanplank.gateway.peer.PeerListener;
+import org.rattanplank.gateway.store.ClusterStore;
+import org.rattanplank.gateway.store.HostLease;
+import org.rattanplank.gateway.store.StoreFeed;
+import org.rattanplank.gateway.target.TargetConnections;
+
+/**
+ * One gateway process: its ports, what it believes, and its steps in time.
+ *
+ * <p>Invariant: everything but the log's writer runs on one event loop, so that what is believed needs no lock. Confined
+ * to the event loop but for {@link #start} and {@link #stop}.
+ */
+public final class Gateway implements PeerListener {
+    /** How exactly a request's end and a silent target are noticed. */
+    private static final long TICK_MILLIS = 50;
+
+    /** Ticks between two looks at idle connections. */
+    private static final int SLOW_TICKS = 5;
+
+    /** A stopping process ends no sooner: callers that hold an older list still come. */
+    private static final long STOP_LEAST_MILLIS = 2_500;
+
+    /** What is left of the time for stopping for the process to end in. */
+    private static final long STOP_MARGIN_MILLIS = 700;
+
+    /** Most hosts that a caller is told of. */
+    private static final int LIST_MOST = 64;
+
+    /**
+     * The most hosts that share the slack of repeats. Hosts don't know how many others there are, and each takes its
+     * part from the ratio of its own sends besides.
+     */
+    private static final int SLACK_HOSTS = 16;
+
+    private final GatewaySettings settings;
+    private final AdapterNames names;
+    private final SteadyClock clock = SteadyClock.ofProcess();
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    private final EventLog log;
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final GatewayHost self;
+    private final GatewayState state;
+    private final TargetConnections connections;
+    private final CallerServer callers;
+    private final PeerLinks links;
+    private final PeerReports reports;
+    private final Beliefs beliefs;
+    private final StoreFeed feed;
+    private final HostLease lease;
+    private final RequestReader reader;
+    private final Set<PassThrough> requests = new HashSet<>();
+    private final Map<PeerLink, Map<Long, ForwardedCall>> forwarded = new HashMap<>();
+    private long ticks;
+    private long stopAskedAtMillis = -1;
+
+    private Gateway(
+            GatewaySettings settings,
+            AdapterNames names,
+            EventLoopGroup group,
+            ClusterStore store,
+            EventLog log,
+            long incarnation) {
+        this.settings = settings;
+        this.names = names;
+        this.group = group;
+        this.log = log;
+        loop = group.next();
+        self = new GatewayHost(
+                settings.name(), incarnation, settings.place(), text(settings.callers()), text(settings.peers()));
+        RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+        reader = new RequestReader(names.headers());
+        connections = new TargetConnections(group, names.headers(), clock);
+        SharedLimits limits = settings.limits();
+        state = new GatewayState(
+                self,
+                clock,
+                random,
+                TargetPool.of(settings.ownDataCentres()),
+                RepeatAllowance.of(
+                        limits.repeatRatio(), limits.repeatSlack(), SLACK_HOSTS, limits.repeatWindowMillis()),
+                connections,
+                log,
+                metrics);
+        links = new PeerLinks(self, group, clock, this);
+        state.join(links);
+        callers = new CallerServer(group, clock, this::bounds, this::received, this::unsound);
+        beliefs = new Beliefs(state, links, this::keyLost);
+        feed = StoreFeed.of(store, names.storeFormat(), beliefs, loop, clock, random);
+        lease = HostLease.of(
+                store,
+                names.storeFormat(),
+                self,
+                loop,
+                failure -> log.important(LogLine.of(LogEvent.LEASE_FAILED).with("reason", failure.name())));
+        reports = new PeerReports(state, links, feed, this::takesCallers);
+        gauges();
+    }
+
+    /**
+     * Makes a process's gateway; nothing is served yet.
+     *
+     * @param settings its settings
+     * @param names what the installation calls by its own names
+     * @param group the event loop, which has one thread
+     * @param store the platform's store
+     * @param log the log
+     * @param incarnation the identifier of this run of the process
+     * @return the gateway
+     */
+    public static Gateway of(
+            GatewaySettings settings,
+            AdapterNames names,
+            EventLoopGroup group,
+            ClusterStore store,
+            EventLog log,
+            long incarnation) {
+        return new Gateway(settings, names, group, store, log, incarnation);
+    }
+
+    /** Serves all ports and begins to follow the store. */
+    public void start() {
+        AdminServer.listen(group, settings.readiness(), this::admin);
+        AdminServer.listen(group, settings.directory(), this::admin);
+        AdminServer.listen(group, settings.metrics(), this::admin);
+        links.listen(settings.peers());
+        callers.listen(settings.callers());
+        loop.execute(() -> {
+            feed.start();
+            lease.start();
+            log.important(LogLine.of(LogEvent.STARTED).with("incarnation", self.incarnation()));
+        });
+        loop.scheduleAtFixedRate(this::tickSafely, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Stops gracefully.
+     *
+     * @param ended run when no caller waits any more, or the time for stopping is up
+     */
+    public void stop(Runnable ended) {
+        loop.execute(() -> {
+            if (stopAskedAtMillis >= 0) {
+                return;
+            }
+            stopAskedAtMillis = clock.nowMillis();
+            log.important(LogLine.of(LogEvent.STOPPING).with("requests", requests.size()));
+            callers.stop();
+            lease.leave();
+            reports.tellAll();
+            loop.scheduleAtFixedRate(() -> endWhenDone(ended), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /** Notes that the settings were read again. */
+    public void reloaded() {
+        log.important(LogLine.of(LogEvent.RELOADED));
+    }
+
+    @Override
+    public void connected(PeerLink link) {
+        log.important(LogLine.of(LogEvent.PEER_CONNECTED)
+                .with("peer", link.host().get().name()));
+        reports.tell(link);
+    }
+
+    @Override
+    public void lost(PeerLink link, String reason) {
+        log.important(LogLine.of(LogEvent.PEER_LOST)
+                .with("peer", link.host().map(GatewayHost::name).getOrElse(""))
+                .with("reason", reason));
+        Option.of(forwarded.remove(link))
+                .forEach(calls -> List.copyOf(calls.values()).forEach(ForwardedCall::cancel));
+        reports.lost(link);
+    }
+
+    @Override
+    public void state(PeerLink link, PeerFrame.State said) {
+        reports.said(link, said);
+    }
+
+    @Override
+    public void storeItems(PeerFrame.StoreItems known) {
+        feed.takeFromPeer(known.revision(), known.items());
+    }
+
+    @Override
+    public void asked(PeerLink link, PeerFrame.Ask ask) {
+        GatewayRequest request =
+                reader.request(ask.method(), ask.uri(), ask.authority(), PeerLink.headers(ask.headers()), ask.body());
+        Map<Long, ForwardedCall> calls = forwarded.computeIfAbsent(link, each -> new HashMap<>());
+        ForwardedCall call = new ForwardedCall(state, link, ask, request, () -> calls.remove(ask.call()));
+        calls.put(ask.call(), call);
+        call.start();
+    }
+
+    @Override
+    public void cancelled(PeerLink link, long number) {
+        ForwardedCall call = forwarded.getOrDefault(link, Map.of()).get(number);
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    private void received(CallerConnection connection, HttpRequest head, byte[] body, Consumer<CallerCall> taker) {
+        Option<GatewayRequest> request = reader.read(head, body);
+        CallerReply reply = new CallerReply(connection);
+        if (request.isEmpty()) {
+            reply.badRequest();
+            unsound(AdminAnswer.BAD_REQUEST);
+            return;
+        }
+        PassThrough[] made = new PassThrough[1];
+        made[0] = new PassThrough(state, request.get(), reply, () -> requests.remove(made[0]));
+        requests.add(made[0]);
+        taker.accept(made[0]);
+        made[0].start();
+    }
+
+    private void unsound(int status) {
+        metrics.ended(Integer.toString(status));
+        log.ordinary(LogLine.of(LogEvent.REFUSED).with("status", status).with("reason", "the request is not sound"));
+    }
+
+    private CallerBounds bounds() {
+        return state.configuration().map(GatewayConfiguration::bounds).getOrElse(CallerBounds.DEFAULTS);
+    }
+
+    private boolean takesCallers() {
+        return stopAskedAtMillis < 0 && state.configuration().isDefined();
+    }
+
+    private void keyLost() {
+        lease.keyLost();
+    }
+
+    private AdminAnswer admin(String uri) {
+        if (names.directoryFormat().asksReadiness(uri)) {
+            return takesCallers() ? AdminAnswer.text("ready\n") : AdminAnswer.unavailable();
+        }
+        Option<AdapterNames.Question> question = names.directoryFormat().read(uri);
+        if (question.isDefined()) {
+            return names.directoryFormat()
+                    .write(callersHosts(question.get()), settings.limits().listSeconds());
+        }
+        return uri.startsWith("/metrics") ? AdminAnswer.text(metrics.text()) : AdminAnswer.notFound();
+    }
+
+    private List<String> callersHosts(AdapterNames.Question question) {
+        List<GatewayHost> hosts = new ArrayList<>();
+        if (takesCallers()) {
+            hosts.add(self);
+        }
+        for (PeerLink link : links.alive()) {
+            if (link.state().takesCallers()) {
+                hosts.add(link.host().get());
+            }
+        }
+        Set<String> homes = state.configuration()
+                .map(configuration -> configuration.homeRegions(question.hostName()))
+                .getOrElse(Set.of());
+        return CallerDirectory.list(hosts, question.region(), question.dataCentre(), homes, LIST_MOST);
+    }
+
+    private void tickSafely() {
+        try {
+            tick();
+        } catch (RuntimeException e) {
+            // A periodic task that throws is never run again: requests would no longer end at their time, and nothing
+            // would show it but their number.
+            org.tinylog.Logger.error(e, "gateway: a step failed");
+        }
+    }
+
+    private void tick() {
+        long now = clock.nowMillis();
+        ticks++;
+        List.copyOf(requests).forEach(request -> request.tick(now));
+        links.tick();
+        reports.tick(now);
+        beliefs.tick(now);
+        if (ticks % SLOW_TICKS == 0) {
+            connections.tick();
+            callers.tick();
+        }
+    }
+
+    private void endWhenDone(Runnable ended) {
+        long stoppingMillis = clock.nowMillis() - stopAskedAtMillis;
+        boolean done = requests.isEmpty() && forwarded.values().stream().allMatch(Map::isEmpty);
+        long most = settings.limits().stopGraceMillis() - STOP_MARGIN_MILLIS;
+        if (done && stoppingMillis >= STOP_LEAST_MILLIS || stoppingMillis >= most) {
+            callers.closeIdle();
+            log.important(LogLine.of(LogEvent.STOPPED).with("requests", requests.size()));
+            ended.run();
+        }
+    }
+
+    private void gauges() {
+        metrics.gauge("configuration_version", state::configurationVersion);
+        metrics.gauge("store_age_millis", () -> feed.ageMillis());
+        metrics.gauge("requests_in_progress", () -> requests.size());
+        metrics.gauge("targets", () -> state.pool().all().size());
+        metrics.gauge("peers", () -> links.alive().size());
+        metrics.gauge("target_connections_opened", connections::opened);
+        metrics.gauge("log_lines_dropped", log::dropped);
+    }
+
+    private static String text(java.net.InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PrometheusText.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PrometheusText.java
@@ -1,4 +1,4 @@
-package org.rattanplank.daemon.metric;
+package org.rattanplank.gateway;
 
 import java.util.HashSet;
 import java.util.Map;
@@ -15,7 +15,7 @@
  * Writes a registry in Prometheus's text format; a metric's name in the registry carries its labels in braces.
  * Confined to one thread.
  */
-final class PrometheusText {
+public final class PrometheusText {
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private final StringBuilder text = new StringBuilder();
@@ -23,7 +23,13 @@
 
     private PrometheusText() {}
 
-    static String of(MetricRegistry registry) {
+    /**
+     * Writes a registry.
+     *
+     * @param registry the registry
+     * @return the text
+     */
+    public static String of(MetricRegistry registry) {
         PrometheusText writer = new PrometheusText();
         registry.getCounters().forEach(writer::add);
         registry.getGauges().forEach(writer::add);
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RequestReader.java
@@ -0,0 +1,160 @@
+package org.rattanplank.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import org.rattanplank.core.gateway.PromptPart;
+import org.rattanplank.core.gateway.Work;
+import org.rattanplank.gateway.http.Headers;
+
+/**
+ * Makes a request to be passed on out of what a caller sent.
+ *
+ * <p>Invariants: headers of the connection and headers that only this system sets are taken out; everything else stays
+ * byte for byte. Immutable and thread safe.
+ */
+public final class RequestReader {
+    /** What a generation is taken to produce if its caller says nothing of it. */
+    private static final int DEFAULT_OUTPUT_TOKENS = 256;
+
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect");
+
+    private final HeaderNames names;
+    private final Set<String> reserved = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+    private final Set<String> kept = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+
+    /**
+     * Makes a reader.
+     *
+     * @param names the names of headers
+     */
+    public RequestReader(HeaderNames names) {
+        this.names = names;
+        reserved.addAll(names.reserved());
+        kept.addAll(List.of(
+                "host",
+                names.requestId(),
+                names.timeoutMillis(),
+                names.lastEventId(),
+                names.tokens(),
+                names.promptParts(),
+                names.outputHint()));
+    }
+
+    /**
+     * Reads a request.
+     *
+     * @param head its head
+     * @param body its body
+     * @return the request, or none if it names no host or several
+     */
+    public Option<GatewayRequest> read(HttpRequest head, byte[] body) {
+        List<String> hosts = head.headers().getAll(HttpHeaderNames.HOST);
+        if (hosts.size() != 1 || hosts.get(0).isBlank()) {
+            return Option.none();
+        }
+        return Option.some(request(head.method().name(), head.uri(), hosts.get(0), clean(head.headers()), body));
+    }
+
+    /**
+     * Makes a request of cleaned headers, as another host passes it on.
+     *
+     * @param method its method
+     * @param uri its path and query
+     * @param authority the host name that the caller addressed
+     * @param headers its headers
+     * @param body its body
+     * @return the request
+     */
+    public GatewayRequest request(String method, String uri, String authority, HttpHeaders headers, byte[] body) {
+        return new GatewayRequest(
+                headers.get(names.requestId(), ""),
+                method,
+                uri,
+                authority,
+                headers,
+                body,
+                number(headers.get(names.timeoutMillis())),
+                Option.of(headers.get(names.lastEventId())),
+                work(headers));
+    }
+
+    private HttpHeaders clean(HttpHeaders headers) {
+        Set<String> connection = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+        for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String name : value.split(",")) {
+                connection.add(name.trim());
+            }
+        }
+        // A caller may not have a header taken out that says what the request is: without its identifier or its time
+        // left, a target would run it as another one.
+        connection.removeAll(kept);
+        HttpHeaders clean = Headers.unchecked();
+        headers.iteratorAsString().forEachRemaining(entry -> {
+            String name = entry.getKey();
+            if (!HOP_BY_HOP.contains(name.toLowerCase(Locale.ROOT))
+                    && !reserved.contains(name)
+                    && !connection.contains(name)) {
+                clean.add(name, entry.getValue());
+            }
+        });
+        return clean;
+    }
+
+    private Work work(HttpHeaders headers) {
+        String tokens = headers.get(names.tokens());
+        if (tokens == null) {
+            return Work.PLAIN;
+        }
+        String[] counts = tokens.split(",");
+        int prompt = count(counts[0]);
+        int most = counts.length > 1 ? count(counts[1]) : DEFAULT_OUTPUT_TOKENS;
+        int hinted = number(headers.get(names.outputHint())).map(Long::intValue).getOrElse(most);
+        return new Work(prompt, Math.max(0, Math.min(most, hinted)), parts(headers.get(names.promptParts())));
+    }
+
+    private static List<PromptPart> parts(String text) {
+        List<PromptPart> parts = new ArrayList<>();
+        if (text == null) {
+            return parts;
+        }
+        for (String part : text.split(",")) {
+            int colon = part.indexOf(':');
+            if (colon > 0) {
+                parts.add(new PromptPart(part.substring(0, colon).trim(), count(part.substring(colon + 1))));
+            }
+        }
+        return parts;
+    }
+
+    private static int count(String text) {
+        return number(text)
+                .map(value -> (int) Math.max(0, Math.min(Integer.MAX_VALUE, value)))
+                .getOrElse(0);
+    }
+
+    private static Option<Long> number(String text) {
+        return text == null
+                ? Option.none()
+                : Try.of(() -> Long.parseLong(text.trim())).toOption();
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -0,0 +1,190 @@
+package org.rattanplank.gateway.caller;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.IntConsumer;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.rattanplank.core.gateway.CallerBounds;
+import org.rattanplank.gateway.SteadyClock;
+
+/**
+ * The port for callers.
+ *
+ * <p>Invariant: while the process stops, requests on open and new connections are still answered, each with the word
+ * that its connection ends. Confined to the event loop but for {@link #listen}.
+ */
+public final class CallerServer {
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    /** Callers open connections in bursts; a full queue delays each by a second. */
+    private static final int BACKLOG = 1_024;
+
+    private final EventLoopGroup group;
+    private final SteadyClock clock;
+    private final Supplier<CallerBounds> bounds;
+    private final CallHandler handler;
+    private final IntConsumer refused;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private boolean stopping;
+
+    /**
+     * Makes a server that doesn't listen yet.
+     *
+     * @param group the event loop
+     * @param clock the clock
+     * @param bounds what callers may send now
+     * @param handler takes whole requests
+     * @param refused told the status of each unsound request
+     */
+    public CallerServer(
+            EventLoopGroup group,
+            SteadyClock clock,
+            Supplier<CallerBounds> bounds,
+            CallHandler handler,
+            IntConsumer refused) {
+        this.group = group;
+        this.clock = clock;
+        this.bounds = bounds;
+        this.handler = handler;
+        this.refused = refused;
+    }
+
+    /**
+     * Listens for callers.
+     *
+     * @param address where
+     */
+    public void listen(InetSocketAddress address) {
+        new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        CallerConnection connection = new CallerConnection(CallerServer.this, bounds.get());
+                        channel.pipeline()
+                                .addLast(new ByteWatch(connection))
+                                .addLast(new RequestDecoder(bounds.get(), connection))
+                                .addLast(new HttpResponseEncoder())
+                                .addLast(connection);
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly();
+    }
+
+    /** Ends each connection with its next answer from now on. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /** Closes the connections that wait for nothing. */
+    public void closeIdle() {
+        List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+    }
+
+    /**
+     * Tells whether callers wait for answers.
+     *
+     * @return whether any does
+     */
+    public boolean isBusy() {
+        return connections.stream().anyMatch(CallerConnection::isBusy);
+    }
+
+    /** Closes connections that were idle, or slow to send a head, for too long. */
+    public void tick() {
+        long now = clock.nowMillis();
+        List.copyOf(connections).forEach(connection -> connection.tick(now));
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    long nowMillis() {
+        return clock.nowMillis();
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    void refused(int status) {
+        refused.accept(status);
+    }
+
+    void received(CallerConnection connection, HttpRequest head, byte[] body, CallerConnection.CallTaker taker) {
+        handler.received(connection, head, body, taker);
+    }
+
+    /** Takes whole requests of callers. */
+    public interface CallHandler {
+        /**
+         * A request came.
+         *
+         * @param connection where its answer goes
+         * @param head its head
+         * @param body its whole body
+         * @param taker takes the call before it can end
+         */
+        void received(
+                CallerConnection connection,
+                HttpRequest head,
+                byte[] body,
+                java.util.function.Consumer<CallerCall> taker);
+    }
+
+    /** Tells a connection of raw bytes. */
+    private static final class ByteWatch extends ChannelInboundHandlerAdapter {
+        private final CallerConnection connection;
+
+        private ByteWatch(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            connection.bytesCame();
+            context.fireChannelRead(bytes);
+        }
+    }
+
+    /** Tells a connection of a request that states its length twice, in which another one could hide. */
+    private static final class RequestDecoder extends HttpRequestDecoder {
+        private final CallerConnection connection;
+
+        private RequestDecoder(CallerBounds bounds, CallerConnection connection) {
+            super(bounds.maxHeadBytes(), bounds.maxHeadBytes(), MAX_CHUNK_BYTES);
+            this.connection = connection;
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            connection.ambiguousLength();
+            super.handleTransferEncodingChunkedWithContentLength(message);
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -0,0 +1,171 @@
+package org.rattanplank.gateway.pass;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.vavr.control.Option;
+import org.rattanplank.core.gateway.Choice;
+import org.rattanplank.core.gateway.RouteRule;
+import org.rattanplank.core.gateway.ServiceRule;
+import org.rattanplank.core.gateway.WeightedService;
+import org.rattanplank.gateway.GatewayRequest;
+import org.rattanplank.gateway.log.LogEvent;
+import org.rattanplank.gateway.log.LogLine;
+import org.rattanplank.gateway.log.RequestLog;
+import org.rattanplank.gateway.peer.PeerFrame;
+import org.rattanplank.gateway.peer.PeerLink;
+import org.rattanplank.gateway.target.Attempt;
+import org.rattanplank.gateway.target.AttemptFailure;
+import org.rattanplank.gateway.target.AttemptListener;
+import org.rattanplank.gateway.target.TargetCall;
+
+/**
+ * Another host's request, served in this region or not at all.
+ *
+ * <p>Invariants: it reaches one target at most and is never forwarded again; the other host alone decides on repeats, as
+ * it alone knows all attempts. Confined to the event loop.
+ */
+public final class ForwardedCall implements AttemptListener {
+    private static final int MAX_UNSENT = 3;
+
+    private final GatewayState state;
+    private final PeerLink link;
+    private final PeerFrame.Ask ask;
+    private final GatewayRequest request;
+    private final RequestLog lines;
+    private final Runnable onOver;
+    private final Set<String> tried;
+    private final long takenAtMillis;
+    private Attempt attempt;
+    private String target = "";
+    private int unsent;
+    private boolean over;
+
+    /**
+     * Takes a request.
+     *
+     * @param state what all requests share
+     * @param link where it came from
+     * @param ask what was asked
+     * @param request the request as it goes to a target
+     * @param onOver run once when it is over
+     */
+    public ForwardedCall(
+            GatewayState state, PeerLink link, PeerFrame.Ask ask, GatewayRequest request, Runnable onOver) {
+        this.state = state;
+        this.link = link;
+        this.ask = ask;
+        this.request = request;
+        this.onOver = onOver;
+        tried = new HashSet<>(ask.excluded());
+        lines = new RequestLog(state.log(), ask.requestId());
+        takenAtMillis = state.nowMillis();
+    }
+
+    /** Starts it. */
+    public void start() {
+        if (!isStillAllowed()) {
+            fail(AttemptFailure.NOT_SENT, "a newer configuration sends it elsewhere");
+            return;
+        }
+        send();
+    }
+
+    /** Ends it without an answer. */
+    public void cancel() {
+        if (over) {
+            return;
+        }
+        if (attempt != null) {
+            attempt.cancel();
+        }
+        end("cancelled");
+    }
+
+    @Override
+    public void head(int status, HttpHeaders headers) {
+        link.send(new PeerFrame.AnswerHead(ask.call(), status, PeerLink.flat(headers), target));
+    }
+
+    @Override
+    public void content(ByteBuf bytes) {
+        link.send(new PeerFrame.AnswerContent(ask.call(), ByteBufUtil.getBytes(bytes)));
+    }
+
+    @Override
+    public void ended() {
+        link.send(new PeerFrame.AnswerEnd(ask.call()));
+        end("answered");
+    }
+
+    @Override
+    public void failed(AttemptFailure failure, String reason) {
+        attempt = null;
+        if (!failure.reachedTarget() && ++unsent <= MAX_UNSENT) {
+            send();
+            return;
+        }
+        fail(failure, reason);
+    }
+
+    /** Checks the sender's choice of a service against a newer configuration, if this host has one. */
+    private boolean isStillAllowed() {
+        if (state.configurationVersion() <= ask.configurationVersion()) {
+            return true;
+        }
+        Option<RouteRule> route = state.configuration().flatMap(now -> now.route(ask.authority(), request.path()));
+        return route.exists(rule -> rule.allows(state.self().place().region())
+                && rule.services().stream()
+                        .filter(service -> service.weight() > 0)
+                        .map(WeightedService::service)
+                        .anyMatch(ask.service()::equals));
+    }
+
+    private void send() {
+        Option<ServiceRule> service = state.configuration().flatMap(now -> now.service(ask.service()));
+        Option<Choice> choice = service.flatMap(
+                rule -> state.chooser().choose(rule, request.work(), tried, state.regionHosts(), state.nowMillis()));
+        if (choice.isEmpty()) {
+            fail(AttemptFailure.NOT_SENT, "no target of this region may take it");
+            return;
+        }
+        target = choice.get().target().id();
+        tried.add(target);
+        lines.add(LogLine.of(LogEvent.FORWARD_TAKEN)
+                .with("from", link.host().map(host -> host.name()).getOrElse(""))
+                .with("target", target)
+                .with("expectedMillis", choice.get().expectedMillis())
+                .with("candidates", choice.get().candidates())
+                .with("remainingMillis", remainingMillis()));
+        TargetCall call = new TargetCall(request, remainingMillis(), ask.lastEventId(), ask.urgency());
+        Attempt started = LocalSend.send(state, choice.get(), service.get(), call, ask.once(), this);
+        if (!over && attempt == null) {
+            attempt = started;
+        }
+    }
+
+    private long remainingMillis() {
+        return ask.remainingMillis() - (state.nowMillis() - takenAtMillis);
+    }
+
+    private void fail(AttemptFailure failure, String reason) {
+        link.send(new PeerFrame.AnswerFailed(ask.call(), failure.name(), reason, target));
+        end(failure.name() + ": " + reason);
+    }
+
+    private void end(String outcome) {
+        over = true;
+        lines.end(
+                LogLine.of(LogEvent.ENDED)
+                        .with("outcome", outcome)
+                        .with(
+                                "forwardedBy",
+                                link.host().map(host -> host.name()).getOrElse(""))
+                        .with("tookMillis", state.nowMillis() - takenAtMillis),
+                outcome.equals("answered"));
+        onOver.run();
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -0,0 +1,227 @@
+package org.rattanplank.gateway.pass;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import io.vavr.control.Option;
+import org.rattanplank.core.gateway.GatewayConfiguration;
+import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.gateway.RegionLoads;
+import org.rattanplank.core.gateway.RepeatAllowance;
+import org.rattanplank.core.gateway.RouteRule;
+import org.rattanplank.core.gateway.TargetChooser;
+import org.rattanplank.core.gateway.TargetPool;
+import org.rattanplank.gateway.GatewayMetrics;
+import org.rattanplank.gateway.SteadyClock;
+import org.rattanplank.gateway.log.EventLog;
+import org.rattanplank.gateway.peer.PeerLink;
+import org.rattanplank.gateway.peer.PeerLinks;
+import org.rattanplank.gateway.target.TargetConnections;
+
+/**
+ * What all requests of this host share.
+ *
+ * <p>Invariant: the configuration's version never falls. Confined to the event loop.
+ */
+public final class GatewayState {
+    private final GatewayHost self;
+    private final SteadyClock clock;
+    private final RandomGenerator random;
+    private final TargetPool pool;
+    private final TargetChooser chooser;
+    private final RegionLoads regionLoads = new RegionLoads();
+    private final RepeatAllowance repeats;
+    private final TargetConnections connections;
+    private final EventLog log;
+    private final GatewayMetrics metrics;
+    private Option<GatewayConfiguration> configuration = Option.none();
+    private PeerLinks links;
+
+    /**
+     * Makes the state of a host that knows nothing yet.
+     *
+     * @param self this host
+     * @param clock the clock
+     * @param random the source of random choices
+     * @param pool the targets of its region
+     * @param repeats its part of the repeats
+     * @param connections the connections to targets
+     * @param log the log
+     * @param metrics the counters
+     */
+    public GatewayState(
+            GatewayHost self,
+            SteadyClock clock,
+            RandomGenerator random,
+            TargetPool pool,
+            RepeatAllowance repeats,
+            TargetConnections connections,
+            EventLog log,
+            GatewayMetrics metrics) {
+        this.self = self;
+        this.clock = clock;
+        this.random = random;
+        this.pool = pool;
+        this.repeats = repeats;
+        this.connections = connections;
+        this.log = log;
+        this.metrics = metrics;
+        chooser = TargetChooser.of(self.name(), pool, random);
+    }
+
+    /**
+     * Takes the links to other hosts.
+     *
+     * @param peerLinks the links
+     */
+    public void join(PeerLinks peerLinks) {
+        links = peerLinks;
+    }
+
+    /**
+     * Takes a configuration.
+     *
+     * @param newer the configuration
+     * @return whether it is newer than what was in force, and is in force now
+     */
+    public boolean configure(GatewayConfiguration newer) {
+        // An older version may come late, from a host that was cut off or a page of the store read before a change:
+        // taking it would send requests where the operator no longer wants them.
+        if (newer.version() <= configurationVersion()) {
+            return false;
+        }
+        configuration = Option.some(newer);
+        return true;
+    }
+
+    /**
+     * The version in force.
+     *
+     * @return the version, zero if there is none
+     */
+    public long configurationVersion() {
+        return configuration.map(GatewayConfiguration::version).getOrElse(0L);
+    }
+
+    /**
+     * The configuration in force.
+     *
+     * @return the configuration, or none if none is known yet
+     */
+    public Option<GatewayConfiguration> configuration() {
+        return configuration;
+    }
+
+    /**
+     * This host.
+     *
+     * @return its entry
+     */
+    public GatewayHost self() {
+        return self;
+    }
+
+    /**
+     * The targets of this region.
+     *
+     * @return the pool
+     */
+    public TargetPool pool() {
+        return pool;
+    }
+
+    /**
+     * What chooses targets.
+     *
+     * @return the chooser
+     */
+    public TargetChooser chooser() {
+        return chooser;
+    }
+
+    /**
+     * What other regions report.
+     *
+     * @return their loads
+     */
+    public RegionLoads regionLoads() {
+        return regionLoads;
+    }
+
+    /**
+     * The log.
+     *
+     * @return the log
+     */
+    public EventLog log() {
+        return log;
+    }
+
+    /**
+     * The counters.
+     *
+     * @return the counters
+     */
+    public GatewayMetrics metrics() {
+        return metrics;
+    }
+
+    /**
+     * Reads the clock.
+     *
+     * @return the time
+     */
+    public long nowMillis() {
+        return clock.nowMillis();
+    }
+
+    /**
+     * The hosts of this region that are in touch, this one included.
+     *
+     * @return their names
+     */
+    public List<String> regionHosts() {
+        List<String> names = new ArrayList<>();
+        names.add(self.name());
+        for (PeerLink link : links.alive()) {
+            GatewayHost host = link.host().get();
+            if (host.place().region().equals(self.place().region())) {
+                names.add(host.name());
+            }
+        }
+        return names;
+    }
+
+    RepeatAllowance repeats() {
+        return repeats;
+    }
+
+    TargetConnections connections() {
+        return connections;
+    }
+
+    double draw() {
+        return random.nextDouble();
+    }
+
+    /** The hosts of other regions that may serve a route, one for each region, drawn at random. */
+    Map<String, PeerLink> remoteHosts(RouteRule route) {
+        Map<String, List<PeerLink>> byRegion = new HashMap<>();
+        Collection<PeerLink> alive = links.alive();
+        for (PeerLink link : alive) {
+            String region = link.host().get().place().region();
+            if (!region.equals(self.place().region())
+                    && route.allows(region)
+                    && link.state().takesCallers()) {
+                byRegion.computeIfAbsent(region, name -> new ArrayList<>()).add(link);
+            }
+        }
+        Map<String, PeerLink> drawn = new HashMap<>();
+        byRegion.forEach((region, hosts) -> drawn.put(region, hosts.get(random.nextInt(hosts.size()))));
+        return drawn;
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -0,0 +1,436 @@
+package org.rattanplank.gateway.pass;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.vavr.control.Option;
+import org.rattanplank.core.gateway.Choice;
+import org.rattanplank.core.gateway.GatewayConfiguration;
+import org.rattanplank.core.gateway.GatewayTarget;
+import org.rattanplank.core.gateway.RegionChooser;
+import org.rattanplank.core.gateway.RouteKind;
+import org.rattanplank.core.gateway.RouteRule;
+import org.rattanplank.core.gateway.ServiceRule;
+import org.rattanplank.gateway.GatewayRequest;
+import org.rattanplank.gateway.caller.CallerCall;
+import org.rattanplank.gateway.http.Headers;
+import org.rattanplank.gateway.log.LogEvent;
+import org.rattanplank.gateway.log.LogLine;
+import org.rattanplank.gateway.log.RequestLog;
+import org.rattanplank.gateway.peer.PeerFrame;
+import org.rattanplank.gateway.peer.PeerLink;
+import org.rattanplank.gateway.target.Attempt;
+import org.rattanplank.gateway.target.AttemptFailure;
+import org.rattanplank.gateway.target.AttemptListener;
+import org.rattanplank.gateway.target.TargetCall;
+
+/**
+ * One caller's request, from its arrival to its final answer.
+ *
+ * <p>Invariants: "not run" is answered only if no attempt may have run; a request that may run only once is sent again
+ * only after the word of its target that it did not run; once a part of an answer is out, the answer ends whole or
+ * visibly broken. Confined to the event loop.
+ */
+public final class PassThrough implements CallerCall {
+    /** Tries to reach a target that end before anything is sent cost little, but not without end. */
+    private static final int MAX_UNSENT = 4;
+
+    /** A target that a request waits for, and that sends nothing to anyone for so long, is given up where allowed. */
+    private static final long STALLED_MILLIS = 1_500;
+
+    /** Refused callers come back spread over this time; long enough for an engine to end some generations. */
+    private static final double RETRY_AFTER_SECONDS = 0.4;
+
+    private static final double RETRY_SPREAD_SECONDS = 0.4;
+
+    /** Each rank of a route's urgency is so far from the next one's that a target can tell them apart. */
+    private static final int URGENCY_PER_RANK = 2;
+
+    private static final int MOST_URGENCY = 9;
+
+    private final GatewayState state;
+    private final GatewayRequest request;
+    private final CallerReply reply;
+    private final RequestLog lines;
+    private final long arrivedAtMillis;
+    private final Set<String> tried = new HashSet<>();
+    private final Runnable onOver;
+    private RouteRule route;
+    private ServiceRule service;
+    private long endsAtMillis = Long.MAX_VALUE;
+    private Attempt attempt;
+    private long attemptAtMillis;
+    private GatewayTarget localTarget;
+    private int sent;
+    private int unsent;
+    private boolean mayHaveRun;
+    private boolean over;
+
+    /**
+     * Makes a request that is not yet started.
+     *
+     * @param state what all requests share
+     * @param request the request
+     * @param reply where its answer goes
+     * @param onOver run once when it is over
+     */
+    public PassThrough(GatewayState state, GatewayRequest request, CallerReply reply, Runnable onOver) {
+        this.state = state;
+        this.request = request;
+        this.reply = reply;
+        this.onOver = onOver;
+        lines = new RequestLog(state.log(), request.id());
+        arrivedAtMillis = state.nowMillis();
+    }
+
+    /** Starts it. */
+    public void start() {
+        if (state.configuration().isEmpty()) {
+            refuse("no configuration is known yet");
+            return;
+        }
+        GatewayConfiguration configuration = state.configuration().get();
+        Option<RouteRule> found = configuration.route(request.authority(), request.path());
+        if (found.isEmpty()) {
+            finish(HttpResponseStatus.NOT_FOUND, "no route takes it");
+            return;
+        }
+        route = found.get();
+        String name = route.service(state.draw());
+        Option<ServiceRule> configured = configuration.service(name);
+        if (configured.isEmpty()) {
+            refuse("its service is not configured");
+            return;
+        }
+        service = configured.get();
+        endsAtMillis = arrivedAtMillis
+                + Math.min(route.timeoutMillis(), request.timeoutMillis().getOrElse(Long.MAX_VALUE));
+        reply.expect(route.kind() == RouteKind.STREAM, request.lastEventId().getOrElse(""));
+        send();
+    }
+
+    /**
+     * Ends it if its time is up, and leaves a target that says nothing to anyone.
+     *
+     * @param nowMillis the time
+     */
+    public void tick(long nowMillis) {
+        if (over) {
+            return;
+        }
+        if (nowMillis >= endsAtMillis) {
+            timeUp();
+            return;
+        }
+        if (isStalled(nowMillis)) {
+            Attempt stalled = attempt;
+            localTarget.unreachable(nowMillis);
+            stalled.cancel();
+            attemptFailed(AttemptFailure.UNKNOWN, "the target says nothing to anyone");
+        }
+    }
+
+    @Override
+    public void callerLeft() {
+        if (over) {
+            return;
+        }
+        if (attempt != null) {
+            attempt.cancel();
+        }
+        state.metrics().ended("left");
+        end("caller_left", "the caller closed its connection", false);
+    }
+
+    private boolean isStalled(long nowMillis) {
+        return attempt != null
+                && localTarget != null
+                && route.isIdempotent()
+                && sent < route.maxAttempts()
+                && nowMillis - attemptAtMillis > STALLED_MILLIS
+                && localTarget.isSilent(nowMillis)
+                && state.repeats().left(service.name(), nowMillis) > 0
+                && choose().isDefined();
+    }
+
+    private Option<Choice> choose() {
+        if (!route.allows(state.self().place().region())) {
+            return Option.none();
+        }
+        return state.chooser().choose(service, request.work(), tried, state.regionHosts(), state.nowMillis());
+    }
+
+    private void send() {
+        long now = state.nowMillis();
+        Option<Choice> local = choose();
+        double localMillis = local.map(Choice::expectedMillis).getOrElse(Double.POSITIVE_INFINITY);
+        Map<String, PeerLink> hosts = state.remoteHosts(route);
+        Map<String, Double> remoteMillis = new HashMap<>();
+        hosts.forEach((region, link) -> {
+            if (!tried.contains(region)) {
+                remoteMillis.put(region, remoteMillis(region, link, now));
+            }
+        });
+        Option<String> region = RegionChooser.choose(localMillis, remoteMillis, route.objectiveMillis());
+        if (region.isDefined()) {
+            forward(hosts.get(region.get()), region.get(), remoteMillis.get(region.get()), localMillis);
+        } else if (local.isDefined()) {
+            sendLocally(local.get());
+        } else {
+            giveUp("no target may take it");
+        }
+    }
+
+    private double remoteMillis(String region, PeerLink link, long nowMillis) {
+        return link.roundTripMillis() + state.regionLoads().expectedMillis(region, service.name(), units(), nowMillis);
+    }
+
+    private int units() {
+        return Math.max(1, request.work().promptTokens());
+    }
+
+    private void sendLocally(Choice choice) {
+        attemptAtMillis = state.nowMillis();
+        localTarget = choice.target();
+        countSend();
+        lines.add(LogLine.of(LogEvent.SENT)
+                .with("target", choice.target().id())
+                .with("service", service.name())
+                .with("expectedMillis", choice.expectedMillis())
+                .with("candidates", choice.candidates())
+                .with("requestsThere", choice.target().all().requests())
+                .with("tokensWaitingThere", choice.target().all().waitingTokens())
+                .with("remainingMillis", endsAtMillis - attemptAtMillis)
+                .with("attempt", sent));
+        AttemptEvents events = new AttemptEvents(choice.target().id());
+        Attempt started = LocalSend.send(state, choice, service, call(), !route.isIdempotent(), events);
+        keep(events, started);
+    }
+
+    private void forward(PeerLink link, String region, double expectedMillis, double localMillis) {
+        attemptAtMillis = state.nowMillis();
+        localTarget = null;
+        countSend();
+        state.regionLoads().sent(region, service.name(), units());
+        lines.add(LogLine.of(LogEvent.FORWARDED)
+                .with("region", region)
+                .with("to", link.host().get().name())
+                .with("service", service.name())
+                .with("expectedMillis", expectedMillis)
+                .with("localMillis", localMillis)
+                .with("stateAgeMillis", link.stateAgeMillis())
+                .with("attempt", sent));
+        TargetCall call = call();
+        AttemptEvents events = new AttemptEvents(region);
+        Attempt started = link.ask(
+                number -> new PeerFrame.Ask(
+                        number,
+                        state.configurationVersion(),
+                        service.name(),
+                        request.id(),
+                        request.method(),
+                        request.uri(),
+                        request.authority(),
+                        PeerLink.flat(request.headers()),
+                        request.body(),
+                        call.remainingMillis(),
+                        call.lastEventId(),
+                        call.urgency(),
+                        !route.isIdempotent(),
+                        java.util.List.copyOf(tried)),
+                events);
+        keep(events, started);
+    }
+
+    private void keep(AttemptEvents events, Attempt started) {
+        if (events.open) {
+            attempt = started;
+        }
+    }
+
+    private void countSend() {
+        sent++;
+        if (sent == 1) {
+            state.repeats().first(service.name(), state.nowMillis());
+        }
+        state.metrics().sent(sent);
+    }
+
+    private TargetCall call() {
+        int urgency = Math.min(MOST_URGENCY, 1 + URGENCY_PER_RANK * route.rank());
+        return new TargetCall(request, endsAtMillis - state.nowMillis(), reply.lastEventId(), urgency);
+    }
+
+    private void attemptFailed(AttemptFailure failure, String reason) {
+        attempt = null;
+        lines.add(LogLine.of(LogEvent.ATTEMPT_FAILED)
+                .with("failure", failure.name())
+                .with("reason", reason)
+                .with("tookMillis", state.nowMillis() - attemptAtMillis));
+        state.metrics().attemptFailed(failure);
+        if (!failure.reachedTarget()) {
+            sent--;
+            unsent++;
+            if (unsent <= MAX_UNSENT) {
+                send();
+            } else {
+                giveUp(reason);
+            }
+            return;
+        }
+        boolean repeatable = !failure.mayHaveRun() || route.isIdempotent();
+        mayHaveRun |= failure.mayHaveRun();
+        if (repeatable && mayRepeat()) {
+            lines.add(LogLine.of(reply.isBegun() ? LogEvent.RESUMED : LogEvent.REPEATED)
+                    .with("lastEventId", reply.lastEventId()));
+            reply.attemptLost();
+            send();
+            return;
+        }
+        giveUp(reason);
+    }
+
+    private boolean mayRepeat() {
+        return sent < route.maxAttempts()
+                && reply.mayGoOn()
+                && state.repeats().spend(service.name(), state.nowMillis());
+    }
+
+    private void giveUp(String reason) {
+        if (reply.isBegun()) {
+            reply.breakOff();
+            state.metrics().ended("broken");
+            end("broken", reason, false);
+        } else if (mayHaveRun) {
+            finish(HttpResponseStatus.BAD_GATEWAY, reason);
+        } else {
+            refuse(reason);
+        }
+    }
+
+    private void timeUp() {
+        if (attempt != null) {
+            attempt.cancel();
+            // The target was never heard on it; it may have run all the same.
+            mayHaveRun = true;
+        }
+        if (!reply.isBegun() && mayHaveRun) {
+            finish(HttpResponseStatus.GATEWAY_TIMEOUT, "its time is up");
+        } else {
+            giveUp("its time is up");
+        }
+    }
+
+    private void refuse(String reason) {
+        HttpHeaders headers = Headers.unchecked();
+        double seconds = RETRY_AFTER_SECONDS + RETRY_SPREAD_SECONDS * state.draw();
+        headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(Math.round(seconds * 100) / 100.0));
+        reply.answer(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), headers, Unpooled.EMPTY_BUFFER);
+        state.metrics().ended("refused");
+        end("refused", reason, false);
+    }
+
+    private void finish(HttpResponseStatus status, String reason) {
+        reply.answer(status.code(), Headers.unchecked(), Unpooled.EMPTY_BUFFER);
+        state.metrics().ended(Integer.toString(status.code()));
+        end(Integer.toString(status.code()), reason, false);
+    }
+
+    private void end(String outcome, String reason, boolean ordinary) {
+        over = true;
+        attempt = null;
+        LogLine last = LogLine.of(LogEvent.ENDED)
+                .with("outcome", outcome)
+                .with("route", route == null ? "" : route.name())
+                .with("configurationVersion", state.configurationVersion())
+                .with("attempts", sent)
+                .with("tookMillis", state.nowMillis() - arrivedAtMillis);
+        if (!reason.isEmpty()) {
+            last.with("reason", reason);
+        }
+        lines.end(last, ordinary);
+        onOver.run();
+    }
+
+    private void answered(String target) {
+        state.metrics().answered(state.nowMillis() - arrivedAtMillis);
+        LogLine.of(LogEvent.ENDED);
+        end("answered", "", sent == 1 && unsent == 0 && !reply.wasLate(route.objectiveMillis(), arrivedAtMillis));
+    }
+
+    /** Hears one attempt, as long as it is the current one. */
+    private final class AttemptEvents implements AttemptListener {
+        private final String where;
+        private boolean open = true;
+        private boolean failing;
+
+        private AttemptEvents(String where) {
+            this.where = where;
+        }
+
+        @Override
+        public void head(int status, HttpHeaders headers) {
+            if (!open || over) {
+                return;
+            }
+            // An answer that says the target failed may be better from another one, where running twice does no harm.
+            failing = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code() && route.isIdempotent()
+                    || reply.isBegun() && status != HttpResponseStatus.OK.code();
+            if (failing && (reply.isBegun() || mayRepeatFailure())) {
+                lost("the target answered " + status);
+                return;
+            }
+            failing = false;
+            reply.head(status, headers);
+        }
+
+        @Override
+        public void content(ByteBuf bytes) {
+            if (open && !over) {
+                reply.content(bytes, state.nowMillis());
+            }
+        }
+
+        @Override
+        public void ended() {
+            if (!open || over) {
+                return;
+            }
+            open = false;
+            attempt = null;
+            reply.ended();
+            answered(where);
+        }
+
+        @Override
+        public void failed(AttemptFailure failure, String reason) {
+            if (!open || over) {
+                return;
+            }
+            open = false;
+            tried.add(where);
+            attemptFailed(failure, reason);
+        }
+
+        private boolean mayRepeatFailure() {
+            return sent < route.maxAttempts() && state.repeats().left(service.name(), state.nowMillis()) > 0;
+        }
+
+        private void lost(String reason) {
+            open = false;
+            tried.add(where);
+            Attempt failed = attempt;
+            if (failed != null) {
+                failed.cancel();
+            }
+            attemptFailed(AttemptFailure.UNKNOWN, reason);
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -0,0 +1,167 @@
+package org.rattanplank.gateway.peer;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.gateway.SentWork;
+import org.rattanplank.gateway.store.StoreItem;
+
+/** What hosts say to each other. Immutable and thread safe. */
+public sealed interface PeerFrame {
+    /**
+     * The first frame on a connection, in both directions: who speaks.
+     *
+     * @param host the speaker
+     */
+    record Hello(GatewayHost host) implements PeerFrame {
+        public Hello {
+            Objects.requireNonNull(host, "host");
+        }
+    }
+
+    /**
+     * What a host knows and does, said again and again.
+     *
+     * @param sentAtMillis the speaker's clock
+     * @param echoedMillis the other host's clock as it said last, zero if it hasn't
+     * @param echoAgeMillis how long ago that was said
+     * @param takesCallers whether callers should be sent to it
+     * @param configurationVersion the version in force there
+     * @param storeRevision the store's revision up to which it knows everything
+     * @param storeHealthy whether the store answers it
+     * @param sent its work at each target, to hosts of its own region
+     * @param regionLoads how soon its region is expected to answer, to hosts of other regions
+     */
+    record State(
+            long sentAtMillis,
+            long echoedMillis,
+            long echoAgeMillis,
+            boolean takesCallers,
+            long configurationVersion,
+            long storeRevision,
+            boolean storeHealthy,
+            List<TargetWork> sent,
+            List<RegionLoad> regionLoads)
+            implements PeerFrame {
+        public State {
+            sent = List.copyOf(sent);
+            regionLoads = List.copyOf(regionLoads);
+        }
+    }
+
+    /**
+     * A host's work at one target.
+     *
+     * @param target the target's identifier
+     * @param work the work
+     */
+    record TargetWork(String target, SentWork work) {}
+
+    /**
+     * How soon a region is expected to answer for a service.
+     *
+     * @param service the service
+     * @param expectedMillis the time that its best target is expected to take
+     * @param perTokenMillis what each further token adds, spread over its targets
+     */
+    record RegionLoad(String service, double expectedMillis, double perTokenMillis) {}
+
+    /**
+     * What a host knows of the store, for one that can't reach it.
+     *
+     * @param revision the revision up to which it knows everything
+     * @param items the items
+     */
+    record StoreItems(long revision, List<StoreItem> items) implements PeerFrame {
+        public StoreItems {
+            items = List.copyOf(items);
+        }
+    }
+
+    /**
+     * A request to be served in the receiver's region.
+     *
+     * @param call the number of the call on this connection
+     * @param configurationVersion the version by which the sender chose the service
+     * @param service the service
+     * @param requestId the caller's identifier of the request
+     * @param method its method
+     * @param uri its path and query
+     * @param authority the host name that the caller addressed
+     * @param headers names and values by turns
+     * @param body its body
+     * @param remainingMillis how long it may take
+     * @param lastEventId the event behind which a stream is to go on, or empty
+     * @param urgency how urgent it is
+     * @param once whether it may run only once
+     * @param excluded identifiers of targets that must not get it
+     */
+    record Ask(
+            long call,
+            long configurationVersion,
+            String service,
+            String requestId,
+            String method,
+            String uri,
+            String authority,
+            List<String> headers,
+            byte[] body,
+            long remainingMillis,
+            String lastEventId,
+            int urgency,
+            boolean once,
+            List<String> excluded)
+            implements PeerFrame {
+        public Ask {
+            headers = List.copyOf(headers);
+            excluded = List.copyOf(excluded);
+        }
+    }
+
+    /**
+     * The head of an answer.
+     *
+     * @param call the call
+     * @param status its status
+     * @param headers names and values by turns
+     * @param target the target that answers
+     */
+    record AnswerHead(long call, int status, List<String> headers, String target) implements PeerFrame {
+        public AnswerHead {
+            headers = List.copyOf(headers);
+        }
+    }
+
+    /**
+     * A part of an answer's body.
+     *
+     * @param call the call
+     * @param bytes the part
+     */
+    record AnswerContent(long call, byte[] bytes) implements PeerFrame {}
+
+    /**
+     * The end of a whole answer.
+     *
+     * @param call the call
+     */
+    record AnswerEnd(long call) implements PeerFrame {}
+
+    /**
+     * The end of a call without a whole answer.
+     *
+     * @param call the call
+     * @param failure the name of what may have run
+     * @param reason what happened
+     * @param target the target that had it, or empty
+     */
+    record AnswerFailed(long call, String failure, String reason, String target) implements PeerFrame {}
+
+    /**
+     * The asker no longer wants an answer.
+     *
+     * @param call the call
+     */
+    record Cancel(long call) implements PeerFrame {}
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -0,0 +1,214 @@
+package org.rattanplank.gateway.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vavr.control.Try;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.gateway.SentWork;
+import org.rattanplank.core.host.Place;
+import org.rattanplank.gateway.store.StoreItem;
+
+/**
+ * Writes frames as MessagePack and reads them.
+ *
+ * <p>A frame is a number for its kind followed by its fields in order; a reader passes over kinds that it doesn't know.
+ * Stateless and thread safe.
+ */
+final class PeerFrameCodec {
+    private static final int HELLO = 1;
+    private static final int STATE = 2;
+    private static final int STORE_ITEMS = 3;
+    private static final int ASK = 4;
+    private static final int ANSWER_HEAD = 5;
+    private static final int ANSWER_CONTENT = 6;
+    private static final int ANSWER_END = 7;
+    private static final int ANSWER_FAILED = 8;
+    private static final int CANCEL = 9;
+
+    private PeerFrameCodec() {}
+
+    static byte[] encode(PeerFrame frame) {
+        return Try.of(() -> {
+                    MessageBufferPacker out = MessagePack.newDefaultBufferPacker();
+                    write(frame, out);
+                    return out.toByteArray();
+                })
+                .get();
+    }
+
+    static Try<PeerFrame> decode(byte[] bytes) {
+        return Try.of(() -> read(MessagePack.newDefaultUnpacker(bytes)));
+    }
+
+    private static void write(PeerFrame frame, MessageBufferPacker out) throws IOException {
+        if (frame instanceof PeerFrame.Hello hello) {
+            out.packInt(HELLO);
+            write(hello.host(), out);
+        } else if (frame instanceof PeerFrame.State state) {
+            write(state, out);
+        } else if (frame instanceof PeerFrame.StoreItems known) {
+            out.packInt(STORE_ITEMS)
+                    .packLong(known.revision())
+                    .packArrayHeader(known.items().size());
+            for (StoreItem item : known.items()) {
+                out.packString(item.key()).packLong(item.revision());
+                write(item.value(), out);
+            }
+        } else if (frame instanceof PeerFrame.Ask ask) {
+            write(ask, out);
+        } else if (frame instanceof PeerFrame.AnswerHead head) {
+            out.packInt(ANSWER_HEAD).packLong(head.call()).packInt(head.status());
+            write(head.headers(), out);
+            out.packString(head.target());
+        } else if (frame instanceof PeerFrame.AnswerContent content) {
+            out.packInt(ANSWER_CONTENT).packLong(content.call());
+            write(content.bytes(), out);
+        } else if (frame instanceof PeerFrame.AnswerEnd end) {
+            out.packInt(ANSWER_END).packLong(end.call());
+        } else if (frame instanceof PeerFrame.AnswerFailed failed) {
+            out.packInt(ANSWER_FAILED).packLong(failed.call());
+            out.packString(failed.failure()).packString(failed.reason()).packString(failed.target());
+        } else if (frame instanceof PeerFrame.Cancel cancel) {
+            out.packInt(CANCEL).packLong(cancel.call());
+        }
+    }
+
+    private static void write(PeerFrame.State state, MessageBufferPacker out) throws IOException {
+        out.packInt(STATE).packLong(state.sentAtMillis());
+        out.packLong(state.echoedMillis()).packLong(state.echoAgeMillis());
+        out.packBoolean(state.takesCallers());
+        out.packLong(state.configurationVersion()).packLong(state.storeRevision());
+        out.packBoolean(state.storeHealthy());
+        out.packArrayHeader(state.sent().size());
+        for (PeerFrame.TargetWork sent : state.sent()) {
+            out.packString(sent.target()).packInt(sent.work().requests());
+            out.packLong(sent.work().waitingTokens()).packLong(sent.work().memoryTokens());
+        }
+        out.packArrayHeader(state.regionLoads().size());
+        for (PeerFrame.RegionLoad load : state.regionLoads()) {
+            out.packString(load.service());
+            out.packFloat((float) load.expectedMillis()).packFloat((float) load.perTokenMillis());
+        }
+    }
+
+    private static void write(PeerFrame.Ask ask, MessageBufferPacker out) throws IOException {
+        out.packInt(ASK).packLong(ask.call()).packLong(ask.configurationVersion());
+        out.packString(ask.service()).packString(ask.requestId()).packString(ask.method());
+        out.packString(ask.uri()).packString(ask.authority());
+        write(ask.headers(), out);
+        write(ask.body(), out);
+        out.packLong(ask.remainingMillis()).packString(ask.lastEventId());
+        out.packInt(ask.urgency()).packBoolean(ask.once());
+        write(ask.excluded(), out);
+    }
+
+    private static void write(GatewayHost host, MessageBufferPacker out) throws IOException {
+        out.packString(host.name()).packLong(host.incarnation());
+        out.packString(host.place().region()).packString(host.place().dataCentre());
+        out.packString(host.callerAddress()).packString(host.peerAddress());
+    }
+
+    private static void write(List<String> texts, MessageBufferPacker out) throws IOException {
+        out.packArrayHeader(texts.size());
+        for (String text : texts) {
+            out.packString(text);
+        }
+    }
+
+    private static void write(byte[] bytes, MessageBufferPacker out) throws IOException {
+        out.packBinaryHeader(bytes.length).addPayload(bytes);
+    }
+
+    private static PeerFrame read(MessageUnpacker in) throws IOException {
+        int kind = in.unpackInt();
+        return switch (kind) {
+            case HELLO -> new PeerFrame.Hello(readHost(in));
+            case STATE -> readState(in);
+            case STORE_ITEMS -> readItems(in);
+            case ASK -> readAsk(in);
+            case ANSWER_HEAD -> new PeerFrame.AnswerHead(
+                    in.unpackLong(), in.unpackInt(), readTexts(in), in.unpackString());
+            case ANSWER_CONTENT -> new PeerFrame.AnswerContent(in.unpackLong(), readBytes(in));
+            case ANSWER_END -> new PeerFrame.AnswerEnd(in.unpackLong());
+            case ANSWER_FAILED -> new PeerFrame.AnswerFailed(
+                    in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackString());
+            case CANCEL -> new PeerFrame.Cancel(in.unpackLong());
+            default -> throw new IOException("unknown kind of frame " + kind);
+        };
+    }
+
+    private static PeerFrame readState(MessageUnpacker in) throws IOException {
+        long sentAt = in.unpackLong();
+        long echoed = in.unpackLong();
+        long echoAge = in.unpackLong();
+        boolean takesCallers = in.unpackBoolean();
+        long version = in.unpackLong();
+        long revision = in.unpackLong();
+        boolean healthy = in.unpackBoolean();
+        List<PeerFrame.TargetWork> sent = new ArrayList<>();
+        for (int left = in.unpackArrayHeader(); left > 0; left--) {
+            sent.add(new PeerFrame.TargetWork(
+                    in.unpackString(), new SentWork(in.unpackInt(), in.unpackLong(), in.unpackLong())));
+        }
+        List<PeerFrame.RegionLoad> loads = new ArrayList<>();
+        for (int left = in.unpackArrayHeader(); left > 0; left--) {
+            loads.add(new PeerFrame.RegionLoad(in.unpackString(), in.unpackFloat(), in.unpackFloat()));
+        }
+        return new PeerFrame.State(sentAt, echoed, echoAge, takesCallers, version, revision, healthy, sent, loads);
+    }
+
+    private static PeerFrame readItems(MessageUnpacker in) throws IOException {
+        long revision = in.unpackLong();
+        List<StoreItem> items = new ArrayList<>();
+        for (int left = in.unpackArrayHeader(); left > 0; left--) {
+            String key = in.unpackString();
+            long itemRevision = in.unpackLong();
+            items.add(new StoreItem(key, readBytes(in), itemRevision, false));
+        }
+        return new PeerFrame.StoreItems(revision, items);
+    }
+
+    private static PeerFrame readAsk(MessageUnpacker in) throws IOException {
+        return new PeerFrame.Ask(
+                in.unpackLong(),
+                in.unpackLong(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackString(),
+                readTexts(in),
+                readBytes(in),
+                in.unpackLong(),
+                in.unpackString(),
+                in.unpackInt(),
+                in.unpackBoolean(),
+                readTexts(in));
+    }
+
+    private static GatewayHost readHost(MessageUnpacker in) throws IOException {
+        return new GatewayHost(
+                in.unpackString(),
+                in.unpackLong(),
+                Place.of(in.unpackString(), in.unpackString()),
+                in.unpackString(),
+                in.unpackString());
+    }
+
+    private static List<String> readTexts(MessageUnpacker in) throws IOException {
+        List<String> texts = new ArrayList<>();
+        for (int left = in.unpackArrayHeader(); left > 0; left--) {
+            texts.add(in.unpackString());
+        }
+        return texts;
+    }
+
+    private static byte[] readBytes(MessageUnpacker in) throws IOException {
+        return in.readPayload(in.unpackBinaryHeader());
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -0,0 +1,274 @@
+package org.rattanplank.gateway.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.gateway.SteadyClock;
+import org.rattanplank.gateway.http.Headers;
+import org.rattanplank.gateway.target.Attempt;
+import org.rattanplank.gateway.target.AttemptFailure;
+import org.rattanplank.gateway.target.AttemptListener;
+
+/**
+ * A connection to another host, which carries frames both ways.
+ *
+ * <p>Invariant: each call that was asked over it ends once; when the connection ends, calls that it carried may have run
+ * or still run. Confined to the event loop.
+ */
+public final class PeerLink extends SimpleChannelInboundHandler<ByteBuf> {
+    /** A link that brought nothing for so long is taken to be dead: three times the longest time between two states. */
+    static final long SILENT_MILLIS = 1_600;
+
+    private static final double SMOOTHING = 0.2;
+
+    private final PeerLinks owner;
+    private final SteadyClock clock;
+    private final Map<Long, PeerAttempt> calls = new HashMap<>();
+    private Channel channel;
+    private GatewayHost host;
+    private long lastHeardMillis;
+    private long nextCall = 1;
+    private PeerFrame.State state = new PeerFrame.State(0, 0, 0, false, 0, 0, true, List.of(), List.of());
+    private long itemsSentAtMillis;
+    private long stateAtMillis;
+    private double roundTripMillis;
+
+    PeerLink(PeerLinks owner, SteadyClock clock) {
+        this.owner = owner;
+        this.clock = clock;
+        lastHeardMillis = clock.nowMillis();
+    }
+
+    /**
+     * The host at the other end.
+     *
+     * @return the host, or none until it has said who it is
+     */
+    public Option<GatewayHost> host() {
+        return Option.of(host);
+    }
+
+    /**
+     * What the other host said last.
+     *
+     * @return its state
+     */
+    public PeerFrame.State state() {
+        return state;
+    }
+
+    /**
+     * The time that a question and its answer take on the way.
+     *
+     * @return milliseconds, zero while not known
+     */
+    public double roundTripMillis() {
+        return roundTripMillis;
+    }
+
+    /**
+     * How long ago the other host said its state.
+     *
+     * @return milliseconds
+     */
+    public long stateAgeMillis() {
+        return clock.nowMillis() - stateAtMillis;
+    }
+
+    /**
+     * Tells whether the other host is in touch.
+     *
+     * @return whether something came from it a short while ago
+     */
+    public boolean isAlive() {
+        return channel != null && channel.isActive() && clock.nowMillis() - lastHeardMillis < SILENT_MILLIS;
+    }
+
+    /**
+     * When this host told the other one what it knows of the store.
+     *
+     * @return the time of the last telling
+     */
+    public long itemsSentAtMillis() {
+        return itemsSentAtMillis;
+    }
+
+    /**
+     * Sends a frame.
+     *
+     * @param frame the frame
+     */
+    public void send(PeerFrame frame) {
+        if (frame instanceof PeerFrame.StoreItems) {
+            itemsSentAtMillis = clock.nowMillis();
+        }
+        if (channel != null && channel.isActive()) {
+            channel.writeAndFlush(Unpooled.wrappedBuffer(PeerFrameCodec.encode(frame)));
+        }
+    }
+
+    /**
+     * Asks the other host to serve a request.
+     *
+     * @param ask makes the frame from the number of the call
+     * @param listener hears how it goes
+     * @return the attempt
+     */
+    public Attempt ask(java.util.function.LongFunction<PeerFrame.Ask> ask, AttemptListener listener) {
+        long number = nextCall++;
+        PeerAttempt attempt = new PeerAttempt(number, listener);
+        calls.put(number, attempt);
+        send(ask.apply(number));
+        return attempt;
+    }
+
+    /**
+     * Writes headers as names and values by turns.
+     *
+     * @param headers the headers
+     * @return the names and values
+     */
+    public static List<String> flat(HttpHeaders headers) {
+        List<String> flat = new ArrayList<>(headers.size() * 2);
+        headers.iteratorAsString().forEachRemaining(entry -> {
+            flat.add(entry.getKey());
+            flat.add(entry.getValue());
+        });
+        return flat;
+    }
+
+    /**
+     * Reads headers that were written as names and values by turns.
+     *
+     * @param flat the names and values
+     * @return the headers
+     */
+    public static HttpHeaders headers(List<String> flat) {
+        HttpHeaders headers = Headers.unchecked();
+        for (int i = 0; i + 1 < flat.size(); i += 2) {
+            headers.add(flat.get(i), flat.get(i + 1));
+        }
+        return headers;
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        lastHeardMillis = clock.nowMillis();
+        send(new PeerFrame.Hello(owner.self()));
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
+        lastHeardMillis = clock.nowMillis();
+        Try<PeerFrame> frame = PeerFrameCodec.decode(ByteBufUtil.getBytes(bytes));
+        if (frame.isFailure()) {
+            owner.unreadable(this, frame.getCause());
+            return;
+        }
+        read(frame.get());
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        owner.closed(this);
+        List<PeerAttempt> open = List.copyOf(calls.values());
+        calls.clear();
+        open.forEach(call -> call.listener.failed(AttemptFailure.UNKNOWN, "the link to the other host ended"));
+    }
+
+    private void read(PeerFrame frame) {
+        if (frame instanceof PeerFrame.Hello hello) {
+            host = hello.host();
+            owner.greeted(this);
+        } else if (host == null) {
+            close();
+        } else if (frame instanceof PeerFrame.State newer) {
+            state = newer;
+            stateAtMillis = lastHeardMillis;
+            if (newer.echoedMillis() > 0) {
+                double seen = Math.max(0, lastHeardMillis - newer.echoedMillis() - newer.echoAgeMillis());
+                roundTripMillis = roundTripMillis == 0 ? seen : roundTripMillis + SMOOTHING * (seen - roundTripMillis);
+            }
+            owner.listener().state(this, newer);
+        } else if (frame instanceof PeerFrame.StoreItems known) {
+            owner.listener().storeItems(known);
+        } else if (frame instanceof PeerFrame.Ask ask) {
+            owner.listener().asked(this, ask);
+        } else if (frame instanceof PeerFrame.Cancel cancel) {
+            owner.listener().cancelled(this, cancel.call());
+        } else {
+            readAnswer(frame);
+        }
+    }
+
+    private void readAnswer(PeerFrame frame) {
+        if (frame instanceof PeerFrame.AnswerHead head) {
+            PeerAttempt call = calls.get(head.call());
+            if (call != null) {
+                call.target = head.target();
+                call.listener.head(head.status(), headers(head.headers()));
+            }
+        } else if (frame instanceof PeerFrame.AnswerContent content) {
+            PeerAttempt call = calls.get(content.call());
+            if (call != null) {
+                call.listener.content(Unpooled.wrappedBuffer(content.bytes()));
+            }
+        } else if (frame instanceof PeerFrame.AnswerEnd end) {
+            Option.of(calls.remove(end.call())).forEach(call -> call.listener.ended());
+        } else if (frame instanceof PeerFrame.AnswerFailed failed) {
+            AttemptFailure failure =
+                    Try.of(() -> AttemptFailure.valueOf(failed.failure())).getOrElse(AttemptFailure.UNKNOWN);
+            Option.of(calls.remove(failed.call())).forEach(call -> {
+                call.target = failed.target();
+                call.listener.failed(failure, failed.reason());
+            });
+        }
+    }
+
+    private final class PeerAttempt implements Attempt {
+        private final long number;
+        private final AttemptListener listener;
+        private String target = "";
+
+        private PeerAttempt(long number, AttemptListener listener) {
+            this.number = number;
+            this.listener = listener;
+        }
+
+        @Override
+        public String to() {
+            return target.isEmpty() ? host.name() : target;
+        }
+
+        @Override
+        public void cancel() {
+            if (calls.remove(number) != null) {
+                send(new PeerFrame.Cancel(number));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -0,0 +1,237 @@
+package org.rattanplank.gateway.peer;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.vavr.control.Option;
+import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.gateway.SteadyClock;
+
+/**
+ * The links to all other hosts.
+ *
+ * <p>Invariants: at most one link to each host is used; of two hosts, the one with the smaller name opens it, and the
+ * other does so if there has been none for a while, since the first may know nothing yet. Addresses are kept while the
+ * store is out, so that a host which comes back then finds the others by being found. Confined to the event loop.
+ */
+public final class PeerLinks {
+    private static final int LENGTH_BYTES = 4;
+
+    /** A body of the largest size with its headers fits, and so does all that the store holds. */
+    private static final int MAX_FRAME_BYTES = 16 << 20;
+
+    private static final int CONNECT_MILLIS = 1_000;
+
+    /** Longer than a link over the longest way takes to open, so that two hosts seldom open two. */
+    private static final long OTHER_OPENS_MILLIS = 1_200;
+
+    /** Between two tries to reach a host that doesn't answer. */
+    private static final long RETRY_MILLIS = 500;
+
+    /** A host not entered and not reached for so long is no longer looked for. */
+    private static final long FORGET_MILLIS = 60_000;
+
+    private final GatewayHost self;
+    private final EventLoopGroup group;
+    private final SteadyClock clock;
+    private final PeerListener listener;
+    private final Map<String, Known> known = new HashMap<>();
+    private final Map<String, PeerLink> links = new LinkedHashMap<>();
+    private final Set<PeerLink> retired = new HashSet<>();
+
+    /**
+     * Makes links that don't listen yet.
+     *
+     * @param self this host
+     * @param group the event loop
+     * @param clock the clock
+     * @param listener hears the links
+     */
+    public PeerLinks(GatewayHost self, EventLoopGroup group, SteadyClock clock, PeerListener listener) {
+        this.self = self;
+        this.group = group;
+        this.clock = clock;
+        this.listener = listener;
+    }
+
+    /**
+     * Listens for other hosts.
+     *
+     * @param address where
+     */
+    public void listen(InetSocketAddress address) {
+        new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer())
+                .bind(address)
+                .syncUninterruptibly();
+    }
+
+    /**
+     * Takes a host's entry.
+     *
+     * @param host the host
+     */
+    public void entered(GatewayHost host) {
+        if (host.name().equals(self.name())) {
+            return;
+        }
+        Known before = known.get(host.name());
+        if (before == null || before.host.incarnation() != host.incarnation()) {
+            known.put(host.name(), new Known(host, clock.nowMillis()));
+        } else {
+            before.seenAtMillis = clock.nowMillis();
+        }
+    }
+
+    /**
+     * The links to hosts in touch.
+     *
+     * @return the links
+     */
+    public Collection<PeerLink> alive() {
+        List<PeerLink> alive = new ArrayList<>();
+        for (PeerLink link : links.values()) {
+            if (link.isAlive()) {
+                alive.add(link);
+            }
+        }
+        return alive;
+    }
+
+    /**
+     * Finds the link to a host in touch.
+     *
+     * @param name the host's name
+     * @return the link, or none
+     */
+    public Option<PeerLink> alive(String name) {
+        return Option.of(links.get(name)).filter(PeerLink::isAlive);
+    }
+
+    /** Opens links that are missing and closes those that have gone silent. */
+    public void tick() {
+        long now = clock.nowMillis();
+        for (PeerLink link : List.copyOf(links.values())) {
+            if (!link.isAlive()) {
+                drop(link, "nothing came from it for " + PeerLink.SILENT_MILLIS + " ms");
+                link.close();
+            }
+        }
+        for (Known each : List.copyOf(known.values())) {
+            String name = each.host.name();
+            if (links.containsKey(name)) {
+                each.seenAtMillis = now;
+                each.lostAtMillis = now;
+            } else if (now - each.seenAtMillis > FORGET_MILLIS) {
+                known.remove(name);
+            } else if (now >= each.nextTryMillis && mayOpen(each, now)) {
+                each.nextTryMillis = now + RETRY_MILLIS;
+                open(each.host);
+            }
+        }
+    }
+
+    GatewayHost self() {
+        return self;
+    }
+
+    PeerListener listener() {
+        return listener;
+    }
+
+    void greeted(PeerLink link) {
+        GatewayHost host = link.host().get();
+        if (host.name().equals(self.name())) {
+            link.close();
+            return;
+        }
+        entered(host);
+        PeerLink before = links.put(host.name(), link);
+        if (before != null && before != link) {
+            // Calls may still run over the older one; it ends with them or with its other end.
+            retired.add(before);
+        }
+        listener.connected(link);
+    }
+
+    void closed(PeerLink link) {
+        retired.remove(link);
+        drop(link, "the connection ended");
+    }
+
+    void unreadable(PeerLink link, Throwable cause) {
+        drop(link, "a frame can't be read: " + cause);
+        link.close();
+    }
+
+    private boolean mayOpen(Known each, long nowMillis) {
+        return self.name().compareTo(each.host.name()) < 0 || nowMillis - each.lostAtMillis > OTHER_OPENS_MILLIS;
+    }
+
+    private void drop(PeerLink link, String reason) {
+        String name = link.host().map(GatewayHost::name).getOrElse("");
+        if (links.get(name) == link) {
+            links.remove(name);
+            listener.lost(link, reason);
+        }
+    }
+
+    private void open(GatewayHost host) {
+        int colon = host.peerAddress().lastIndexOf(':');
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .handler(initializer())
+                .connect(new InetSocketAddress(
+                        host.peerAddress().substring(0, colon),
+                        Integer.parseInt(host.peerAddress().substring(colon + 1))));
+    }
+
+    private ChannelInitializer<SocketChannel> initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                        .addLast(new PeerLink(PeerLinks.this, clock));
+            }
+        };
+    }
+
+    private static final class Known {
+        private final GatewayHost host;
+        private long seenAtMillis;
+        private long lostAtMillis;
+        private long nextTryMillis;
+
+        private Known(GatewayHost host, long nowMillis) {
+            this.host = host;
+            seenAtMillis = nowMillis;
+            lostAtMillis = nowMillis;
+        }
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
@@ -0,0 +1,22 @@
+package org.rattanplank.gateway.store;
+
+/** Hears what a feed learns. Called on the feed's event loop. */
+public interface FeedListener {
+    /**
+     * Something was learnt.
+     *
+     * @param item the item that says it
+     * @param fact what it says
+     */
+    void learnt(StoreItem item, ClusterFact fact);
+
+    /** The store answers after it had not; entries that lapsed meanwhile may come back. */
+    void storeReturned();
+
+    /**
+     * The store does not answer.
+     *
+     * @param reason how that was noticed
+     */
+    void storeLost(StoreFailure reason);
+}
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -0,0 +1,285 @@
+package org.rattanplank.gateway.store;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
+import org.rattanplank.core.store.Backoff;
+import org.rattanplank.gateway.SteadyClock;
+
+/**
+ * Follows the store's items: lists them once, then waits for changes, and lists again when the changes are gone.
+ *
+ * <p>Invariants: an item's older revision never replaces a newer one; a key that is missing from a whole list made at a
+ * higher revision than the key's is removed. What other hosts know is taken in the same way while the store is out.
+ * Confined to its event loop.
+ */
+public final class StoreFeed {
+    /**
+     * How long the store holds a watch without changes. A connection that went silent is noticed this long and the
+     * call's own limit after; short enough to find out within the time in which a host counts as out of touch.
+     */
+    static final long WATCH_MILLIS = 4_000;
+
+    /** The first wait after a failed call; short, as a store that refused once mostly answers next time. */
+    private static final long FIRST_RETRY_MILLIS = 100;
+
+    /** The longest wait after failed calls: what is learnt after an outage comes this much later at most. */
+    private static final long LONGEST_RETRY_MILLIS = 800;
+
+    private final ClusterStore store;
+    private final StoreFormat format;
+    private final FeedListener listener;
+    private final EventLoop loop;
+    private final SteadyClock clock;
+    private final RandomGenerator random;
+    private final Map<String, Cursor> cursors = new HashMap<>();
+    private final Map<String, StoreItem> items = new HashMap<>();
+    private final Map<String, Long> removedAt = new HashMap<>();
+    private boolean lost;
+    private long lastAnswerMillis;
+    private boolean closed;
+
+    private StoreFeed(
+            ClusterStore store,
+            StoreFormat format,
+            FeedListener listener,
+            EventLoop loop,
+            SteadyClock clock,
+            RandomGenerator random) {
+        this.store = store;
+        this.format = format;
+        this.listener = listener;
+        this.loop = loop;
+        this.clock = clock;
+        this.random = random;
+        lastAnswerMillis = clock.nowMillis();
+    }
+
+    /**
+     * Makes a feed that has not begun.
+     *
+     * @param store the store
+     * @param format what its items say
+     * @param listener told what is learnt
+     * @param loop the event loop of all calls
+     * @param clock the clock
+     * @param random the source of jitter
+     * @return the feed
+     */
+    public static StoreFeed of(
+            ClusterStore store,
+            StoreFormat format,
+            FeedListener listener,
+            EventLoop loop,
+            SteadyClock clock,
+            RandomGenerator random) {
+        return new StoreFeed(store, format, listener, loop, clock, random);
+    }
+
+    /** Begins to list and follow. */
+    public void start() {
+        for (String prefix : format.prefixes()) {
+            Cursor cursor = new Cursor(prefix);
+            cursors.put(prefix, cursor);
+            cursor.list("");
+        }
+    }
+
+    /** Asks for nothing more. */
+    public void close() {
+        closed = true;
+    }
+
+    /**
+     * Whether the store answers.
+     *
+     * @return whether no call has failed since the last answer
+     */
+    public boolean isHealthy() {
+        return !lost;
+    }
+
+    /**
+     * Time since the store answered last.
+     *
+     * @return milliseconds
+     */
+    public long ageMillis() {
+        return clock.nowMillis() - lastAnswerMillis;
+    }
+
+    /**
+     * The highest revision of any item or removal that is known.
+     *
+     * @return the revision, zero if nothing is known
+     */
+    public long revision() {
+        long highest = 0;
+        for (Cursor cursor : cursors.values()) {
+            highest = Math.max(highest, cursor.revision);
+        }
+        return highest;
+    }
+
+    /**
+     * What is known, for a host that can't reach the store.
+     *
+     * @return the items
+     */
+    public Collection<StoreItem> items() {
+        return List.copyOf(items.values());
+    }
+
+    /**
+     * Takes what another host knows.
+     *
+     * @param revision the other host's revision
+     * @param known all items that it knows
+     */
+    public void takeFromPeer(long revision, List<StoreItem> known) {
+        Set<String> present = new HashSet<>();
+        for (StoreItem item : known) {
+            present.add(item.key());
+            take(item);
+        }
+        for (Cursor cursor : cursors.values()) {
+            if (lost && revision > cursor.revision) {
+                removeMissing(cursor.prefix, present, revision);
+                cursor.revision = revision;
+            }
+        }
+    }
+
+    private void take(StoreItem item) {
+        StoreItem known = items.get(item.key());
+        long knownRevision = known != null ? known.revision() : removedAt.getOrDefault(item.key(), 0L);
+        if (item.revision() <= knownRevision) {
+            return;
+        }
+        if (item.removed()) {
+            items.remove(item.key());
+            removedAt.put(item.key(), item.revision());
+        } else {
+            items.put(item.key(), item);
+            removedAt.remove(item.key());
+        }
+        listener.learnt(item, format.read(item));
+    }
+
+    private void removeMissing(String prefix, Set<String> present, long revision) {
+        List<String> missing = new ArrayList<>();
+        for (StoreItem item : items.values()) {
+            if (item.key().startsWith(prefix) && !present.contains(item.key()) && item.revision() <= revision) {
+                missing.add(item.key());
+            }
+        }
+        missing.forEach(key -> take(new StoreItem(key, new byte[0], revision, true)));
+    }
+
+    private void answered() {
+        lastAnswerMillis = clock.nowMillis();
+        if (lost) {
+            lost = false;
+            listener.storeReturned();
+        }
+    }
+
+    private void failed(StoreFailure failure) {
+        if (!lost) {
+            lost = true;
+            listener.storeLost(failure);
+        }
+    }
+
+    /** Follows the keys of one prefix. */
+    private final class Cursor {
+        private final String prefix;
+        private final Set<String> listed = new HashSet<>();
+        private long revision;
+        private long listRevision;
+        private Backoff backoff = Backoff.of(0, FIRST_RETRY_MILLIS, LONGEST_RETRY_MILLIS);
+
+        private Cursor(String prefix) {
+            this.prefix = prefix;
+        }
+
+        private void list(String after) {
+            if (after.isEmpty()) {
+                listed.clear();
+                listRevision = Long.MAX_VALUE;
+            }
+            if (!closed) {
+                store.list(prefix, after, reply -> listed(reply));
+            }
+        }
+
+        private void listed(Either<StoreFailure, StorePage> reply) {
+            if (reply.isLeft()) {
+                retry(reply.getLeft(), () -> list(""));
+                return;
+            }
+            answered();
+            StorePage page = reply.get();
+            // Pages are no snapshot: only the first page's revision is surely covered by all of them.
+            listRevision = Math.min(listRevision, page.revision());
+            page.items().forEach(item -> {
+                listed.add(item.key());
+                take(item);
+            });
+            if (page.more() && !page.items().isEmpty()) {
+                list(page.items().get(page.items().size() - 1).key());
+                return;
+            }
+            removeMissing(prefix, listed, listRevision);
+            revision = Math.max(revision, listRevision);
+            backoff = backoff.succeeded();
+            watch();
+        }
+
+        private void watch() {
+            if (!closed) {
+                store.watch(prefix, revision, WATCH_MILLIS, this::watched);
+            }
+        }
+
+        private void watched(Either<StoreFailure, StorePage> reply) {
+            if (reply.isLeft()) {
+                StoreFailure failure = reply.getLeft();
+                if (failure == StoreFailure.HISTORY_GONE) {
+                    list("");
+                } else if (failure == StoreFailure.NO_ANSWER && ageMillis() < WATCH_MILLIS) {
+                    // A waiting watch may be cut though the store is well; following on costs one call.
+                    retryQuietly(this::watch);
+                } else {
+                    // After an outage the changes in between may be gone without a word, so everything is listed anew.
+                    retry(failure, () -> list(""));
+                }
+                return;
+            }
+            answered();
+            backoff = backoff.succeeded();
+            reply.get().items().forEach(StoreFeed.this::take);
+            revision = Math.max(revision, reply.get().revision());
+            watch();
+        }
+
+        private void retry(StoreFailure failure, Runnable next) {
+            failed(failure);
+            retryQuietly(next);
+        }
+
+        private void retryQuietly(Runnable next) {
+            backoff = backoff.failed();
+            loop.schedule(next, backoff.delayMillis(random), TimeUnit.MILLISECONDS);
+        }
+    }
+}
