--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RepeatAllowanceTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RepeatAllowanceTest.java
@@ -6,7 +6,6 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -40,7 +39,8 @@
         for (int host = 0; host < hosts; host++) {
             allowances[host] = RepeatAllowance.of(RATIO, SLACK, MOST_HOSTS, WINDOW_MILLIS);
         }
-        SlidingCount firsts = new SlidingCount(WINDOW_MILLIS);
+        // A repeat of this window was granted for first sends of the window that ended with it: two windows hold both.
+        SlidingCount firsts = new SlidingCount(2 * WINDOW_MILLIS);
         SlidingCount repeats = new SlidingCount(WINDOW_MILLIS);
         long now = 0;
         for (int step : firstsPerStep) {
@@ -55,11 +55,7 @@
                 }
             }
             double bound = RATIO * firsts.count(now) + SLACK;
-            // What was granted while earlier first sends counted may still be in the window when those have left it.
-            assertTrue(
-                    repeats.count(now) <= bound + RATIO * RepeatAllowance.RATIO_MARGIN * 400 * 40,
-                    () -> "repeats over the bound");
+            assertTrue(repeats.count(now) <= bound, "repeats over the bound");
         }
-        assertEquals(0, new SlidingCount(WINDOW_MILLIS).count(now));
     }
 }
