--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteCalls.java
@@ -0,0 +1,97 @@
+package org.rattanplank.standins.site;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.JsonNode;
+import org.rattanplank.gateway.HeaderNames;
+import org.rattanplank.platform.PlatformHeaders;
+import org.rattanplank.platform.PlatformPaths;
+import org.rattanplank.standins.http.Json;
+
+/**
+ * Puts a configuration in force and calls the gateway as the users' callers do, for the demo. Stateless.
+ */
+public final class SiteCalls {
+    private static final int OK = 200;
+    private static final Duration LIMIT = Duration.ofSeconds(5);
+    private static final int TRIES = 100;
+    private static final long PAUSE_MILLIS = 100;
+    private static final int TIMEOUT_MILLIS = 4_000;
+
+    private final HttpClient client =
+            HttpClient.newBuilder().connectTimeout(LIMIT).build();
+    private final HeaderNames names = PlatformHeaders.names();
+
+    private SiteCalls() {}
+
+    /**
+     * Makes a draft and a booking and prints the answers; fails unless both are whole.
+     *
+     * @param args the settings
+     * @throws IOException if no answer came
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        Options options = new Options();
+        JCommander.newBuilder().addObject(options).build().parse(args);
+        SiteStoreClient.of(options.store).configure(SiteConfigurations.of(1));
+        SiteCalls calls = new SiteCalls();
+        String host = calls.entryHost(options.directory, options.region);
+        System.out.println("entry host: " + host);
+        for (String path : List.of(SiteConfigurations.DRAFTS, SiteConfigurations.BOOKINGS)) {
+            HttpResponse<String> answer = calls.call(host, path);
+            System.out.println("POST " + path + " -> " + answer.statusCode());
+            System.out.println(answer.body().strip());
+            if (answer.statusCode() != OK) {
+                throw new IOException("no answer to " + path);
+            }
+        }
+    }
+
+    private String entryHost(String directory, String region) throws IOException, InterruptedException {
+        String uri = "http://" + directory + PlatformPaths.RESOLVE + "?name=" + SiteConfigurations.HOST_NAME
+                + "&region=" + region + "&zone=" + region + "-hall";
+        for (int i = 0; i < TRIES; i++) {
+            HttpRequest request =
+                    HttpRequest.newBuilder(URI.create(uri)).timeout(LIMIT).build();
+            JsonNode answer = Json.readOrEmpty(
+                    client.send(request, HttpResponse.BodyHandlers.ofString()).body());
+            if (!answer.path("addresses").isEmpty()) {
+                return answer.path("addresses").path(0).asText();
+            }
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+        }
+        throw new IOException("no entry host took callers in time");
+    }
+
+    private HttpResponse<String> call(String host, String path) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + host + path + "1"))
+                .setHeader(names.requestId(), Long.toHexString(System.nanoTime()))
+                .setHeader(names.timeoutMillis(), Integer.toString(TIMEOUT_MILLIS))
+                .timeout(LIMIT)
+                .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** The settings. Written by JCommander before any thread reads them, then left alone. */
+    private static final class Options {
+        @Parameter(names = "--store", description = "the store's address", required = true)
+        private String store;
+
+        @Parameter(names = "--directory", description = "where callers ask for entry hosts", required = true)
+        private String directory;
+
+        @Parameter(names = "--region", description = "the caller's region", required = true)
+        private String region;
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteSettings.java
@@ -0,0 +1,85 @@
+package org.rattanplank.standins.site;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.rattanplank.standins.http.Json;
+
+/** Writes the settings file of one gateway process, as the users' platform would. Stateless. */
+public final class SiteSettings {
+    private static final int GRACE_SECONDS = 8;
+    private static final double REPEAT_RATIO = 0.2;
+    private static final int REPEAT_SLACK = 52;
+    private static final int REPEAT_WINDOW_SECONDS = 10;
+    private static final int LEAST_LEASE_MILLIS = 1_000;
+
+    private SiteSettings() {}
+
+    /**
+     * Writes a settings file.
+     *
+     * @param args the settings
+     * @throws IOException if a file can't be read or written
+     */
+    public static void main(String[] args) throws IOException {
+        Options options = new Options();
+        JCommander.newBuilder().addObject(options).build().parse(args);
+        String filled = SettingsTemplate.fill(Files.readString(Path.of(options.template)), values(options));
+        Files.writeString(Path.of(options.output), filled);
+    }
+
+    private static ObjectNode values(Options options) {
+        ObjectNode values = Json.object()
+                .put("node_name", options.name)
+                .put("ip", options.ip)
+                .put("zone", options.region + "-hall")
+                .put("region", options.region);
+        ObjectNode zones = values.putObject("zones");
+        for (String region : options.regions.split(",")) {
+            zones.put(region + "-hall", region);
+        }
+        values.putObject("listen")
+                .put("front", options.ip + ":" + options.port)
+                .put("ready", options.ip + ":" + (options.port + 1))
+                .put("directory", options.ip + ":" + (options.port + 2));
+        values.putArray("port_range").add(options.port + 3).add(options.port + 4);
+        values.putObject("bounds")
+                .put("grace_s", GRACE_SECONDS)
+                .put("retry_budget_ratio", REPEAT_RATIO)
+                .put("retry_budget_slack", REPEAT_SLACK)
+                .put("budget_window_s", REPEAT_WINDOW_SECONDS);
+        values.putObject("provider").put("address", options.store).put("ttl_min_ms", LEAST_LEASE_MILLIS);
+        return values;
+    }
+
+    /** The settings. Written by JCommander before any thread reads them, then left alone. */
+    private static final class Options {
+        @Parameter(names = "--template", description = "the template", required = true)
+        private String template;
+
+        @Parameter(names = "--output", description = "the file to write", required = true)
+        private String output;
+
+        @Parameter(names = "--name", description = "the host's name", required = true)
+        private String name;
+
+        @Parameter(names = "--region", description = "the host's region", required = true)
+        private String region;
+
+        @Parameter(names = "--regions", description = "all regions, separated by commas", required = true)
+        private String regions;
+
+        @Parameter(names = "--ip", description = "the host's address on the loopback network", required = true)
+        private String ip;
+
+        @Parameter(names = "--port", description = "the first of five ports", required = true)
+        private int port;
+
+        @Parameter(names = "--store", description = "the store's address", required = true)
+        private String store;
+    }
+}
--- /dev/null
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
@@ -0,0 +1,193 @@
+package org.rattanplank.standins.site;
+
+import java.net.InetSocketAddress;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.host.Place;
+import org.rattanplank.gateway.SteadyClock;
+import org.rattanplank.gateway.store.ClusterFact;
+import org.rattanplank.gateway.store.FeedListener;
+import org.rattanplank.gateway.store.HostLease;
+import org.rattanplank.gateway.store.StoreFailure;
+import org.rattanplank.gateway.store.StoreFeed;
+import org.rattanplank.gateway.store.StoreItem;
+import org.rattanplank.platform.PlatformItems;
+import org.rattanplank.platform.PlatformStore;
+import org.rattanplank.standins.http.Addresses;
+import org.rattanplank.standins.http.EventLoop;
+import org.rattanplank.standins.platform.SiteStore;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** The adapter's store client and the feed, against the stand-in of the users' store. */
+@Timeout(60)
+class SiteStoreTest {
+    private static final long LIMIT_SECONDS = 20;
+    private static final GatewayHost HOST =
+            new GatewayHost("h1", 5, Place.of("suva", "suva-hall"), "10.0.0.1:80", "10.0.0.1:90");
+
+    private final EventLoop storeLoop = EventLoop.of();
+    private final EventLoop loop = EventLoop.of();
+    private final BlockingQueue<ClusterFact> learnt = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> store = new LinkedBlockingQueue<>();
+    private SiteStore site;
+    private SiteStoreClient operator;
+    private PlatformStore client;
+
+    @BeforeEach
+    void startFeed() {
+        site = SiteStore.of(storeLoop);
+        InetSocketAddress address = site.serve(0);
+        operator = SiteStoreClient.of(Addresses.write(address));
+        client = PlatformStore.of(loop.group(), address);
+        StoreFeed feed = StoreFeed.of(
+                client,
+                new PlatformItems(),
+                new Listener(),
+                loop.group().next(),
+                SteadyClock.ofProcess(),
+                new Random(1));
+        loop.after(0, feed::start);
+    }
+
+    @AfterEach
+    void stopFeed() {
+        loop.close();
+        storeLoop.close();
+    }
+
+    private ClusterFact next() throws InterruptedException {
+        ClusterFact fact = learnt.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+        if (fact == null) {
+            throw new AssertionError("nothing was learnt");
+        }
+        return fact;
+    }
+
+    private void awaitStore(String state) throws InterruptedException {
+        assertEquals(state, store.poll(LIMIT_SECONDS, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void shouldLearnOfChangesWhenTheyAreMade() throws Exception {
+        operator.enterTarget("t1", "desk", "10.0.0.9:8080", "suva-hall");
+        assertEquals(
+                "t1",
+                assertInstanceOf(ClusterFact.TargetEntered.class, next())
+                        .entry()
+                        .id());
+
+        operator.configure(SiteConfigurations.of(3));
+        assertEquals(
+                3,
+                assertInstanceOf(ClusterFact.Configured.class, next())
+                        .configuration()
+                        .version());
+
+        operator.removeTarget("t1");
+        assertEquals(new ClusterFact.TargetRemoved("t1"), next());
+    }
+
+    /**
+     * Symptom: requests go on to a target that left long ago. Sequence: the store's history is dropped; the target
+     * leaves in the gap. Cause: only changes were followed, and the removal was among those that were dropped.
+     */
+    @Test
+    void shouldNoticeARemovalWhenItFellIntoAGapOfTheHistory() throws Exception {
+        operator.enterTarget("t1", "desk", "10.0.0.9:8080", "suva-hall");
+        next();
+
+        site.forgetHistory();
+        operator.removeTarget("t1");
+
+        assertEquals(new ClusterFact.TargetRemoved("t1"), next());
+    }
+
+    /**
+     * Symptom: an old configuration stays in force after an outage. Sequence: the store turns this host away; the
+     * configuration changes; the store answers again. Cause: the feed did not list anew.
+     */
+    @Test
+    void shouldLearnWhatItMissedWhenTheStoreReturns() throws Exception {
+        operator.configure(SiteConfigurations.of(1));
+        next();
+        site.down(true);
+        awaitStore("lost REFUSED");
+        site.down(false);
+        operator.configure(SiteConfigurations.of(2));
+        awaitStore("returned");
+
+        assertEquals(
+                2,
+                assertInstanceOf(ClusterFact.Configured.class, next())
+                        .configuration()
+                        .version());
+    }
+
+    /**
+     * Symptom: a host that lives vanishes from the others' view for good. Sequence: its lease is ended by the platform
+     * while it renews it. Cause: a renewal of what is gone was taken for one that failed, and tried for ever.
+     */
+    @Test
+    void shouldEnterItselfAgainWhenItsLeaseHasEnded() throws Exception {
+        BlockingQueue<Long> granted = new LinkedBlockingQueue<>();
+        loop.after(0, () -> HostLease.of(
+                        client, new PlatformItems(), HOST, loop.group().next(), failure -> {})
+                .start());
+        assertInstanceOf(ClusterFact.HostEntered.class, next());
+        loop.after(0, () -> client.grantLease(1_000, lease -> granted.add(lease.get())));
+        long other = granted.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+
+        loop.after(0, () -> client.endLease(other - 1));
+
+        assertEquals(new ClusterFact.HostRemoved("h1"), next());
+        assertInstanceOf(ClusterFact.HostEntered.class, next());
+    }
+
+    @Test
+    void shouldSayThatALeaseIsGoneWhenItIsRenewedTooLate() throws Exception {
+        BlockingQueue<Either<StoreFailure, Long>> replies = new LinkedBlockingQueue<>();
+        loop.after(0, () -> client.keepLease(99, replies::add));
+
+        assertEquals(
+                StoreFailure.NOT_FOUND,
+                replies.poll(LIMIT_SECONDS, TimeUnit.SECONDS).getLeft());
+    }
+
+    @Test
+    void shouldEndACallWhenNothingListens() throws Exception {
+        BlockingQueue<Either<StoreFailure, Long>> replies = new LinkedBlockingQueue<>();
+        PlatformStore nowhere = PlatformStore.of(loop.group(), new InetSocketAddress("127.0.0.1", 1));
+        loop.after(0, () -> nowhere.grantLease(1_000, replies::add));
+
+        assertTrue(replies.poll(LIMIT_SECONDS, TimeUnit.SECONDS).isLeft());
+    }
+
+    private final class Listener implements FeedListener {
+        @Override
+        public void learnt(StoreItem item, ClusterFact fact) {
+            learnt.add(fact);
+        }
+
+        @Override
+        public void storeReturned() {
+            store.add("returned");
+        }
+
+        @Override
+        public void storeLost(StoreFailure reason) {
+            store.add("lost " + reason);
+        }
+    }
+}
