--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -106,10 +106,11 @@
         connections = new TargetConnections(group, names.headers(), clock);
         state = new GatewayState(settings, self, clock, random, connections, log, metrics);
         links = new PeerLinks(self, group, clock, this);
-        state.join(links);
+
         callers = new CallerServer(group, clock, this::bounds, this::received, this::unsound);
         beliefs = new Beliefs(state, links, this::keyLost);
         feed = StoreFeed.of(store, names.storeFormat(), beliefs, loop, clock, random);
+        state.join(links, feed::isComplete);
         lease = HostLease.of(
                 store,
                 names.storeFormat(),
@@ -250,7 +251,7 @@
     }
 
     private boolean takesCallers() {
-        return stopAskedAtMillis < 0 && state.configuration().isDefined();
+        return stopAskedAtMillis < 0 && state.isInformed();
     }
 
     private void keyLost() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 import io.vavr.control.Option;
@@ -49,6 +50,7 @@
     private Option<GatewayConfiguration> configuration = Option.none();
     private PeerLinks links;
     private boolean takesRequests = true;
+    private BooleanSupplier complete = () -> false;
 
     /**
      * Makes the state of a host that knows nothing yet.
@@ -83,12 +85,23 @@
     }
 
     /**
-     * Takes the links to other hosts.
+     * Takes the links to other hosts and the feed of the store.
      *
      * @param peerLinks the links
+     * @param feedComplete whether everything in the store was learnt at least once
      */
-    public void join(PeerLinks peerLinks) {
+    public void join(PeerLinks peerLinks, BooleanSupplier feedComplete) {
         links = peerLinks;
+        complete = feedComplete;
+    }
+
+    /**
+     * Tells whether enough is known to serve requests.
+     *
+     * @return whether a configuration and the targets are known
+     */
+    public boolean isInformed() {
+        return configuration.isDefined() && complete.getAsBoolean();
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -41,6 +41,12 @@
  * visibly broken. Confined to the event loop.
  */
 public final class PassThrough implements CallerCall {
+    /**
+     * A process that has just started knows its configuration after some hundred milliseconds. Requests that come before
+     * wait for it: refused, they would come back after a longer time than that.
+     */
+    private static final long START_WAIT_MILLIS = 800;
+
     /** Tries to reach a target that end before anything is sent cost little, but not without end. */
     private static final int MAX_UNSENT = 4;
 
@@ -69,6 +75,7 @@
     private int sent;
     private int unsent;
     private boolean mayHaveRun;
+    private boolean waiting;
     private boolean over;
 
     /**
@@ -94,10 +101,14 @@
             refuse("this host is about to end");
             return;
         }
-        if (state.configuration().isEmpty()) {
-            refuse("no configuration is known yet");
+        if (!state.isInformed()) {
+            waiting = true;
             return;
         }
+        begin();
+    }
+
+    private void begin() {
         GatewayConfiguration configuration = state.configuration().get();
         Option<RouteRule> found = configuration.route(request.authority(), request.path());
         if (found.isEmpty()) {
@@ -128,6 +139,10 @@
         if (over) {
             return;
         }
+        if (waiting) {
+            waitForConfiguration(nowMillis);
+            return;
+        }
         if (nowMillis >= endsAtMillis) {
             timeUp();
             return;
@@ -152,6 +167,16 @@
         end("caller_left", "the caller closed its connection", false);
     }
 
+    private void waitForConfiguration(long nowMillis) {
+        if (state.isInformed()) {
+            waiting = false;
+            begin();
+        } else if (nowMillis - arrivedAtMillis >= START_WAIT_MILLIS) {
+            waiting = false;
+            refuse("no configuration is known yet");
+        }
+    }
+
     private boolean isStalled(long nowMillis) {
         return attempt != null
                 && localTarget != null
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -108,6 +108,15 @@
         return !lost;
     }
 
+    /**
+     * Whether everything was listed at least once, from the store or from another host.
+     *
+     * @return whether it was
+     */
+    public boolean isComplete() {
+        return cursors.values().stream().allMatch(cursor -> cursor.revision > 0);
+    }
+
     /**
      * Time since the store answered last.
      *
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteCalls.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteCalls.java
@@ -41,6 +41,9 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public static void main(String[] args) throws IOException, InterruptedException {
+        // Callers address a host name that no name service knows here, so the header is set by hand; the client
+        // reads this once, when it is first used.
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
         Options options = new Options();
         JCommander.newBuilder().addObject(options).build().parse(args);
         SiteStoreClient.of(options.store).configure(SiteConfigurations.of(1));
@@ -75,6 +78,7 @@
 
     private HttpResponse<String> call(String host, String path) throws IOException, InterruptedException {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + host + path + "1"))
+                .setHeader("Host", SiteConfigurations.HOST_NAME)
                 .setHeader(names.requestId(), Long.toHexString(System.nanoTime()))
                 .setHeader(names.timeoutMillis(), Integer.toString(TIMEOUT_MILLIS))
                 .timeout(LIMIT)
