Send homed callers nowhere rather than astray; a few hosts ask the store for a large region

Ruled out: forwarding (the bodies came from callers). Change: such a host answers the list with 503 until home hosts have been away for 6 s; a planned stop lasts 1.7 s at least instead of 2.5, so that fewer overlap. Test: CallerDirectoryTest.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/CallerDirectory.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/CallerDirectory.java
@@ -1,8 +1,9 @@
 package org.rattanplank.core.gateway;
 
-import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -10,40 +11,68 @@
  * Which entry hosts callers should use.
  *
  * <p>Invariant: a caller is sent out of its region only if no host there takes callers; then to a region that may serve
- * the homed routes of its host name, if one has hosts. Stateless and thread safe.
+ * all that it asks for, and to any other only if no host of those has taken callers for a while. Confined to its owner's
+ * thread.
  */
 public final class CallerDirectory {
-    private CallerDirectory() {}
+    /** Most hosts that a caller is told of. */
+    static final int MOST = 64;
+
+    /**
+     * How long the last host of the home regions may be away before callers are sent elsewhere. Hosts that are stopped
+     * in turn are back sooner, and a host that has just started doesn't know the others yet: sent elsewhere meanwhile,
+     * callers would hand bodies to hosts that should not have them. One would notice homed requests at hosts of other
+     * regions while nothing was wrong.
+     */
+    static final long AWAY_MILLIS = 6_000;
+
+    private final Map<Set<String>, Long> homeSeenAtMillis = new HashMap<>();
+    private final long startedAtMillis;
+
+    private CallerDirectory(long startedAtMillis) {
+        this.startedAtMillis = startedAtMillis;
+    }
+
+    /**
+     * Makes the directory of a host that has just started.
+     *
+     * @param nowMillis the time
+     * @return the directory
+     */
+    public static CallerDirectory of(long nowMillis) {
+        return new CallerDirectory(nowMillis);
+    }
 
     /**
      * Lists the hosts for a caller.
      *
      * @param hosts the hosts that take callers
-     * @param region the caller's region
-     * @param dataCentre the caller's data centre
-     * @param homes the regions that may serve what it asks for; empty if all may
-     * @param most the longest list
-     * @return the addresses
+     * @param caller where the caller is
+     * @param nowMillis the time
+     * @return the addresses; none if it is better for the caller to ask another host, or later
      */
-    public static List<String> list(
-            Collection<GatewayHost> hosts, String region, String dataCentre, Set<String> homes, int most) {
+    public List<String> list(Collection<GatewayHost> hosts, CallerPlace caller, long nowMillis) {
         List<Predicate<GatewayHost>> choices = List.of(
-                host -> host.place().region().equals(region)
-                        && host.place().dataCentre().equals(dataCentre),
-                host -> host.place().region().equals(region),
-                host -> homes.contains(host.place().region()),
-                host -> true);
+                host -> host.place().dataCentre().equals(caller.dataCentre())
+                        && host.place().region().equals(caller.region()),
+                host -> host.place().region().equals(caller.region()),
+                caller::isHome);
         for (Predicate<GatewayHost> choice : choices) {
-            List<String> addresses = new ArrayList<>();
-            for (GatewayHost host : hosts) {
-                if (addresses.size() < most && choice.test(host)) {
-                    addresses.add(host.callerAddress());
-                }
-            }
+            List<String> addresses = addresses(hosts, choice);
             if (!addresses.isEmpty()) {
+                homeSeenAtMillis.put(caller.homeRegions(), nowMillis);
                 return addresses;
             }
         }
-        return List.of();
+        long seenAtMillis = homeSeenAtMillis.getOrDefault(caller.homeRegions(), startedAtMillis);
+        return nowMillis - seenAtMillis < AWAY_MILLIS ? List.of() : addresses(hosts, host -> true);
+    }
+
+    private static List<String> addresses(Collection<GatewayHost> hosts, Predicate<GatewayHost> choice) {
+        return hosts.stream()
+                .filter(choice)
+                .limit(MOST)
+                .map(GatewayHost::callerAddress)
+                .toList();
     }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -22,6 +22,12 @@
     /** Estimates so close are drawn between at random, so that hosts with the same view don't all send to one target. */
     private static final double TIE = 0.02;
 
+    /**
+     * Hosts learn of each other's sends late, and the later the more there are. Drawn apart by so much for each other
+     * host, they don't all send to the same target meanwhile.
+     */
+    private static final double SPREAD_PER_HOST_MILLIS = 3;
+
     private final String self;
     private final TargetPool pool;
     private final RandomGenerator random;
@@ -70,12 +76,14 @@
         GatewayTarget best = null;
         double bestMillis = Double.MAX_VALUE;
         int candidates = 0;
+        double spreadMillis = SPREAD_PER_HOST_MILLIS * (regionHosts.size() - 1);
         for (GatewayTarget target : pool.all()) {
             if (!isEligible(target, service, excluded, regionHosts, nowMillis)) {
                 continue;
             }
             candidates++;
-            double millis = expectedMillis(target, service, work) * (1 + TIE * random.nextDouble());
+            double millis = expectedMillis(target, service, work) * (1 + TIE * random.nextDouble())
+                    + spreadMillis * random.nextDouble();
             if (millis < bestMillis) {
                 best = target;
                 bestMillis = millis;
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -31,7 +31,7 @@
     private final Map<String, GatewayTarget> targets = new LinkedHashMap<>();
     private final Map<String, Long> leftAtMillis = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
-    private long lenientUntilMillis = Long.MIN_VALUE;
+    private long lenientUntilMillis;
 
     private TargetPool(Set<String> dataCentres) {
         this.dataCentres = Set.copyOf(dataCentres);
@@ -94,6 +94,26 @@
         lenientUntilMillis = nowMillis + RETURN_MILLIS;
     }
 
+    /**
+     * How much longer a removed entry may come back.
+     *
+     * @param nowMillis the time
+     * @return milliseconds, zero if removals count at once
+     */
+    public long lenientMillis(long nowMillis) {
+        return Math.max(0, lenientUntilMillis - nowMillis);
+    }
+
+    /**
+     * Lets removed entries come back, as another host that saw the store return does.
+     *
+     * @param millis for how long
+     * @param nowMillis the time
+     */
+    public void beLenient(long millis, long nowMillis) {
+        lenientUntilMillis = Math.max(lenientUntilMillis, nowMillis + millis);
+    }
+
     /**
      * Takes note that a target has no entry any more.
      *
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/CallerDirectoryTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/CallerDirectoryTest.java
@@ -17,19 +17,46 @@
     private final GatewayHost lautoka = host("l", "lautoka");
     private final GatewayHost labasa = host("b", "labasa");
 
+    private final CallerDirectory directory = CallerDirectory.of(0);
+
+    private static CallerPlace caller(String... homes) {
+        return new CallerPlace("labasa", "labasa-hall", Set.of(homes));
+    }
+
     @Test
     void shouldNameOnlyHostsOfTheCallersRegionWhenThereAreSome() {
-        List<String> list =
-                CallerDirectory.list(List.of(suva, lautoka, labasa), "labasa", "labasa-hall", Set.of("suva"), 64);
-
-        assertEquals(List.of("b:80"), list);
+        assertEquals(List.of("b:80"), directory.list(List.of(suva, lautoka, labasa), caller("suva"), 1));
     }
 
     @Test
     void shouldNameHostsOfHomeRegionsWhenTheCallersRegionHasNone() {
-        List<String> list =
-                CallerDirectory.list(List.of(suva, lautoka), "labasa", "labasa-hall", Set.of("lautoka"), 64);
+        assertEquals(List.of("l:80"), directory.list(List.of(suva, lautoka), caller("lautoka"), 1));
+    }
+
+    @Test
+    void shouldNameAnyHostWhenNothingHasHomes() {
+        assertEquals(List.of("s:80"), directory.list(List.of(suva), caller(), 1));
+    }
 
-        assertEquals(List.of("l:80"), list);
+    /**
+     * Symptom: homed requests are handed to hosts of other regions at a planned stop of all hosts in turn. Sequence: the
+     * home region's hosts are stopped one after the other; for a second none of them takes callers; a host that has just
+     * started, elsewhere, names itself. Cause: no other host known at this moment was taken for none at all.
+     */
+    @Test
+    void shouldNameNoHostWhenHostsOfHomeRegionsWereThereAMomentAgo() {
+        directory.list(List.of(lautoka), caller("lautoka"), 10_000);
+
+        assertEquals(List.of(), directory.list(List.of(suva), caller("lautoka"), 12_000));
+    }
+
+    @Test
+    void shouldNameNoHostOfOtherRegionsWhenItHasJustStarted() {
+        assertEquals(List.of(), directory.list(List.of(suva), caller("lautoka"), 1_000));
+    }
+
+    @Test
+    void shouldNameAnyHostWhenHomeRegionsHaveBeenAwayForLong() {
+        assertEquals(List.of("s:80"), directory.list(List.of(suva), caller("lautoka"), CallerDirectory.AWAY_MILLIS));
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
@@ -1,5 +1,7 @@
 package org.rattanplank.gateway;
 
+import java.util.function.Consumer;
+
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.TargetEntry;
 import org.rattanplank.gateway.log.LogEvent;
@@ -16,15 +18,18 @@
     private final GatewayState state;
     private final PeerLinks links;
     private final Runnable ownKeyLost;
+    private final Consumer<StoreItem> relay;
 
-    Beliefs(GatewayState state, PeerLinks links, Runnable ownKeyLost) {
+    Beliefs(GatewayState state, PeerLinks links, Runnable ownKeyLost, Consumer<StoreItem> relay) {
         this.state = state;
         this.links = links;
         this.ownKeyLost = ownKeyLost;
+        this.relay = relay;
     }
 
     @Override
     public void learnt(StoreItem item, ClusterFact fact) {
+        relay.accept(item);
         if (fact instanceof ClusterFact.Configured configured) {
             configured(configured.configuration());
         } else if (fact instanceof ClusterFact.TargetEntered entered) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.CallerBounds;
 import org.rattanplank.core.gateway.CallerDirectory;
+import org.rattanplank.core.gateway.CallerPlace;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.gateway.caller.CallerCall;
@@ -34,7 +35,9 @@
 import org.rattanplank.gateway.peer.PeerListener;
 import org.rattanplank.gateway.store.ClusterStore;
 import org.rattanplank.gateway.store.HostLease;
+import org.rattanplank.gateway.store.StoreFailure;
 import org.rattanplank.gateway.store.StoreFeed;
+import org.rattanplank.gateway.store.StoreItem;
 import org.rattanplank.gateway.target.TargetConnections;
 
 /**
@@ -50,8 +53,11 @@
     /** Ticks between two looks at idle connections. */
     private static final int SLOW_TICKS = 5;
 
-    /** A stopping process ends no sooner: callers that hold an older list still come. */
-    private static final long STOP_LEAST_MILLIS = 2_500;
+    /**
+     * A stopping process ends no sooner: callers that hold an older list still come, nearly all of them for one of the
+     * list's lifetimes at most. Longer stops would overlap when hosts are stopped in turn, and leave few that serve.
+     */
+    private static final long STOP_LEAST_MILLIS = 1_700;
 
     /**
      * Requests that come later after the word to stop are refused: what begins so late may not end in the time left, and
@@ -62,9 +68,6 @@
     /** What is left of the time for stopping for the process to end in. */
     private static final long STOP_MARGIN_MILLIS = 700;
 
-    /** Most hosts that a caller is told of. */
-    private static final int LIST_MOST = 64;
-
     private final GatewaySettings settings;
     private final AdapterNames names;
     private final SteadyClock clock = SteadyClock.ofProcess();
@@ -75,6 +78,7 @@
     private final GatewayHost self;
     private final GatewayState state;
     private final TargetConnections connections;
+    private final CallerDirectory directory = CallerDirectory.of(clock.nowMillis());
     private final CallerServer callers;
     private final PeerLinks links;
     private final PeerReports reports;
@@ -108,15 +112,10 @@
         links = new PeerLinks(self, group, clock, this);
 
         callers = new CallerServer(group, clock, this::bounds, this::received, this::unsound);
-        beliefs = new Beliefs(state, links, this::keyLost);
+        beliefs = new Beliefs(state, links, this::keyLost, this::relay);
         feed = StoreFeed.of(store, names.storeFormat(), beliefs, loop, clock, random);
         state.join(links, feed::isComplete);
-        lease = HostLease.of(
-                store,
-                names.storeFormat(),
-                self,
-                loop,
-                failure -> log.important(LogLine.of(LogEvent.LEASE_FAILED).with("reason", failure.name())));
+        lease = HostLease.of(store, names.storeFormat(), self, loop, this::leaseTold);
         reports = new PeerReports(state, links, feed, this::takesCallers);
         gauges();
     }
@@ -205,7 +204,12 @@
 
     @Override
     public void storeItems(PeerFrame.StoreItems known) {
-        feed.takeFromPeer(known.revision(), known.items());
+        state.pool().beLenient(known.lenientMillis(), clock.nowMillis());
+        if (known.revision() > 0) {
+            feed.takeFromPeer(known.revision(), known.items());
+        } else {
+            feed.takeChanges(known.items());
+        }
     }
 
     @Override
@@ -254,6 +258,16 @@
         return stopAskedAtMillis < 0 && state.isInformed();
     }
 
+    private void relay(StoreItem item) {
+        reports.relay(item);
+    }
+
+    private void leaseTold(Option<StoreFailure> failure) {
+        feed.leaseAnswered(failure.isEmpty());
+        failure.forEach(
+                reason -> log.important(LogLine.of(LogEvent.LEASE_FAILED).with("reason", reason.name())));
+    }
+
     private void keyLost() {
         lease.keyLost();
     }
@@ -264,8 +278,10 @@
         }
         Option<AdapterNames.Question> question = names.directoryFormat().read(uri);
         if (question.isDefined()) {
-            return names.directoryFormat()
-                    .write(callersHosts(question.get()), settings.limits().listSeconds());
+            List<String> hosts = callersHosts(question.get());
+            return hosts.isEmpty()
+                    ? AdminAnswer.unavailable()
+                    : names.directoryFormat().write(hosts, settings.limits().listSeconds());
         }
         return uri.startsWith("/metrics") ? AdminAnswer.text(metrics.text()) : AdminAnswer.notFound();
     }
@@ -283,7 +299,8 @@
         Set<String> homes = state.configuration()
                 .map(configuration -> configuration.homeRegions(question.hostName()))
                 .getOrElse(Set.of());
-        return CallerDirectory.list(hosts, question.region(), question.dataCentre(), homes, LIST_MOST);
+        CallerPlace place = new CallerPlace(question.region(), question.dataCentre(), homes);
+        return directory.list(hosts, place, clock.nowMillis());
     }
 
     private void tickSafely() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -17,11 +17,13 @@
 import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
+import org.rattanplank.core.host.Rendezvous;
 import org.rattanplank.gateway.pass.GatewayState;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.PeerLink;
 import org.rattanplank.gateway.peer.PeerLinks;
 import org.rattanplank.gateway.store.StoreFeed;
+import org.rattanplank.gateway.store.StoreItem;
 
 /**
  * What hosts tell each other of their work and of the store.
@@ -41,10 +43,26 @@
     /** A host without the store is told again after so long. */
     private static final long ITEMS_MILLIS = 1_000;
 
+    /** How much further apart the states of hosts of one region are for each of them: twenty cost 0.1 s of a second. */
+    private static final long PER_LINK_MILLIS = 12;
+
+    /** Changes are on their way for a moment before both hosts know the same. */
+    private static final long LACKS_MILLIS = 700;
+
+    /** Hosts of a region that ask the store for all of them; two may be cut off from it at once. */
+    private static final int FOLLOWERS = 3;
+
+    /** How often the hosts that ask the store are chosen anew. */
+    private static final long CHOOSE_MILLIS = 250;
+
+    private static final String FOLLOW_KEY = "store";
+
     private final GatewayState state;
     private final PeerLinks links;
     private final StoreFeed feed;
     private final BooleanSupplier takesCallers;
+    private final List<StoreItem> changes = new ArrayList<>();
+    private long followChosenAtMillis;
     private final Map<PeerLink, Told> told = new HashMap<>();
     private final Map<String, Set<String>> targetsByHost = new HashMap<>();
 
@@ -56,17 +74,25 @@
     }
 
     void tick(long nowMillis) {
-        for (PeerLink link : links.alive()) {
+        List<PeerLink> alive = List.copyOf(links.alive());
+        long ownRegionLinks = alive.stream().filter(this::isOwnRegion).count();
+        long ownRegionMillis = Math.max(OWN_REGION_MILLIS, PER_LINK_MILLIS * ownRegionLinks);
+        List<PeerFrame.TargetWork> sent = sent();
+        for (PeerLink link : alive) {
             Told last = told.computeIfAbsent(link, each -> new Told());
-            long every = isOwnRegion(link) ? OWN_REGION_MILLIS : OTHER_REGION_MILLIS;
             long age = nowMillis - last.atMillis;
-            if (age >= SIGN_OF_LIFE_MILLIS
-                    || age >= every && isOwnRegion(link) && !sent().equals(last.sent)
-                    || age >= every && !isOwnRegion(link)) {
-                tell(link);
+            boolean ownRegion = isOwnRegion(link);
+            boolean changed = ownRegion && age >= ownRegionMillis && !sent.equals(last.sent);
+            if (age >= SIGN_OF_LIFE_MILLIS || changed || !ownRegion && age >= OTHER_REGION_MILLIS) {
+                tell(link, ownRegion ? sent : List.of());
             }
             helpWithStore(link, nowMillis);
         }
+        relayChanges(alive);
+        if (nowMillis - followChosenAtMillis >= CHOOSE_MILLIS) {
+            followChosenAtMillis = nowMillis;
+            feed.follow(shouldFollow(alive));
+        }
     }
 
     void tellAll() {
@@ -74,20 +100,69 @@
     }
 
     void tell(PeerLink link) {
+        tell(link, isOwnRegion(link) ? sent() : List.of());
+    }
+
+    /** Takes note of an item that was learnt, to be told to hosts that don't ask the store. */
+    void relay(StoreItem item) {
+        if (feed.isFollowing()) {
+            changes.add(item);
+        }
+    }
+
+    private void tell(PeerLink link, List<PeerFrame.TargetWork> sent) {
         Told last = told.computeIfAbsent(link, each -> new Told());
         last.atMillis = state.nowMillis();
-        boolean ownRegion = isOwnRegion(link);
-        last.sent = ownRegion ? sent() : List.of();
+        last.sent = sent;
         link.send(new PeerFrame.State(
                 last.atMillis,
                 link.state().sentAtMillis(),
                 link.stateAgeMillis(),
                 takesCallers.getAsBoolean(),
                 state.configurationVersion(),
-                feed.revision(),
+                feed.digest(),
+                feed.isFollowing(),
                 feed.isHealthy(),
-                last.sent,
-                ownRegion ? List.of() : regionLoads()));
+                sent,
+                isOwnRegion(link) ? List.of() : regionLoads()));
+    }
+
+    /**
+     * Whether this host should ask the store itself: in a large region a few do so for all, as each call is paid for.
+     * A host that the store turns away goes on asking, so that it learns when that ends.
+     */
+    private boolean shouldFollow(List<PeerLink> alive) {
+        List<String> healthy = new ArrayList<>();
+        boolean othersFollow = false;
+        for (PeerLink link : alive) {
+            if (isOwnRegion(link) && link.state().storeHealthy()) {
+                healthy.add(link.host().get().name());
+                othersFollow |= link.state().followsStore();
+            }
+        }
+        if (!feed.isComplete() || !feed.isHealthy() || healthy.size() < FOLLOWERS || !othersFollow) {
+            return true;
+        }
+        String self = state.self().name();
+        healthy.add(self);
+        return Rendezvous.rank(healthy, FOLLOW_KEY).indexOf(self) < FOLLOWERS;
+    }
+
+    private void relayChanges(List<PeerLink> alive) {
+        if (changes.isEmpty()) {
+            return;
+        }
+        PeerFrame.StoreItems frame = new PeerFrame.StoreItems(0, lenientMillis(), changes);
+        changes.clear();
+        for (PeerLink link : alive) {
+            if (isOwnRegion(link) && !link.state().followsStore()) {
+                link.send(frame);
+            }
+        }
+    }
+
+    private long lenientMillis() {
+        return state.pool().lenientMillis(state.nowMillis());
     }
 
     void said(PeerLink link, PeerFrame.State said) {
@@ -128,15 +203,22 @@
         targetsByHost.put(host, now);
     }
 
-    /** Tells a host that the store turns away what this one knows, so that it doesn't act on what no longer holds. */
+    /** Tells a host that doesn't ask the store, or is turned away by it, what it lacks. */
     private void helpWithStore(PeerLink link, long nowMillis) {
         PeerFrame.State peer = link.state();
-        boolean behind = peer.storeRevision() < feed.revision() || peer.configurationVersion() == 0;
-        if (!peer.storeHealthy()
-                && behind
-                && nowMillis - link.itemsSentAtMillis() > ITEMS_MILLIS
-                && (isOwnRegion(link) || peer.configurationVersion() < state.configurationVersion())) {
-            link.send(new PeerFrame.StoreItems(feed.revision(), List.copyOf(feed.items())));
+        boolean needsHelp = !peer.followsStore() || !peer.storeHealthy();
+        if (!needsHelp || !feed.isFollowing() || !feed.isHealthy() || !feed.isComplete()) {
+            return;
+        }
+        boolean lacks = isOwnRegion(link)
+                ? peer.storeDigest() != feed.digest()
+                : peer.configurationVersion() < state.configurationVersion();
+        Told last = told.computeIfAbsent(link, each -> new Told());
+        if (!lacks) {
+            last.lacksSinceMillis = nowMillis;
+        } else if (nowMillis - last.lacksSinceMillis > LACKS_MILLIS
+                && nowMillis - link.itemsSentAtMillis() > ITEMS_MILLIS) {
+            link.send(new PeerFrame.StoreItems(feed.revision(), lenientMillis(), List.copyOf(feed.items())));
         }
     }
 
@@ -182,6 +264,7 @@
 
     private static final class Told {
         private long atMillis;
+        private long lacksSinceMillis;
         private List<PeerFrame.TargetWork> sent = List.of();
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -29,7 +29,8 @@
      * @param echoAgeMillis how long ago that was said
      * @param takesCallers whether callers should be sent to it
      * @param configurationVersion the version in force there
-     * @param storeRevision the store's revision up to which it knows everything
+     * @param storeDigest a sum over all that it knows of the store
+     * @param followsStore whether it asks the store itself
      * @param storeHealthy whether the store answers it
      * @param sent its work at each target, to hosts of its own region
      * @param regionLoads how soon its region is expected to answer, to hosts of other regions
@@ -40,7 +41,8 @@
             long echoAgeMillis,
             boolean takesCallers,
             long configurationVersion,
-            long storeRevision,
+            long storeDigest,
+            boolean followsStore,
             boolean storeHealthy,
             List<TargetWork> sent,
             List<RegionLoad> regionLoads)
@@ -70,12 +72,13 @@
     record RegionLoad(String service, Urgency urgency, double expectedMillis, double perTokenMillis) {}
 
     /**
-     * What a host knows of the store, for one that can't reach it.
+     * What a host knows of the store, for one that doesn't ask it.
      *
-     * @param revision the revision up to which it knows everything
+     * @param revision the revision up to which it knows everything; zero if these are only the newest changes
+     * @param lenientMillis how much longer removed entries may come back, as the store was away
      * @param items the items
      */
-    record StoreItems(long revision, List<StoreItem> items) implements PeerFrame {
+    record StoreItems(long revision, long lenientMillis, List<StoreItem> items) implements PeerFrame {
         public StoreItems {
             items = List.copyOf(items);
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -54,11 +54,10 @@
         } else if (frame instanceof PeerFrame.State state) {
             write(state, out);
         } else if (frame instanceof PeerFrame.StoreItems known) {
-            out.packInt(STORE_ITEMS)
-                    .packLong(known.revision())
-                    .packArrayHeader(known.items().size());
+            out.packInt(STORE_ITEMS).packLong(known.revision()).packLong(known.lenientMillis());
+            out.packArrayHeader(known.items().size());
             for (StoreItem item : known.items()) {
-                out.packString(item.key()).packLong(item.revision());
+                out.packString(item.key()).packLong(item.revision()).packBoolean(item.removed());
                 write(item.value(), out);
             }
         } else if (frame instanceof PeerFrame.Ask ask) {
@@ -84,7 +83,8 @@
         out.packInt(STATE).packLong(state.sentAtMillis());
         out.packLong(state.echoedMillis()).packLong(state.echoAgeMillis());
         out.packBoolean(state.takesCallers());
-        out.packLong(state.configurationVersion()).packLong(state.storeRevision());
+        out.packLong(state.configurationVersion()).packLong(state.storeDigest());
+        out.packBoolean(state.followsStore());
         out.packBoolean(state.storeHealthy());
         out.packArrayHeader(state.sent().size());
         for (PeerFrame.TargetWork sent : state.sent()) {
@@ -152,7 +152,8 @@
         long echoAge = in.unpackLong();
         boolean takesCallers = in.unpackBoolean();
         long version = in.unpackLong();
-        long revision = in.unpackLong();
+        long digest = in.unpackLong();
+        boolean follows = in.unpackBoolean();
         boolean healthy = in.unpackBoolean();
         List<PeerFrame.TargetWork> sent = new ArrayList<>();
         for (int left = in.unpackArrayHeader(); left > 0; left--) {
@@ -168,18 +169,21 @@
             loads.add(new PeerFrame.RegionLoad(
                     in.unpackString(), Urgency.of(in.unpackInt()), in.unpackFloat(), in.unpackFloat()));
         }
-        return new PeerFrame.State(sentAt, echoed, echoAge, takesCallers, version, revision, healthy, sent, loads);
+        return new PeerFrame.State(
+                sentAt, echoed, echoAge, takesCallers, version, digest, follows, healthy, sent, loads);
     }
 
     private static PeerFrame readItems(MessageUnpacker in) throws IOException {
         long revision = in.unpackLong();
+        long lenientMillis = in.unpackLong();
         List<StoreItem> items = new ArrayList<>();
         for (int left = in.unpackArrayHeader(); left > 0; left--) {
             String key = in.unpackString();
             long itemRevision = in.unpackLong();
-            items.add(new StoreItem(key, readBytes(in), itemRevision, false));
+            boolean removed = in.unpackBoolean();
+            items.add(new StoreItem(key, readBytes(in), itemRevision, removed));
         }
-        return new PeerFrame.StoreItems(revision, items);
+        return new PeerFrame.StoreItems(revision, lenientMillis, items);
     }
 
     private static PeerFrame readAsk(MessageUnpacker in) throws IOException {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -40,7 +40,7 @@
     private GatewayHost host;
     private long lastHeardMillis;
     private long nextCall = 1;
-    private PeerFrame.State state = new PeerFrame.State(0, 0, 0, false, 0, 0, true, List.of(), List.of());
+    private PeerFrame.State state = new PeerFrame.State(0, 0, 0, false, 0, 0, false, true, List.of(), List.of());
     private long itemsSentAtMillis;
     private long stateAtMillis;
     private double roundTripMillis;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.host.Rendezvous;
 import org.rattanplank.gateway.SteadyClock;
 
 /**
@@ -42,6 +43,9 @@
     /** Longer than a link over the longest way takes to open, so that two hosts seldom open two. */
     private static final long OTHER_OPENS_MILLIS = 1_200;
 
+    /** Two may be lost at once. */
+    private static final int LINKS_PER_OTHER_REGION = 3;
+
     /** Between two tries to reach a host that doesn't answer. */
     private static final long RETRY_MILLIS = 500;
 
@@ -186,9 +190,31 @@
     }
 
     private boolean mayOpen(Known each, long nowMillis) {
+        if (!isOwnRegion(each.host)) {
+            return chosen(each.host.place().region()).contains(each.host.name());
+        }
         return self.name().compareTo(each.host.name()) < 0 || nowMillis - each.lostAtMillis > OTHER_OPENS_MILLIS;
     }
 
+    /**
+     * The hosts of another region that this one opens links to. Links to all would cost each host time for every other
+     * one in the system, with nothing to gain: a few suffice to send work there and to learn of its load.
+     */
+    private List<String> chosen(String region) {
+        List<String> names = known.values().stream()
+                .map(each -> each.host)
+                .filter(host -> host.place().region().equals(region))
+                .map(GatewayHost::name)
+                .toList();
+        return Rendezvous.rank(names, self.name()).stream()
+                .limit(LINKS_PER_OTHER_REGION)
+                .toList();
+    }
+
+    private boolean isOwnRegion(GatewayHost host) {
+        return host.place().region().equals(self.place().region());
+    }
+
     private void drop(PeerLink link, String reason) {
         String name = link.host().map(GatewayHost::name).getOrElse("");
         if (links.get(name) == link) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/HostLease.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/HostLease.java
@@ -5,6 +5,7 @@
 
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayHost;
 
 /**
@@ -17,25 +18,32 @@
     /** A killed host leaves the list by its links; the lease only bounds how long its entry stays. */
     static final long LEASE_MILLIS = 6_000;
 
-    /** Three renewals fit into a lease, so that two of them may be lost. */
-    static final long INTERVAL_MILLIS = 1_800;
+    /**
+     * Four renewals fit into a lease, so that three of them may be lost; and a store that turned this host away shows so
+     * soon.
+     */
+    static final long INTERVAL_MILLIS = 1_200;
 
     private final ClusterStore store;
     private final StoreFormat format;
     private final GatewayHost self;
     private final EventLoop loop;
-    private final Consumer<StoreFailure> failed;
+    private final Consumer<Option<StoreFailure>> told;
     private long lease;
     private boolean entered;
     private boolean left;
 
     private HostLease(
-            ClusterStore store, StoreFormat format, GatewayHost self, EventLoop loop, Consumer<StoreFailure> failed) {
+            ClusterStore store,
+            StoreFormat format,
+            GatewayHost self,
+            EventLoop loop,
+            Consumer<Option<StoreFailure>> told) {
         this.store = store;
         this.format = format;
         this.self = self;
         this.loop = loop;
-        this.failed = failed;
+        this.told = told;
     }
 
     /**
@@ -45,12 +53,16 @@
      * @param format how an entry is written
      * @param self this host
      * @param loop the event loop
-     * @param failed told of calls that failed
+     * @param told told of each call whether it failed
      * @return the lease
      */
     public static HostLease of(
-            ClusterStore store, StoreFormat format, GatewayHost self, EventLoop loop, Consumer<StoreFailure> failed) {
-        return new HostLease(store, format, self, loop, failed);
+            ClusterStore store,
+            StoreFormat format,
+            GatewayHost self,
+            EventLoop loop,
+            Consumer<Option<StoreFailure>> told) {
+        return new HostLease(store, format, self, loop, told);
     }
 
     /** Enters this host and keeps it entered. */
@@ -98,6 +110,7 @@
     private void written(Either<StoreFailure, Long> reply) {
         if (reply.isRight()) {
             entered = true;
+            told.accept(Option.none());
             again();
             return;
         }
@@ -111,6 +124,7 @@
             failed(reply.getLeft());
             return;
         }
+        told.accept(Option.none());
         again();
     }
 
@@ -122,7 +136,7 @@
     }
 
     private void failed(StoreFailure failure) {
-        failed.accept(failure);
+        told.accept(Option.some(failure));
         again();
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -12,6 +12,7 @@
 
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
+import org.rattanplank.core.host.Rendezvous;
 import org.rattanplank.core.store.Backoff;
 import org.rattanplank.gateway.SteadyClock;
 
@@ -29,6 +30,9 @@
      */
     static final long WATCH_MILLIS = 4_000;
 
+    /** Changes come in groups; waiting so long before the next watch brings a group in one call. */
+    private static final long GATHER_MILLIS = 150;
+
     /** The first wait after a failed call; short, as a store that refused once mostly answers next time. */
     private static final long FIRST_RETRY_MILLIS = 100;
 
@@ -45,6 +49,9 @@
     private final Map<String, StoreItem> items = new HashMap<>();
     private final Map<String, Long> removedAt = new HashMap<>();
     private boolean lost;
+    private boolean leaseLost;
+    private boolean following = true;
+    private long digest;
     private long lastAnswerMillis;
     private boolean closed;
 
@@ -94,6 +101,46 @@
         }
     }
 
+    /**
+     * Follows the store from now on, or leaves that to other hosts that tell what they learn.
+     *
+     * @param wanted whether to follow
+     */
+    public void follow(boolean wanted) {
+        boolean begins = wanted && !following;
+        following = wanted;
+        if (begins) {
+            cursors.values().stream().filter(cursor -> !cursor.busy).forEach(cursor -> cursor.list(""));
+        }
+    }
+
+    /**
+     * Whether this host asks the store itself.
+     *
+     * @return whether it follows it
+     */
+    public boolean isFollowing() {
+        return following;
+    }
+
+    /**
+     * Takes note of whether the store answers calls that renew this host's lease.
+     *
+     * @param answered whether it does
+     */
+    public void leaseAnswered(boolean answered) {
+        leaseLost = !answered;
+    }
+
+    /**
+     * A sum over all that is known, by which two hosts see that they know the same.
+     *
+     * @return the sum
+     */
+    public long digest() {
+        return digest;
+    }
+
     /** Asks for nothing more. */
     public void close() {
         closed = true;
@@ -105,7 +152,7 @@
      * @return whether no call has failed since the last answer
      */
     public boolean isHealthy() {
-        return !lost;
+        return !leaseLost && !(following && lost);
     }
 
     /**
@@ -127,16 +174,15 @@
     }
 
     /**
-     * The highest revision of any item or removal that is known.
+     * The revision up to which everything is known.
      *
-     * @return the revision, zero if nothing is known
+     * @return the revision, zero if something was never listed
      */
     public long revision() {
-        long highest = 0;
-        for (Cursor cursor : cursors.values()) {
-            highest = Math.max(highest, cursor.revision);
-        }
-        return highest;
+        return cursors.values().stream()
+                .mapToLong(cursor -> cursor.revision)
+                .min()
+                .orElse(0);
     }
 
     /**
@@ -155,30 +201,46 @@
      * @param known all items that it knows
      */
     public void takeFromPeer(long revision, List<StoreItem> known) {
+        if (following && !lost) {
+            return;
+        }
         Set<String> present = new HashSet<>();
         for (StoreItem item : known) {
             present.add(item.key());
             take(item);
         }
         for (Cursor cursor : cursors.values()) {
-            if (lost && revision > cursor.revision) {
+            if (revision >= cursor.revision) {
                 removeMissing(cursor.prefix, present, revision);
                 cursor.revision = revision;
             }
         }
     }
 
+    /**
+     * Takes changes that another host has just learnt.
+     *
+     * @param changes the changes
+     */
+    public void takeChanges(List<StoreItem> changes) {
+        changes.forEach(this::take);
+    }
+
     private void take(StoreItem item) {
         StoreItem known = items.get(item.key());
         long knownRevision = known != null ? known.revision() : removedAt.getOrDefault(item.key(), 0L);
         if (item.revision() <= knownRevision) {
             return;
         }
+        if (known != null) {
+            digest ^= digestOf(known);
+        }
         if (item.removed()) {
             items.remove(item.key());
             removedAt.put(item.key(), item.revision());
         } else {
             items.put(item.key(), item);
+            digest ^= digestOf(item);
             removedAt.remove(item.key());
         }
         listener.learnt(item, format.read(item));
@@ -194,6 +256,10 @@
         missing.forEach(key -> take(new StoreItem(key, new byte[0], revision, true)));
     }
 
+    private static long digestOf(StoreItem item) {
+        return Rendezvous.mix(Rendezvous.hash(item.key()) ^ item.revision());
+    }
+
     private void answered() {
         lastAnswerMillis = clock.nowMillis();
         if (lost) {
@@ -215,6 +281,7 @@
         private final Set<String> listed = new HashSet<>();
         private long revision;
         private long listRevision;
+        private boolean busy;
         private Backoff backoff = Backoff.of(0, FIRST_RETRY_MILLIS, LONGEST_RETRY_MILLIS);
 
         private Cursor(String prefix) {
@@ -226,8 +293,9 @@
                 listed.clear();
                 listRevision = Long.MAX_VALUE;
             }
-            if (!closed) {
-                store.list(prefix, after, reply -> listed(reply));
+            busy = !closed;
+            if (busy) {
+                store.list(prefix, after, this::listed);
             }
         }
 
@@ -255,7 +323,8 @@
         }
 
         private void watch() {
-            if (!closed) {
+            busy = !closed && following;
+            if (busy) {
                 store.watch(prefix, revision, WATCH_MILLIS, this::watched);
             }
         }
@@ -278,7 +347,11 @@
             backoff = backoff.succeeded();
             reply.get().items().forEach(StoreFeed.this::take);
             revision = Math.max(revision, reply.get().revision());
-            watch();
+            if (reply.get().items().isEmpty()) {
+                watch();
+            } else {
+                loop.schedule(this::watch, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+            }
         }
 
         private void retry(StoreFailure failure, Runnable next) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -40,6 +40,8 @@
             Set.of("Expected", "Urgency"));
     private static final String HALL = "suva-hall";
     private static final long GRACE_MILLIS = 4_000;
+    private static final int TRIES = 1_000;
+    private static final long PAUSE_NANOS = 10_000_000;
 
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final TestStore store = new TestStore(group.next());
@@ -47,7 +49,9 @@
     private final InetSocketAddress callers = freeAddress();
     private final InetSocketAddress directory = freeAddress();
     private final Gateway gateway;
+    private final InetSocketAddress metrics = freeAddress();
     private long version;
+    private int targets;
 
     TestGateway() throws IOException {
         GatewaySettings settings = new GatewaySettings(
@@ -58,7 +62,7 @@
                 freeAddress(),
                 directory,
                 freeAddress(),
-                freeAddress(),
+                metrics,
                 freeAddress(),
                 new SharedLimits(GRACE_MILLIS, 0.2, 160, 10_000, 1, 1_000));
         EventLog log = EventLog.start("h1", OutputStream.nullOutputStream(), System::nanoTime);
@@ -90,14 +94,18 @@
                         List.of(new ServiceRule("desk", 50, 0, 0, 0, 0)),
                         new CallerBounds(4_096, 10_000, 3_000, 15_000))),
                 false);
+        awaitMetric("configuration_version " + version);
         return this;
     }
 
-    TestGateway target(String id, int port) {
+    /** Enters a target and waits until the gateway knows it. */
+    TestGateway target(String id, int port) throws IOException {
         store.put(
                 "targets/" + id,
                 new ClusterFact.TargetEntered(new TargetEntry(id, "desk", "127.0.0.1", port, HALL, 4, false, 0)),
                 false);
+        targets++;
+        awaitMetric("targets " + targets);
         return this;
     }
 
@@ -117,8 +125,12 @@
         }
     }
 
-    void stop() {
+    /** Asks the gateway to stop and waits until it has heard it. */
+    void stop() throws IOException {
         gateway.stop(ended::countDown);
+        while (directory().contains("127.0.0.1")) {
+            java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_NANOS);
+        }
     }
 
     void awaitEnded() throws InterruptedException {
@@ -132,6 +144,21 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
+    private void awaitMetric(String line) throws IOException {
+        String shown = "";
+        for (int i = 0; i < TRIES; i++) {
+            try (TestCaller caller = new TestCaller(metrics)) {
+                shown = caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                        .readAll();
+            }
+            if (shown.contains("rattanplank_gateway_" + line + "\n")) {
+                return;
+            }
+            java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_NANOS);
+        }
+        throw new AssertionError("never shown: " + line + " in " + shown);
+    }
+
     private static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
