--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/Connection.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/Connection.java
@@ -14,7 +14,7 @@
     private static final String TIMEOUT = "RATTANPLANK_TIMEOUT_MILLIS";
     private static final long DEFAULT_TIMEOUT_MILLIS = 5_000;
 
-    @Parameter(names = "--store", description = "IP:PORT of the platform's store (" + STORE + ")")
+    @Parameter(names = "--store", description = "IP:PORT of the store, or platform://IP:PORT (" + STORE + ")")
     private String store = "";
 
     @Parameter(
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
@@ -59,6 +59,34 @@
         return new GatewayConfiguration(version, byHostName, byName, bounds);
     }
 
+    /**
+     * Narrows routes by residency rules, each named after a route or a service.
+     *
+     * @param residencies the regions that each rule allows
+     * @return the configuration, which the rules bind as well
+     */
+    public GatewayConfiguration within(Map<String, Set<String>> residencies) {
+        if (residencies.isEmpty()) {
+            return this;
+        }
+        Map<String, List<RouteRule>> narrowed = new HashMap<>();
+        routesByHostName.forEach((hostName, routes) -> narrowed.put(
+                hostName,
+                routes.stream().map(route -> within(route, residencies)).toList()));
+        return new GatewayConfiguration(version, narrowed, services, bounds);
+    }
+
+    private static RouteRule within(RouteRule route, Map<String, Set<String>> residencies) {
+        RouteRule narrowed =
+                residencies.containsKey(route.name()) ? route.within(residencies.get(route.name())) : route;
+        for (WeightedService service : route.services()) {
+            if (residencies.containsKey(service.service())) {
+                narrowed = narrowed.within(residencies.get(service.service()));
+            }
+        }
+        return narrowed;
+    }
+
     /**
      * The version.
      *
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RouteRule.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RouteRule.java
@@ -1,5 +1,6 @@
 package org.rattanplank.core.gateway;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
@@ -33,6 +34,9 @@
         long gapMillis,
         int rank,
         Set<String> homeRegions) {
+    /** No region has this name: the home of a route that no region may serve. */
+    static final String NOWHERE = "";
+
     public RouteRule {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(hostName, "hostName");
@@ -67,6 +71,30 @@
         return homeRegions.isEmpty() || homeRegions.contains(region);
     }
 
+    /**
+     * Narrows the regions that may serve it.
+     *
+     * @param regions the regions that a further rule allows
+     * @return the route, which both rules bind; if no region satisfies both, none may serve it
+     */
+    public RouteRule within(Set<String> regions) {
+        Set<String> both = new HashSet<>(homeRegions.isEmpty() ? regions : homeRegions);
+        both.retainAll(regions);
+        return new RouteRule(
+                name,
+                hostName,
+                pathPrefix,
+                kind,
+                resumable,
+                services,
+                maxAttempts,
+                timeoutMillis,
+                objectiveMillis,
+                gapMillis,
+                rank,
+                both.isEmpty() ? Set.of(NOWHERE) : both);
+    }
+
     /**
      * Picks the service of one request by the weights.
      *
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/GatewayConfigurationTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/GatewayConfigurationTest.java
@@ -1,10 +1,12 @@
 package org.rattanplank.core.gateway;
 
+import java.util.Map;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class GatewayConfigurationTest {
@@ -36,4 +38,27 @@
     void shouldNameTheHomesOfAHostNameWhenOnlySomeOfItsRoutesHaveSome() {
         assertEquals(Set.of("suva", "labasa"), configuration.homeRegions("desk.example"));
     }
+
+    @Test
+    void shouldNarrowHomesWhenAResidencyRuleNamesARouteOrItsService() {
+        GatewayConfiguration byRoute = configuration.within(Map.of("long", Set.of("labasa", "lautoka")));
+        GatewayConfiguration byService = configuration.within(Map.of(Samples.MODEL, Set.of("suva")));
+
+        assertEquals(
+                Set.of("labasa"), byRoute.route("desk.example", "/a/b/").get().homeRegions());
+        assertEquals(Set.of(), byRoute.route("desk.example", "/a/").get().homeRegions());
+        assertEquals(
+                Set.of("suva"), byService.route("desk.example", "/a/").get().homeRegions());
+    }
+
+    @Test
+    void shouldAllowNoRegionWhenTwoRulesContradictEachOther() {
+        RouteRule route = configuration
+                .within(Map.of("other", Set.of("suva")))
+                .route("else.example", "/")
+                .get();
+
+        assertFalse(route.allows("suva"));
+        assertFalse(route.allows("lautoka"));
+    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
@@ -4,6 +4,9 @@
 
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.TargetEntry;
+import org.rattanplank.core.intent.Configurations;
+import org.rattanplank.core.intent.Document;
+import org.rattanplank.core.intent.Documents;
 import org.rattanplank.gateway.log.LogEvent;
 import org.rattanplank.gateway.log.LogLine;
 import org.rattanplank.gateway.pass.GatewayState;
@@ -32,6 +35,8 @@
         relay.accept(item);
         if (fact instanceof ClusterFact.Configured configured) {
             configured(configured.configuration());
+        } else if (fact instanceof ClusterFact.IntentsApplied applied) {
+            intentsApplied(applied.document());
         } else if (fact instanceof ClusterFact.TargetEntered entered) {
             entered(entered.entry());
         } else if (fact instanceof ClusterFact.TargetRemoved removed) {
@@ -81,8 +86,23 @@
         }
     }
 
+    private void intentsApplied(Document document) {
+        Documents.read(document)
+                .onFailure(error -> state.log()
+                        .important(LogLine.of(LogEvent.ITEM_UNREADABLE)
+                                .with("key", Configurations.KEY)
+                                .with("reason", String.valueOf(error.getMessage()))))
+                .filter(state::refine)
+                .forEach(intents -> state.log()
+                        .important(LogLine.of(LogEvent.CONFIGURED)
+                                .with("intentsGeneration", intents.generation())
+                                .with("retiring", String.join(",", intents.retiring()))));
+    }
+
     private void entered(TargetEntry entry) {
-        if (state.pool().entered(entry, state.nowMillis())) {
+        boolean changed = state.pool().entered(entry, state.nowMillis());
+        state.retireTargets();
+        if (changed) {
             state.log()
                     .important(LogLine.of(LogEvent.TARGET_CHANGED)
                             .with("target", entry.id())
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -255,7 +255,7 @@
     }
 
     private boolean takesCallers() {
-        return stopAskedAtMillis < 0 && state.isInformed();
+        return stopAskedAtMillis < 0 && state.isInformed() && !state.isRetiring();
     }
 
     private void relay(StoreItem item) {
@@ -283,6 +283,10 @@
                     ? AdminAnswer.unavailable()
                     : names.directoryFormat().write(hosts, settings.limits().listSeconds());
         }
+        if (uri.startsWith("/status")) {
+            return AdminAnswer.json(
+                    GatewayStatus.of(state, requests.size(), !takesCallers()).toJson());
+        }
         return uri.startsWith("/metrics") ? AdminAnswer.text(metrics.text()) : AdminAnswer.notFound();
     }
 
@@ -344,6 +348,7 @@
 
     private void gauges() {
         metrics.gauge("configuration_version", state::configurationVersion);
+        metrics.gauge("intents_generation", () -> state.intents().generation());
         metrics.gauge("store_age_millis", () -> feed.ageMillis());
         metrics.gauge("requests_in_progress", () -> requests.size());
         metrics.gauge("targets", () -> state.pool().all().size());
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStatus.java
@@ -0,0 +1,89 @@
+package org.rattanplank.gateway;
+
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.gateway.pass.GatewayState;
+
+/**
+ * What a gateway process tells operators, in the shape that their tool reads. Immutable and thread safe.
+ *
+ * @param host the host
+ * @param generation the generation of intents in force
+ * @param configurationVersion the version of the installation's configuration in force
+ * @param inFlight the requests that callers wait for
+ * @param draining whether it takes no callers
+ * @param targets the targets that take work, by service
+ * @param leaving the hosts and targets that intents retire
+ */
+record GatewayStatus(
+        GatewayHost host,
+        long generation,
+        long configurationVersion,
+        int inFlight,
+        boolean draining,
+        Map<String, Integer> targets,
+        Set<String> leaving) {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    GatewayStatus {
+        Objects.requireNonNull(host, "host");
+        targets = Map.copyOf(targets);
+        leaving = Set.copyOf(leaving);
+    }
+
+    static GatewayStatus of(GatewayState state, int inFlight, boolean draining) {
+        Map<String, Integer> targets = new TreeMap<>();
+        state.pool().all().stream()
+                .filter(target -> !target.isLeaving())
+                .forEach(target -> targets.merge(target.entry().service(), 1, Integer::sum));
+        return new GatewayStatus(
+                state.self(),
+                state.intents().generation(),
+                state.configurationVersion(),
+                inFlight,
+                draining,
+                targets,
+                state.intents().retiring());
+    }
+
+    String toJson() {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(text)) {
+            json.writeStartObject();
+            json.writeObjectFieldStart("identity");
+            json.writeStringField("host", host.name());
+            json.writeObjectFieldStart("place");
+            json.writeStringField("region", host.place().region());
+            json.writeStringField("dataCentre", host.place().dataCentre());
+            json.writeEndObject();
+            json.writeEndObject();
+            json.writeNumberField("generation", generation);
+            json.writeNumberField("configurationVersion", configurationVersion);
+            json.writeNumberField("inFlight", inFlight);
+            json.writeBooleanField("draining", draining);
+            json.writeObjectFieldStart("targetsTakingWork");
+            for (Map.Entry<String, Integer> service : targets.entrySet()) {
+                json.writeNumberField(service.getKey(), service.getValue());
+            }
+            json.writeEndObject();
+            json.writeArrayFieldStart("leaving");
+            for (String name : leaving) {
+                json.writeString(name);
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing into memory does not fail", e);
+        }
+        return text.toString();
+    }
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -11,11 +11,13 @@
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.RegionLoads;
 import org.rattanplank.core.gateway.RepeatAllowance;
 import org.rattanplank.core.gateway.RouteRule;
 import org.rattanplank.core.gateway.TargetChooser;
 import org.rattanplank.core.gateway.TargetPool;
+import org.rattanplank.core.intent.Configuration;
 import org.rattanplank.gateway.GatewayMetrics;
 import org.rattanplank.gateway.GatewaySettings;
 import org.rattanplank.gateway.SharedLimits;
@@ -47,7 +49,9 @@
     private final TargetConnections connections;
     private final EventLog log;
     private final GatewayMetrics metrics;
+    private Option<GatewayConfiguration> base = Option.none();
     private Option<GatewayConfiguration> configuration = Option.none();
+    private Configuration intents = Configuration.empty();
     private PeerLinks links;
     private boolean takesRequests = true;
     private BooleanSupplier complete = () -> false;
@@ -116,10 +120,61 @@
         if (newer.version() <= configurationVersion()) {
             return false;
         }
-        configuration = Option.some(newer);
+        base = Option.some(newer);
+        refineAgain();
         return true;
     }
 
+    /**
+     * Takes the operators' intents, which refine the configuration: regions that may serve a route or service, the share
+     * of a region, and hosts and targets that are to leave.
+     *
+     * @param newer the intents
+     * @return whether they are newer than what was in force, and are in force now
+     */
+    public boolean refine(Configuration newer) {
+        if (newer.generation() <= intents.generation()) {
+            return false;
+        }
+        intents = newer;
+        refineAgain();
+        return true;
+    }
+
+    /**
+     * The intents in force.
+     *
+     * @return the intents; of generation zero if there are none
+     */
+    public Configuration intents() {
+        return intents;
+    }
+
+    /**
+     * Tells whether this host is to leave.
+     *
+     * @return whether an intent retires it
+     */
+    public boolean isRetiring() {
+        return intents.retiring().contains(self.name());
+    }
+
+    private void refineAgain() {
+        configuration = base.map(known -> known.within(intents.residencies()));
+        retireTargets();
+    }
+
+    /** Takes note of targets that an intent retires; a target that enters itself later is looked at as well. */
+    public void retireTargets() {
+        intents.retiring().forEach(name -> pool.find(name).forEach(GatewayTarget::leave));
+    }
+
+    /** Draws whether a region takes one more request within its share. */
+    boolean isWithinShare(String region) {
+        double share = intents.shares().getOrDefault(region, 1.0);
+        return share >= 1 || random.nextDouble() < share;
+    }
+
     /**
      * The version in force.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -199,11 +199,14 @@
     private void send() {
         long now = state.nowMillis();
         Option<Choice> local = choose();
-        double localMillis = local.map(Choice::expectedMillis).getOrElse(Double.POSITIVE_INFINITY);
+        boolean ownShare = state.isWithinShare(state.self().place().region());
+        double localMillis = ownShare
+                ? local.map(Choice::expectedMillis).getOrElse(Double.POSITIVE_INFINITY)
+                : Double.POSITIVE_INFINITY;
         Map<String, PeerLink> hosts = state.remoteHosts(route);
         Map<String, Double> remoteMillis = new HashMap<>();
         hosts.forEach((region, link) -> {
-            if (!tried.contains(region)) {
+            if (!tried.contains(region) && state.isWithinShare(region)) {
                 remoteMillis.put(region, remoteMillis(region, link, now));
             }
         });
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterFact.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterFact.java
@@ -5,6 +5,7 @@
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.TargetEntry;
+import org.rattanplank.core.intent.Document;
 
 /** What an item of the store says. Immutable and thread safe. */
 public sealed interface ClusterFact {
@@ -19,6 +20,17 @@
         }
     }
 
+    /**
+     * The operators' folder of intents.
+     *
+     * @param document the folder
+     */
+    record IntentsApplied(Document document) implements ClusterFact {
+        public IntentsApplied {
+            Objects.requireNonNull(document, "document");
+        }
+    }
+
     /**
      * A target's entry.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterStore.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterStore.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 
 /**
  * The platform's store: all that outlasts a process.
@@ -58,7 +59,13 @@
      * @param key the key
      * @param value its value
      * @param lease the lease that it lasts as long as, or zero
+     * @param expectedRevision the revision that the key must still have, zero if it must not exist; none for any
      * @param reply takes the revision
      */
-    void put(String key, byte[] value, long lease, Consumer<Either<StoreFailure, Long>> reply);
+    void put(
+            String key,
+            byte[] value,
+            long lease,
+            Option<Long> expectedRevision,
+            Consumer<Either<StoreFailure, Long>> reply);
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/HostLease.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/HostLease.java
@@ -91,7 +91,7 @@
             store.grantLease(LEASE_MILLIS, this::granted);
         } else if (!entered) {
             StoreItem item = format.write(self);
-            store.put(item.key(), item.value(), lease, this::written);
+            store.put(item.key(), item.value(), lease, Option.none(), this::written);
         } else {
             store.keepLease(lease, this::kept);
         }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
@@ -316,6 +316,30 @@
         }
     }
 
+    /**
+     * Symptom: requests go where the operator no longer wants them. Sequence: a newer configuration is in force; an older
+     * one comes late, from a host that was cut off. Cause: whatever came last was taken.
+     */
+    @Test
+    void shouldKeepTheNewerConfigurationWhenAnOlderOneComesLate() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1).configure(RouteKind.SAFE, false, 1);
+        gateway.configureAgain(1);
+
+        gateway.configure(RouteKind.SAFE, false, 1);
+
+        assertEquals(3, gateway.configurationVersion());
+    }
+
+    @Test
+    void shouldLeaveTheListWhenAnIntentRetiresThisHost() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        assertTrue(gateway.directory().contains("127.0.0.1"));
+
+        gateway.retire("h1");
+
+        assertFalse(gateway.directory().contains("127.0.0.1"));
+    }
+
     private static String readOrReset(TestCaller caller) throws IOException {
         try {
             return caller.readAll();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -8,9 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Option;
@@ -22,6 +25,7 @@
 import org.rattanplank.core.gateway.TargetEntry;
 import org.rattanplank.core.gateway.WeightedService;
 import org.rattanplank.core.host.Place;
+import org.rattanplank.core.intent.Document;
 import org.rattanplank.gateway.log.EventLog;
 import org.rattanplank.gateway.store.ClusterFact;
 
@@ -109,8 +113,28 @@
         return this;
     }
 
-    TestStore store() {
-        return store;
+    /** Puts an older version where the configuration is kept, as a host that was cut off would tell it. */
+    void configureAgain(long olderVersion) {
+        GatewayConfiguration older = GatewayConfiguration.of(olderVersion, List.of(), List.of(), CallerBounds.DEFAULTS);
+        store.put("configuration", new ClusterFact.Configured(older), false);
+    }
+
+    long configurationVersion() throws IOException {
+        for (int i = 1; ; i++) {
+            if (metrics().contains("configuration_version " + i + "\n")) {
+                return i;
+            }
+        }
+    }
+
+    /** Applies a folder whose one intent retires a host, and waits until it is in force. */
+    void retire(String host) throws IOException {
+        TreeMap<String, JsonNode> files = new TreeMap<>();
+        files.put(
+                "50-retire.yaml",
+                JsonNodeFactory.instance.objectNode().put("kind", "retire").put("name", host));
+        store.put("intents", new ClusterFact.IntentsApplied(Document.empty().next(files, "change")), false);
+        awaitMetric("intents_generation 1");
     }
 
     TestCaller caller() throws IOException {
@@ -144,13 +168,17 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
+    private String metrics() throws IOException {
+        try (TestCaller caller = new TestCaller(metrics)) {
+            return caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                    .readAll();
+        }
+    }
+
     private void awaitMetric(String line) throws IOException {
         String shown = "";
         for (int i = 0; i < TRIES; i++) {
-            try (TestCaller caller = new TestCaller(metrics)) {
-                shown = caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                        .readAll();
-            }
+            shown = metrics();
             if (shown.contains("rattanplank_gateway_" + line + "\n")) {
                 return;
             }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
@@ -8,6 +8,7 @@
 
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.gateway.store.ClusterFact;
 import org.rattanplank.gateway.store.ClusterStore;
@@ -101,7 +102,12 @@
     }
 
     @Override
-    public void put(String key, byte[] value, long lease, Consumer<Either<StoreFailure, Long>> reply) {
+    public void put(
+            String key,
+            byte[] value,
+            long lease,
+            Option<Long> expectedRevision,
+            Consumer<Either<StoreFailure, Long>> reply) {
         reply(reply, () -> revision);
     }
 
