--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/EventLog.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/EventLog.java
@@ -176,6 +176,9 @@
             json.writeNumber(number);
         } else if (value instanceof Integer number) {
             json.writeNumber(number);
+        } else if (value instanceof Double number && number.isInfinite()) {
+            // An estimate of what can't be had at all.
+            json.writeNull();
         } else if (value instanceof Double number) {
             json.writeNumber(Math.round(number * 10) / 10.0);
         } else if (value instanceof Boolean truth) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -482,6 +482,7 @@
             }
             open = false;
             tried.add(where);
+            lastTarget = attempt == null ? where : attempt.to();
             attemptFailed(failure, reason);
         }
 
