--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
@@ -64,6 +64,11 @@
         }
     }
 
+    @Override
+    public void storeAnswered(long tookMillis) {
+        state.metrics().took(Latency.STORE_CALL, tookMillis);
+    }
+
     @Override
     public void storeReturned() {
         state.pool().storeReturned(state.nowMillis());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
@@ -1,17 +1,44 @@
 package org.rattanplank.gateway;
 
-import java.util.concurrent.TimeUnit;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.function.LongSupplier;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import org.HdrHistogram.ConcurrentHistogram;
 import org.rattanplank.gateway.target.AttemptFailure;
 
 /** The numbers of one gateway process, by Dropwizard Metrics. Thread safe. */
 public final class GatewayMetrics {
     private static final String PREFIX = "rattanplank_gateway_";
 
+    /** Two digits tell 1.00 s from 1.01 s, at some 10 KB a histogram. */
+    private static final int DIGITS = 2;
+
+    private static final long LONGEST_MILLIS = 120_000;
+    private static final double[] QUANTILES = {0.5, 0.9, 0.99, 0.999};
+    private static final double PERCENT = 100;
+
     private final MetricRegistry registry = new MetricRegistry();
+    private final Map<Latency, ConcurrentHistogram> latencies = new EnumMap<>(Latency.class);
+
+    /** Makes empty metrics. */
+    public GatewayMetrics() {
+        for (Latency latency : Latency.values()) {
+            latencies.put(latency, new ConcurrentHistogram(LONGEST_MILLIS, DIGITS));
+        }
+    }
+
+    /**
+     * Takes a time.
+     *
+     * @param latency what it is of
+     * @param millis the time
+     */
+    public void took(Latency latency, double millis) {
+        latencies.get(latency).recordValue(Math.max(0, Math.min(LONGEST_MILLIS, Math.round(millis))));
+    }
 
     /**
      * Counts a send to a target or another region.
@@ -40,14 +67,9 @@
         count("requests_total", "outcome=\"" + outcome + "\"");
     }
 
-    /**
-     * Counts a request that a target answered.
-     *
-     * @param tookMillis from its arrival to the end of its answer
-     */
-    public void answered(long tookMillis) {
+    /** Counts a request that a target answered. */
+    public void answered() {
         count("requests_total", "outcome=\"answered\"");
-        registry.timer(PREFIX + "request{}").update(tookMillis, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -66,7 +88,20 @@
      * @return Prometheus's text format
      */
     public String text() {
-        return PrometheusText.of(registry);
+        StringBuilder text = new StringBuilder(PrometheusText.of(registry));
+        latencies.forEach((latency, histogram) -> {
+            String name = PREFIX + latency.label();
+            text.append("# TYPE ").append(name).append(" summary\n");
+            for (double quantile : QUANTILES) {
+                text.append(name).append("{quantile=\"").append(quantile).append("\"} ");
+                text.append(histogram.getValueAtPercentile(quantile * PERCENT)).append('\n');
+            }
+            text.append(name)
+                    .append("_count ")
+                    .append(histogram.getTotalCount())
+                    .append('\n');
+        });
+        return text.toString();
     }
 
     private void count(String name, String labels) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -167,6 +167,7 @@
 
     void said(PeerLink link, PeerFrame.State said) {
         GatewayHost host = link.host().get();
+        state.metrics().took(Latency.PEER_ROUND_TRIP, link.roundTripMillis());
         if (isOwnRegion(link)) {
             takeSent(host.name(), said.sent());
             return;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -20,7 +20,9 @@
 import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
+import org.rattanplank.gateway.GatewayMetrics;
 import org.rattanplank.gateway.GatewayRequest;
+import org.rattanplank.gateway.Latency;
 import org.rattanplank.gateway.caller.CallerCall;
 import org.rattanplank.gateway.http.Headers;
 import org.rattanplank.gateway.log.LogEvent;
@@ -315,6 +317,7 @@
     private void countSend() {
         sent++;
         if (sent == 1) {
+            state.metrics().took(Latency.BEFORE_SEND, state.nowMillis() - arrivedAtMillis);
             state.repeats().first(service.name(), state.nowMillis());
         }
         state.metrics().sent(sent);
@@ -421,7 +424,11 @@
     }
 
     private void answered() {
-        state.metrics().answered(state.nowMillis() - arrivedAtMillis);
+        GatewayMetrics metrics = state.metrics();
+        metrics.answered();
+        metrics.took(Latency.WHOLE, state.nowMillis() - arrivedAtMillis);
+        metrics.took(Latency.FIRST_PART, Math.max(0, reply.firstAtMillis() - arrivedAtMillis));
+        metrics.took(Latency.LONGEST_GAP, reply.longestGapMillis());
         end("answered", "", sent == 1 && unsent == 0 && !wasLate());
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
@@ -10,6 +10,13 @@
      */
     void learnt(StoreItem item, ClusterFact fact);
 
+    /**
+     * The store answered a call that it answers at once.
+     *
+     * @param tookMillis how long it took
+     */
+    void storeAnswered(long tookMillis);
+
     /** The store answers after it had not; entries that lapsed meanwhile may come back. */
     void storeReturned();
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -281,6 +281,7 @@
         private final Set<String> listed = new HashSet<>();
         private long revision;
         private long listRevision;
+        private long listedAtMillis;
         private boolean busy;
         private Backoff backoff = Backoff.of(0, FIRST_RETRY_MILLIS, LONGEST_RETRY_MILLIS);
 
@@ -295,6 +296,7 @@
             }
             busy = !closed;
             if (busy) {
+                listedAtMillis = clock.nowMillis();
                 store.list(prefix, after, this::listed);
             }
         }
@@ -305,6 +307,7 @@
                 return;
             }
             answered();
+            listener.storeAnswered(clock.nowMillis() - listedAtMillis);
             StorePage page = reply.get();
             // Pages are no snapshot: only the first page's revision is surely covered by all of them.
             listRevision = Math.min(listRevision, page.revision());
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
@@ -180,6 +180,11 @@
             learnt.add(fact);
         }
 
+        @Override
+        public void storeAnswered(long tookMillis) {
+            // How long it takes says nothing of what is learnt.
+        }
+
         @Override
         public void storeReturned() {
             store.add("returned");
