Send long streams to engines that end them in time; say states rarer over many links

Change: the pace of each engine's events is learnt; an engine that would overrun 0.6 of the time left is that much less attractive. Cause 2: states between regions would cost 65 KB/s a host at 30 regions (computed). Change: the time between two states grows with the links, and each says its own.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -26,6 +26,12 @@
 
     private static final long SECOND_MILLIS = 1_000;
 
+    /** A pace is believed so long; an engine's load changes within seconds. */
+    private static final long PACE_MILLIS = 3_000;
+
+    /** Some tens of streams bring that many events in a fraction of a second. */
+    private static final double PACE_SMOOTHING = 0.05;
+
     private final String id;
     private final long idHash;
     private final TargetHealth health = new TargetHealth();
@@ -39,6 +45,8 @@
     private long lastHeardMillis;
     private long busyUntilMillis;
     private int connections;
+    private double paceMillis;
+    private long pacedAtMillis = Long.MIN_VALUE / 2;
     private SentWork own = SentWork.NONE;
     private SentWork others = SentWork.NONE;
 
@@ -273,6 +281,28 @@
         lastHeardMillis = nowMillis;
     }
 
+    /**
+     * Takes note of the time between two events of one of its streams.
+     *
+     * @param millis the time
+     * @param nowMillis the time at which the second came
+     */
+    public void eventAfter(double millis, long nowMillis) {
+        boolean known = nowMillis - pacedAtMillis < PACE_MILLIS;
+        paceMillis = known ? paceMillis + PACE_SMOOTHING * (millis - paceMillis) : millis;
+        pacedAtMillis = nowMillis;
+    }
+
+    /**
+     * Expects the time between two events of a stream there.
+     *
+     * @param nowMillis the time
+     * @return milliseconds, zero if nothing was seen of late
+     */
+    public double paceMillis(long nowMillis) {
+        return nowMillis - pacedAtMillis < PACE_MILLIS ? paceMillis : 0;
+    }
+
     /** Takes note of an answer that was no failure of the target. */
     public void succeeded() {
         health.succeeded();
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
@@ -10,8 +10,8 @@
  * its owner's thread.
  */
 public final class RegionLoads {
-    /** A region not heard of for so long is taken to be out of reach. */
-    static final long REPORT_MILLIS = 3_000;
+    /** A region not heard of for so long, beyond the time between its reports, is taken to be out of reach. */
+    public static final long REPORT_MILLIS = 3_000;
 
     private final Map<String, Map<Kind, Load>> byRegion = new HashMap<>();
 
@@ -23,7 +23,7 @@
      * @param urgency the urgency of the work that it is about
      * @param expectedMillis the time to an answer that its best target is expected to take
      * @param perTokenMillis how much each further token of a prompt adds, spread over its targets
-     * @param nowMillis the time
+     * @param untilMillis until when the report counts
      */
     public void reported(
             String region,
@@ -31,9 +31,9 @@
             Urgency urgency,
             double expectedMillis,
             double perTokenMillis,
-            long nowMillis) {
+            long untilMillis) {
         byRegion.computeIfAbsent(region, name -> new HashMap<>())
-                .put(new Kind(service, urgency), new Load(expectedMillis, perTokenMillis, nowMillis));
+                .put(new Kind(service, urgency), new Load(expectedMillis, perTokenMillis, untilMillis));
     }
 
     /**
@@ -48,7 +48,7 @@
      */
     public double expectedMillis(String region, String service, Urgency urgency, int tokens, long nowMillis) {
         Load load = byRegion.getOrDefault(region, Map.of()).get(new Kind(service, urgency));
-        if (load == null || nowMillis - load.atMillis > REPORT_MILLIS) {
+        if (load == null || nowMillis > load.untilMillis) {
             return Double.POSITIVE_INFINITY;
         }
         return load.expectedMillis + load.addedMillis + tokens * load.perTokenMillis;
@@ -74,13 +74,13 @@
     private static final class Load {
         private final double expectedMillis;
         private final double perTokenMillis;
-        private final long atMillis;
+        private final long untilMillis;
         private double addedMillis;
 
-        private Load(double expectedMillis, double perTokenMillis, long atMillis) {
+        private Load(double expectedMillis, double perTokenMillis, long untilMillis) {
             this.expectedMillis = expectedMillis;
             this.perTokenMillis = perTokenMillis;
-            this.atMillis = atMillis;
+            this.untilMillis = untilMillis;
         }
     }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/ServiceRule.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/ServiceRule.java
@@ -10,10 +10,17 @@
  * @param coldStartMillis how long a target is cold after its start
  * @param coldPerSecond the requests a second that a cold target bears
  * @param slots the requests that one target works on at once; zero if not configured
+ * @param eventTokens the tokens that one event of a stream holds; zero if not configured
  * @param memoryTokens the tokens that one engine's memory holds; zero if it is no model engine
  */
 public record ServiceRule(
-        String name, int maxConnections, long coldStartMillis, double coldPerSecond, int slots, long memoryTokens) {
+        String name,
+        int maxConnections,
+        long coldStartMillis,
+        double coldPerSecond,
+        int slots,
+        int eventTokens,
+        long memoryTokens) {
     public ServiceRule {
         Objects.requireNonNull(name, "name");
     }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -38,6 +38,9 @@
      */
     private static final double READ_AGAIN_MILLIS_PER_TOKEN = 0.05;
 
+    /** The part of a stream's time that is planned for; callers' estimates of its length are often too low. */
+    private static final double OVERRUN_MARGIN = 0.6;
+
     private final String self;
     private final TargetPool pool;
     private final RandomGenerator random;
@@ -91,7 +94,9 @@
         double bestMillis = Double.MAX_VALUE;
         double spreadMillis = SPREAD_PER_HOST_MILLIS * (regionHosts.size() - 1);
         for (GatewayTarget target : eligible) {
-            double millis = expectedMillis(target, service, work) * (1 + TIE * random.nextDouble())
+            double firstMillis = expectedMillis(target, service, work);
+            double millis = firstMillis * (1 + TIE * random.nextDouble())
+                    + overrunMillis(target, service, work, firstMillis, nowMillis)
                     + spreadMillis * random.nextDouble()
                     + (target == keeper ? 0 : READ_AGAIN_MILLIS_PER_TOKEN * target.uncachedSharedTokens(work));
             if (millis < bestMillis) {
@@ -125,6 +130,20 @@
                 + PER_RUNNING_MILLIS * Math.min(requests, target.slots());
     }
 
+    /**
+     * How much longer a stream would take than it may. An engine that reads many prompts makes the streams beside them
+     * slow: long ones end at their time without their last events, while another engine would have ended them.
+     */
+    private static double overrunMillis(
+            GatewayTarget target, ServiceRule service, Work work, double firstMillis, long nowMillis) {
+        if (service.eventTokens() == 0 || work.remainingMillis() == 0) {
+            return 0;
+        }
+        double events = work.outputTokens() / (double) service.eventTokens();
+        double takes = firstMillis + events * target.paceMillis(nowMillis);
+        return Math.max(0, takes - OVERRUN_MARGIN * work.remainingMillis());
+    }
+
     /**
      * The target that keeps a prompt's shared parts for all hosts of the region, by their hash. Without it, each host
      * would have its own target read them, and prompts would be read again that another target holds.
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Work.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Work.java
@@ -10,10 +10,11 @@
  * @param outputTokens the tokens that it is expected to generate
  * @param parts the parts of its prompt, in order; the last is the request's own
  * @param urgency how urgent it is
+ * @param remainingMillis how long its whole answer may take; zero if not known
  */
-public record Work(int promptTokens, int outputTokens, List<PromptPart> parts, Urgency urgency) {
+public record Work(int promptTokens, int outputTokens, List<PromptPart> parts, Urgency urgency, long remainingMillis) {
     /** A request that is no generation. */
-    public static final Work PLAIN = new Work(0, 0, List.of(), Urgency.FIRST);
+    public static final Work PLAIN = new Work(0, 0, List.of(), Urgency.FIRST, 0);
 
     public Work {
         parts = List.copyOf(parts);
@@ -30,7 +31,17 @@
      * @return the same work with it
      */
     public Work with(Urgency newUrgency) {
-        return new Work(promptTokens, outputTokens, parts, newUrgency);
+        return new Work(promptTokens, outputTokens, parts, newUrgency, remainingMillis);
+    }
+
+    /**
+     * Says how long the answer may take.
+     *
+     * @param millis the time
+     * @return the same work with it
+     */
+    public Work within(long millis) {
+        return new Work(promptTokens, outputTokens, parts, urgency, millis);
     }
 
     /**
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetChooserTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetChooserTest.java
@@ -16,10 +16,10 @@
 
 class TargetChooserTest {
     private static final String HALL = "suva-hall";
-    private static final Work DRAFT =
-            new Work(12_000, 300, List.of(new PromptPart("manual", 5_000), new PromptPart("own", 7_000)), Urgency.LAST);
+    private static final Work DRAFT = new Work(
+            12_000, 300, List.of(new PromptPart("manual", 5_000), new PromptPart("own", 7_000)), Urgency.LAST, 0);
 
-    private static final Work OWN = new Work(7_000, 300, List.of(new PromptPart("own", 7_000)), Urgency.LAST);
+    private static final Work OWN = new Work(7_000, 300, List.of(new PromptPart("own", 7_000)), Urgency.LAST, 0);
 
     private final TargetPool pool = TargetPool.of(Set.of(HALL));
     private final TargetChooser chooser = TargetChooser.of("h1", pool, new Random(1));
@@ -83,12 +83,32 @@
         GatewayTarget keeper = choose(0).target();
         for (int i = 0; i < 6; i++) {
             List<PromptPart> parts = List.of(new PromptPart("manual", 5_000), new PromptPart("own" + i, 7_000));
-            keeper.reserve(new Work(12_000, 300, parts, Urgency.LAST), 400_000, 0);
+            keeper.reserve(new Work(12_000, 300, parts, Urgency.LAST, 0), 400_000, 0);
         }
 
         assertTrue(!choose(1).target().id().equals(keeper.id()));
     }
 
+    /**
+     * Symptom: long streams end at their time without their last events while other engines are idle. Sequence: one
+     * engine reads many prompts, so that its streams are slow; a long stream is sent there. Cause: only the time to the
+     * first event was looked at.
+     */
+    @Test
+    void shouldSendALongStreamToAnEngineThatEndsItInTimeWhenAnotherBeginsItSooner() {
+        pool.entered(Samples.target("slow", HALL, false, 0), 0);
+        pool.entered(Samples.target("quick", HALL, false, 0), 0);
+        pool.find("slow").get().eventAfter(250, 0);
+        pool.find("quick").get().eventAfter(60, 0);
+        pool.find("quick").get().reserve(OWN, 400_000, 0);
+        Work longStream = new Work(500, 800, List.of(), Urgency.MIDDLE, 10_000);
+
+        Choice choice = chooser.choose(Samples.MODEL_SERVICE, longStream, Set.of(), List.of("h1"), 1)
+                .get();
+
+        assertEquals("quick", choice.target().id());
+    }
+
     @Test
     void shouldChooseNothingWhenAllTargetsAreExcluded() {
         pool.entered(Samples.target("a", HALL, false, 0), 0);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -13,6 +13,7 @@
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.LatencyModel;
+import org.rattanplank.core.gateway.RegionLoads;
 import org.rattanplank.core.gateway.SentWork;
 import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.Urgency;
@@ -46,6 +47,9 @@
     /** How much further apart the states of hosts of one region are for each of them: twenty cost 0.1 s of a second. */
     private static final long PER_LINK_MILLIS = 12;
 
+    /** The same for links to other regions, whose bytes are dear: at sixty links each state is a second apart. */
+    private static final long PER_OTHER_LINK_MILLIS = 16;
+
     /** Changes are on their way for a moment before both hosts know the same. */
     private static final long LACKS_MILLIS = 700;
 
@@ -63,6 +67,8 @@
     private final BooleanSupplier takesCallers;
     private final List<StoreItem> changes = new ArrayList<>();
     private long followChosenAtMillis;
+    private long ownRegionMillis = OWN_REGION_MILLIS;
+    private long otherRegionMillis = OTHER_REGION_MILLIS;
     private final Map<PeerLink, Told> told = new HashMap<>();
     private final Map<String, Set<String>> targetsByHost = new HashMap<>();
 
@@ -76,14 +82,15 @@
     void tick(long nowMillis) {
         List<PeerLink> alive = List.copyOf(links.alive());
         long ownRegionLinks = alive.stream().filter(this::isOwnRegion).count();
-        long ownRegionMillis = Math.max(OWN_REGION_MILLIS, PER_LINK_MILLIS * ownRegionLinks);
+        ownRegionMillis = Math.max(OWN_REGION_MILLIS, PER_LINK_MILLIS * ownRegionLinks);
+        otherRegionMillis = Math.max(OTHER_REGION_MILLIS, PER_OTHER_LINK_MILLIS * (alive.size() - ownRegionLinks));
         List<PeerFrame.TargetWork> sent = sent();
         for (PeerLink link : alive) {
             Told last = told.computeIfAbsent(link, each -> new Told());
             long age = nowMillis - last.atMillis;
             boolean ownRegion = isOwnRegion(link);
             boolean changed = ownRegion && age >= ownRegionMillis && !sent.equals(last.sent);
-            if (age >= SIGN_OF_LIFE_MILLIS || changed || !ownRegion && age >= OTHER_REGION_MILLIS) {
+            if (changed || age >= periodMillis(ownRegion)) {
                 tell(link, ownRegion ? sent : List.of());
             }
             helpWithStore(link, nowMillis);
@@ -95,6 +102,10 @@
         }
     }
 
+    private long periodMillis(boolean ownRegion) {
+        return ownRegion ? Math.max(SIGN_OF_LIFE_MILLIS, ownRegionMillis) : otherRegionMillis;
+    }
+
     void tellAll() {
         links.alive().forEach(this::tell);
     }
@@ -118,6 +129,7 @@
                 last.atMillis,
                 link.state().sentAtMillis(),
                 link.stateAgeMillis(),
+                periodMillis(isOwnRegion(link)),
                 takesCallers.getAsBoolean(),
                 state.configurationVersion(),
                 feed.digest(),
@@ -180,7 +192,7 @@
                             load.urgency(),
                             load.expectedMillis(),
                             load.perTokenMillis(),
-                            state.nowMillis());
+                            state.nowMillis() + RegionLoads.REPORT_MILLIS + said.periodMillis());
         }
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RequestReader.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RequestReader.java
@@ -131,7 +131,7 @@
         int most = counts.length > 1 ? count(counts[1]) : DEFAULT_OUTPUT_TOKENS;
         int hinted = number(headers.get(names.outputHint())).map(Long::intValue).getOrElse(most);
         return new Work(
-                prompt, Math.max(0, Math.min(most, hinted)), parts(headers.get(names.promptParts())), Urgency.FIRST);
+                prompt, Math.max(0, Math.min(most, hinted)), parts(headers.get(names.promptParts())), Urgency.FIRST, 0);
     }
 
     private static List<PromptPart> parts(String text) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -62,7 +62,7 @@
         this.ask = ask;
         this.request = request;
         this.onOver = onOver;
-        work = request.work().with(ask.urgency());
+        work = request.work().with(ask.urgency()).within(ask.remainingMillis());
         tried = new HashSet<>(ask.excluded());
         lines = new RequestLog(state.log(), ask.requestId());
         takenAtMillis = state.nowMillis();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalSend.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalSend.java
@@ -32,6 +32,7 @@
     private SentWork reserved;
     private boolean started;
     private long startedAtMillis;
+    private long lastPartAtMillis;
     private boolean success;
     private boolean over;
     private Attempt attempt;
@@ -81,6 +82,7 @@
 
     @Override
     public void content(ByteBuf bytes) {
+        notePace();
         if (!started && !over) {
             started = true;
             reserved = target.started(reserved);
@@ -110,6 +112,14 @@
         listener.failed(failure, reason);
     }
 
+    private void notePace() {
+        long now = state.nowMillis();
+        if (started && service.isModel()) {
+            target.eventAfter(now - (double) lastPartAtMillis, now);
+        }
+        lastPartAtMillis = now;
+    }
+
     private LatencyModel model() {
         return state.chooser().model(service.name());
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -129,6 +129,7 @@
         service = configured.get();
         endsAtMillis = arrivedAtMillis
                 + Math.min(route.timeoutMillis(), request.timeoutMillis().getOrElse(Long.MAX_VALUE));
+        work = work.within(endsAtMillis - arrivedAtMillis);
         reply.expect(route.kind() == RouteKind.STREAM, request.lastEventId().getOrElse(""));
         send();
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -27,6 +27,7 @@
      * @param sentAtMillis the speaker's clock
      * @param echoedMillis the other host's clock as it said last, zero if it hasn't
      * @param echoAgeMillis how long ago that was said
+     * @param periodMillis the longest time until it says its state again
      * @param takesCallers whether callers should be sent to it
      * @param configurationVersion the version in force there
      * @param storeDigest a sum over all that it knows of the store
@@ -39,6 +40,7 @@
             long sentAtMillis,
             long echoedMillis,
             long echoAgeMillis,
+            long periodMillis,
             boolean takesCallers,
             long configurationVersion,
             long storeDigest,
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -81,7 +81,7 @@
 
     private static void write(PeerFrame.State state, MessageBufferPacker out) throws IOException {
         out.packInt(STATE).packLong(state.sentAtMillis());
-        out.packLong(state.echoedMillis()).packLong(state.echoAgeMillis());
+        out.packLong(state.echoedMillis()).packLong(state.echoAgeMillis()).packLong(state.periodMillis());
         out.packBoolean(state.takesCallers());
         out.packLong(state.configurationVersion()).packLong(state.storeDigest());
         out.packBoolean(state.followsStore());
@@ -150,6 +150,7 @@
         long sentAt = in.unpackLong();
         long echoed = in.unpackLong();
         long echoAge = in.unpackLong();
+        long period = in.unpackLong();
         boolean takesCallers = in.unpackBoolean();
         long version = in.unpackLong();
         long digest = in.unpackLong();
@@ -170,7 +171,7 @@
                     in.unpackString(), Urgency.of(in.unpackInt()), in.unpackFloat(), in.unpackFloat()));
         }
         return new PeerFrame.State(
-                sentAt, echoed, echoAge, takesCallers, version, digest, follows, healthy, sent, loads);
+                sentAt, echoed, echoAge, period, takesCallers, version, digest, follows, healthy, sent, loads);
     }
 
     private static PeerFrame readItems(MessageUnpacker in) throws IOException {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -28,8 +28,10 @@
  * or still run. Confined to the event loop.
  */
 public final class PeerLink extends SimpleChannelInboundHandler<ByteBuf> {
-    /** A link that brought nothing for so long is taken to be dead: three times the longest time between two states. */
-    static final long SILENT_MILLIS = 1_600;
+    /** A link that brought nothing for so long is taken to be dead: three times the usual time between two states. */
+    private static final long SILENT_MILLIS = 1_600;
+
+    private static final int SILENT_PERIODS = 3;
 
     private static final double SMOOTHING = 0.2;
 
@@ -40,7 +42,7 @@
     private GatewayHost host;
     private long lastHeardMillis;
     private long nextCall = 1;
-    private PeerFrame.State state = new PeerFrame.State(0, 0, 0, false, 0, 0, false, true, List.of(), List.of());
+    private PeerFrame.State state = new PeerFrame.State(0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of());
     private long itemsSentAtMillis;
     private long stateAtMillis;
     private double roundTripMillis;
@@ -93,7 +95,12 @@
      * @return whether something came from it a short while ago
      */
     public boolean isAlive() {
-        return channel != null && channel.isActive() && clock.nowMillis() - lastHeardMillis < SILENT_MILLIS;
+        return channel != null && channel.isActive() && clock.nowMillis() - lastHeardMillis < silentMillis();
+    }
+
+    /** How long the other host may say nothing: it says its state rarely if it has many links. */
+    long silentMillis() {
+        return Math.max(SILENT_MILLIS, SILENT_PERIODS * state.periodMillis());
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -138,7 +138,7 @@
         long now = clock.nowMillis();
         for (PeerLink link : List.copyOf(links.values())) {
             if (!link.isAlive()) {
-                drop(link, "nothing came from it for " + PeerLink.SILENT_MILLIS + " ms");
+                drop(link, "nothing came from it for " + link.silentMillis() + " ms");
                 link.close();
             }
         }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -95,7 +95,7 @@
                 new ClusterFact.Configured(GatewayConfiguration.of(
                         version,
                         List.of(route),
-                        List.of(new ServiceRule("desk", 50, 0, 0, 0, 0)),
+                        List.of(new ServiceRule("desk", 50, 0, 0, 0, 0, 0)),
                         new CallerBounds(4_096, 10_000, 3_000, 15_000))),
                 false);
         awaitMetric("configuration_version " + version);
