Go on asking targets that all fail alike; pass a failure on when nobody else could answer

Change: failing targets are left out only while at least half of the eligible stay; a safe request's failure is passed on if no other target may take it. Tests: TargetChooserTest (3), GatewayFlowTest (1).

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -156,7 +156,11 @@
     }
 
     boolean mayTakeMore(long nowMillis) {
-        return !leaving && nowMillis >= busyUntilMillis && health.allows(own.requests(), nowMillis);
+        return !leaving && nowMillis >= busyUntilMillis && health.answers(nowMillis);
+    }
+
+    boolean isHealthy(long nowMillis) {
+        return health.allows(own.requests(), nowMillis);
     }
 
     /**
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -86,9 +86,11 @@
      */
     public Option<Choice> choose(
             ServiceRule service, Work work, Set<String> excluded, Collection<String> regionHosts, long nowMillis) {
-        List<GatewayTarget> eligible = pool.all().stream()
-                .filter(target -> isEligible(target, service, excluded, regionHosts, nowMillis))
-                .toList();
+        List<GatewayTarget> eligible = healthyOrAll(
+                pool.all().stream()
+                        .filter(target -> isEligible(target, service, excluded, regionHosts, nowMillis))
+                        .toList(),
+                nowMillis);
         GatewayTarget keeper = keeper(eligible, work);
         GatewayTarget best = null;
         double bestMillis = Double.MAX_VALUE;
@@ -144,6 +146,16 @@
         return Math.max(0, takes - OVERRUN_MARGIN * work.remainingMillis());
     }
 
+    /**
+     * Leaves out targets that fail, unless that would leave fewer than half: when all fail alike, leaving some out helps
+     * none and takes the room of those that would have been answered. One would see refusals while targets are idle.
+     */
+    private static List<GatewayTarget> healthyOrAll(List<GatewayTarget> eligible, long nowMillis) {
+        List<GatewayTarget> healthy =
+                eligible.stream().filter(target -> target.isHealthy(nowMillis)).toList();
+        return healthy.size() * 2 < eligible.size() ? eligible : healthy;
+    }
+
     /**
      * The target that keeps a prompt's shared parts for all hosts of the region, by their hash. Without it, each host
      * would have its own target read them, and prompts would be read again that another target holds.
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetHealth.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetHealth.java
@@ -26,11 +26,17 @@
     private int timesOut;
     private int successes;
     private long outUntilMillis;
+    private boolean outAsUnreachable;
 
     boolean allows(int own, long nowMillis) {
         return nowMillis >= outUntilMillis && (timesOut == 0 || own == 0);
     }
 
+    /** Whether it may be asked when too few others are left: it answers, though with failures. */
+    boolean answers(long nowMillis) {
+        return nowMillis >= outUntilMillis || !outAsUnreachable;
+    }
+
     boolean isOut(long nowMillis) {
         return nowMillis < outUntilMillis;
     }
@@ -46,22 +52,23 @@
     void unreachable(long nowMillis) {
         unreachable++;
         if (unreachable >= UNREACHABLE_IN_A_ROW || timesOut > 0) {
-            leaveOut(nowMillis);
+            leaveOut(true, nowMillis);
         }
     }
 
     void failed(long nowMillis) {
         failures++;
         if (failures >= FAILURES_IN_A_ROW || timesOut > 0) {
-            leaveOut(nowMillis);
+            leaveOut(false, nowMillis);
         }
     }
 
-    private void leaveOut(long nowMillis) {
+    private void leaveOut(boolean asUnreachable, long nowMillis) {
         if (isOut(nowMillis)) {
             return;
         }
         outUntilMillis = nowMillis + Math.min(LONGEST_OUT_MILLIS, FIRST_OUT_MILLIS << Math.min(timesOut, 10));
+        outAsUnreachable = asUnreachable;
         timesOut++;
         successes = 0;
         failures = 0;
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetChooserTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetChooserTest.java
@@ -109,6 +109,43 @@
         assertEquals("quick", choice.target().id());
     }
 
+    /**
+     * Symptom: requests are refused while targets are idle. Sequence: all targets of a service fail half of what they
+     * run; each is left out after four failures in a row. Cause: leaving out went on until nobody was left.
+     */
+    @Test
+    void shouldGoOnAskingWhenAllTargetsFailAlike() {
+        for (String id : List.of("a", "b", "c")) {
+            pool.entered(Samples.target(id, HALL, false, 0), 0);
+            for (int i = 0; i < TargetHealth.FAILURES_IN_A_ROW; i++) {
+                pool.find(id).get().failed(0);
+            }
+        }
+
+        assertEquals(3, choose(1).candidates());
+    }
+
+    @Test
+    void shouldLeaveOutAFailingTargetWhenMostOthersAreWell() {
+        for (String id : List.of("a", "b", "c")) {
+            pool.entered(Samples.target(id, HALL, false, 0), 0);
+        }
+        for (int i = 0; i < TargetHealth.FAILURES_IN_A_ROW; i++) {
+            pool.find("a").get().failed(0);
+        }
+
+        assertEquals(2, choose(1).candidates());
+    }
+
+    @Test
+    void shouldNotAskATargetThatCannotBeReachedWhenItIsTheOnlyOne() {
+        pool.entered(Samples.target("a", HALL, false, 0), 0);
+        pool.find("a").get().unreachable(0);
+
+        assertTrue(chooser.choose(Samples.MODEL_SERVICE, DRAFT, Set.of(), List.of("h1"), 1)
+                .isEmpty());
+    }
+
     @Test
     void shouldChooseNothingWhenAllTargetsAreExcluded() {
         pool.entered(Samples.target("a", HALL, false, 0), 0);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -207,12 +207,7 @@
                 ? local.map(Choice::expectedMillis).getOrElse(Double.POSITIVE_INFINITY)
                 : Double.POSITIVE_INFINITY;
         Map<String, PeerLink> hosts = state.remoteHosts(route);
-        Map<String, Double> remoteMillis = new HashMap<>();
-        hosts.forEach((region, link) -> {
-            if (!tried.contains(region) && state.isWithinShare(region)) {
-                remoteMillis.put(region, remoteMillis(region, link, now));
-            }
-        });
+        Map<String, Double> remoteMillis = remoteMillis(hosts, now);
         if (sent == 0 && isHopeless(local, hosts, now)) {
             refuse("it would wait too long");
             return;
@@ -247,6 +242,16 @@
                 && bestMillis < Double.POSITIVE_INFINITY;
     }
 
+    private Map<String, Double> remoteMillis(Map<String, PeerLink> hosts, long nowMillis) {
+        Map<String, Double> millis = new HashMap<>();
+        hosts.forEach((region, link) -> {
+            if (!tried.contains(region) && state.isWithinShare(region)) {
+                millis.put(region, remoteMillis(region, link, nowMillis));
+            }
+        });
+        return millis;
+    }
+
     private double remoteMillis(String region, PeerLink link, long nowMillis) {
         return link.roundTripMillis()
                 + state.regionLoads().expectedMillis(region, service.name(), work.urgency(), units(), nowMillis);
@@ -494,8 +499,15 @@
             attemptFailed(failure, reason);
         }
 
+        /** Whether another target could answer; if none can, this answer is better than none. */
         private boolean mayRepeatFailure() {
-            return sent < route.maxAttempts() && state.repeats().left(service.name(), state.nowMillis()) > 0;
+            if (sent >= route.maxAttempts() || state.repeats().left(service.name(), state.nowMillis()) < 1) {
+                return false;
+            }
+            tried.add(where);
+            return choose().isDefined()
+                    || remoteMillis(state.remoteHosts(route), state.nowMillis()).values().stream()
+                            .anyMatch(Double::isFinite);
         }
 
         private void lost(String reason) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
@@ -130,6 +130,22 @@
         }
     }
 
+    /**
+     * Symptom: callers get this system's own failure though a target answered. Sequence: a safe request's target answers
+     * with a failure; there is no other target. Cause: the answer was thrown away for another attempt that could not be.
+     */
+    @Test
+    void shouldPassAFailureOnWhenNoOtherTargetCouldAnswer() throws Exception {
+        try (TestTarget target = new TestTarget((request, out) -> write(out, TestTarget.answer(request, 500, "no")))) {
+            gateway.configure(RouteKind.SAFE, false, 2).target("t1", target.port());
+
+            String answer = gateway.caller().send(request("q1", "")).readUntil("no");
+
+            assertTrue(answer.startsWith("HTTP/1.1 500"), answer);
+            assertTrue(answer.contains("Stamp: s"), answer);
+        }
+    }
+
     /**
      * Symptom: a draft lacks a line, or has one twice. Sequence: its target breaks off in the middle of the third event;
      * another target goes on. Cause: half an event was passed on, or the second run began at another place.
@@ -292,7 +308,7 @@
 
             assertTrue(waiting.readAll().contains("whole"));
             assertTrue(late.send(request("q2", "b")).readAll().contains("whole"));
-            assertFalse(gateway.directory().contains("127.0.0.1"));
+            assertFalse(gateway.directory().contains("127."));
             gateway.awaitEnded();
         }
     }
@@ -333,11 +349,11 @@
     @Test
     void shouldLeaveTheListWhenAnIntentRetiresThisHost() throws Exception {
         gateway.configure(RouteKind.SAFE, false, 1);
-        assertTrue(gateway.directory().contains("127.0.0.1"));
+        assertTrue(gateway.directory().contains("127."));
 
         gateway.retire("h1");
 
-        assertFalse(gateway.directory().contains("127.0.0.1"));
+        assertFalse(gateway.directory().contains("127."));
     }
 
     private static String readOrReset(TestCaller caller) throws IOException {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -2,15 +2,14 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -47,13 +46,20 @@
     private static final int TRIES = 1_000;
     private static final long PAUSE_NANOS = 10_000_000;
 
+    private static final AtomicInteger COUNT = new AtomicInteger();
+    private static final int FIRST_PORT = 18_000;
+    private static final int BYTE_VALUES = 250;
+
+    private final String ip = "127." + (1 + ProcessHandle.current().pid() / BYTE_VALUES % BYTE_VALUES) + "."
+            + (1 + ProcessHandle.current().pid() % BYTE_VALUES) + "." + COUNT.incrementAndGet();
+    private int nextPort = FIRST_PORT;
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final TestStore store = new TestStore(group.next());
     private final CountDownLatch ended = new CountDownLatch(1);
-    private final InetSocketAddress callers = freeAddress();
-    private final InetSocketAddress directory = freeAddress();
+    private final InetSocketAddress callers = ownAddress();
+    private final InetSocketAddress directory = ownAddress();
     private final Gateway gateway;
-    private final InetSocketAddress metrics = freeAddress();
+    private final InetSocketAddress metrics = ownAddress();
     private long version;
     private int targets;
 
@@ -63,11 +69,11 @@
                 Place.of("suva", HALL),
                 Map.of(HALL, "suva"),
                 callers,
-                freeAddress(),
+                ownAddress(),
                 directory,
-                freeAddress(),
+                ownAddress(),
                 metrics,
-                freeAddress(),
+                ownAddress(),
                 new SharedLimits(GRACE_MILLIS, 0.2, 160, 10_000, 1, 1_000));
         EventLog log = EventLog.start("h1", OutputStream.nullOutputStream(), System::nanoTime);
         gateway = Gateway.of(settings, new AdapterNames(NAMES, store, new Directory()), group, store, log, 1);
@@ -152,7 +158,7 @@
     /** Asks the gateway to stop and waits until it has heard it. */
     void stop() throws IOException {
         gateway.stop(ended::countDown);
-        while (directory().contains("127.0.0.1")) {
+        while (directory().contains("127.")) {
             java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_NANOS);
         }
     }
@@ -187,10 +193,13 @@
         throw new AssertionError("never shown: " + line + " in " + shown);
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
+    /**
+     * An address of this gateway alone. Ports that the system hands out may be taken again, by an outgoing connection,
+     * between the moment at which they are found free and the one at which they are bound; so each gateway has a loopback
+     * address of its own, by process and count, and ports below those that the system hands out.
+     */
+    private InetSocketAddress ownAddress() {
+        return new InetSocketAddress(ip, nextPort++);
     }
 
     private static final class Directory implements AdapterNames.DirectoryFormat {
