Decide where a request goes in a class of its own; count each first send once

Cause: a request whose first tries never reached a target counted as several first sends, which would let this host repeat more than its part (read in the diff, not seen). Change: counted once; Placement holds where a request could go; code that nothing called is gone; the store's shortest lease is kept.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -44,7 +44,7 @@
     private long missingSinceMillis = -1;
     private long lastHeardMillis;
     private long busyUntilMillis;
-    private int connections;
+
     private double paceMillis;
     private long pacedAtMillis = Long.MIN_VALUE / 2;
     private SentWork own = SentWork.NONE;
@@ -173,16 +173,6 @@
         return nowMillis - lastHeardMillis > HEARD_MILLIS;
     }
 
-    /**
-     * Whether it is left out because of failures.
-     *
-     * @param nowMillis the time
-     * @return whether it is left out
-     */
-    public boolean isOut(long nowMillis) {
-        return health.isOut(nowMillis);
-    }
-
     /**
      * The tokens that it would read before a request's first event.
      *
@@ -339,18 +329,4 @@
     public void full(long pauseMillis, long nowMillis) {
         busyUntilMillis = nowMillis + pauseMillis;
     }
-
-    /** Takes note of a connection that was opened. */
-    public void connected() {
-        connections++;
-    }
-
-    /** Takes note of a connection that was closed. */
-    public void disconnected() {
-        connections--;
-    }
-
-    int connections() {
-        return connections;
-    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/AdapterNames.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/AdapterNames.java
@@ -1,5 +1,6 @@
 package org.rattanplank.gateway;
 
+import java.util.List;
 import java.util.Objects;
 
 import io.vavr.control.Option;
@@ -37,7 +38,7 @@
          * @param seconds how long they may be used
          * @return the answer
          */
-        AdminAnswer write(java.util.List<String> addresses, int seconds);
+        AdminAnswer write(List<String> addresses, int seconds);
 
         /**
          * Tells whether a path asks for readiness.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -115,7 +115,8 @@
         beliefs = new Beliefs(state, links, this::keyLost, this::relay);
         feed = StoreFeed.of(store, names.storeFormat(), beliefs, loop, clock, random);
         state.join(links, feed::isComplete);
-        lease = HostLease.of(store, names.storeFormat(), self, loop, this::leaseTold);
+        lease = HostLease.of(
+                store, names.storeFormat(), self, loop, settings.limits().leaseMillis(), this::leaseTold);
         reports = new PeerReports(state, links, feed, this::takesCallers);
         gauges();
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
@@ -1,6 +1,7 @@
 package org.rattanplank.gateway;
 
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.LongSupplier;
 
@@ -55,7 +56,7 @@
      * @param failure what may have run
      */
     public void attemptFailed(AttemptFailure failure) {
-        count("attempts_failed_total", "failure=\"" + failure.name().toLowerCase(java.util.Locale.ROOT) + "\"");
+        count("attempts_failed_total", "failure=\"" + failure.name().toLowerCase(Locale.ROOT) + "\"");
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -119,10 +118,6 @@
         channel.close();
     }
 
-    boolean isBusy() {
-        return call != null;
-    }
-
     void closeIfIdle() {
         if (call == null && head == null && !receiving) {
             channel.close();
@@ -299,7 +294,4 @@
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
     }
-
-    /** Takes the call that was made of a request; a call that ended at once takes nothing. */
-    interface CallTaker extends Consumer<CallerCall> {}
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
 
@@ -109,15 +110,6 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
-    /**
-     * Tells whether callers wait for answers.
-     *
-     * @return whether any does
-     */
-    public boolean isBusy() {
-        return connections.stream().anyMatch(CallerConnection::isBusy);
-    }
-
     /** Closes connections that were idle, or slow to send a head, for too long. */
     public void tick() {
         long now = clock.nowMillis();
@@ -144,7 +136,7 @@
         refused.accept(status);
     }
 
-    void received(CallerConnection connection, HttpRequest head, byte[] body, CallerConnection.CallTaker taker) {
+    void received(CallerConnection connection, HttpRequest head, byte[] body, Consumer<CallerCall> taker) {
         handler.received(connection, head, body, taker);
     }
 
@@ -158,11 +150,7 @@
          * @param body its whole body
          * @param taker takes the call before it can end
          */
-        void received(
-                CallerConnection connection,
-                HttpRequest head,
-                byte[] body,
-                java.util.function.Consumer<CallerCall> taker);
+        void received(CallerConnection connection, HttpRequest head, byte[] body, Consumer<CallerCall> taker);
     }
 
     /** Tells a connection of raw bytes. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/EventSplitter.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/EventSplitter.java
@@ -16,7 +16,6 @@
 
     private final ByteBuf pending = Unpooled.buffer(256);
     private String lastEventId;
-    private int events;
 
     /**
      * Makes a splitter.
@@ -36,15 +35,6 @@
         return lastEventId;
     }
 
-    /**
-     * How many events with identifiers came out.
-     *
-     * @return the events
-     */
-    public int events() {
-        return events;
-    }
-
     /**
      * Takes bytes.
      *
@@ -99,7 +89,6 @@
         for (String line : text.split("\n")) {
             if (line.startsWith(ID_FIELD)) {
                 lastEventId = line.substring(ID_FIELD.length()).trim();
-                events++;
             }
         }
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -1,8 +1,7 @@
 package org.rattanplank.gateway.pass;
 
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
+import java.util.List;
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
@@ -14,7 +13,6 @@
 import org.rattanplank.core.gateway.Choice;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayTarget;
-import org.rattanplank.core.gateway.RegionChooser;
 import org.rattanplank.core.gateway.RouteKind;
 import org.rattanplank.core.gateway.RouteRule;
 import org.rattanplank.core.gateway.ServiceRule;
@@ -77,6 +75,7 @@
     private String lastTarget = "";
     private int sent;
     private int unsent;
+    private boolean counted;
     private boolean mayHaveRun;
     private boolean waiting;
     private boolean over;
@@ -189,78 +188,29 @@
                 && nowMillis - attemptAtMillis > STALLED_MILLIS
                 && localTarget.isSilent(nowMillis)
                 && state.repeats().left(service.name(), nowMillis) > 0
-                && choose().isDefined();
+                && placement().local().isDefined();
     }
 
-    private Option<Choice> choose() {
-        if (!route.allows(state.self().place().region())) {
-            return Option.none();
-        }
-        return state.chooser().choose(service, work, tried, state.regionHosts(), state.nowMillis());
+    private Placement placement() {
+        return Placement.of(state, route, service, work, tried);
     }
 
     private void send() {
-        long now = state.nowMillis();
-        Option<Choice> local = choose();
-        boolean ownShare = state.isWithinShare(state.self().place().region());
-        double localMillis = ownShare
-                ? local.map(Choice::expectedMillis).getOrElse(Double.POSITIVE_INFINITY)
-                : Double.POSITIVE_INFINITY;
-        Map<String, PeerLink> hosts = state.remoteHosts(route);
-        Map<String, Double> remoteMillis = remoteMillis(hosts, now);
-        if (sent == 0 && isHopeless(local, hosts, now)) {
+        Placement placement = placement();
+        if (sent == 0 && placement.isHopeless()) {
             refuse("it would wait too long");
             return;
         }
-        Option<String> region = RegionChooser.choose(localMillis, remoteMillis, route.objectiveMillis());
+        Option<String> region = placement.region();
         if (region.isDefined()) {
-            forward(hosts.get(region.get()), region.get(), remoteMillis.get(region.get()), localMillis);
-        } else if (local.isDefined()) {
-            sendLocally(local.get());
+            forward(placement, region.get());
+        } else if (placement.local().isDefined()) {
+            sendLocally(placement.local().get());
         } else {
             giveUp("no target may take it");
         }
     }
 
-    /**
-     * Whether the wait alone would take the time that callers hope for. Taken all the same, such a request would make
-     * those that come after it late as well, until all of them are.
-     */
-    private boolean isHopeless(Option<Choice> local, Map<String, PeerLink> hosts, long nowMillis) {
-        if (!service.isModel()) {
-            return false;
-        }
-        double bestMillis = local.map(Choice::waitMillis).getOrElse(Double.POSITIVE_INFINITY);
-        for (Map.Entry<String, PeerLink> host : hosts.entrySet()) {
-            bestMillis = Math.min(
-                    bestMillis,
-                    host.getValue().roundTripMillis()
-                            + state.regionLoads()
-                                    .expectedMillis(host.getKey(), service.name(), work.urgency(), 0, nowMillis));
-        }
-        return bestMillis > work.urgency().patience() * route.objectiveMillis()
-                && bestMillis < Double.POSITIVE_INFINITY;
-    }
-
-    private Map<String, Double> remoteMillis(Map<String, PeerLink> hosts, long nowMillis) {
-        Map<String, Double> millis = new HashMap<>();
-        hosts.forEach((region, link) -> {
-            if (!tried.contains(region) && state.isWithinShare(region)) {
-                millis.put(region, remoteMillis(region, link, nowMillis));
-            }
-        });
-        return millis;
-    }
-
-    private double remoteMillis(String region, PeerLink link, long nowMillis) {
-        return link.roundTripMillis()
-                + state.regionLoads().expectedMillis(region, service.name(), work.urgency(), units(), nowMillis);
-    }
-
-    private int units() {
-        return Math.max(1, work.promptTokens());
-    }
-
     private void sendLocally(Choice choice) {
         attemptAtMillis = state.nowMillis();
         localTarget = choice.target();
@@ -279,17 +229,18 @@
         keep(events, started);
     }
 
-    private void forward(PeerLink link, String region, double expectedMillis, double localMillis) {
+    private void forward(Placement placement, String region) {
+        PeerLink link = placement.host(region);
         attemptAtMillis = state.nowMillis();
         localTarget = null;
         countSend();
-        state.regionLoads().sent(region, service.name(), units());
+        state.regionLoads().sent(region, service.name(), Placement.units(work));
         lines.add(LogLine.of(LogEvent.FORWARDED)
                 .with("region", region)
                 .with("to", link.host().get().name())
                 .with("service", service.name())
-                .with("expectedMillis", expectedMillis)
-                .with("localMillis", localMillis)
+                .with("expectedMillis", placement.remoteMillis(region))
+                .with("localMillis", placement.localMillis())
                 .with("stateAgeMillis", link.stateAgeMillis())
                 .with("attempt", sent));
         TargetCall call = call();
@@ -309,7 +260,7 @@
                         call.lastEventId(),
                         work.urgency(),
                         !route.isIdempotent(),
-                        java.util.List.copyOf(tried)),
+                        List.copyOf(tried)),
                 events);
         keep(events, started);
     }
@@ -322,7 +273,8 @@
 
     private void countSend() {
         sent++;
-        if (sent == 1) {
+        if (!counted) {
+            counted = true;
             state.metrics().took(Latency.BEFORE_SEND, state.nowMillis() - arrivedAtMillis);
             state.repeats().first(service.name(), state.nowMillis());
         }
@@ -505,9 +457,7 @@
                 return false;
             }
             tried.add(where);
-            return choose().isDefined()
-                    || remoteMillis(state.remoteHosts(route), state.nowMillis()).values().stream()
-                            .anyMatch(Double::isFinite);
+            return placement().isPossible();
         }
 
         private void lost(String reason) {
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/Placement.java
@@ -0,0 +1,106 @@
+package org.rattanplank.gateway.pass;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import io.vavr.control.Option;
+import org.rattanplank.core.gateway.Choice;
+import org.rattanplank.core.gateway.RegionChooser;
+import org.rattanplank.core.gateway.RouteRule;
+import org.rattanplank.core.gateway.ServiceRule;
+import org.rattanplank.core.gateway.Work;
+import org.rattanplank.gateway.peer.PeerLink;
+
+/**
+ * Where a request could go at one moment: a target of the own region, or a host of each other region.
+ *
+ * <p>Invariants: regions that the route does not allow, or that were tried, are not among them; a region beyond its share
+ * only if nothing else is. Confined to the event loop.
+ */
+final class Placement {
+    private final GatewayState state;
+    private final RouteRule route;
+    private final ServiceRule service;
+    private final Work work;
+    private final Option<Choice> local;
+    private final double localMillis;
+    private final Map<String, PeerLink> hosts;
+    private final Map<String, Double> remoteMillis = new HashMap<>();
+
+    private Placement(GatewayState state, RouteRule route, ServiceRule service, Work work, Set<String> tried) {
+        this.state = state;
+        this.route = route;
+        this.service = service;
+        this.work = work;
+        String ownRegion = state.self().place().region();
+        local = route.allows(ownRegion)
+                ? state.chooser().choose(service, work, tried, state.regionHosts(), state.nowMillis())
+                : Option.none();
+        localMillis = state.isWithinShare(ownRegion)
+                ? local.map(Choice::expectedMillis).getOrElse(Double.POSITIVE_INFINITY)
+                : Double.POSITIVE_INFINITY;
+        hosts = state.remoteHosts(route);
+        hosts.forEach((region, link) -> {
+            if (!tried.contains(region) && state.isWithinShare(region)) {
+                remoteMillis.put(region, expectedMillis(region, link, units(work)));
+            }
+        });
+    }
+
+    static Placement of(GatewayState state, RouteRule route, ServiceRule service, Work work, Set<String> tried) {
+        return new Placement(state, route, service, work, tried);
+    }
+
+    /** The units in which regions are told how much a request adds. */
+    static int units(Work work) {
+        return Math.max(1, work.promptTokens());
+    }
+
+    Option<Choice> local() {
+        return local;
+    }
+
+    double localMillis() {
+        return localMillis;
+    }
+
+    /** Whether anything could answer. */
+    boolean isPossible() {
+        return local.isDefined() || remoteMillis.values().stream().anyMatch(Double::isFinite);
+    }
+
+    /** The other region to be asked, or none to stay. */
+    Option<String> region() {
+        return RegionChooser.choose(localMillis, remoteMillis, route.objectiveMillis());
+    }
+
+    PeerLink host(String region) {
+        return hosts.get(region);
+    }
+
+    double remoteMillis(String region) {
+        return remoteMillis.get(region);
+    }
+
+    /**
+     * Whether the wait alone would take the time that callers hope for. Taken all the same, such a request would make
+     * those that come after it late as well, until all of them are.
+     */
+    boolean isHopeless() {
+        if (!service.isModel()) {
+            return false;
+        }
+        double bestMillis = local.map(Choice::waitMillis).getOrElse(Double.POSITIVE_INFINITY);
+        for (Map.Entry<String, PeerLink> host : hosts.entrySet()) {
+            bestMillis = Math.min(bestMillis, expectedMillis(host.getKey(), host.getValue(), 0));
+        }
+        return bestMillis > work.urgency().patience() * route.objectiveMillis()
+                && bestMillis < Double.POSITIVE_INFINITY;
+    }
+
+    private double expectedMillis(String region, PeerLink link, int units) {
+        return link.roundTripMillis()
+                + state.regionLoads().expectedMillis(region, service.name(), work.urgency(), units, state.nowMillis());
+    }
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongFunction;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -133,7 +134,7 @@
      * @param listener hears how it goes
      * @return the attempt
      */
-    public Attempt ask(java.util.function.LongFunction<PeerFrame.Ask> ask, AttemptListener listener) {
+    public Attempt ask(LongFunction<PeerFrame.Ask> ask, AttemptListener listener) {
         long number = nextCall++;
         PeerAttempt attempt = new PeerAttempt(number, listener);
         calls.put(number, attempt);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -20,7 +20,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.host.Rendezvous;
 import org.rattanplank.gateway.SteadyClock;
@@ -123,16 +122,6 @@
         return alive;
     }
 
-    /**
-     * Finds the link to a host in touch.
-     *
-     * @param name the host's name
-     * @return the link, or none
-     */
-    public Option<PeerLink> alive(String name) {
-        return Option.of(links.get(name)).filter(PeerLink::isAlive);
-    }
-
     /** Opens links that are missing and closes those that have gone silent. */
     public void tick() {
         long now = clock.nowMillis();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/HostLease.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/HostLease.java
@@ -28,6 +28,7 @@
     private final StoreFormat format;
     private final GatewayHost self;
     private final EventLoop loop;
+    private final long leaseMillis;
     private final Consumer<Option<StoreFailure>> told;
     private long lease;
     private boolean entered;
@@ -38,7 +39,9 @@
             StoreFormat format,
             GatewayHost self,
             EventLoop loop,
+            long shortestMillis,
             Consumer<Option<StoreFailure>> told) {
+        leaseMillis = Math.max(LEASE_MILLIS, shortestMillis);
         this.store = store;
         this.format = format;
         this.self = self;
@@ -53,6 +56,7 @@
      * @param format how an entry is written
      * @param self this host
      * @param loop the event loop
+     * @param shortestMillis the shortest lease that the store grants
      * @param told told of each call whether it failed
      * @return the lease
      */
@@ -61,8 +65,9 @@
             StoreFormat format,
             GatewayHost self,
             EventLoop loop,
+            long shortestMillis,
             Consumer<Option<StoreFailure>> told) {
-        return new HostLease(store, format, self, loop, told);
+        return new HostLease(store, format, self, loop, shortestMillis, told);
     }
 
     /** Enters this host and keeps it entered. */
@@ -88,7 +93,7 @@
             return;
         }
         if (lease == 0) {
-            store.grantLease(LEASE_MILLIS, this::granted);
+            store.grantLease(leaseMillis, this::granted);
         } else if (!entered) {
             StoreItem item = format.write(self);
             store.put(item.key(), item.value(), lease, Option.none(), this::written);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -53,7 +53,6 @@
     private boolean following = true;
     private long digest;
     private long lastAnswerMillis;
-    private boolean closed;
 
     private StoreFeed(
             ClusterStore store,
@@ -141,11 +140,6 @@
         return digest;
     }
 
-    /** Asks for nothing more. */
-    public void close() {
-        closed = true;
-    }
-
     /**
      * Whether the store answers.
      *
@@ -294,11 +288,9 @@
                 listed.clear();
                 listRevision = Long.MAX_VALUE;
             }
-            busy = !closed;
-            if (busy) {
-                listedAtMillis = clock.nowMillis();
-                store.list(prefix, after, this::listed);
-            }
+            busy = true;
+            listedAtMillis = clock.nowMillis();
+            store.list(prefix, after, this::listed);
         }
 
         private void listed(Either<StoreFailure, StorePage> reply) {
@@ -326,7 +318,7 @@
         }
 
         private void watch() {
-            busy = !closed && following;
+            busy = following;
             if (busy) {
                 store.watch(prefix, revision, WATCH_MILLIS, this::watched);
             }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFormat.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFormat.java
@@ -1,5 +1,7 @@
 package org.rattanplank.gateway.store;
 
+import java.util.List;
+
 import org.rattanplank.core.gateway.GatewayHost;
 
 /** What the items of the store are named and how their values are written. Stateless and thread safe. */
@@ -9,7 +11,7 @@
      *
      * @return prefixes, each to be listed and followed
      */
-    java.util.List<String> prefixes();
+    List<String> prefixes();
 
     /**
      * Reads an item.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -138,7 +138,7 @@
     void closed(TargetConnection connection) {
         GatewayTarget target = targets.remove(connection);
         if (target != null) {
-            target.disconnected();
+
             ArrayDeque<TargetConnection> connections = idle.get(target.id());
             if (connections != null) {
                 connections.remove(connection);
@@ -177,7 +177,7 @@
                 .connect(address)
                 .addListener(done -> {
                     if (done.isSuccess()) {
-                        target.connected();
+
                         targets.put(connection, target);
                         attempt.start(connection);
                     } else {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -1,8 +1,9 @@
 package org.rattanplank.gateway;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -52,6 +53,7 @@
 
     private final String ip = "127." + (1 + ProcessHandle.current().pid() / BYTE_VALUES % BYTE_VALUES) + "."
             + (1 + ProcessHandle.current().pid() % BYTE_VALUES) + "." + COUNT.incrementAndGet();
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
     private int nextPort = FIRST_PORT;
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final TestStore store = new TestStore(group.next());
@@ -75,7 +77,7 @@
                 metrics,
                 ownAddress(),
                 new SharedLimits(GRACE_MILLIS, 0.2, 160, 10_000, 1, 1_000));
-        EventLog log = EventLog.start("h1", OutputStream.nullOutputStream(), System::nanoTime);
+        EventLog log = EventLog.start("h1", logged, System::nanoTime);
         gateway = Gateway.of(settings, new AdapterNames(NAMES, store, new Directory()), group, store, log, 1);
         gateway.start();
     }
@@ -119,6 +121,22 @@
         return this;
     }
 
+    /** Waits for the line that tells the end of a request, and returns all lines of it. */
+    List<String> linesOf(String requestId) {
+        String own = "\"requestId\":\"" + requestId + "\"";
+        for (int i = 0; i < TRIES; i++) {
+            List<String> lines = logged.toString(StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(line -> line.contains(own))
+                    .toList();
+            if (lines.stream().anyMatch(line -> line.contains("\"event\":\"ended\""))) {
+                return lines;
+            }
+            java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_NANOS);
+        }
+        throw new AssertionError("no end of " + requestId + " in " + logged.toString(StandardCharsets.UTF_8));
+    }
+
     /** Puts an older version where the configuration is kept, as a host that was cut off would tell it. */
     void configureAgain(long olderVersion) {
         GatewayConfiguration older = GatewayConfiguration.of(olderVersion, List.of(), List.of(), CallerBounds.DEFAULTS);
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
@@ -143,7 +143,7 @@
     void shouldEnterItselfAgainWhenItsLeaseHasEnded() throws Exception {
         BlockingQueue<Long> granted = new LinkedBlockingQueue<>();
         loop.after(0, () -> HostLease.of(
-                        client, new PlatformItems(), HOST, loop.group().next(), told -> {})
+                        client, new PlatformItems(), HOST, loop.group().next(), 0, told -> {})
                 .start());
         assertInstanceOf(ClusterFact.HostEntered.class, next());
         loop.after(0, () -> client.grantLease(1_000, lease -> granted.add(lease.get())));
