--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Rattanplankd.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Rattanplankd.java
@@ -8,6 +8,7 @@
 import org.rattanplank.daemon.setting.SettingsReader;
 import org.rattanplank.daemon.setting.generated.DaemonFlags;
 import org.rattanplank.daemon.setting.generated.DaemonSettings;
+import org.rattanplank.gateway.Signals;
 import org.tinylog.Logger;
 import org.tinylog.configuration.Configuration;
 
@@ -55,7 +56,8 @@
     }
 
     private static int runUntilStopped(Daemon daemon) {
-        StopSignals.listen(daemon::signalled);
+        Signals.listen("TERM", daemon::signalled);
+        Signals.listen("INT", daemon::signalled);
         Try.run(daemon::awaitStop);
         int cut = daemon.unfinished();
         if (cut > 0) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
@@ -1,9 +1,7 @@
 package org.rattanplank.gateway;
 
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.SocketException;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -33,11 +31,6 @@
         gateway.close();
     }
 
-    private static void write(OutputStream out, String text) throws IOException {
-        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-        out.flush();
-    }
-
     private static String request(String id, String body) {
         return "POST /a/x?q=%2F..%2f HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: " + id
                 + "\r\nTime-Left: 5000\r\nExpected: forged\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
@@ -46,7 +39,7 @@
     @Test
     void shouldPassARequestThroughUnchangedWhenATargetAnswers() throws Exception {
         try (TestTarget target =
-                new TestTarget((request, out) -> write(out, TestTarget.answer(request, 200, "done")))) {
+                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "done")))) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
 
             String answer = gateway.caller().send(request("q1", "two seals")).readUntil("done");
@@ -85,8 +78,8 @@
         try (TestTarget breaking = new TestTarget((request, out) -> {
                     throw new IOException("break off");
                 });
-                TestTarget other =
-                        new TestTarget((request, out) -> write(out, TestTarget.answer(request, 200, "again")))) {
+                TestTarget other = new TestTarget(
+                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "again")))) {
             gateway.configure(RouteKind.UNSAFE, false, 3).target("t1", breaking.port());
 
             String answer = gateway.caller().send(request("q1", "b")).readUntil("\r\n\r\n");
@@ -99,7 +92,7 @@
     @Test
     void shouldSayWhenToComeBackWhenTheOnlyTargetRefuses() throws Exception {
         try (TestTarget full = new TestTarget(
-                (request, out) -> write(out, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"))) {
+                (request, out) -> TestTarget.write(out, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"))) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", full.port());
 
             String answer = gateway.caller().send(request("q1", "b")).readUntil("\r\n\r\n");
@@ -111,7 +104,7 @@
 
     @Test
     void shouldAskAnotherTargetWhenASafeRequestFails() throws Exception {
-        TestTarget.Script script = (request, out) -> write(
+        TestTarget.Script script = (request, out) -> TestTarget.write(
                 out,
                 TestTarget.header(request, "expected").equals("bad")
                         ? TestTarget.answer(request, 500, "no")
@@ -136,7 +129,8 @@
      */
     @Test
     void shouldPassAFailureOnWhenNoOtherTargetCouldAnswer() throws Exception {
-        try (TestTarget target = new TestTarget((request, out) -> write(out, TestTarget.answer(request, 500, "no")))) {
+        try (TestTarget target =
+                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 500, "no")))) {
             gateway.configure(RouteKind.SAFE, false, 2).target("t1", target.port());
 
             String answer = gateway.caller().send(request("q1", "")).readUntil("no");
@@ -154,12 +148,12 @@
     void shouldGoOnBehindTheLastWholeEventWhenAResumableStreamBreaks() throws Exception {
         TestTarget.Script script = (request, out) -> {
             String last = TestTarget.header(request, "last-event-id");
-            write(out, TestTarget.streamHead(request));
+            TestTarget.write(out, TestTarget.streamHead(request));
             if (last.isEmpty()) {
-                write(out, TestTarget.chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"));
+                TestTarget.write(out, TestTarget.chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"));
                 throw new IOException("break off");
             }
-            write(out, TestTarget.chunk("id: 3\ndata: after " + last + "\n\n") + "0\r\n\r\n");
+            TestTarget.write(out, TestTarget.chunk("id: 3\ndata: after " + last + "\n\n") + "0\r\n\r\n");
         };
         try (TestTarget target = new TestTarget(script)) {
             gateway.configure(RouteKind.STREAM, true, 2)
@@ -177,7 +171,7 @@
     @Test
     void shouldEndVisiblyBrokenWhenAStreamThatCannotResumeBreaks() throws Exception {
         TestTarget.Script script = (request, out) -> {
-            write(out, TestTarget.streamHead(request) + TestTarget.chunk("id: 1\ndata: a\n\n"));
+            TestTarget.write(out, TestTarget.streamHead(request) + TestTarget.chunk("id: 1\ndata: a\n\n"));
             throw new IOException("break off");
         };
         try (TestTarget target = new TestTarget(script)) {
@@ -196,7 +190,7 @@
     void shouldStopTheTargetWhenTheCallerLeaves() throws Exception {
         CountDownLatch leave = new CountDownLatch(1);
         TestTarget.Script script = (request, out) -> {
-            write(out, TestTarget.streamHead(request) + TestTarget.chunk("id: 1\ndata: a\n\n"));
+            TestTarget.write(out, TestTarget.streamHead(request) + TestTarget.chunk("id: 1\ndata: a\n\n"));
             leave.countDown();
         };
         try (TestTarget target = new TestTarget(script)) {
@@ -217,7 +211,7 @@
      */
     @Test
     void shouldWaitForItsOwnAnswerWhenALateSecondAnswerComesFirst() throws Exception {
-        TestTarget.Script script = (request, out) -> write(
+        TestTarget.Script script = (request, out) -> TestTarget.write(
                 out,
                 TestTarget.answer(request, 200, "stale").replaceFirst("Request-Id: [^\r]*", "Request-Id: earlier")
                         + TestTarget.answer(request, 200, "own"));
@@ -250,7 +244,7 @@
 
     @Test
     void shouldNotRunWhatIsHiddenBehindABodyWhenTheFirstRequestIsStillWaiting() throws Exception {
-        TestTarget.Script script = (request, out) -> write(out, TestTarget.answer(request, 200, "one"));
+        TestTarget.Script script = (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "one"));
         try (TestTarget target = new TestTarget(script)) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
 
@@ -295,7 +289,7 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            write(out, TestTarget.answer(request, 200, "whole"));
+            TestTarget.write(out, TestTarget.answer(request, 200, "whole"));
         };
         try (TestTarget target = new TestTarget(script)) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
@@ -319,7 +313,8 @@
      */
     @Test
     void shouldBeginNothingNewWhenTheTimeLeftIsShort() throws Exception {
-        try (TestTarget target = new TestTarget((request, out) -> write(out, TestTarget.answer(request, 200, "one")))) {
+        try (TestTarget target =
+                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "one")))) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
             TestCaller kept = gateway.caller().send(request("q1", "b"));
             kept.readUntil("one");
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayLogTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayLogTest.java
@@ -1,8 +1,6 @@
 package org.rattanplank.gateway;
 
 import java.io.IOException;
-import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.junit.jupiter.api.AfterEach;
@@ -29,11 +27,6 @@
         gateway.close();
     }
 
-    private static void write(OutputStream out, String text) throws IOException {
-        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-        out.flush();
-    }
-
     private static String request(String id) {
         return "POST /a/ HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: " + id + "\r\nContent-Length: 1\r\n\r\nb";
     }
@@ -45,7 +38,7 @@
     @Test
     void shouldNameTheTargetAndTheBreakWhenAStreamBreaksMidway() throws Exception {
         TestTarget.Script script = (request, out) -> {
-            write(out, TestTarget.streamHead(request) + TestTarget.chunk("id: 1\ndata: a\n\n"));
+            TestTarget.write(out, TestTarget.streamHead(request) + TestTarget.chunk("id: 1\ndata: a\n\n"));
             throw new IOException("break off");
         };
         try (TestTarget target = new TestTarget(script)) {
@@ -85,7 +78,8 @@
 
     @Test
     void shouldLeaveOneLineWhenARequestGoesWell() throws Exception {
-        try (TestTarget target = new TestTarget((request, out) -> write(out, TestTarget.answer(request, 200, "ok")))) {
+        try (TestTarget target =
+                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "ok")))) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
             gateway.caller().send(request("q1")).readUntil("ok");
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
@@ -53,6 +53,12 @@
         return requests.size();
     }
 
+    /** Sends text as it is. */
+    static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
     /** A whole answer that echoes the identifier of its request. */
     static String answer(String request, int status, String body) {
         return "HTTP/1.1 " + status + " X\r\nRequest-Id: " + header(request, "request-id") + "\r\nContent-Length: "
