--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/process/Child.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/process/Child.java
@@ -59,6 +59,27 @@
      * @return the process, which may not be ready yet
      */
     public static Child start(String name, String readyPrefix, File log, String mainClass, List<String> args) {
+        return start(name, readyPrefix, log, Map.of(), mainClass, args);
+    }
+
+    /**
+     * Starts a Java process with this process's class path and further variables.
+     *
+     * @param name the name, for messages and its log
+     * @param readyPrefix how the line begins that says that it is ready
+     * @param log where its complaints go
+     * @param variables variables of its environment
+     * @param mainClass its main class
+     * @param args its arguments
+     * @return the process, which may not be ready yet
+     */
+    public static Child start(
+            String name,
+            String readyPrefix,
+            File log,
+            Map<String, String> variables,
+            String mainClass,
+            List<String> args) {
         List<String> command = new ArrayList<>();
         command.add(System.getProperty("java.home") + "/bin/java");
         command.addAll(JAVA_FLAGS);
@@ -67,9 +88,9 @@
         command.add(mainClass);
         command.addAll(args);
         try {
-            Process process = new ProcessBuilder(command)
-                    .redirectError(ProcessBuilder.Redirect.appendTo(log))
-                    .start();
+            ProcessBuilder builder = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log));
+            builder.environment().putAll(variables);
+            Process process = builder.start();
             STARTED.add(process);
             process.onExit().thenAccept(STARTED::remove);
             Child child = new Child(name, process, readyPrefix);
--- /dev/null
+++ b/rattanplank-bench/src/test/java/org/rattanplank/bench/soak/SoakAuditTest.java
@@ -0,0 +1,58 @@
+package org.rattanplank.bench.soak;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class SoakAuditTest {
+    private static String event(int number, String id) {
+        return "id: " + number + "\ndata: line " + number + " for " + id + " by w\n\n";
+    }
+
+    private static List<String> broken(SoakCall call, int runs) {
+        return SoakAudit.broken(List.of(call), Map.of(call.id(), runs));
+    }
+
+    @Test
+    void shouldFindABookingWhenItRanTwice() {
+        assertEquals(1, broken(new SoakCall("q1", false, 502, "", true), 2).size());
+    }
+
+    @Test
+    void shouldFindAnUntrueNotRunWhenTheBookingRan() {
+        assertEquals(1, broken(new SoakCall("q1", false, 503, "", true), 1).size());
+    }
+
+    @Test
+    void shouldFindAnAnswerOfAnotherRequestWhenItNamesIt() {
+        assertEquals(
+                1,
+                broken(new SoakCall("q1", false, 200, "{\"by\":\"d\",\"for\":\"q2\"}", true), 1)
+                        .size());
+    }
+
+    @Test
+    void shouldFindAStreamWhenAnEventIsMissingTwiceOrAheadOfItsTurn() {
+        assertEquals(
+                1,
+                broken(new SoakCall("q1", true, 200, event(1, "q1") + event(3, "q1"), false), 1)
+                        .size());
+        assertEquals(
+                1,
+                broken(new SoakCall("q1", true, 200, event(1, "q1") + event(1, "q1"), false), 1)
+                        .size());
+        assertEquals(
+                1,
+                broken(new SoakCall("q1", true, 200, event(1, "q1"), true), 1).size());
+    }
+
+    @Test
+    void shouldFindNothingWhenAStreamBreaksVisibly() {
+        assertTrue(broken(new SoakCall("q1", true, 200, event(1, "q1") + "id: 2\nda", false), 2)
+                .isEmpty());
+    }
+}
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
@@ -19,18 +20,22 @@
 public final class SiteReplica {
     private static final int OK = 200;
     private static final int MISDIRECTED = 421;
-    private static final int EVENTS = 5;
+    /** How many events a whole stream has. */
+    public static final int EVENTS = 5;
+
     private static final long EVENT_MILLIS = 20;
 
     private final EventLoop loop;
     private final String id;
     private final boolean streams;
+    private final Consumer<String> ran;
     private final HeaderNames names = PlatformHeaders.names();
 
-    private SiteReplica(EventLoop loop, String id, boolean streams) {
+    private SiteReplica(EventLoop loop, String id, boolean streams, Consumer<String> ran) {
         this.loop = loop;
         this.id = id;
         this.streams = streams;
+        this.ran = ran;
     }
 
     /**
@@ -39,10 +44,11 @@
      * @param loop the loop that serves it
      * @param id its identifier
      * @param streams whether it answers by streams
+     * @param ran told the identifier of each request that it runs
      * @return its address
      */
-    public static InetSocketAddress serve(EventLoop loop, String id, boolean streams) {
-        return loop.serve(0, new SiteReplica(loop, id, streams)::handle);
+    public static InetSocketAddress serve(EventLoop loop, String id, boolean streams, Consumer<String> ran) {
+        return loop.serve(0, new SiteReplica(loop, id, streams, ran)::handle);
     }
 
     /**
@@ -53,7 +59,7 @@
     public static void main(String[] args) {
         Options options = new Options();
         JCommander.newBuilder().addObject(options).build().parse(args);
-        InetSocketAddress address = serve(EventLoop.of(), options.id, options.streams);
+        InetSocketAddress address = serve(EventLoop.of(), options.id, options.streams, requestId -> {});
         SiteStoreClient.of(options.store)
                 .enterTarget(options.id, options.service, Addresses.write(address), options.dataCentre);
         System.out.println("replica ready id=" + options.id + " address=" + Addresses.write(address));
@@ -61,21 +67,25 @@
 
     private void handle(Exchange exchange) {
         String expected = exchange.header(names.expectedTarget()).getOrElse(id);
-        Map<String, String> echo =
-                Map.of(names.requestId(), exchange.header(names.requestId()).getOrElse(""));
+        String requestId = exchange.header(names.requestId()).getOrElse("");
+        Map<String, String> echo = Map.of(names.requestId(), requestId);
         if (!expected.equals(id)) {
             exchange.respond(MISDIRECTED, echo, Json.object());
-        } else if (streams) {
+            return;
+        }
+        ran.accept(requestId);
+        if (streams) {
             exchange.startStream("text/event-stream", echo);
             event(
                     exchange,
+                    requestId,
                     exchange.header(names.lastEventId()).map(Integer::parseInt).getOrElse(0) + 1);
         } else {
-            exchange.respond(OK, echo, Json.object().put("by", id));
+            exchange.respond(OK, echo, Json.object().put("by", id).put("for", requestId));
         }
     }
 
-    private void event(Exchange exchange, int number) {
+    private void event(Exchange exchange, String requestId, int number) {
         if (!exchange.isOpen()) {
             return;
         }
@@ -83,8 +93,8 @@
             exchange.endStream();
             return;
         }
-        exchange.part("id: " + number + "\ndata: line " + number + " by " + id + "\n\n");
-        loop.after(EVENT_MILLIS, () -> event(exchange, number + 1));
+        exchange.part("id: " + number + "\ndata: line " + number + " for " + requestId + " by " + id + "\n\n");
+        loop.after(EVENT_MILLIS, () -> event(exchange, requestId, number + 1));
     }
 
     /** The settings. Written by JCommander before any thread reads them, then left alone. */
