--- /dev/null
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/RequestReaderTest.java
@@ -0,0 +1,107 @@
+package org.rattanplank.gateway;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import io.vavr.control.Option;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RequestReaderTest {
+    private final RequestReader reader = new RequestReader(TestGateway.NAMES);
+
+    private static HttpRequest head() {
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a/%2F?x=1&y=%00");
+        head.headers().set("Host", "desk.example").set("Request-Id", "q1").set("X-Own", "kept");
+        return head;
+    }
+
+    private GatewayRequest read(HttpRequest head) {
+        return reader.read(head, "body".getBytes(StandardCharsets.UTF_8)).get();
+    }
+
+    @Test
+    void shouldKeepPathQueryAndOtherHeadersWhenReading() {
+        GatewayRequest request = read(head());
+
+        assertEquals("/a/%2F?x=1&y=%00", request.uri());
+        assertEquals("/a/%2F", request.path());
+        assertEquals("kept", request.headers().get("X-Own"));
+        assertEquals("q1", request.id());
+    }
+
+    /**
+     * Symptom: a caller decides which target runs its request, or how urgent it is. Sequence: it sends headers that only
+     * this system sets. Cause: they were passed on.
+     */
+    @Test
+    void shouldTakeOutHeadersThatOnlyThisSystemSetsWhenACallerSendsThem() {
+        HttpRequest head = head();
+        head.headers().set("expected", "t9").set("URGENCY", "0");
+
+        GatewayRequest request = read(head);
+
+        assertFalse(request.headers().contains("Expected"));
+        assertFalse(request.headers().contains("Urgency"));
+    }
+
+    /**
+     * Symptom: a target runs a request without its identifier. Sequence: a caller names the identifier among the headers
+     * of its connection. Cause: all headers of the connection were taken out.
+     */
+    @Test
+    void shouldKeepTheIdentifierWhenItIsNamedAsAHeaderOfTheConnection() {
+        HttpRequest head = head();
+        head.headers().set("Connection", "close, Request-Id, X-Own");
+
+        GatewayRequest request = read(head);
+
+        assertEquals("q1", request.id());
+        assertFalse(request.headers().contains("X-Own"));
+        assertFalse(request.headers().contains("Connection"));
+    }
+
+    @Test
+    void shouldReadNoRequestWhenItNamesNoHostOrTwo() {
+        HttpRequest none = head();
+        none.headers().remove("Host");
+        HttpRequest two = head();
+        two.headers().add("Host", "other.example");
+
+        assertTrue(reader.read(none, new byte[0]).isEmpty());
+        assertTrue(reader.read(two, new byte[0]).isEmpty());
+    }
+
+    @Test
+    void shouldReadWhatAGenerationAsksWhenItSaysSo() {
+        HttpRequest head = head();
+        head.headers()
+                .set("Tokens", "1460,80")
+                .set("Parts", "5c:800,91:410,e4:250")
+                .set("Hint", "20");
+
+        GatewayRequest request = read(head);
+
+        assertEquals(1_460, request.work().promptTokens());
+        assertEquals(20, request.work().outputTokens());
+        assertEquals(1_210, request.work().sharedTokens());
+        assertEquals(270, request.work().ownTokens());
+    }
+
+    @Test
+    void shouldPassARequestOnWhenItsNumbersCannotBeRead() {
+        HttpRequest head = head();
+        head.headers().set("Tokens", "many,x").set("Parts", ",:,a").set("Time-Left", "soon");
+
+        GatewayRequest request = read(head);
+
+        assertEquals(0, request.work().promptTokens());
+        assertEquals(Option.none(), request.timeoutMillis());
+    }
+}
--- /dev/null
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -0,0 +1,79 @@
+package org.rattanplank.gateway.peer;
+
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.gateway.SentWork;
+import org.rattanplank.core.gateway.Urgency;
+import org.rattanplank.core.gateway.WaitingTokens;
+import org.rattanplank.core.host.Place;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class PeerFrameCodecTest {
+    private static PeerFrame again(PeerFrame frame) {
+        return PeerFrameCodec.decode(PeerFrameCodec.encode(frame)).get();
+    }
+
+    @Test
+    void shouldReadWhatWasWrittenWhenFramesHaveNoBytes() {
+        List<PeerFrame> frames = List.of(
+                new PeerFrame.Hello(new GatewayHost("h", 5, Place.of("r", "d"), "10.0.0.1:1", "10.0.0.1:2")),
+                new PeerFrame.State(
+                        1,
+                        2,
+                        3,
+                        500,
+                        true,
+                        9,
+                        -7,
+                        false,
+                        true,
+                        List.of(new PeerFrame.TargetWork("t", new SentWork(2, new WaitingTokens(1, 2, 3), 4))),
+                        List.of(new PeerFrame.RegionLoad("s", Urgency.LAST, 1.5, 0.25))),
+                new PeerFrame.AnswerHead(4, 200, List.of("a", "b"), "t"),
+                new PeerFrame.AnswerEnd(4),
+                new PeerFrame.AnswerFailed(4, "UNKNOWN", "why", "t"),
+                new PeerFrame.Cancel(4));
+
+        frames.forEach(frame -> assertEquals(frame, again(frame)));
+    }
+
+    @Test
+    void shouldReadARequestWhenItsBodyHoldsAnyBytes() {
+        byte[] body = {0, -1, 13, 10, 127};
+        PeerFrame.Ask ask = new PeerFrame.Ask(
+                1,
+                2,
+                "s",
+                "q",
+                "POST",
+                "/a?b",
+                "h",
+                List.of("x", "y"),
+                body,
+                900,
+                "3",
+                Urgency.FIRST,
+                true,
+                List.of("t"));
+
+        PeerFrame.Ask read = (PeerFrame.Ask) again(ask);
+
+        assertEquals(ask.headers(), read.headers());
+        assertEquals(
+                List.of((byte) 0, (byte) -1, (byte) 13, (byte) 10, (byte) 127),
+                List.of(read.body()[0], read.body()[1], read.body()[2], read.body()[3], read.body()[4]));
+        assertEquals(Urgency.FIRST, read.urgency());
+    }
+
+    @Property
+    void shouldFailWithoutHarmWhenBytesAreNoFrame(@ForAll byte[] bytes) {
+        assertTrue(PeerFrameCodec.decode(bytes).isFailure()
+                || PeerFrameCodec.decode(bytes).get() != null);
+    }
+}
