Send to a cold target only while surely knowing all hosts of the region

Cause (read in the code, not seen): the owner of a cold target was chosen among the hosts in touch; when all start at once each knows only itself, and 22 hosts of a region would send 2 a second each to a target that bears 6. Change: the owner is chosen among hosts in touch or entered in the store, and nothing is sent unless all of them are in touch and this host has run for 3 s. Test: TargetChooserTest with 1 to 90 hosts and views of 1 to 90 of them.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -1,6 +1,5 @@
 package org.rattanplank.core.gateway;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -80,21 +79,21 @@
      * @param service the service
      * @param work what is asked
      * @param excluded the identifiers of targets that must not be chosen
-     * @param regionHosts the hosts of this region, this one included
+     * @param region the hosts of this region
      * @param nowMillis the time
      * @return the choice, or none if no target may take it
      */
     public Option<Choice> choose(
-            ServiceRule service, Work work, Set<String> excluded, Collection<String> regionHosts, long nowMillis) {
+            ServiceRule service, Work work, Set<String> excluded, RegionView region, long nowMillis) {
         List<GatewayTarget> eligible = healthyOrAll(
                 pool.all().stream()
-                        .filter(target -> isEligible(target, service, excluded, regionHosts, nowMillis))
+                        .filter(target -> isEligible(target, service, excluded, region, nowMillis))
                         .toList(),
                 nowMillis);
         GatewayTarget keeper = keeper(eligible, work);
         GatewayTarget best = null;
         double bestMillis = Double.MAX_VALUE;
-        double spreadMillis = SPREAD_PER_HOST_MILLIS * (regionHosts.size() - 1);
+        double spreadMillis = SPREAD_PER_HOST_MILLIS * (region.hosts().size() - 1);
         for (GatewayTarget target : eligible) {
             double firstMillis = expectedMillis(target, service, work);
             double millis = firstMillis * (1 + TIE * random.nextDouble())
@@ -205,11 +204,7 @@
     }
 
     private boolean isEligible(
-            GatewayTarget target,
-            ServiceRule service,
-            Set<String> excluded,
-            Collection<String> regionHosts,
-            long nowMillis) {
+            GatewayTarget target, ServiceRule service, Set<String> excluded, RegionView region, long nowMillis) {
         if (!target.entry().service().equals(service.name()) || excluded.contains(target.id())) {
             return false;
         }
@@ -219,16 +214,17 @@
         if (service.maxConnections() > 0 && target.all().requests() >= CONNECTION_SHARE * service.maxConnections()) {
             return false;
         }
-        return !target.isCold(nowMillis) || mayWarm(target, service, regionHosts, nowMillis);
+        return !target.isCold(nowMillis) || mayWarm(target, service, region, nowMillis);
     }
 
     /**
      * Whether this host may send to a cold target. Without one owner, each host would send as much as the target bears
-     * by itself, and it would crash again; one would see it restart in a loop. Hosts that disagree on the members may
-     * both think that they own it: then each keeps to the part that the target bears without its slack.
+     * by itself, and it would crash again; one would see it restart in a loop. A host that isn't sure to know all others
+     * may wrongly take itself for the owner, so it sends nothing there: a warm target, or another region, has to do.
      */
-    private boolean mayWarm(GatewayTarget target, ServiceRule service, Collection<String> regionHosts, long nowMillis) {
-        if (!Rendezvous.rank(regionHosts, target.id()).get(0).equals(self)) {
+    private boolean mayWarm(GatewayTarget target, ServiceRule service, RegionView region, long nowMillis) {
+        if (!region.certain()
+                || !Rendezvous.rank(region.hosts(), target.id()).get(0).equals(self)) {
             return false;
         }
         int mostPerSecond = Math.max(1, (int) Math.floor(service.coldPerSecond()));
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetChooserTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetChooserTest.java
@@ -25,7 +25,7 @@
     private final TargetChooser chooser = TargetChooser.of("h1", pool, new Random(1));
 
     private Choice choose(long nowMillis) {
-        return chooser.choose(Samples.MODEL_SERVICE, DRAFT, Set.of(), List.of("h1"), nowMillis)
+        return chooser.choose(Samples.MODEL_SERVICE, DRAFT, Set.of(), RegionView.certain(Set.of("h1")), nowMillis)
                 .get();
     }
 
@@ -33,11 +33,11 @@
     void shouldSpreadWorkWhenTargetsAreAlike() {
         pool.entered(Samples.target("a", HALL, false, 0), 0);
         pool.entered(Samples.target("b", HALL, false, 0), 0);
-        Choice first = chooser.choose(Samples.MODEL_SERVICE, OWN, Set.of(), List.of("h1"), 0)
+        Choice first = chooser.choose(Samples.MODEL_SERVICE, OWN, Set.of(), RegionView.certain(Set.of("h1")), 0)
                 .get();
         first.target().reserve(OWN, 400_000, 0);
 
-        assertTrue(!chooser.choose(Samples.MODEL_SERVICE, OWN, Set.of(), List.of("h1"), 1)
+        assertTrue(!chooser.choose(Samples.MODEL_SERVICE, OWN, Set.of(), RegionView.certain(Set.of("h1")), 1)
                 .get()
                 .target()
                 .id()
@@ -67,10 +67,11 @@
                 own.entered(Samples.target(id, HALL, false, 0), 0);
             }
             TargetChooser each = TargetChooser.of(name, own, new Random(name.hashCode()));
-            chosen.add(each.choose(Samples.MODEL_SERVICE, DRAFT, Set.of(), List.of("h1", "h2", "h3"), 0)
-                    .get()
-                    .target()
-                    .id());
+            chosen.add(
+                    each.choose(Samples.MODEL_SERVICE, DRAFT, Set.of(), RegionView.certain(Set.of("h1", "h2", "h3")), 0)
+                            .get()
+                            .target()
+                            .id());
         }
 
         assertEquals(1, chosen.size());
@@ -103,7 +104,7 @@
         pool.find("quick").get().reserve(OWN, 400_000, 0);
         Work longStream = new Work(500, 800, List.of(), Urgency.MIDDLE, 10_000);
 
-        Choice choice = chooser.choose(Samples.MODEL_SERVICE, longStream, Set.of(), List.of("h1"), 1)
+        Choice choice = chooser.choose(Samples.MODEL_SERVICE, longStream, Set.of(), RegionView.certain(Set.of("h1")), 1)
                 .get();
 
         assertEquals("quick", choice.target().id());
@@ -142,15 +143,38 @@
         pool.entered(Samples.target("a", HALL, false, 0), 0);
         pool.find("a").get().unreachable(0);
 
-        assertTrue(chooser.choose(Samples.MODEL_SERVICE, DRAFT, Set.of(), List.of("h1"), 1)
+        assertTrue(chooser.choose(Samples.MODEL_SERVICE, DRAFT, Set.of(), RegionView.certain(Set.of("h1")), 1)
                 .isEmpty());
     }
 
+    /**
+     * Symptom: a target that has just started crashes when all hosts start at once. Sequence: each host has read the store
+     * and not yet linked to the others, or sees only some of them. Cause: each took itself for the only host, and so for
+     * the target's owner.
+     */
+    @Property(tries = 100)
+    void shouldSendAColdTargetNothingWhenHostsAreNotSureToKnowTheOthers(
+            @ForAll @IntRange(min = 1, max = 90) int hosts, @ForAll @IntRange(min = 1, max = 90) int seen) {
+        for (int i = 0; i < hosts; i++) {
+            String name = "host-" + i;
+            Set<String> view = new HashSet<>(Set.of(name));
+            for (int j = 0; j < Math.min(seen, hosts); j++) {
+                view.add("host-" + (i + j) % hosts);
+            }
+            TargetPool own = TargetPool.of(Set.of(HALL));
+            own.entered(Samples.target("cold", HALL, false, 3_000), 0);
+            TargetChooser each = TargetChooser.of(name, own, new Random(2));
+
+            assertTrue(each.choose(Samples.MODEL_SERVICE, Work.PLAIN, Set.of(), new RegionView(view, false), 10)
+                    .isEmpty());
+        }
+    }
+
     @Test
     void shouldChooseNothingWhenAllTargetsAreExcluded() {
         pool.entered(Samples.target("a", HALL, false, 0), 0);
 
-        assertTrue(chooser.choose(Samples.MODEL_SERVICE, DRAFT, Set.of("a"), List.of("h1"), 0)
+        assertTrue(chooser.choose(Samples.MODEL_SERVICE, DRAFT, Set.of("a"), RegionView.certain(Set.of("h1")), 0)
                 .isEmpty());
     }
 
@@ -170,7 +194,8 @@
             own.entered(Samples.target("cold", HALL, false, 3_000), 0);
             TargetChooser each = TargetChooser.of(name, own, new Random(2));
             for (int i = 0; i < 20; i++) {
-                sent += each.choose(Samples.MODEL_SERVICE, Work.PLAIN, Set.of(), names, 10)
+                sent += each.choose(
+                                Samples.MODEL_SERVICE, Work.PLAIN, Set.of(), RegionView.certain(Set.copyOf(names)), 10)
                         .map(choice -> {
                             choice.target().reserve(Work.PLAIN, 0, 10);
                             return 1;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
@@ -52,6 +52,7 @@
         } else if (fact instanceof ClusterFact.HostEntered host) {
             links.entered(host.host());
         } else if (fact instanceof ClusterFact.HostRemoved host) {
+            links.removed(host.name());
             if (host.name().equals(state.self().name())) {
                 ownKeyLost.run();
             }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -266,7 +266,7 @@
 
     private Option<PeerFrame.RegionLoad> load(ServiceRule service, Urgency urgency) {
         Option<Choice> best = state.chooser()
-                .choose(service, Work.PLAIN.with(urgency), Set.of(), state.regionHosts(), state.nowMillis());
+                .choose(service, Work.PLAIN.with(urgency), Set.of(), state.regionView(), state.nowMillis());
         LatencyModel model = state.chooser().model(service.name());
         return best.map(choice -> new PeerFrame.RegionLoad(
                 service.name(),
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -130,7 +130,7 @@
     private void send() {
         Option<ServiceRule> service = state.configuration().flatMap(now -> now.service(ask.service()));
         Option<Choice> choice = service.flatMap(
-                rule -> state.chooser().choose(rule, work, tried, state.regionHosts(), state.nowMillis()));
+                rule -> state.chooser().choose(rule, work, tried, state.regionView(), state.nowMillis()));
         if (choice.isEmpty()) {
             fail(AttemptFailure.NOT_SENT, "no target of this region may take it");
             return;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
@@ -13,6 +15,7 @@
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.RegionLoads;
+import org.rattanplank.core.gateway.RegionView;
 import org.rattanplank.core.gateway.RepeatAllowance;
 import org.rattanplank.core.gateway.RouteRule;
 import org.rattanplank.core.gateway.TargetChooser;
@@ -39,6 +42,9 @@
      */
     private static final int SLACK_HOSTS = 16;
 
+    /** A host has read the store and linked to the others of its region long before; all may have started at once. */
+    private static final long SETTLED_MILLIS = 3_000;
+
     private final GatewayHost self;
     private final SteadyClock clock;
     private final RandomGenerator random;
@@ -53,6 +59,7 @@
     private Option<GatewayConfiguration> configuration = Option.none();
     private Configuration intents = Configuration.empty();
     private PeerLinks links;
+    private final long startedAtMillis;
     private boolean takesRequests = true;
     private BooleanSupplier complete = () -> false;
 
@@ -78,6 +85,7 @@
         this.self = self;
         this.clock = clock;
         this.random = random;
+        startedAtMillis = clock.nowMillis();
         this.connections = connections;
         this.log = log;
         this.metrics = metrics;
@@ -257,20 +265,23 @@
     }
 
     /**
-     * The hosts of this region that are in touch, this one included.
+     * The hosts of this region.
      *
-     * @return their names
+     * @return the view
      */
-    public List<String> regionHosts() {
-        List<String> names = new ArrayList<>();
-        names.add(self.name());
+    public RegionView regionView() {
+        Set<String> names = new HashSet<>(links.enteredInOwnRegion());
+        Set<String> inTouch = new HashSet<>();
+        inTouch.add(self.name());
         for (PeerLink link : links.alive()) {
             GatewayHost host = link.host().get();
             if (host.place().region().equals(self.place().region())) {
-                names.add(host.name());
+                inTouch.add(host.name());
             }
         }
-        return names;
+        boolean certain = inTouch.containsAll(names) && nowMillis() - startedAtMillis >= SETTLED_MILLIS;
+        names.addAll(inTouch);
+        return new RegionView(names, certain);
     }
 
     /** Refuses requests from now on. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/Placement.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/Placement.java
@@ -35,7 +35,7 @@
         this.work = work;
         String ownRegion = state.self().place().region();
         local = route.allows(ownRegion)
-                ? state.chooser().choose(service, work, tried, state.regionHosts(), state.nowMillis())
+                ? state.chooser().choose(service, work, tried, state.regionView(), state.nowMillis())
                 : Option.none();
         localMillis = state.isWithinShare(ownRegion)
                 ? local.map(Choice::expectedMillis).getOrElse(Double.POSITIVE_INFINITY)
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -105,6 +105,34 @@
         } else {
             before.seenAtMillis = clock.nowMillis();
         }
+        known.get(host.name()).entered = true;
+    }
+
+    /**
+     * Takes note that a host has no entry any more; its address is kept for a while, as it may be in touch all the same.
+     *
+     * @param name its name
+     */
+    public void removed(String name) {
+        Known gone = known.get(name);
+        if (gone != null) {
+            gone.entered = false;
+        }
+    }
+
+    /**
+     * The other hosts of this region that are entered in the store.
+     *
+     * @return their names
+     */
+    public Set<String> enteredInOwnRegion() {
+        Set<String> names = new HashSet<>();
+        for (Known each : known.values()) {
+            if (each.entered && isOwnRegion(each.host)) {
+                names.add(each.host.name());
+            }
+        }
+        return names;
     }
 
     /**
@@ -242,6 +270,7 @@
         private long seenAtMillis;
         private long lostAtMillis;
         private long nextTryMillis;
+        private boolean entered;
 
         private Known(GatewayHost host, long nowMillis) {
             this.host = host;
