--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -89,6 +89,23 @@
             thread.start();
             threads.add(thread);
         }
+        List<String> broken = new ArrayList<>();
+        try {
+            harmFor(millis);
+            Try.run(this::awaitRecovery).onFailure(error -> broken.add(error.getMessage()));
+        } finally {
+            // Callers that go on after a failure of the soak itself would keep the process alive and the machine busy.
+            calling.set(false);
+        }
+        threads.forEach(thread -> Try.run(thread::join));
+        broken.addAll(SoakAudit.broken(List.copyOf(calls), site.runs()));
+        long answered = calls.stream()
+                .filter(call -> call.status() == OK && call.whole())
+                .count();
+        return new SoakResult(calls.size(), answered, Map.copyOf(faults), broken);
+    }
+
+    private void harmFor(long millis) {
         long end = System.nanoTime() + millis * NANOS_PER_MILLI;
         while (System.nanoTime() < end) {
             harm();
@@ -97,15 +114,6 @@
         }
         heals.forEach(heal -> heal.action.run());
         heals.clear();
-        List<String> broken = new ArrayList<>();
-        Try.run(this::awaitRecovery).onFailure(error -> broken.add(error.getMessage()));
-        calling.set(false);
-        threads.forEach(thread -> Try.run(thread::join));
-        broken.addAll(SoakAudit.broken(List.copyOf(calls), site.runs()));
-        long answered = calls.stream()
-                .filter(call -> call.status() == OK && call.whole())
-                .count();
-        return new SoakResult(calls.size(), answered, Map.copyOf(faults), broken);
     }
 
     private void call(SplittableRandom own, List<InetSocketAddress> hosts) {
