Name no host to callers while no configuration tells the homes

Ruled out: the hosts of home regions being away for 6 s (one of four was up). Change: no configuration, no list. Test: CallerDirectoryTest.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/CallerDirectory.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/CallerDirectory.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
+import io.vavr.control.Option;
+
 /**
  * Which entry hosts callers should use.
  *
@@ -47,11 +49,17 @@
      * Lists the hosts for a caller.
      *
      * @param hosts the hosts that take callers
-     * @param caller where the caller is
+     * @param place where the caller is; none while no configuration tells where its requests may go
      * @param nowMillis the time
      * @return the addresses; none if it is better for the caller to ask another host, or later
      */
-    public List<String> list(Collection<GatewayHost> hosts, CallerPlace caller, long nowMillis) {
+    public List<String> list(Collection<GatewayHost> hosts, Option<CallerPlace> place, long nowMillis) {
+        if (place.isEmpty()) {
+            // A host that has just started may know other hosts before it knows the configuration. Without the homes in
+            // it, every host would seem right for every caller.
+            return List.of();
+        }
+        CallerPlace caller = place.get();
         List<Predicate<GatewayHost>> choices = List.of(
                 host -> host.place().dataCentre().equals(caller.dataCentre())
                         && host.place().region().equals(caller.region()),
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/CallerDirectoryTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/CallerDirectoryTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 
+import io.vavr.control.Option;
 import org.junit.jupiter.api.Test;
 import org.rattanplank.core.host.Place;
 
@@ -19,8 +20,8 @@
 
     private final CallerDirectory directory = CallerDirectory.of(0);
 
-    private static CallerPlace caller(String... homes) {
-        return new CallerPlace("labasa", "labasa-hall", Set.of(homes));
+    private static Option<CallerPlace> caller(String... homes) {
+        return Option.some(new CallerPlace("labasa", "labasa-hall", Set.of(homes)));
     }
 
     @Test
@@ -59,4 +60,14 @@
     void shouldNameAnyHostWhenHomeRegionsHaveBeenAwayForLong() {
         assertEquals(List.of("s:80"), directory.list(List.of(suva), caller("lautoka"), CallerDirectory.AWAY_MILLIS));
     }
+
+    /**
+     * Symptom: homed requests at hosts of other regions, while hosts are stopped in turn. Sequence: a host has just
+     * started; others have linked to it before it has read the configuration; a caller asks it. Cause: no homes were
+     * taken for no restriction.
+     */
+    @Test
+    void shouldNameNoHostWhenNoConfigurationTellsTheHomes() {
+        assertEquals(List.of(), directory.list(List.of(suva, lautoka, labasa), Option.none(), 60_000));
+    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -301,10 +301,9 @@
                 hosts.add(link.host().get());
             }
         }
-        Set<String> homes = state.configuration()
-                .map(configuration -> configuration.homeRegions(question.hostName()))
-                .getOrElse(Set.of());
-        CallerPlace place = new CallerPlace(question.region(), question.dataCentre(), homes);
+        Option<CallerPlace> place = state.configuration()
+                .map(configuration -> new CallerPlace(
+                        question.region(), question.dataCentre(), configuration.homeRegions(question.hostName())));
         return directory.list(hosts, place, clock.nowMillis());
     }
 
