Use one connection between two hosts, chosen alike by both

Hosts of different regions each opened a connection at once; each used the one greeted last, and heard nothing on it as the other sent on its own. While links were down, a host of another region named itself to homed callers, and forwarded requests ended as unknown. Change: of two connections both hosts use the one opened by the smaller name; others are closed when unused for 15 s; the larger name waits before it opens, between regions too.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -38,6 +38,7 @@
 
     private final PeerLinks owner;
     private final SteadyClock clock;
+    private final boolean outgoing;
     private final Map<Long, PeerAttempt> calls = new HashMap<>();
     private Channel channel;
     private GatewayHost host;
@@ -48,8 +49,9 @@
     private long stateAtMillis;
     private double roundTripMillis;
 
-    PeerLink(PeerLinks owner, SteadyClock clock) {
+    PeerLink(PeerLinks owner, SteadyClock clock, boolean outgoing) {
         this.owner = owner;
+        this.outgoing = outgoing;
         this.clock = clock;
         lastHeardMillis = clock.nowMillis();
     }
@@ -99,6 +101,16 @@
         return channel != null && channel.isActive() && clock.nowMillis() - lastHeardMillis < silentMillis();
     }
 
+    /** Whether this host opened the connection. */
+    boolean isOutgoing() {
+        return outgoing;
+    }
+
+    /** Whether no call is under way over it. */
+    boolean isUnused() {
+        return calls.isEmpty();
+    }
+
     /** How long the other host may say nothing: it says its state rarely if it has many links. */
     long silentMillis() {
         return Math.max(SILENT_MILLIS, SILENT_PERIODS * state.periodMillis());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -48,6 +48,9 @@
     /** Between two tries to reach a host that doesn't answer. */
     private static final long RETRY_MILLIS = 500;
 
+    /** A connection that is no longer used stays so long, for the other host's calls that were on their way. */
+    private static final long RETIRED_MILLIS = 15_000;
+
     /** A host not entered and not reached for so long is no longer looked for. */
     private static final long FORGET_MILLIS = 60_000;
 
@@ -57,7 +60,7 @@
     private final PeerListener listener;
     private final Map<String, Known> known = new HashMap<>();
     private final Map<String, PeerLink> links = new LinkedHashMap<>();
-    private final Set<PeerLink> retired = new HashSet<>();
+    private final Map<PeerLink, Long> retired = new HashMap<>();
 
     /**
      * Makes links that don't listen yet.
@@ -85,7 +88,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(initializer())
+                .childHandler(initializer(false))
                 .bind(address)
                 .syncUninterruptibly();
     }
@@ -96,16 +99,19 @@
      * @param host the host
      */
     public void entered(GatewayHost host) {
-        if (host.name().equals(self.name())) {
-            return;
+        if (!host.name().equals(self.name())) {
+            learned(host);
+            known.get(host.name()).entered = true;
         }
+    }
+
+    private void learned(GatewayHost host) {
         Known before = known.get(host.name());
         if (before == null || before.host.incarnation() != host.incarnation()) {
             known.put(host.name(), new Known(host, clock.nowMillis()));
         } else {
             before.seenAtMillis = clock.nowMillis();
         }
-        known.get(host.name()).entered = true;
     }
 
     /**
@@ -159,6 +165,7 @@
                 link.close();
             }
         }
+        closeRetired(now);
         for (Known each : List.copyOf(known.values())) {
             String name = each.host.name();
             if (links.containsKey(name)) {
@@ -187,15 +194,42 @@
             link.close();
             return;
         }
-        entered(host);
-        PeerLink before = links.put(host.name(), link);
+        learned(host);
+        PeerLink before = links.get(host.name());
+        if (before != null && before != link && before.isAlive() && !replaces(link, before)) {
+            retired.put(link, clock.nowMillis());
+            return;
+        }
+        links.put(host.name(), link);
         if (before != null && before != link) {
-            // Calls may still run over the older one; it ends with them or with its other end.
-            retired.add(before);
+            // Calls may still run over the older one.
+            retired.put(before, clock.nowMillis());
         }
         listener.connected(link);
     }
 
+    /**
+     * Of two connections between two hosts, the one that both use: the one that the host with the smaller name opened.
+     * If each chose by itself, each could send over a connection on which the other hears nothing, take the link for
+     * dead and open it anew without end; one would see hosts of other regions come and go every two seconds.
+     *
+     * @param self this host's name
+     * @param other the other host's name
+     * @param outgoing whether this host opened the connection
+     * @return whether it is the one
+     */
+    static boolean isPreferred(String self, String other, boolean outgoing) {
+        return outgoing == self.compareTo(other) < 0;
+    }
+
+    private boolean replaces(PeerLink link, PeerLink before) {
+        GatewayHost host = link.host().get();
+        boolean restarted = before.host().get().incarnation() != host.incarnation();
+        return restarted
+                || isPreferred(self.name(), host.name(), link.isOutgoing())
+                || !isPreferred(self.name(), host.name(), before.isOutgoing());
+    }
+
     void closed(PeerLink link) {
         retired.remove(link);
         drop(link, "the connection ended");
@@ -206,9 +240,18 @@
         link.close();
     }
 
+    private void closeRetired(long nowMillis) {
+        for (Map.Entry<PeerLink, Long> each : List.copyOf(retired.entrySet())) {
+            if (each.getKey().isUnused() && nowMillis - each.getValue() > RETIRED_MILLIS) {
+                retired.remove(each.getKey());
+                each.getKey().close();
+            }
+        }
+    }
+
     private boolean mayOpen(Known each, long nowMillis) {
-        if (!isOwnRegion(each.host)) {
-            return chosen(each.host.place().region()).contains(each.host.name());
+        if (!isOwnRegion(each.host) && !chosen(each.host.place().region()).contains(each.host.name())) {
+            return false;
         }
         return self.name().compareTo(each.host.name()) < 0 || nowMillis - each.lostAtMillis > OTHER_OPENS_MILLIS;
     }
@@ -247,20 +290,20 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
-                .handler(initializer())
+                .handler(initializer(true))
                 .connect(new InetSocketAddress(
                         host.peerAddress().substring(0, colon),
                         Integer.parseInt(host.peerAddress().substring(colon + 1))));
     }
 
-    private ChannelInitializer<SocketChannel> initializer() {
+    private ChannelInitializer<SocketChannel> initializer(boolean outgoing) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
                         .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                        .addLast(new PeerLink(PeerLinks.this, clock));
+                        .addLast(new PeerLink(PeerLinks.this, clock, outgoing));
             }
         };
     }
