--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
@@ -3,11 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import io.vavr.control.Option;
 
@@ -132,25 +133,37 @@
     }
 
     /**
-     * The regions that every route with homes names, for callers of a host name.
+     * The regions that suit the callers of a host name best: those that the most of its routes with homes allow. Where
+     * all these routes agree on some regions, they are just those.
      *
      * @param authority what the callers address
-     * @return the regions that all such routes allow; empty if no route has homes
+     * @return the regions; empty if no route has homes
      */
     public Set<String> homeRegions(String authority) {
-        Set<String> homes = new HashSet<>();
-        boolean first = true;
+        Map<String, Integer> routesByRegion = new HashMap<>();
         for (RouteRule route : routesByHostName.getOrDefault(hostName(authority), List.of())) {
-            if (route.homeRegions().isEmpty()) {
-                continue;
-            }
-            if (first) {
-                homes.addAll(route.homeRegions());
-                first = false;
-            } else {
-                homes.retainAll(route.homeRegions());
-            }
+            route.homeRegions().forEach(region -> routesByRegion.merge(region, 1, Integer::sum));
         }
+        int most = routesByRegion.values().stream()
+                .mapToInt(Integer::intValue)
+                .max()
+                .orElse(0);
+        return routesByRegion.entrySet().stream()
+                .filter(entry -> entry.getValue() == most)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /**
+     * The homes of routes that have some, for logs.
+     *
+     * @return the homes by the routes' names
+     */
+    public Map<String, Set<String>> homes() {
+        Map<String, Set<String>> homes = new TreeMap<>();
+        routesByHostName.values().forEach(routes -> routes.stream()
+                .filter(route -> !route.homeRegions().isEmpty())
+                .forEach(route -> homes.put(route.name(), route.homeRegions())));
         return homes;
     }
 
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/GatewayConfigurationTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/GatewayConfigurationTest.java
@@ -39,6 +39,21 @@
         assertEquals(Set.of("suva", "labasa"), configuration.homeRegions("desk.example"));
     }
 
+    /**
+     * Symptom: homed callers are sent to any region while their own has no host. Sequence: two routes of one host name
+     * have homes that share no region. Cause: the homes that both allow, none, were taken for no homes at all.
+     */
+    @Test
+    void shouldNameTheRegionsOfMostRoutesWhenHomesShareNone() {
+        GatewayConfiguration apart = Samples.configuration(
+                1,
+                Samples.route("a", "desk.example", "/a/", Set.of("suva", "labasa")),
+                Samples.route("b", "desk.example", "/b/", Set.of("suva")),
+                Samples.route("c", "desk.example", "/c/", Set.of("lautoka")));
+
+        assertEquals(Set.of("suva"), apart.homeRegions("desk.example"));
+    }
+
     @Test
     void shouldNarrowHomesWhenAResidencyRuleNamesARouteOrItsService() {
         GatewayConfiguration byRoute = configuration.within(Map.of("long", Set.of("labasa", "lautoka")));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
@@ -88,7 +88,9 @@
     private void configured(GatewayConfiguration configuration) {
         if (state.configure(configuration)) {
             state.log()
-                    .important(LogLine.of(LogEvent.CONFIGURED).with("configurationVersion", configuration.version()));
+                    .important(LogLine.of(LogEvent.CONFIGURED)
+                            .with("configurationVersion", configuration.version())
+                            .with("homes", configuration.homes().toString()));
         }
     }
 
