--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/CallerDirectory.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/CallerDirectory.java
@@ -1,10 +1,10 @@
 package org.rattanplank.core.gateway;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 
 import io.vavr.control.Option;
@@ -28,7 +28,7 @@
      */
     static final long AWAY_MILLIS = 6_000;
 
-    private final Map<Set<String>, Long> homeSeenAtMillis = new HashMap<>();
+    private final Map<List<String>, Long> homeSeenAtMillis = new HashMap<>();
     private final long startedAtMillis;
 
     private CallerDirectory(long startedAtMillis) {
@@ -60,11 +60,15 @@
             return List.of();
         }
         CallerPlace caller = place.get();
-        List<Predicate<GatewayHost>> choices = List.of(
-                host -> host.place().dataCentre().equals(caller.dataCentre())
-                        && host.place().region().equals(caller.region()),
-                host -> host.place().region().equals(caller.region()),
-                caller::isHome);
+        List<Predicate<GatewayHost>> choices = new ArrayList<>();
+        choices.add(host -> host.place().dataCentre().equals(caller.dataCentre())
+                && host.place().region().equals(caller.region()));
+        choices.add(host -> host.place().region().equals(caller.region()));
+        caller.homeRegions()
+                .forEach(home -> choices.add(host -> host.place().region().equals(home)));
+        if (caller.homeRegions().isEmpty()) {
+            choices.add(host -> true);
+        }
         for (Predicate<GatewayHost> choice : choices) {
             List<String> addresses = addresses(hosts, choice);
             if (!addresses.isEmpty()) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 
 import io.vavr.control.Option;
 
@@ -133,25 +132,20 @@
     }
 
     /**
-     * The regions that suit the callers of a host name best: those that the most of its routes with homes allow. Where
-     * all these routes agree on some regions, they are just those.
+     * The regions that suit the callers of a host name: those that routes with homes allow, the most of them first.
      *
      * @param authority what the callers address
      * @return the regions; empty if no route has homes
      */
-    public Set<String> homeRegions(String authority) {
-        Map<String, Integer> routesByRegion = new HashMap<>();
+    public List<String> homeRegions(String authority) {
+        Map<String, Integer> routesByRegion = new TreeMap<>();
         for (RouteRule route : routesByHostName.getOrDefault(hostName(authority), List.of())) {
             route.homeRegions().forEach(region -> routesByRegion.merge(region, 1, Integer::sum));
         }
-        int most = routesByRegion.values().stream()
-                .mapToInt(Integer::intValue)
-                .max()
-                .orElse(0);
         return routesByRegion.entrySet().stream()
-                .filter(entry -> entry.getValue() == most)
+                .sorted(Map.Entry.<String, Integer>comparingByValue().reversed())
                 .map(Map.Entry::getKey)
-                .collect(Collectors.toUnmodifiableSet());
+                .toList();
     }
 
     /**
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/CallerDirectoryTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/CallerDirectoryTest.java
@@ -1,7 +1,6 @@
 package org.rattanplank.core.gateway;
 
 import java.util.List;
-import java.util.Set;
 
 import io.vavr.control.Option;
 import org.junit.jupiter.api.Test;
@@ -21,7 +20,7 @@
     private final CallerDirectory directory = CallerDirectory.of(0);
 
     private static Option<CallerPlace> caller(String... homes) {
-        return Option.some(new CallerPlace("labasa", "labasa-hall", Set.of(homes)));
+        return Option.some(new CallerPlace("labasa", "labasa-hall", List.of(homes)));
     }
 
     @Test
@@ -34,6 +33,16 @@
         assertEquals(List.of("l:80"), directory.list(List.of(suva, lautoka), caller("lautoka"), 1));
     }
 
+    @Test
+    void shouldNameTheNextHomeWhenTheBestHasNoHost() {
+        assertEquals(
+                List.of("l:80"), directory.list(List.of(lautoka, labasaElsewhere()), caller("suva", "lautoka"), 1));
+    }
+
+    private static GatewayHost labasaElsewhere() {
+        return host("x", "elsewhere");
+    }
+
     @Test
     void shouldNameAnyHostWhenNothingHasHomes() {
         assertEquals(List.of("s:80"), directory.list(List.of(suva), caller(), 1));
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/GatewayConfigurationTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/GatewayConfigurationTest.java
@@ -1,5 +1,6 @@
 package org.rattanplank.core.gateway;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -36,7 +37,7 @@
 
     @Test
     void shouldNameTheHomesOfAHostNameWhenOnlySomeOfItsRoutesHaveSome() {
-        assertEquals(Set.of("suva", "labasa"), configuration.homeRegions("desk.example"));
+        assertEquals(Set.of("suva", "labasa"), Set.copyOf(configuration.homeRegions("desk.example")));
     }
 
     /**
@@ -44,14 +45,14 @@
      * have homes that share no region. Cause: the homes that both allow, none, were taken for no homes at all.
      */
     @Test
-    void shouldNameTheRegionsOfMostRoutesWhenHomesShareNone() {
+    void shouldNameTheRegionsOfMostRoutesFirstWhenHomesShareNone() {
         GatewayConfiguration apart = Samples.configuration(
                 1,
                 Samples.route("a", "desk.example", "/a/", Set.of("suva", "labasa")),
                 Samples.route("b", "desk.example", "/b/", Set.of("suva")),
                 Samples.route("c", "desk.example", "/c/", Set.of("lautoka")));
 
-        assertEquals(Set.of("suva"), apart.homeRegions("desk.example"));
+        assertEquals(List.of("suva", "labasa", "lautoka"), apart.homeRegions("desk.example"));
     }
 
     @Test
