Write a stand-in host's settings in one place

Cause: the soak built the same table of settings as SiteSettings does for the demo, line for line (read in the diff). Change: SiteSettings.write takes a SiteHost; the demo's program and the soak both call it.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -3,24 +3,22 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.rattanplank.bench.process.Child;
 import org.rattanplank.platform.PlatformMain;
 import org.rattanplank.standins.http.Addresses;
 import org.rattanplank.standins.http.EventLoop;
-import org.rattanplank.standins.http.Json;
 import org.rattanplank.standins.link.Link;
 import org.rattanplank.standins.platform.SiteStore;
-import org.rattanplank.standins.site.SettingsTemplate;
 import org.rattanplank.standins.site.SiteConfigurations;
+import org.rattanplank.standins.site.SiteHost;
 import org.rattanplank.standins.site.SiteReplica;
+import org.rattanplank.standins.site.SiteSettings;
 import org.rattanplank.standins.site.SiteStoreClient;
 
 /**
@@ -159,29 +157,10 @@
         String ip =
                 "127." + (1 + pid / BYTE_VALUES % BYTE_VALUES) + "." + (1 + pid % BYTE_VALUES) + "." + (100 + number);
         callers.put(name, new InetSocketAddress(ip, PORT));
-        ObjectNode values = Json.object()
-                .put("node_name", name)
-                .put("ip", ip)
-                .put("zone", region + "-hall")
-                .put("region", region);
-        ObjectNode zones = values.putObject("zones");
-        REGIONS.forEach(each -> zones.put(each + "-hall", each));
-        values.putObject("listen")
-                .put("front", ip + ":" + PORT)
-                .put("ready", ip + ":" + (PORT + 1))
-                .put("directory", ip + ":" + (PORT + 2));
-        values.putArray("port_range").add(PORT + 3).add(PORT + 4);
-        values.putObject("bounds")
-                .put("grace_s", 8)
-                .put("retry_budget_ratio", 0.2)
-                .put("retry_budget_slack", 52)
-                .put("budget_window_s", 10);
-        values.putObject("provider")
-                .put("address", storeLinks.get(name).address())
-                .put("ttl_min_ms", 1_000);
+        SiteHost host = new SiteHost(
+                name, region, REGIONS, ip, PORT, storeLinks.get(name).address());
         try {
-            String filled = SettingsTemplate.fill(Files.readString(template), values);
-            Files.writeString(folder.resolve(name + ".yaml"), filled);
+            SiteSettings.write(template, folder.resolve(name + ".yaml"), host);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteSettings.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteSettings.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
@@ -28,31 +29,47 @@
     public static void main(String[] args) throws IOException {
         Options options = new Options();
         JCommander.newBuilder().addObject(options).build().parse(args);
-        String filled = SettingsTemplate.fill(Files.readString(Path.of(options.template)), values(options));
-        Files.writeString(Path.of(options.output), filled);
+        SiteHost host = new SiteHost(
+                options.name,
+                options.region,
+                List.of(options.regions.split(",")),
+                options.ip,
+                options.port,
+                options.store);
+        write(Path.of(options.template), Path.of(options.output), host);
     }
 
-    private static ObjectNode values(Options options) {
+    /**
+     * Writes the settings file of a host.
+     *
+     * @param template the template
+     * @param output the file to write
+     * @param host the host
+     * @throws IOException if a file can't be read or written
+     */
+    public static void write(Path template, Path output, SiteHost host) throws IOException {
+        Files.writeString(output, SettingsTemplate.fill(Files.readString(template), values(host)));
+    }
+
+    private static ObjectNode values(SiteHost host) {
         ObjectNode values = Json.object()
-                .put("node_name", options.name)
-                .put("ip", options.ip)
-                .put("zone", options.region + "-hall")
-                .put("region", options.region);
+                .put("node_name", host.name())
+                .put("ip", host.ip())
+                .put("zone", host.region() + "-hall")
+                .put("region", host.region());
         ObjectNode zones = values.putObject("zones");
-        for (String region : options.regions.split(",")) {
-            zones.put(region + "-hall", region);
-        }
+        host.regions().forEach(region -> zones.put(region + "-hall", region));
         values.putObject("listen")
-                .put("front", options.ip + ":" + options.port)
-                .put("ready", options.ip + ":" + (options.port + 1))
-                .put("directory", options.ip + ":" + (options.port + 2));
-        values.putArray("port_range").add(options.port + 3).add(options.port + 4);
+                .put("front", host.ip() + ":" + host.port())
+                .put("ready", host.ip() + ":" + (host.port() + 1))
+                .put("directory", host.ip() + ":" + (host.port() + 2));
+        values.putArray("port_range").add(host.port() + 3).add(host.port() + 4);
         values.putObject("bounds")
                 .put("grace_s", GRACE_SECONDS)
                 .put("retry_budget_ratio", REPEAT_RATIO)
                 .put("retry_budget_slack", REPEAT_SLACK)
                 .put("budget_window_s", REPEAT_WINDOW_SECONDS);
-        values.putObject("provider").put("address", options.store).put("ttl_min_ms", LEAST_LEASE_MILLIS);
+        values.putObject("provider").put("address", host.store()).put("ttl_min_ms", LEAST_LEASE_MILLIS);
         return values;
     }
 
