Take the time that a forwarded request was under way from the time it has left

What is left was counted from the moment of reading. Ruled out: a lost cancel (it is on the same link, behind the request, and is read with it). Change: a request tells which state of the receiver its sender heard last, and how long ago; the receiver reads the delay from its own clock, and sends nothing whose time is up.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.Choice;
+import org.rattanplank.core.gateway.ForwardDelay;
 import org.rattanplank.core.gateway.RouteRule;
 import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.WeightedService;
@@ -40,6 +41,7 @@
     private final Runnable onOver;
     private final Work work;
     private final Set<String> tried;
+    private final long endsAtMillis;
     private final long takenAtMillis;
     private Attempt attempt;
     private String target = "";
@@ -62,10 +64,13 @@
         this.ask = ask;
         this.request = request;
         this.onOver = onOver;
-        work = request.work().with(ask.urgency()).within(ask.remainingMillis());
         tried = new HashSet<>(ask.excluded());
         lines = new RequestLog(state.log(), ask.requestId());
         takenAtMillis = state.nowMillis();
+        long delayMillis =
+                ForwardDelay.millis(takenAtMillis, ask.echoedMillis(), ask.echoAgeMillis(), link.roundTripMillis());
+        endsAtMillis = takenAtMillis + ask.remainingMillis() - delayMillis;
+        work = request.work().with(ask.urgency()).within(Math.max(0, remainingMillis()));
     }
 
     /** Starts it. */
@@ -74,6 +79,10 @@
             fail(AttemptFailure.NOT_SENT, "a newer configuration sends it elsewhere");
             return;
         }
+        if (remainingMillis() <= 0) {
+            fail(AttemptFailure.NOT_SENT, "its time was up before it came");
+            return;
+        }
         send();
     }
 
@@ -151,7 +160,7 @@
     }
 
     private long remainingMillis() {
-        return ask.remainingMillis() - (state.nowMillis() - takenAtMillis);
+        return endsAtMillis - state.nowMillis();
     }
 
     private void fail(AttemptFailure failure, String reason) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -257,6 +257,8 @@
                         PeerLink.flat(request.headers()),
                         request.body(),
                         call.remainingMillis(),
+                        link.state().sentAtMillis(),
+                        link.stateAgeMillis(),
                         call.lastEventId(),
                         work.urgency(),
                         !route.isIdempotent(),
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -99,6 +99,8 @@
      * @param headers names and values by turns
      * @param body its body
      * @param remainingMillis how long it may take
+     * @param echoedMillis the receiver's clock as the sender heard it last, zero if it hasn't
+     * @param echoAgeMillis how long ago the sender heard that
      * @param lastEventId the event behind which a stream is to go on, or empty
      * @param urgency how urgent it is
      * @param once whether it may run only once
@@ -115,6 +117,8 @@
             List<String> headers,
             byte[] body,
             long remainingMillis,
+            long echoedMillis,
+            long echoAgeMillis,
             String lastEventId,
             Urgency urgency,
             boolean once,
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -106,7 +106,8 @@
         out.packString(ask.uri()).packString(ask.authority());
         write(ask.headers(), out);
         write(ask.body(), out);
-        out.packLong(ask.remainingMillis()).packString(ask.lastEventId());
+        out.packLong(ask.remainingMillis()).packLong(ask.echoedMillis()).packLong(ask.echoAgeMillis());
+        out.packString(ask.lastEventId());
         out.packInt(ask.urgency().ordinal()).packBoolean(ask.once());
         write(ask.excluded(), out);
     }
@@ -199,6 +200,8 @@
                 readTexts(in),
                 readBytes(in),
                 in.unpackLong(),
+                in.unpackLong(),
+                in.unpackLong(),
                 in.unpackString(),
                 Urgency.of(in.unpackInt()),
                 in.unpackBoolean(),
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -27,6 +27,7 @@
 import org.rattanplank.core.host.Place;
 import org.rattanplank.core.intent.Document;
 import org.rattanplank.gateway.log.EventLog;
+import org.rattanplank.gateway.peer.TestPeer;
 import org.rattanplank.gateway.store.ClusterFact;
 
 /** A gateway of one region with a store in memory. */
@@ -62,6 +63,7 @@
     private final InetSocketAddress directory = ownAddress();
     private final Gateway gateway;
     private final InetSocketAddress metrics = ownAddress();
+    private final InetSocketAddress peers = ownAddress();
     private long version;
     private int targets;
 
@@ -73,7 +75,7 @@
                 callers,
                 ownAddress(),
                 directory,
-                ownAddress(),
+                peers,
                 metrics,
                 ownAddress(),
                 new SharedLimits(GRACE_MILLIS, 0.2, 160, 10_000, 1, 1_000));
@@ -165,6 +167,11 @@
         return new TestCaller(callers);
     }
 
+    /** Links to it as a host of another region. */
+    TestPeer peer() throws IOException {
+        return new TestPeer(peers);
+    }
+
     /** Asks for the hosts that callers should use. */
     String directory() throws IOException {
         try (TestCaller caller = new TestCaller(directory)) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -57,6 +57,8 @@
                 List.of("x", "y"),
                 body,
                 900,
+                700,
+                20,
                 "3",
                 Urgency.FIRST,
                 true,
@@ -69,6 +71,8 @@
                 List.of((byte) 0, (byte) -1, (byte) 13, (byte) 10, (byte) 127),
                 List.of(read.body()[0], read.body()[1], read.body()[2], read.body()[3], read.body()[4]));
         assertEquals(Urgency.FIRST, read.urgency());
+        assertEquals(700, read.echoedMillis());
+        assertEquals(20, read.echoAgeMillis());
     }
 
     @Property
--- /dev/null
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -0,0 +1,93 @@
+package org.rattanplank.gateway.peer;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+
+import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.gateway.Urgency;
+import org.rattanplank.core.host.Place;
+
+/** A host of another region that says what a test has it say. Used by the test's thread alone. */
+public final class TestPeer implements AutoCloseable {
+    private static final int LIMIT_MILLIS = 20_000;
+
+    private final Socket socket = new Socket();
+    private final DataInputStream in;
+    private final DataOutputStream out;
+
+    /**
+     * Opens a link.
+     *
+     * @param address where the other host listens
+     * @throws IOException if it can't be reached
+     */
+    public TestPeer(InetSocketAddress address) throws IOException {
+        socket.connect(address, LIMIT_MILLIS);
+        socket.setSoTimeout(LIMIT_MILLIS);
+        in = new DataInputStream(socket.getInputStream());
+        out = new DataOutputStream(socket.getOutputStream());
+        send(new PeerFrame.Hello(
+                new GatewayHost("h9", 1, Place.of("labasa", "labasa-hall"), "127.0.0.1:1", "127.0.0.1:2")));
+    }
+
+    /**
+     * Asks for a request as if this host had heard the other's state just now.
+     *
+     * @param requestId the identifier of the request
+     * @param remainingMillis the time that it has left
+     * @param heard the state
+     * @throws IOException if the link ended
+     */
+    public void ask(String requestId, long remainingMillis, PeerFrame.State heard) throws IOException {
+        send(new PeerFrame.Ask(
+                1,
+                1,
+                "desk",
+                requestId,
+                "POST",
+                "/a/x",
+                "desk.example",
+                List.of("Request-Id", requestId),
+                new byte[] {1},
+                remainingMillis,
+                heard.sentAtMillis(),
+                0,
+                "",
+                Urgency.FIRST,
+                true,
+                List.of()));
+    }
+
+    /**
+     * Reads until a frame of a kind comes.
+     *
+     * @param kind the kind
+     * @param <T> the kind
+     * @return the frame
+     * @throws IOException if the link ended
+     */
+    public <T extends PeerFrame> T await(Class<T> kind) throws IOException {
+        while (true) {
+            PeerFrame frame = PeerFrameCodec.decode(in.readNBytes(in.readInt())).get();
+            if (kind.isInstance(frame)) {
+                return kind.cast(frame);
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    private void send(PeerFrame frame) throws IOException {
+        byte[] bytes = PeerFrameCodec.encode(frame);
+        out.writeInt(bytes.length);
+        out.write(bytes);
+        out.flush();
+    }
+}
