Start a request only after all that has come was read

Change: connections of callers are read to their end, and a request starts after that pass, if its connection still lives; a forwarded one likewise, so that a cancel read with it wins. Test: GatewayFlowTest.shouldSendNothingWhenACallerHasLeftBeforeItsRequestIsRead, failed first (the target got q2).

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -220,7 +220,7 @@
         Map<Long, ForwardedCall> calls = forwarded.computeIfAbsent(link, each -> new HashMap<>());
         ForwardedCall call = new ForwardedCall(state, link, ask, request, () -> calls.remove(ask.call()));
         calls.put(ask.call(), call);
-        call.start();
+        startLater(call::start);
     }
 
     @Override
@@ -243,7 +243,21 @@
         made[0] = new PassThrough(state, request.get(), reply, () -> requests.remove(made[0]));
         requests.add(made[0]);
         taker.accept(made[0]);
-        made[0].start();
+        startLater(() -> {
+            // A connection that has ended tells its call a moment later.
+            if (connection.isOpen()) {
+                made[0].start();
+            }
+        });
+    }
+
+    /**
+     * Starts a request after all that has already come was read. A host that is behind with its work reads a request
+     * together with its caller's word that it left: started at once, it would reach a target for nobody. One would see
+     * targets at work on requests after their callers had left, most of all after a restart of all hosts.
+     */
+    private void startLater(Runnable start) {
+        loop.execute(start);
     }
 
     private void unsound(int status) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -58,6 +58,15 @@
         this.bounds = bounds;
     }
 
+    /**
+     * Tells whether the caller is still there.
+     *
+     * @return whether nothing shows that it left
+     */
+    public boolean isOpen() {
+        return channel.isActive();
+    }
+
     /**
      * Answers the request whole.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -9,12 +9,14 @@
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpMessage;
@@ -33,6 +35,9 @@
 public final class CallerServer {
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    /** What a connection may be read at a stretch before others get their turn; as many as the library does by itself. */
+    private static final int MOST_READS = 16;
+
     /** Callers open connections in bursts; a full queue delays each by a second. */
     private static final int BACKLOG = 1_024;
 
@@ -79,6 +84,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, toTheEnd())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -100,6 +106,11 @@
         stopping = true;
     }
 
+    /** Reads on until nothing is left, so that the end of a connection is seen together with its last request. */
+    private static RecvByteBufAllocator toTheEnd() {
+        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS);
+    }
+
     /** Takes no new connections. */
     public void closePort() {
         port.close();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -75,6 +75,9 @@
 
     /** Starts it. */
     public void start() {
+        if (over) {
+            return;
+        }
         if (!isStillAllowed()) {
             fail(AttemptFailure.NOT_SENT, "a newer configuration sends it elsewhere");
             return;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -99,6 +99,9 @@
 
     /** Starts it. */
     public void start() {
+        if (over) {
+            return;
+        }
         if (!state.takesRequests()) {
             refuse("this host is about to end");
             return;
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
@@ -354,6 +354,28 @@
         assertFalse(gateway.directory().contains("127."));
     }
 
+    /**
+     * Symptom: targets work for callers that left. Sequence: a host is behind with its work; a caller sends a request and
+     * gives up; both are read together. Cause: the request was started before the rest was read.
+     */
+    @Test
+    void shouldSendNothingWhenACallerHasLeftBeforeItsRequestIsRead() throws Exception {
+        try (TestTarget target =
+                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "one")))) {
+            gateway.configure(RouteKind.SAFE, false, 1).target("t1", target.port());
+            gateway.caller().send(request("q1", "b")).readUntil("one");
+
+            CountDownLatch held = gateway.hold();
+            gateway.caller().send(request("q2", "b")).close();
+            held.countDown();
+            gateway.linesOf("q2");
+            gateway.caller().send(request("q3", "b")).readUntil("one");
+
+            assertEquals("q1", TestTarget.header(target.nextRequest(), "request-id"));
+            assertEquals("q3", TestTarget.header(target.nextRequest(), "request-id"));
+        }
+    }
+
     @Test
     void shouldServeARequestOfAnotherRegionWhenItHasTimeLeft() throws Exception {
         try (TestTarget target = new TestTarget(
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -167,6 +167,19 @@
         return new TestCaller(callers);
     }
 
+    /** Keeps the event loop from all work until what is given back is counted down. */
+    CountDownLatch hold() {
+        CountDownLatch released = new CountDownLatch(1);
+        group.next().execute(() -> {
+            try {
+                released.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        return released;
+    }
+
     /** Links to it as a host of another region. */
     TestPeer peer() throws IOException {
         return new TestPeer(peers);
