--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
@@ -1,5 +1,6 @@
 package org.rattanplank.core.gateway;
 
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -13,7 +14,7 @@
     /** A region not heard of for so long, beyond the time between its reports, is taken to be out of reach. */
     public static final long REPORT_MILLIS = 3_000;
 
-    private final Map<String, Map<Kind, Load>> byRegion = new HashMap<>();
+    private final Map<String, Map<String, EnumMap<Urgency, Load>>> byRegion = new HashMap<>();
 
     /**
      * Takes a report.
@@ -33,7 +34,8 @@
             double perTokenMillis,
             long untilMillis) {
         byRegion.computeIfAbsent(region, name -> new HashMap<>())
-                .put(new Kind(service, urgency), new Load(expectedMillis, perTokenMillis, untilMillis));
+                .computeIfAbsent(service, name -> new EnumMap<>(Urgency.class))
+                .put(urgency, new Load(expectedMillis, perTokenMillis, untilMillis));
     }
 
     /**
@@ -47,7 +49,7 @@
      * @return milliseconds, or infinite if the region is not known to serve it
      */
     public double expectedMillis(String region, String service, Urgency urgency, int tokens, long nowMillis) {
-        Load load = byRegion.getOrDefault(region, Map.of()).get(new Kind(service, urgency));
+        Load load = loads(region, service).get(urgency);
         if (load == null || nowMillis > load.untilMillis) {
             return Double.POSITIVE_INFINITY;
         }
@@ -62,14 +64,16 @@
      * @param tokens the tokens of its prompt
      */
     public void sent(String region, String service, int tokens) {
-        byRegion.getOrDefault(region, Map.of()).forEach((kind, load) -> {
-            if (kind.service().equals(service)) {
-                load.addedMillis += Math.max(1, tokens) * load.perTokenMillis;
-            }
-        });
+        for (Load load : loads(region, service).values()) {
+            load.addedMillis += Math.max(1, tokens) * load.perTokenMillis;
+        }
     }
 
-    private record Kind(String service, Urgency urgency) {}
+    private Map<Urgency, Load> loads(String region, String service) {
+        Map<String, EnumMap<Urgency, Load>> byService = byRegion.get(region);
+        EnumMap<Urgency, Load> byUrgency = byService == null ? null : byService.get(service);
+        return byUrgency == null ? Map.of() : byUrgency;
+    }
 
     private static final class Load {
         private final double expectedMillis;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -96,7 +96,7 @@
             boolean ownRegion = isOwnRegion(link);
             if (ownRegion && age >= ownRegionMillis) {
                 sent = sent == null ? sent() : sent;
-                if (age >= periodMillis(true) || !sent.equals(last.sent)) {
+                if (age >= periodMillis(true) || !isSame(sent, last.sent)) {
                     tell(link, sent);
                 }
             } else if (!ownRegion && age >= periodMillis(false)) {
@@ -260,6 +260,22 @@
         return sent;
     }
 
+    /**
+     * Whether the work at targets is the same as before. Work that changes is another object; comparing fields instead
+     * would have the run-time library make code for it, at the start of a host, when time is short.
+     */
+    private static boolean isSame(List<PeerFrame.TargetWork> now, List<PeerFrame.TargetWork> before) {
+        if (now.size() != before.size()) {
+            return false;
+        }
+        for (int i = 0; i < now.size(); i++) {
+            if (now.get(i).work() != before.get(i).work()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** What this region is expected to take, worked out anew only now and then: it is told over many links. */
     private List<PeerFrame.RegionLoad> regionLoads() {
         long now = state.nowMillis();
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteCalls.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteCalls.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -48,10 +49,15 @@
         JCommander.newBuilder().addObject(options).build().parse(args);
         SiteStoreClient.of(options.store).configure(SiteConfigurations.of(1));
         SiteCalls calls = new SiteCalls();
-        String host = calls.entryHost(options.directory, options.region);
+        for (String host : calls.entryHosts(options)) {
+            calls.callBoth(host);
+        }
+    }
+
+    private void callBoth(String host) throws IOException, InterruptedException {
         System.out.println("entry host: " + host);
         for (String path : List.of(SiteConfigurations.DRAFTS, SiteConfigurations.BOOKINGS)) {
-            HttpResponse<String> answer = calls.call(host, path);
+            HttpResponse<String> answer = call(host, path);
             System.out.println("POST " + path + " -> " + answer.statusCode());
             System.out.println(answer.body().strip());
             if (answer.statusCode() != OK) {
@@ -60,20 +66,22 @@
         }
     }
 
-    private String entryHost(String directory, String region) throws IOException, InterruptedException {
-        String uri = "http://" + directory + PlatformPaths.RESOLVE + "?name=" + SiteConfigurations.HOST_NAME
-                + "&region=" + region + "&zone=" + region + "-hall";
+    private List<String> entryHosts(Options options) throws IOException, InterruptedException {
+        String uri = "http://" + options.directory + PlatformPaths.RESOLVE + "?name=" + SiteConfigurations.HOST_NAME
+                + "&region=" + options.region + "&zone=" + options.region + "-hall";
         for (int i = 0; i < TRIES; i++) {
             HttpRequest request =
                     HttpRequest.newBuilder(URI.create(uri)).timeout(LIMIT).build();
             JsonNode answer = Json.readOrEmpty(
                     client.send(request, HttpResponse.BodyHandlers.ofString()).body());
-            if (!answer.path("addresses").isEmpty()) {
-                return answer.path("addresses").path(0).asText();
+            if (answer.path("addresses").size() >= options.hosts) {
+                List<String> addresses = new ArrayList<>();
+                answer.path("addresses").forEach(address -> addresses.add(address.asText()));
+                return addresses;
             }
             TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
         }
-        throw new IOException("no entry host took callers in time");
+        throw new IOException("fewer than " + options.hosts + " entry hosts took callers in time");
     }
 
     private HttpResponse<String> call(String host, String path) throws IOException, InterruptedException {
@@ -97,5 +105,8 @@
 
         @Parameter(names = "--region", description = "the caller's region", required = true)
         private String region;
+
+        @Parameter(names = "--hosts", description = "the entry hosts to wait for; each named one is called")
+        private int hosts = 1;
     }
 }
