Cut the slack of repeats by the number of hosts that are known

Cause: the slack was cut into sixteen parts whatever the number of hosts. Ruled out: asking other hosts (a store or links that are down would stop repeats just when they help). Change: parts are slack / max(16, 1.25 x the most hosts ever known in this process's life). Sites of twelve hosts or fewer behave as before. Tests: RepeatAllowanceTest.shouldKeepTheSumUnderTheSlackWhenHostsKnowOfMostOthers (1 to 400 hosts, a fifth unknown), and a walk of every order of eight moves of two hosts (390,625).

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RepeatAllowance.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RepeatAllowance.java
@@ -8,21 +8,27 @@
  *
  * <p>Invariant: in any window, the repeats granted are at most {@link #RATIO_MARGIN} of the ratio times the first sends
  * of that window, plus this host's part of the slack. As each host counts its own first sends alone, the sum over all
- * hosts keeps the bound whatever each believes of the others. Confined to its owner's thread.
+ * hosts keeps the bound as long as none of them knows of fewer than four fifths of the others, or there are no more than
+ * the least number that the slack is shared by. Confined to its owner's thread.
  */
 public final class RepeatAllowance {
     /** What is kept back of the ratio, as the window of the bound and ours don't start together. */
     static final double RATIO_MARGIN = 0.8;
 
+    /** Hosts that have just been added are not known yet; a fifth of all may be so. */
+    static final double UNKNOWN_MARGIN = 1.25;
+
     private final double ratio;
-    private final double ownSlack;
+    private final double slack;
     private final long windowMillis;
+    private int hosts;
     private final Map<String, SlidingCount> firsts = new HashMap<>();
     private final Map<String, SlidingCount> repeats = new HashMap<>();
 
-    private RepeatAllowance(double ratio, double ownSlack, long windowMillis) {
+    private RepeatAllowance(double ratio, double slack, int hosts, long windowMillis) {
         this.ratio = ratio;
-        this.ownSlack = ownSlack;
+        this.slack = slack;
+        this.hosts = hosts;
         this.windowMillis = windowMillis;
     }
 
@@ -31,12 +37,23 @@
      *
      * @param ratio the repeats allowed for each first send
      * @param slack the repeats allowed besides, for all hosts together
-     * @param hosts the most hosts that share the slack
+     * @param hosts the least number of parts that the slack is cut into
      * @param windowMillis the window in which both are counted
      * @return the allowance
      */
     public static RepeatAllowance of(double ratio, double slack, int hosts, long windowMillis) {
-        return new RepeatAllowance(ratio * RATIO_MARGIN, Math.floor(slack / Math.max(1, hosts)), windowMillis);
+        return new RepeatAllowance(ratio * RATIO_MARGIN, slack, Math.max(1, hosts), windowMillis);
+    }
+
+    /**
+     * Takes note of how many hosts there are. Were the slack cut into parts for fewer hosts than there are, a fault that
+     * fails everything would let all of them together repeat more than the targets may get. The most that was ever known
+     * counts: a host that is cut off loses sight of others that repeat all the same.
+     *
+     * @param known the hosts that are known, this one included
+     */
+    public void hostsKnown(int known) {
+        hosts = Math.max(hosts, (int) Math.ceil(known * UNKNOWN_MARGIN));
     }
 
     /**
@@ -58,7 +75,7 @@
      */
     public int left(String service, long nowMillis) {
         int seen = count(firsts, service, nowMillis);
-        return (int) (Math.floor(ratio * seen + ownSlack) - count(repeats, service, nowMillis));
+        return (int) (Math.floor(ratio * seen + Math.floor(slack / hosts)) - count(repeats, service, nowMillis));
     }
 
     /**
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RepeatAllowanceTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RepeatAllowanceTest.java
@@ -58,4 +58,62 @@
             assertTrue(repeats.count(now) <= bound, "repeats over the bound");
         }
     }
+
+    /**
+     * Symptom: targets drown in repeats in a large system. Sequence: more hosts than the slack was cut for repeat all that
+     * they may after a fault that fails everything; each knows of four fifths of the others at least. Cause: the slack was
+     * cut into sixteen parts whatever the number of hosts; ninety of them took five times the whole.
+     */
+    @Property(tries = 100)
+    void shouldKeepTheSumUnderTheSlackWhenHostsKnowOfMostOthers(
+            @ForAll @IntRange(min = 1, max = 400) int hosts,
+            @ForAll @IntRange(min = 0, max = 20) int unknownPercent,
+            @ForAll @IntRange(min = 0, max = 500) int slack) {
+        int granted = 0;
+        for (int host = 0; host < hosts; host++) {
+            RepeatAllowance allowance = RepeatAllowance.of(RATIO, slack, MOST_HOSTS, WINDOW_MILLIS);
+            allowance.hostsKnown((int) Math.ceil(hosts * (100 - unknownPercent) / 100.0));
+            allowance.hostsKnown(1);
+            while (allowance.spend("s", 0)) {
+                granted++;
+            }
+        }
+
+        assertTrue(granted <= slack, granted + " of " + slack);
+    }
+
+    /** Walks every order of first sends, repeats and steps in time that two hosts can make in eight moves. */
+    @Test
+    void shouldKeepTheSumUnderTheBoundInEveryOrderOfEightMovesOfTwoHosts() {
+        int moves = 8;
+        int kinds = 5;
+        int orders = (int) Math.pow(kinds, moves);
+        for (int order = 0; order < orders; order++) {
+            walk(order, moves, kinds);
+        }
+    }
+
+    private static void walk(int order, int moves, int kinds) {
+        double ratio = 1;
+        double slack = 2;
+        long windowMillis = 10;
+        RepeatAllowance[] hosts = {
+            RepeatAllowance.of(ratio, slack, 2, windowMillis), RepeatAllowance.of(ratio, slack, 2, windowMillis)
+        };
+        SlidingCount firsts = new SlidingCount(2 * windowMillis);
+        SlidingCount repeats = new SlidingCount(windowMillis);
+        long now = 0;
+        for (int left = order, i = 0; i < moves; left /= kinds, i++) {
+            int move = left % kinds;
+            if (move == kinds - 1) {
+                now += windowMillis / 2;
+            } else if (move < 2) {
+                hosts[move].first("s", now);
+                firsts.add(now);
+            } else if (hosts[move - 2].spend("s", now)) {
+                repeats.add(now);
+            }
+            assertTrue(repeats.count(now) <= ratio * firsts.count(now) + slack, "order " + order);
+        }
+    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -32,8 +32,8 @@
  */
 public final class GatewayState {
     /**
-     * The most hosts that share the slack of repeats. Hosts don't know how many others there are, and each takes its
-     * part from the ratio of its own sends besides.
+     * The least number of parts that the slack of repeats is cut into. A small system may nearly triple its hosts before
+     * they know of each other; each takes its part from the ratio of its own sends besides.
      */
     private static final int SLACK_HOSTS = 16;
 
@@ -313,6 +313,7 @@
         if (now - peersAtMillis >= PEERS_MILLIS) {
             peersAtMillis = now;
             peers = PeersInTouch.of(self, links, now - startedAtMillis >= SETTLED_MILLIS);
+            repeats.hostsKnown(links.knownHosts());
         }
         return peers;
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -149,6 +149,15 @@
         return names;
     }
 
+    /**
+     * How many hosts there are, in touch or not.
+     *
+     * @return the number of hosts that were entered or in touch of late, this one included
+     */
+    public int knownHosts() {
+        return known.size() + 1;
+    }
+
     /**
      * The links to hosts in touch.
      *
