--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/gateway/GatewayCostMeasurement.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/gateway/GatewayCostMeasurement.java
@@ -27,9 +27,7 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public static void main(String[] args) throws InterruptedException {
-        // Callers address a host name that no name service knows here, so the header is set by hand; the client reads
-        // this once, when it is first used.
-        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+        allowHostHeaders();
         Options options = new Options();
         JCommander.newBuilder().addObject(options).build().parse(args);
         for (int hosts : options.hosts) {
@@ -37,6 +35,14 @@
         }
     }
 
+    /**
+     * Lets the JDK's client set the host name that callers address; no name service knows it here. The client reads this
+     * once, when it is first used.
+     */
+    static void allowHostHeaders() {
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    }
+
     private static String line(int hosts, Options options) throws InterruptedException {
         try (GatewayFleet fleet = GatewayFleet.start(hosts, options.targetsPerHost)) {
             try (CallStream calls = CallStream.start(fleet.callerAddresses(), options.callsPerHost * hosts)) {
