Send nothing over a link that has ended since the view of hosts was made

Change: links are asked once more whether they live when one is drawn; a call over an ended link fails at once as not sent.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -1,6 +1,7 @@
 package org.rattanplank.gateway.pass;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -301,8 +302,10 @@
     Map<String, PeerLink> remoteHosts(RouteRule route) {
         Map<String, PeerLink> drawn = new HashMap<>();
         peers().takersByRegion().forEach((region, hosts) -> {
-            if (route.allows(region)) {
-                drawn.put(region, hosts.get(random.nextInt(hosts.size())));
+            // A link may have ended since the view was made; a request sent over it would wait until its time is up.
+            List<PeerLink> alive = hosts.stream().filter(PeerLink::isAlive).toList();
+            if (route.allows(region) && !alive.isEmpty()) {
+                drawn.put(region, alive.get(random.nextInt(alive.size())));
             }
         });
         return drawn;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -149,6 +149,11 @@
     public Attempt ask(LongFunction<PeerFrame.Ask> ask, AttemptListener listener) {
         long number = nextCall++;
         PeerAttempt attempt = new PeerAttempt(number, listener);
+        if (channel == null || !channel.isActive()) {
+            // The end of the connection has been told already: nothing would end this call before its time is up.
+            listener.failed(AttemptFailure.NOT_SENT, "the link to the other host has ended");
+            return attempt;
+        }
         calls.put(number, attempt);
         send(ask.apply(number));
         return attempt;
