Tell a host that has just started what is known while the store is away

A host told others what it knows only while the store answered itself. Change: a host that knows no configuration is told by hosts that know one, whether the store answers them or not. Test: GatewayFlowTest.shouldTellAHostThatHasJustStartedWhatItKnowsWhenTheStoreIsAway, failed first.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -229,7 +229,12 @@
     private void helpWithStore(PeerLink link, long nowMillis) {
         PeerFrame.State peer = link.state();
         boolean needsHelp = !peer.followsStore() || !peer.storeHealthy();
-        if (!needsHelp || !feed.isFollowing() || !feed.isHealthy() || !feed.isComplete()) {
+        // A host that starts while the store is away knows nothing, and would serve nobody until the store is back:
+        // what
+        // others knew last is better, and is judged by own attempts. One would see a whole region without a host that
+        // takes callers after a rolling restart during an outage.
+        boolean mayHelp = feed.isFollowing() && feed.isHealthy() || peer.configurationVersion() == 0;
+        if (!needsHelp || !mayHelp || !feed.isComplete()) {
             return;
         }
         boolean lacks = isOwnRegion(link)
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
@@ -413,6 +413,23 @@
         }
     }
 
+    /**
+     * Symptom: callers are refused while targets are idle. Sequence: the store is away; hosts of two regions are restarted
+     * in turn; the third region's data centre is being evacuated. Cause: a host that starts learnt nothing from hosts that
+     * had lost the store as well, so none of two regions took requests until it was back.
+     */
+    @Test
+    void shouldTellAHostThatHasJustStartedWhatItKnowsWhenTheStoreIsAway() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        gateway.loseStore();
+        gateway.awaitStoreLost();
+        try (TestPeer peer = gateway.peer()) {
+            peer.sayItKnowsNothing();
+
+            assertEquals(1, peer.await(PeerFrame.StoreItems.class).items().size());
+        }
+    }
+
     private static String readOrReset(TestCaller caller) throws IOException {
         try {
             return caller.readAll();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -167,6 +167,22 @@
         return new TestCaller(callers);
     }
 
+    /** Lets the store answer nothing from now on. */
+    void loseStore() {
+        store.down(true);
+    }
+
+    /** Waits until the gateway has noticed that the store does not answer. */
+    void awaitStoreLost() {
+        for (int i = 0; i < TRIES; i++) {
+            if (logged.toString(StandardCharsets.UTF_8).contains("\"event\":\"store_lost\"")) {
+                return;
+            }
+            java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_NANOS);
+        }
+        throw new AssertionError("the store was not lost in " + logged.toString(StandardCharsets.UTF_8));
+    }
+
     /** Keeps the event loop from all work until what is given back is counted down. */
     CountDownLatch hold() {
         CountDownLatch released = new CountDownLatch(1);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -62,6 +62,15 @@
                 List.of()));
     }
 
+    /**
+     * Says that it has just started and that the store answers nothing.
+     *
+     * @throws IOException if the link ended
+     */
+    public void sayItKnowsNothing() throws IOException {
+        send(new PeerFrame.State(1, 0, 0, 500, false, 0, 0, true, false, List.of(), List.of()));
+    }
+
     /**
      * Reads until a frame of a kind comes.
      *
