Tell the runs of a target apart by the time of their start; use no entry that can't be read whole

Cause: a target may start again under its identifier. Ruled out: a new table of runs beside the pool (each table would need it again). Change: GatewayTarget is one run; a later run replaces it at once, an entry or a peer's word of an earlier one changes nothing, requests at the earlier run end as unknown, and its connections are closed. An entry is read whole or not at all; one that can't be read stops the use of its target until a sound entry of the same run, and is told once a key and reason.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -7,10 +7,11 @@
 import org.rattanplank.core.host.Rendezvous;
 
 /**
- * What this host believes of one target of its region.
+ * What this host believes of one run of a target of its region.
  *
- * <p>Invariants: a target known to leave never takes work again under this identifier; a cold one gets no more than its
- * gate lets through. Confined to its owner's thread.
+ * <p>Invariants: a run known to leave never takes work again; a cold one gets no more than its gate lets through. A
+ * later run of the same target is another object, so that nothing of the earlier one is believed of it. Confined to its
+ * owner's thread.
  */
 public final class GatewayTarget {
     /** A target that reports no slots is taken to work on so many requests at once. */
@@ -33,7 +34,8 @@
     /** Some tens of streams bring that many events in a fraction of a second. */
     private static final double PACE_SMOOTHING = 0.05;
 
-    private final String id;
+    private final TargetRun run;
+    private final String runText;
     private final long idHash;
     private final TargetHealth health = new TargetHealth();
     private final CachedParts cached = new CachedParts();
@@ -41,6 +43,8 @@
     private final Map<String, SentWork> byOtherHosts = new HashMap<>();
     private TargetEntry entry;
     private boolean leaving;
+    private boolean ended;
+    private boolean unnamed;
     private long coldUntilMillis;
     private long missingSinceMillis = -1;
     private long lastHeardMillis;
@@ -54,8 +58,9 @@
     private SentWork all = SentWork.NONE;
 
     GatewayTarget(TargetEntry entry, long nowMillis) {
-        id = entry.id();
-        idHash = Rendezvous.hash(id);
+        run = entry.run();
+        runText = run.text();
+        idHash = Rendezvous.hash(run.id());
         lastHeardMillis = nowMillis;
         update(entry, nowMillis);
     }
@@ -63,10 +68,28 @@
     /**
      * The identifier.
      *
-     * @return the identifier of this run of the target
+     * @return the identifier, which a later run of the target may have as well
      */
     public String id() {
-        return id;
+        return run.id();
+    }
+
+    /**
+     * The run.
+     *
+     * @return which run of the target this is
+     */
+    public TargetRun run() {
+        return run;
+    }
+
+    /**
+     * The run by its text, as logs and other hosts name it.
+     *
+     * @return the text
+     */
+    public String runText() {
+        return runText;
     }
 
     /**
@@ -119,9 +142,29 @@
         leaving = true;
     }
 
+    /**
+     * Whether it is over, as a later run of the target has begun.
+     *
+     * @return whether it is
+     */
+    public boolean hasEnded() {
+        return ended;
+    }
+
+    void end() {
+        leave();
+        ended = true;
+    }
+
+    /** Takes note that its entry can't be read any more: it gets no work until one can be read again. */
+    void unnamed() {
+        unnamed = true;
+    }
+
     boolean update(TargetEntry newer, long nowMillis) {
         boolean newlyLeaving = newer.leaving() && !leaving;
         entry = newer;
+        unnamed = false;
         missingSinceMillis = -1;
         leaving |= newer.leaving();
         if (newer.coldMillis() > 0) {
@@ -159,7 +202,7 @@
     }
 
     boolean mayTakeMore(long nowMillis) {
-        return !leaving && nowMillis >= busyUntilMillis && health.answers(nowMillis);
+        return !leaving && !unnamed && nowMillis >= busyUntilMillis && health.answers(nowMillis);
     }
 
     boolean isHealthy(long nowMillis) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -79,7 +79,7 @@
      *
      * @param service the service
      * @param work what is asked
-     * @param excluded the identifiers of targets that must not be chosen
+     * @param excluded the texts of runs of targets that must not be chosen
      * @param region the hosts of this region
      * @param nowMillis the time
      * @return the choice, or none if no target may take it
@@ -218,7 +218,7 @@
 
     private boolean isEligible(
             GatewayTarget target, ServiceRule service, Set<String> excluded, RegionView region, long nowMillis) {
-        if (!target.entry().service().equals(service.name()) || excluded.contains(target.id())) {
+        if (!target.entry().service().equals(service.name()) || excluded.contains(target.runText())) {
             return false;
         }
         if (!pool.mayUse(target, nowMillis)) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetEntry.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetEntry.java
@@ -5,7 +5,7 @@
 /**
  * What a target says of itself. Immutable and thread safe.
  *
- * @param id the identifier of this run of the target; a restart has another
+ * @param run which run of which target says it
  * @param service the service that it belongs to
  * @param ip its IP address
  * @param port its port
@@ -15,7 +15,7 @@
  * @param coldMillis how long it stays cold, as of when this was written
  */
 public record TargetEntry(
-        String id,
+        TargetRun run,
         String service,
         String ip,
         int port,
@@ -24,9 +24,18 @@
         boolean leaving,
         long coldMillis) {
     public TargetEntry {
-        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(run, "run");
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(ip, "ip");
         Objects.requireNonNull(dataCentre, "dataCentre");
     }
+
+    /**
+     * The identifier of the target.
+     *
+     * @return the identifier, which a later run may have as well
+     */
+    public String id() {
+        return run.id();
+    }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -14,8 +14,9 @@
 /**
  * The targets of this host's region and what may be sent to them.
  *
- * <p>Invariants: a target in a data centre that is being evacuated takes nothing; one that left takes nothing even if
- * an old entry of it turns up again. Confined to its owner's thread.
+ * <p>Invariants: a target in a data centre that is being evacuated takes nothing; a run that left takes nothing even if
+ * an old entry of it turns up again; of the runs of one target only the one that began last is here, and an entry of an
+ * earlier one changes nothing. Confined to its owner's thread.
  */
 public final class TargetPool {
     /** Entries that lapsed while the store was out are back about two seconds after it; a margin is added. */
@@ -29,10 +30,13 @@
 
     private final Set<String> dataCentres;
     private final Map<String, GatewayTarget> targets = new LinkedHashMap<>();
-    private final Map<String, Long> leftAtMillis = new HashMap<>();
+    private final Map<String, Left> left = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
     private long lenientUntilMillis;
 
+    /** Where targets tell their runs, all do: an entry that tells none is not a target's own, and isn't used. */
+    private boolean runsAreTold;
+
     private TargetPool(Set<String> dataCentres) {
         this.dataCentres = Set.copyOf(dataCentres);
     }
@@ -66,23 +70,58 @@
         return Option.of(targets.get(id));
     }
 
+    /**
+     * Finds a run of a target.
+     *
+     * @param text the run as other hosts name it
+     * @return the target, or none if this run is not the one that lives, as far as known; a host of an earlier version
+     *     names no run, so that its word counts only where targets tell none
+     */
+    public Option<GatewayTarget> findRun(String text) {
+        return find(text).orElse(() -> find(TargetRun.idIn(text))).filter(target -> target.runText()
+                .equals(text));
+    }
+
     /**
      * Takes a target's newest entry.
      *
      * @param entry the entry
      * @param nowMillis the time
-     * @return whether this changed what is believed of the target
+     * @return what this changed
      */
-    public boolean entered(TargetEntry entry, long nowMillis) {
-        if (!dataCentres.contains(entry.dataCentre()) || leftAtMillis.containsKey(entry.id())) {
-            return false;
-        }
+    public EntryChange entered(TargetEntry entry, long nowMillis) {
+        runsAreTold |= entry.run().bornMillis() > 0;
         GatewayTarget known = targets.get(entry.id());
+        if (known != null && entry.run().isBefore(known.run())) {
+            return EntryChange.NONE;
+        }
+        if (known != null && known.run().equals(entry.run())) {
+            return known.update(entry, nowMillis) ? EntryChange.of(known) : EntryChange.NONE;
+        }
         if (known != null) {
-            return known.update(entry, nowMillis);
+            // Whatever was believed of the earlier run is wrong of this one: what it keeps, its health, that it leaves.
+            // Believed on, it would be passed over for as long as it lives, or flooded while it is cold.
+            targets.remove(entry.id());
+            known.end();
         }
-        targets.put(entry.id(), new GatewayTarget(entry, nowMillis));
-        return true;
+        Left before = left.get(entry.id());
+        boolean isNews = before == null || before.run().isBefore(entry.run());
+        if (isNews && dataCentres.contains(entry.dataCentre())) {
+            GatewayTarget begun = new GatewayTarget(entry, nowMillis);
+            targets.put(entry.id(), begun);
+            return new EntryChange(Option.some(begun), Option.of(known));
+        }
+        return new EntryChange(Option.none(), Option.of(known));
+    }
+
+    /**
+     * Takes note that a target's entry names no target to use any more. What is believed of it is kept for the next
+     * sound entry of the same run: the target itself says so again and again, so one that lives is soon back.
+     *
+     * @param id its identifier
+     */
+    public void unreadable(String id) {
+        find(id).forEach(GatewayTarget::unnamed);
     }
 
     /**
@@ -150,20 +189,10 @@
             }
         }
         gone.forEach(id -> drop(id, nowMillis));
-        leftAtMillis.values().removeIf(at -> nowMillis - at > LEFT_MILLIS);
+        left.values().removeIf(each -> nowMillis - each.atMillis() > LEFT_MILLIS);
         return gone;
     }
 
-    /**
-     * Takes note that the target at an address is another one now.
-     *
-     * @param id the identifier of the one that was expected
-     * @param nowMillis the time
-     */
-    public void replaced(String id, long nowMillis) {
-        drop(id, nowMillis);
-    }
-
     /**
      * Starts or ends the evacuation of a data centre.
      *
@@ -193,14 +222,19 @@
     }
 
     boolean mayUse(GatewayTarget target, long nowMillis) {
-        return !evacuated.contains(target.entry().dataCentre()) && target.mayTakeMore(nowMillis);
+        return !evacuated.contains(target.entry().dataCentre())
+                && target.mayTakeMore(nowMillis)
+                && !(runsAreTold && target.run().bornMillis() == 0);
     }
 
     private void drop(String id, long nowMillis) {
         GatewayTarget target = targets.remove(id);
         if (target != null) {
             target.leave();
-            leftAtMillis.put(id, nowMillis);
+            left.put(id, new Left(target.run(), nowMillis));
         }
     }
+
+    /** The last run of a target that left, and when that was noticed. */
+    private record Left(TargetRun run, long atMillis) {}
 }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/Samples.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/Samples.java
@@ -13,7 +13,12 @@
     private Samples() {}
 
     static TargetEntry target(String id, String dataCentre, boolean leaving, long coldMillis) {
-        return new TargetEntry(id, MODEL, "10.0.0.1", 8080, dataCentre, 64, leaving, coldMillis);
+        return run(id, 0, dataCentre, leaving, coldMillis);
+    }
+
+    static TargetEntry run(String id, long bornMillis, String dataCentre, boolean leaving, long coldMillis) {
+        TargetRun run = new TargetRun(id, bornMillis);
+        return new TargetEntry(run, MODEL, "10.0.0.1", 8080, dataCentre, 64, leaving, coldMillis);
     }
 
     static RouteRule route(String name, String hostName, String prefix, Set<String> homes) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
@@ -1,7 +1,10 @@
 package org.rattanplank.gateway;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.Consumer;
 
+import org.rattanplank.core.gateway.EntryChange;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.TargetEntry;
 import org.rattanplank.core.intent.Configurations;
@@ -18,10 +21,14 @@
 
 /** Turns what the store says into what this host believes, with a log line for each change. Confined to the event loop. */
 final class Beliefs implements FeedListener {
+    /** Keys and reasons told once are remembered, some 100 KB of them at most. */
+    private static final int MOST_UNREADABLE_TOLD = 1_000;
+
     private final GatewayState state;
     private final PeerLinks links;
     private final Runnable ownKeyLost;
     private final Consumer<StoreItem> relay;
+    private final Set<String> unreadableTold = new HashSet<>();
 
     Beliefs(GatewayState state, PeerLinks links, Runnable ownKeyLost, Consumer<StoreItem> relay) {
         this.state = state;
@@ -57,11 +64,7 @@
                 ownKeyLost.run();
             }
         } else if (fact instanceof ClusterFact.Unreadable unreadable) {
-            state.log()
-                    .important(LogLine.of(LogEvent.ITEM_UNREADABLE)
-                            .with("key", item.key())
-                            .with("revision", item.revision())
-                            .with("reason", unreadable.reason()));
+            unreadable(item, unreadable);
         }
     }
 
@@ -108,15 +111,33 @@
     }
 
     private void entered(TargetEntry entry) {
-        boolean changed = state.pool().entered(entry, state.nowMillis());
+        EntryChange change = state.pool().entered(entry, state.nowMillis());
         state.retireTargets();
-        if (changed) {
+        change.ended().forEach(before -> {
+            state.connections().end(before);
+            gone(before.runText(), "it has started again");
+        });
+        change.changed().forEach(target -> state.log()
+                .important(LogLine.of(LogEvent.TARGET_CHANGED)
+                        .with("target", entry.run().text())
+                        .with("service", entry.service())
+                        .with("leaving", entry.leaving())
+                        .with("coldMillis", entry.coldMillis())));
+    }
+
+    /** An entry that another writer left, or spoilt, is told once a key and reason; it may be written each second. */
+    private void unreadable(StoreItem item, ClusterFact.Unreadable unreadable) {
+        unreadable.target().forEach(state.pool()::unreadable);
+        state.metrics().unreadableItem();
+        if (unreadableTold.add(item.key() + ' ' + unreadable.reason())) {
             state.log()
-                    .important(LogLine.of(LogEvent.TARGET_CHANGED)
-                            .with("target", entry.id())
-                            .with("service", entry.service())
-                            .with("leaving", entry.leaving())
-                            .with("coldMillis", entry.coldMillis()));
+                    .important(LogLine.of(LogEvent.ITEM_UNREADABLE)
+                            .with("key", item.key())
+                            .with("revision", item.revision())
+                            .with("reason", unreadable.reason()));
+        }
+        if (unreadableTold.size() > MOST_UNREADABLE_TOLD) {
+            unreadableTold.clear();
         }
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
@@ -73,6 +73,11 @@
         count("requests_total", "outcome=\"answered\"");
     }
 
+    /** Counts an item of the store that can't be read. */
+    public void unreadableItem() {
+        registry.counter(PREFIX + "unreadable_items_total").inc();
+    }
+
     /**
      * Shows a number that changes by itself.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -215,11 +215,11 @@
         Set<String> now = new HashSet<>();
         for (PeerFrame.TargetWork each : sent) {
             now.add(each.target());
-            state.pool().find(each.target()).forEach(target -> target.sentByOther(host, each.work()));
+            state.pool().findRun(each.target()).forEach(target -> target.sentByOther(host, each.work()));
         }
         for (String id : before) {
             if (!now.contains(id)) {
-                state.pool().find(id).forEach(target -> target.sentByOther(host, SentWork.NONE));
+                state.pool().findRun(id).forEach(target -> target.sentByOther(host, SentWork.NONE));
             }
         }
         targetsByHost.put(host, now);
@@ -259,7 +259,7 @@
         List<PeerFrame.TargetWork> sent = new ArrayList<>();
         for (GatewayTarget target : state.pool().all()) {
             if (target.own().requests() > 0) {
-                sent.add(new PeerFrame.TargetWork(target.id(), target.own()));
+                sent.add(new PeerFrame.TargetWork(target.runText(), target.own()));
             }
         }
         return sent;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -147,7 +147,7 @@
             fail(AttemptFailure.NOT_SENT, "no target of this region may take it");
             return;
         }
-        target = choice.get().target().id();
+        target = choice.get().target().runText();
         tried.add(target);
         lines.add(LogLine.of(LogEvent.FORWARD_TAKEN)
                 .with("from", link.host().map(host -> host.name()).getOrElse(""))
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -290,7 +290,12 @@
         return repeats;
     }
 
-    TargetConnections connections() {
+    /**
+     * The connections to targets.
+     *
+     * @return the connections
+     */
+    public TargetConnections connections() {
         return connections;
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalSend.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalSend.java
@@ -65,7 +65,7 @@
 
     @Override
     public String to() {
-        return target.id();
+        return target.runText();
     }
 
     @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -219,7 +219,7 @@
         localTarget = choice.target();
         countSend();
         lines.add(LogLine.of(LogEvent.SENT)
-                .with("target", choice.target().id())
+                .with("target", choice.target().runText())
                 .with("service", service.name())
                 .with("expectedMillis", choice.expectedMillis())
                 .with("candidates", choice.candidates())
@@ -227,7 +227,7 @@
                 .with("tokensWaitingThere", choice.target().all().waiting().ahead(work.urgency()))
                 .with("remainingMillis", endsAtMillis - attemptAtMillis)
                 .with("attempt", sent));
-        AttemptEvents events = new AttemptEvents(choice.target().id());
+        AttemptEvents events = new AttemptEvents(choice.target().runText());
         Attempt started = LocalSend.send(state, choice, service, call(), !route.isIdempotent(), events);
         keep(events, started);
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -58,7 +58,7 @@
     /**
      * A host's work at one target.
      *
-     * @param target the target's identifier
+     * @param target the run of the target, by its text; one that the receiver doesn't know to live says nothing to it
      * @param work the work
      */
     record TargetWork(String target, SentWork work) {}
@@ -104,7 +104,7 @@
      * @param lastEventId the event behind which a stream is to go on, or empty
      * @param urgency how urgent it is
      * @param once whether it may run only once
-     * @param excluded identifiers of targets that must not get it
+     * @param excluded the texts of runs of targets that must not get it
      */
     record Ask(
             long call,
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterFact.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterFact.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.TargetEntry;
@@ -79,9 +80,16 @@
     record Unrelated() implements ClusterFact {}
 
     /**
-     * An item that should say something and can't be read; what was known before stays.
+     * An item that should say something and can't be read. Of a target's entry, the target gets no work until one can be
+     * read; of others, what was known before stays.
      *
+     * @param target the identifier of the target whose entry it is, or none
      * @param reason why it can't be read
      */
-    record Unreadable(String reason) implements ClusterFact {}
+    record Unreadable(Option<String> target, String reason) implements ClusterFact {
+        public Unreadable {
+            Objects.requireNonNull(target, "target");
+            Objects.requireNonNull(reason, "reason");
+        }
+    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -49,7 +49,7 @@
 
     @Override
     public String to() {
-        return target.id();
+        return target.runText();
     }
 
     @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
@@ -85,6 +85,12 @@
         });
     }
 
+    /** Ends it, and the request on it as one that may have run. */
+    void abandon(String reason) {
+        fail(reason);
+        drop();
+    }
+
     void drop() {
         attempt = null;
         spoilt = true;
@@ -108,8 +114,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail("the connection broke: " + cause.getMessage());
-        drop();
+        abandon("the connection broke: " + cause.getMessage());
     }
 
     @Override
@@ -121,8 +126,7 @@
 
     private void read(HttpObject part) {
         if (part.decoderResult().isFailure()) {
-            fail("the answer is not sound HTTP");
-            drop();
+            abandon("the answer is not sound HTTP");
             return;
         }
         attempt.heard();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -1,9 +1,11 @@
 package org.rattanplank.gateway.target;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 
 import io.netty.bootstrap.Bootstrap;
@@ -43,7 +45,7 @@
     private final Bootstrap bootstrap;
     private final HeaderNames names;
     private final SteadyClock clock;
-    private final Map<String, ArrayDeque<TargetConnection>> idle = new HashMap<>();
+    private final Map<GatewayTarget, ArrayDeque<TargetConnection>> idle = new HashMap<>();
     private final Map<TargetConnection, GatewayTarget> targets = new HashMap<>();
     private long opened;
 
@@ -75,7 +77,7 @@
      */
     public Attempt send(GatewayTarget target, TargetCall call, boolean once, AttemptListener listener) {
         TargetAttempt attempt = new TargetAttempt(target, call, names, listener, clock);
-        TargetConnection kept = take(target.id(), once ? IDLE_PART_ONCE : 1);
+        TargetConnection kept = take(target, once ? IDLE_PART_ONCE : 1);
         if (kept != null) {
             attempt.start(kept);
             return attempt;
@@ -102,15 +104,16 @@
     }
 
     /**
-     * Closes the idle connections to a target.
+     * Ends all connections to a run of a target that is over. A target that crashed behind a cut resets nothing: requests
+     * that wait there would wait until their time is up, though it is known that nobody works on them.
      *
-     * @param id its identifier
+     * @param target the run
      */
-    public void forget(String id) {
-        ArrayDeque<TargetConnection> connections = idle.remove(id);
-        if (connections != null) {
-            connections.forEach(TargetConnection::drop);
-        }
+    public void end(GatewayTarget target) {
+        idle.remove(target);
+        List.copyOf(targets.entrySet()).stream()
+                .filter(each -> each.getValue() == target)
+                .forEach(each -> each.getKey().abandon("the target has started again"));
     }
 
     /**
@@ -132,22 +135,21 @@
             connection.drop();
             return;
         }
-        idle.computeIfAbsent(target.id(), id -> new ArrayDeque<>()).push(connection);
+        idle.computeIfAbsent(target, each -> new ArrayDeque<>()).push(connection);
     }
 
     void closed(TargetConnection connection) {
         GatewayTarget target = targets.remove(connection);
         if (target != null) {
-
-            ArrayDeque<TargetConnection> connections = idle.get(target.id());
+            ArrayDeque<TargetConnection> connections = idle.get(target);
             if (connections != null) {
                 connections.remove(connection);
             }
         }
     }
 
-    private TargetConnection take(String id, double partOfIdle) {
-        ArrayDeque<TargetConnection> connections = idle.get(id);
+    private TargetConnection take(GatewayTarget target, double partOfIdle) {
+        ArrayDeque<TargetConnection> connections = idle.get(target);
         while (connections != null && !connections.isEmpty()) {
             TargetConnection newest = connections.pop();
             if (newest.isUsable(partOfIdle, clock.nowMillis())) {
@@ -176,8 +178,10 @@
                 })
                 .connect(address)
                 .addListener(done -> {
-                    if (done.isSuccess()) {
-
+                    if (done.isSuccess() && target.hasEnded()) {
+                        connection.drop();
+                        attempt.notConnected(new ConnectException("the target has started again"));
+                    } else if (done.isSuccess()) {
                         targets.put(connection, target);
                         attempt.start(connection);
                     } else {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.rattanplank.core.gateway.RouteKind;
+import org.rattanplank.core.gateway.TargetRun;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.TestPeer;
 import org.rattanplank.gateway.target.AttemptFailure;
@@ -437,4 +438,54 @@
             return "";
         }
     }
+
+    /**
+     * Symptom: a caller waits until its time is up for a target that has crashed. Sequence: the target crashes behind a
+     * cut, so that nothing is reset, and starts again under its identifier. Cause: requests at the earlier run waited on,
+     * and its connections were kept for the later one.
+     */
+    @Test
+    void shouldEndRequestsAsUnknownWhenTheirTargetHasStartedAgain() throws Exception {
+        try (TestTarget earlier = new TestTarget((request, out) -> {});
+                TestTarget later = new TestTarget(
+                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "later")))) {
+            gateway.configure(RouteKind.UNSAFE, false, 1);
+            gateway.enter(new TargetRun("t1", 1_000), earlier.port());
+            gateway.awaitTargets(1);
+            TestCaller waiting = gateway.caller().send(request("q1", "b"));
+            earlier.nextRequest();
+
+            gateway.enter(new TargetRun("t1", 2_000), later.port());
+
+            assertTrue(waiting.readUntil("\r\n\r\n").startsWith("HTTP/1.1 502"));
+            assertTrue(
+                    gateway.caller().send(request("q2", "b")).readUntil("later").startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    /**
+     * Symptom: the log grows by a line a second, and a target that nobody meant gets requests. Sequence: somebody else
+     * writes an entry that can't be read, again and again; the target's own next entry is sound. Cause: each was told, or
+     * the entry before was believed on.
+     */
+    @Test
+    void shouldTellAnEntryThatCanNotBeReadOnceAndUseTheNextSoundOne() throws Exception {
+        try (TestTarget target =
+                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "done")))) {
+            gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
+            gateway.spoil("t1");
+            gateway.spoil("t1");
+            gateway.awaitUnreadable(2);
+
+            assertTrue(gateway.caller()
+                    .send(request("q1", "b"))
+                    .readUntil("\r\n\r\n")
+                    .startsWith("HTTP/1.1 503"));
+            gateway.enter(new TargetRun("t1", 0), target.port());
+            gateway.target("t2", target.port());
+            assertTrue(
+                    gateway.caller().send(request("q2", "b")).readUntil("done").startsWith("HTTP/1.1 200"));
+            assertEquals(1, gateway.countLogged("\"event\":\"item_unreadable\""));
+        }
+    }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -23,6 +23,7 @@
 import org.rattanplank.core.gateway.RouteRule;
 import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.TargetEntry;
+import org.rattanplank.core.gateway.TargetRun;
 import org.rattanplank.core.gateway.WeightedService;
 import org.rattanplank.core.host.Place;
 import org.rattanplank.core.intent.Document;
@@ -114,15 +115,41 @@
 
     /** Enters a target and waits until the gateway knows it. */
     TestGateway target(String id, int port) throws IOException {
-        store.put(
-                "targets/" + id,
-                new ClusterFact.TargetEntered(new TargetEntry(id, "desk", "127.0.0.1", port, HALL, 4, false, 0)),
-                false);
+        enter(new TargetRun(id, 0), port);
         targets++;
         awaitMetric("targets " + targets);
         return this;
     }
 
+    /** Waits until the gateway knows so many targets. */
+    void awaitTargets(int count) throws IOException {
+        awaitMetric("targets " + count);
+    }
+
+    /** Puts what can't be read where a target enters itself. */
+    void spoil(String id) {
+        store.put("targets/" + id, new ClusterFact.Unreadable(Option.some(id), "no address"), false);
+    }
+
+    /** Waits until so many items could not be read. */
+    void awaitUnreadable(int count) throws IOException {
+        awaitMetric("unreadable_items_total " + count);
+    }
+
+    /** Counts the lines of the log that hold a text. */
+    long countLogged(String text) {
+        return logged.toString(StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.contains(text))
+                .count();
+    }
+
+    /** Enters a run of a target. */
+    void enter(TargetRun run, int port) {
+        TargetEntry entry = new TargetEntry(run, "desk", "127.0.0.1", port, HALL, 4, false, 0);
+        store.put("targets/" + run.id(), new ClusterFact.TargetEntered(entry), false);
+    }
+
     /** Waits for the line that tells the end of a request, and returns all lines of it. */
     List<String> linesOf(String requestId) {
         String own = "\"requestId\":\"" + requestId + "\"";
