Switch mechanisms off by name in settings; tell the status in each request's last line

Cause: what each mechanism is worth can't be measured while none can be left out; and the log had only an ordinary line for a target's failure that reached a caller. Ruled out for the safe reads: the allowance of repeats (none was refused one) and the slack's sixteenths.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/gateway/GatewayFleet.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/gateway/GatewayFleet.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.SingleThreadEventExecutor;
+import org.rattanplank.core.gateway.Mechanisms;
 import org.rattanplank.core.host.Place;
 import org.rattanplank.gateway.Gateway;
 import org.rattanplank.gateway.GatewaySettings;
@@ -111,7 +112,8 @@
                 address(number, 3),
                 address(number, 4),
                 store,
-                LIMITS);
+                LIMITS,
+                Mechanisms.ALL);
         EventLoopGroup group = new NioEventLoopGroup(1);
         groups.add(group);
         callerAddresses.add(settings.callers());
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -44,10 +44,12 @@
     private final String self;
     private final TargetPool pool;
     private final RandomGenerator random;
+    private final Mechanisms mechanisms;
     private final Map<String, LatencyModel> models = new HashMap<>();
 
-    private TargetChooser(String self, TargetPool pool, RandomGenerator random) {
+    private TargetChooser(String self, TargetPool pool, RandomGenerator random, Mechanisms mechanisms) {
         this.self = self;
+        this.mechanisms = mechanisms;
         this.pool = pool;
         this.random = random;
     }
@@ -61,7 +63,20 @@
      * @return the chooser
      */
     public static TargetChooser of(String self, TargetPool pool, RandomGenerator random) {
-        return new TargetChooser(self, pool, random);
+        return of(self, pool, random, Mechanisms.ALL);
+    }
+
+    /**
+     * Makes a chooser that may leave mechanisms out.
+     *
+     * @param self this host's name
+     * @param pool the targets of its region
+     * @param random what breaks ties
+     * @param mechanisms which mechanisms are in use
+     * @return the chooser
+     */
+    public static TargetChooser of(String self, TargetPool pool, RandomGenerator random, Mechanisms mechanisms) {
+        return new TargetChooser(self, pool, random, mechanisms);
     }
 
     /**
@@ -89,17 +104,20 @@
         List<GatewayTarget> eligible = healthyOrAll(eligible(service, excluded, region, nowMillis), nowMillis);
         List<PromptPart> shared = work.sharedParts();
         int sharedTokens = work.sharedTokens();
-        GatewayTarget keeper = keeper(eligible, shared);
+        GatewayTarget keeper = mechanisms.uses(Mechanism.KEEPER) ? keeper(eligible, shared) : null;
+        double readAgainMillisPerToken = mechanisms.uses(Mechanism.READ_AGAIN) ? READ_AGAIN_MILLIS_PER_TOKEN : 0;
         GatewayTarget best = null;
         double bestMillis = Double.MAX_VALUE;
-        double spreadMillis = SPREAD_PER_HOST_MILLIS * (region.hosts().size() - 1);
+        double spreadMillis = mechanisms.uses(Mechanism.SPREAD)
+                ? SPREAD_PER_HOST_MILLIS * (region.hosts().size() - 1)
+                : 0;
         for (GatewayTarget target : eligible) {
             double firstMillis = expectedMillis(target, service, work);
             int readAgainTokens = target == keeper ? 0 : Math.max(0, sharedTokens - target.cachedTokens(shared));
             double millis = firstMillis * (1 + TIE * random.nextDouble())
                     + overrunMillis(target, service, work, firstMillis, nowMillis)
                     + spreadMillis * random.nextDouble()
-                    + READ_AGAIN_MILLIS_PER_TOKEN * readAgainTokens;
+                    + readAgainMillisPerToken * readAgainTokens;
             if (millis < bestMillis) {
                 best = target;
                 bestMillis = millis;
@@ -135,9 +153,10 @@
      * How much longer a stream would take than it may. An engine that reads many prompts makes the streams beside them
      * slow: long ones end at their time without their last events, while another engine would have ended them.
      */
-    private static double overrunMillis(
+    private double overrunMillis(
             GatewayTarget target, ServiceRule service, Work work, double firstMillis, long nowMillis) {
-        if (service.eventTokens() == 0 || work.remainingMillis() == 0) {
+        boolean isKnown = service.eventTokens() > 0 && work.remainingMillis() > 0;
+        if (!isKnown || !mechanisms.uses(Mechanism.END_IN_TIME)) {
             return 0;
         }
         double events = work.outputTokens() / (double) service.eventTokens();
@@ -149,7 +168,10 @@
      * Leaves out targets that fail, unless that would leave fewer than half: when all fail alike, leaving some out helps
      * none and takes the room of those that would have been answered. One would see refusals while targets are idle.
      */
-    private static List<GatewayTarget> healthyOrAll(List<GatewayTarget> eligible, long nowMillis) {
+    private List<GatewayTarget> healthyOrAll(List<GatewayTarget> eligible, long nowMillis) {
+        if (!mechanisms.uses(Mechanism.LEAVE_OUT_FAILING)) {
+            return eligible;
+        }
         List<GatewayTarget> healthy = new ArrayList<>(eligible.size());
         for (GatewayTarget target : eligible) {
             if (target.isHealthy(nowMillis)) {
@@ -198,6 +220,9 @@
      * @return milliseconds
      */
     public double roomMillis(GatewayTarget target, ServiceRule service, Work work) {
+        if (!mechanisms.uses(Mechanism.ROOM)) {
+            return 0;
+        }
         return model(service.name())
                 .roomMillis(
                         target.all().requests() + 1 - target.slots(),
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewaySettings.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.rattanplank.core.gateway.Mechanisms;
 import org.rattanplank.core.host.Place;
 
 /**
@@ -21,6 +22,7 @@
  * @param metrics where metrics are served
  * @param store where the platform's store is
  * @param limits the bounds that all hosts keep together
+ * @param mechanisms which mechanisms decide; all but in experiments
  */
 public record GatewaySettings(
         String name,
@@ -32,12 +34,14 @@
         InetSocketAddress peers,
         InetSocketAddress metrics,
         InetSocketAddress store,
-        SharedLimits limits) {
+        SharedLimits limits,
+        Mechanisms mechanisms) {
     public GatewaySettings {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(place, "place");
         regionsByDataCentre = Map.copyOf(regionsByDataCentre);
         Objects.requireNonNull(limits, "limits");
+        Objects.requireNonNull(mechanisms, "mechanisms");
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -13,6 +13,7 @@
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.LatencyModel;
+import org.rattanplank.core.gateway.Mechanism;
 import org.rattanplank.core.gateway.RegionLoads;
 import org.rattanplank.core.gateway.SentWork;
 import org.rattanplank.core.gateway.ServiceRule;
@@ -189,6 +190,9 @@
     void said(PeerLink link, PeerFrame.State said) {
         GatewayHost host = link.host().get();
         state.metrics().took(Latency.PEER_ROUND_TRIP, link.roundTripMillis());
+        if (isOwnRegion(link) && !state.uses(Mechanism.OTHERS_WORK)) {
+            return;
+        }
         if (isOwnRegion(link)) {
             takeSent(host.name(), said.sent());
             return;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CallerReply.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CallerReply.java
@@ -63,6 +63,11 @@
         return events.lastEventId();
     }
 
+    /** The status that the caller gets, or zero while none is known. */
+    int status() {
+        return status;
+    }
+
     /** When the first part of a body came, or zero. */
     long firstAtMillis() {
         return firstAtMillis;
@@ -121,6 +126,7 @@
     }
 
     void answer(int ownStatus, HttpHeaders ownHeaders, ByteBuf body) {
+        status = ownStatus;
         attemptLost();
         connection.answer(ownStatus, ownHeaders, body);
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -10,6 +10,8 @@
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.GatewayTarget;
+import org.rattanplank.core.gateway.Mechanism;
+import org.rattanplank.core.gateway.Mechanisms;
 import org.rattanplank.core.gateway.RegionLoads;
 import org.rattanplank.core.gateway.RegionView;
 import org.rattanplank.core.gateway.RepeatAllowance;
@@ -50,6 +52,7 @@
     private final GatewayHost self;
     private final SteadyClock clock;
     private final RandomGenerator random;
+    private final Mechanisms mechanisms;
     private final TargetPool pool;
     private final TargetChooser chooser;
     private final RegionLoads regionLoads = new RegionLoads();
@@ -97,7 +100,8 @@
         SharedLimits limits = settings.limits();
         repeats = RepeatAllowance.of(
                 limits.repeatRatio(), limits.repeatSlack(), SLACK_HOSTS, limits.repeatWindowMillis());
-        chooser = TargetChooser.of(self.name(), pool, random);
+        mechanisms = settings.mechanisms();
+        chooser = TargetChooser.of(self.name(), pool, random, mechanisms);
     }
 
     /**
@@ -277,6 +281,16 @@
         return peers().region();
     }
 
+    /**
+     * Tells whether a mechanism is in use.
+     *
+     * @param mechanism the mechanism
+     * @return whether it is
+     */
+    public boolean uses(Mechanism mechanism) {
+        return mechanisms.uses(mechanism);
+    }
+
     /** Refuses requests from now on. */
     public void takeNoMore() {
         takesRequests = false;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -13,6 +13,7 @@
 import org.rattanplank.core.gateway.Choice;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayTarget;
+import org.rattanplank.core.gateway.Mechanism;
 import org.rattanplank.core.gateway.RouteKind;
 import org.rattanplank.core.gateway.RouteRule;
 import org.rattanplank.core.gateway.ServiceRule;
@@ -121,7 +122,7 @@
             return;
         }
         route = found.get();
-        work = request.work().with(Urgency.of(route.rank()));
+        work = request.work().with(state.uses(Mechanism.RANK) ? Urgency.of(route.rank()) : Urgency.MIDDLE);
         String name = route.service(state.draw());
         Option<ServiceRule> configured = configuration.service(name);
         if (configured.isEmpty()) {
@@ -177,7 +178,7 @@
         if (state.isInformed()) {
             waiting = false;
             begin();
-        } else if (nowMillis - arrivedAtMillis >= START_WAIT_MILLIS) {
+        } else if (!state.uses(Mechanism.AWAIT_CONFIGURATION) || nowMillis - arrivedAtMillis >= START_WAIT_MILLIS) {
             waiting = false;
             refuse("no configuration is known yet");
         }
@@ -186,6 +187,7 @@
     private boolean isStalled(long nowMillis) {
         return attempt != null
                 && localTarget != null
+                && state.uses(Mechanism.LEAVE_SILENT)
                 && route.isIdempotent()
                 && sent < route.maxAttempts()
                 && nowMillis - attemptAtMillis > STALLED_MILLIS
@@ -320,7 +322,8 @@
     }
 
     private boolean mayRepeat() {
-        return sent < route.maxAttempts()
+        return state.uses(Mechanism.REPEAT)
+                && sent < route.maxAttempts()
                 && reply.mayGoOn()
                 && state.repeats().spend(service.name(), state.nowMillis());
     }
@@ -370,6 +373,7 @@
         attempt = null;
         LogLine last = LogLine.of(LogEvent.ENDED)
                 .with("outcome", outcome)
+                .with("status", reply.status())
                 .with("target", lastTarget)
                 .with("route", route == null ? "" : route.name())
                 .with("configurationVersion", state.configurationVersion())
@@ -392,7 +396,8 @@
         metrics.took(Latency.WHOLE, state.nowMillis() - arrivedAtMillis);
         metrics.took(Latency.FIRST_PART, Math.max(0, reply.firstAtMillis() - arrivedAtMillis));
         metrics.took(Latency.LONGEST_GAP, reply.longestGapMillis());
-        end("answered", "", sent == 1 && unsent == 0 && !wasLate());
+        boolean targetFailed = reply.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+        end("answered", "", sent == 1 && unsent == 0 && !wasLate() && !targetFailed);
     }
 
     private boolean wasLate() {
@@ -458,7 +463,9 @@
 
         /** Whether another target could answer; if none can, this answer is better than none. */
         private boolean mayRepeatFailure() {
-            if (sent >= route.maxAttempts() || state.repeats().left(service.name(), state.nowMillis()) < 1) {
+            if (!state.uses(Mechanism.REPEAT)
+                    || sent >= route.maxAttempts()
+                    || state.repeats().left(service.name(), state.nowMillis()) < 1) {
                 return false;
             }
             tried.add(where);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayLogTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayLogTest.java
@@ -89,4 +89,22 @@
             assertLine(lines, "\"outcome\":\"answered\"", "\"target\":\"t1\"");
         }
     }
+
+    /**
+     * Symptom: a caller got a failure and the log shows an ordinary answer. Sequence: a target answers 500, no other can
+     * be asked, and its answer is passed on. Cause: the lines told neither the status nor where it came from.
+     */
+    @Test
+    void shouldTellTheStatusAndTheTargetWhenAFailureIsPassedOn() throws Exception {
+        try (TestTarget target =
+                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 500, "no")))) {
+            gateway.configure(RouteKind.SAFE, false, 2).target("t1", target.port());
+            gateway.caller().send(request("q1")).readUntil("no");
+
+            List<String> lines = gateway.linesOf("q1");
+
+            assertLine(lines, "\"event\":\"sent\"", "\"target\":\"t1\"");
+            assertLine(lines, "\"event\":\"ended\"", "\"outcome\":\"answered\"", "\"status\":500");
+        }
+    }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -19,6 +19,7 @@
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.CallerBounds;
 import org.rattanplank.core.gateway.GatewayConfiguration;
+import org.rattanplank.core.gateway.Mechanisms;
 import org.rattanplank.core.gateway.RouteKind;
 import org.rattanplank.core.gateway.RouteRule;
 import org.rattanplank.core.gateway.ServiceRule;
@@ -79,7 +80,8 @@
                 peers,
                 metrics,
                 ownAddress(),
-                new SharedLimits(GRACE_MILLIS, 0.2, 160, 10_000, 1, 1_000));
+                new SharedLimits(GRACE_MILLIS, 0.2, 160, 10_000, 1, 1_000),
+                Mechanisms.ALL);
         EventLog log = EventLog.start("h1", logged, System::nanoTime);
         gateway = Gateway.of(settings, new AdapterNames(NAMES, store, new Directory()), group, store, log, 1);
         gateway.start();
