Refuse at once what is expected to be late for others' sake

Cause: under lasting overload a request was let in while its wait was under 1.5 (1.2, 1.0) times its objective. Hypothesis: a queue bounded by the objective, own reading included, serves as many, in time. Change: Admission in the core; what would be answered after 1.0 (0.9, 0.8) of the objective is refused while it would wait over a quarter of it.

--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Admission.java
@@ -0,0 +1,35 @@
+package org.rattanplank.core.gateway;
+
+/**
+ * Whether a request is taken, or refused at once so that others are served in time.
+ *
+ * <p>The pattern it answers is an overload that lasts: callers come faster than engines read. Whatever is taken then
+ * waits, and a queue in which each waits longer than callers hope for serves as many as a short one, but all of them
+ * late. So what is expected to be late is refused while it would also wait; those that are refused may come back.
+ * Invariant: a request that would not wait is taken, however long its own prompt is. Stateless and thread safe.
+ */
+public final class Admission {
+    /**
+     * The part of the objective that a request may wait although its own reading takes the rest, or more: a large prompt
+     * that is refused for any wait at all would hardly ever be served.
+     */
+    static final double LEAST_WAIT = 0.25;
+
+    private Admission() {}
+
+    /**
+     * Tells whether a request should be refused.
+     *
+     * @param waitMillis how long it is expected to wait, at the best place, before its prompt is read
+     * @param expectedMillis when its first event is expected there
+     * @param objectiveMillis the time to its first event that its caller hopes for
+     * @param urgency how urgent it is; the less urgent give way first
+     * @return whether it would be late for others' sake
+     */
+    public static boolean shouldRefuse(
+            double waitMillis, double expectedMillis, long objectiveMillis, Urgency urgency) {
+        double ownMillis = expectedMillis - waitMillis;
+        double allowedMillis = Math.max(urgency.patience() * objectiveMillis - ownMillis, LEAST_WAIT * objectiveMillis);
+        return waitMillis > allowedMillis && waitMillis < Double.POSITIVE_INFINITY;
+    }
+}
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Urgency.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Urgency.java
@@ -3,11 +3,11 @@
 /** How urgent a route's requests are, as far as estimates tell them apart. Immutable and thread safe. */
 public enum Urgency {
     /** Served before all others. */
-    FIRST(1, 1.5),
+    FIRST(1, 1.0),
     /** Served before the last. */
-    MIDDLE(3, 1.2),
+    MIDDLE(3, 0.9),
     /** Served when nothing else waits. */
-    LAST(5, 1.0);
+    LAST(5, 0.8);
 
     private final int level;
     private final double patience;
@@ -37,10 +37,10 @@
     }
 
     /**
-     * How many times its objective a request may be expected to take and still be sent. The less urgent give way first,
+     * The part of its objective that a request may be expected to take and still be sent. The less urgent give way first,
      * so that under overload no class is served worse than a less urgent one.
      *
-     * @return the factor
+     * @return the part
      */
     public double patience() {
         return patience;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/Placement.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/Placement.java
@@ -5,7 +5,9 @@
 import java.util.Set;
 
 import io.vavr.control.Option;
+import org.rattanplank.core.gateway.Admission;
 import org.rattanplank.core.gateway.Choice;
+import org.rattanplank.core.gateway.Mechanism;
 import org.rattanplank.core.gateway.RegionChooser;
 import org.rattanplank.core.gateway.RouteRule;
 import org.rattanplank.core.gateway.ServiceRule;
@@ -40,7 +42,7 @@
         localMillis = state.isWithinShare(ownRegion)
                 ? local.map(Choice::expectedMillis).getOrElse(Double.POSITIVE_INFINITY)
                 : Double.POSITIVE_INFINITY;
-        hosts = state.remoteHosts(route);
+        hosts = state.uses(Mechanism.FORWARD) ? state.remoteHosts(route) : Map.of();
         hosts.forEach((region, link) -> {
             if (!tried.contains(region) && state.isWithinShare(region)) {
                 remoteMillis.put(region, expectedMillis(region, link, units(work)));
@@ -88,15 +90,19 @@
      * those that come after it late as well, until all of them are.
      */
     boolean isHopeless() {
-        if (!service.isModel()) {
+        if (!service.isModel() || !state.uses(Mechanism.REFUSE_LATE)) {
             return false;
         }
-        double bestMillis = local.map(Choice::waitMillis).getOrElse(Double.POSITIVE_INFINITY);
+        double waitMillis = local.map(Choice::waitMillis).getOrElse(Double.POSITIVE_INFINITY);
+        double expectedMillis = local.map(Choice::expectedMillis).getOrElse(Double.POSITIVE_INFINITY);
         for (Map.Entry<String, PeerLink> host : hosts.entrySet()) {
-            bestMillis = Math.min(bestMillis, expectedMillis(host.getKey(), host.getValue(), 0));
+            double thereMillis = expectedMillis(host.getKey(), host.getValue(), units(work));
+            if (thereMillis < expectedMillis) {
+                expectedMillis = thereMillis;
+                waitMillis = expectedMillis(host.getKey(), host.getValue(), 0);
+            }
         }
-        return bestMillis > work.urgency().patience() * route.objectiveMillis()
-                && bestMillis < Double.POSITIVE_INFINITY;
+        return Admission.shouldRefuse(waitMillis, expectedMillis, route.objectiveMillis(), work.urgency());
     }
 
     private double expectedMillis(String region, PeerLink link, int units) {
