Copy shared parts of prompts from the engine that keeps them

Ruled out: none sent astray by mistake alone: the keeper is full, cold, out or leaving when they go elsewhere. Hypothesis: the keeper still has them, and engines copy far faster than they read. Change: the chooser names the keeper as the source when another engine is chosen; the target is told to copy from there.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Choice.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Choice.java
@@ -2,6 +2,8 @@
 
 import java.util.Objects;
 
+import io.vavr.control.Option;
+
 /**
  * A target chosen for a request. Immutable but for the target, which is confined to its owner's thread.
  *
@@ -9,8 +11,10 @@
  * @param expectedMillis the time expected to its first event or answer
  * @param waitMillis the part of it that is due to other requests there
  * @param candidates how many targets could have been chosen
+ * @param source the target that keeps shared parts of the prompt which the chosen one lacks, to be copied from there
  */
-public record Choice(GatewayTarget target, double expectedMillis, double waitMillis, int candidates) {
+public record Choice(
+        GatewayTarget target, double expectedMillis, double waitMillis, int candidates, Option<GatewayTarget> source) {
     public Choice {
         Objects.requireNonNull(target, "target");
     }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Mechanism.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Mechanism.java
@@ -22,6 +22,8 @@
     KEEPER,
     /** Parts of prompts that another engine would read again count against it. */
     READ_AGAIN,
+    /** Parts of prompts that another engine of the region keeps are copied from there. */
+    COPY_PARTS,
     /** Long streams go to engines that end them in time. */
     END_IN_TIME,
     /** Hosts draw their estimates apart, as they learn of each other's sends late. */
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -127,7 +127,12 @@
             return Option.none();
         }
         double millis = expectedMillis(best, service, work);
-        return Option.some(new Choice(best, millis, waitMillis(best, service, work), eligible.size()));
+        return Option.some(new Choice(
+                best,
+                millis,
+                waitMillis(best, service, work),
+                eligible.size(),
+                source(best, keeper, shared, sharedTokens)));
     }
 
     /**
@@ -199,6 +204,13 @@
         return keeper;
     }
 
+    /** Where the chosen target may copy shared parts from: the one that keeps them, if it is not the chosen one. */
+    private Option<GatewayTarget> source(
+            GatewayTarget chosen, GatewayTarget keeper, List<PromptPart> shared, int sharedTokens) {
+        boolean lacksParts = keeper != null && keeper != chosen && chosen.cachedTokens(shared) < sharedTokens;
+        return lacksParts && mechanisms.uses(Mechanism.COPY_PARTS) ? Option.some(keeper) : Option.none();
+    }
+
     private double waitMillis(GatewayTarget target, ServiceRule service, Work work) {
         if (!service.isModel()) {
             return Math.max(
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/HeaderNames.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/HeaderNames.java
@@ -11,6 +11,7 @@
  * @param lastEventId the last event of a stream that the caller has
  * @param expectedTarget the identifier of the target that alone may run the request
  * @param refused in an answer: the target did not run the request
+ * @param copyFrom the address of the target that keeps parts of the prompt which the one that is asked lacks
  * @param urgency how urgent the request is, 0 first
  * @param tokens the prompt's tokens and the most tokens to generate, separated by a comma
  * @param promptParts the parts of the prompt as ID:TOKENS, separated by commas
@@ -23,6 +24,7 @@
         String lastEventId,
         String expectedTarget,
         String refused,
+        String copyFrom,
         String urgency,
         String tokens,
         String promptParts,
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalSend.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalSend.java
@@ -59,7 +59,7 @@
             boolean once,
             AttemptListener listener) {
         LocalSend send = new LocalSend(state, choice, service, call, listener);
-        send.attempt = state.connections().send(choice.target(), call, once, send);
+        send.attempt = state.connections().send(choice, call, once, send);
         return send;
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.vavr.control.Option;
+import org.rattanplank.core.gateway.Choice;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.gateway.GatewayRequest;
 import org.rattanplank.gateway.HeaderNames;
@@ -29,6 +31,7 @@
     private static final long FULL_PAUSE_MILLIS = 50;
 
     private final GatewayTarget target;
+    private final Option<GatewayTarget> source;
     private final TargetCall call;
     private final HeaderNames names;
     private final AttemptListener listener;
@@ -38,9 +41,9 @@
     private boolean refused;
     private boolean over;
 
-    TargetAttempt(
-            GatewayTarget target, TargetCall call, HeaderNames names, AttemptListener listener, SteadyClock clock) {
-        this.target = target;
+    TargetAttempt(Choice choice, TargetCall call, HeaderNames names, AttemptListener listener, SteadyClock clock) {
+        target = choice.target();
+        source = choice.source();
         this.call = call;
         this.names = names;
         this.listener = listener;
@@ -154,6 +157,7 @@
         headers.set(names.timeoutMillis(), Long.toString(Math.max(1, call.remainingMillis())));
         headers.set(names.expectedTarget(), target.id());
         headers.set(names.urgency(), Integer.toString(call.work().urgency().level()));
+        source.map(GatewayTarget::entry).forEach(from -> headers.set(names.copyFrom(), from.ip() + ':' + from.port()));
         if (!call.lastEventId().isEmpty()) {
             headers.set(names.lastEventId(), call.lastEventId());
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import org.rattanplank.core.gateway.Choice;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.gateway.HeaderNames;
 import org.rattanplank.gateway.SteadyClock;
@@ -69,14 +70,15 @@
     /**
      * Sends a request to a target.
      *
-     * @param target the target
+     * @param choice the target
      * @param call the request
      * @param once whether it may run only once
      * @param listener hears how it goes
      * @return the attempt
      */
-    public Attempt send(GatewayTarget target, TargetCall call, boolean once, AttemptListener listener) {
-        TargetAttempt attempt = new TargetAttempt(target, call, names, listener, clock);
+    public Attempt send(Choice choice, TargetCall call, boolean once, AttemptListener listener) {
+        GatewayTarget target = choice.target();
+        TargetAttempt attempt = new TargetAttempt(choice, call, names, listener, clock);
         TargetConnection kept = take(target, once ? IDLE_PART_ONCE : 1);
         if (kept != null) {
             attempt.start(kept);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -40,6 +40,7 @@
             "Last-Event-Id",
             "Expected",
             "Not-Run",
+            "Copy-From",
             "Urgency",
             "Tokens",
             "Parts",
