--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
@@ -22,7 +22,7 @@
      * @param region the region
      * @param service the service
      * @param urgency the urgency of the work that it is about
-     * @param expectedMillis the time to an answer that its best target is expected to take
+     * @param expectedMillis the time to an answer that its best target is expected to take; infinite if none may be used
      * @param perTokenMillis how much each further token of a prompt adds, spread over its targets
      * @param untilMillis until when the report counts
      */
@@ -69,6 +69,19 @@
         }
     }
 
+    /**
+     * Takes note that a region refused a request: its load has changed since it was reported. Until it reports again,
+     * more requests would go there and come back, each a crossing of the distance late.
+     *
+     * @param region the region
+     * @param service the service
+     */
+    public void refused(String region, String service) {
+        for (Load load : loads(region, service).values()) {
+            load.addedMillis = Double.POSITIVE_INFINITY;
+        }
+    }
+
     private Map<Urgency, Load> loads(String region, String service) {
         Map<String, EnumMap<Urgency, Load>> byService = byRegion.get(region);
         EnumMap<Urgency, Load> byUrgency = byService == null ? null : byService.get(service);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -74,6 +74,7 @@
     private long ownRegionMillis = OWN_REGION_MILLIS;
     private long otherRegionMillis = OTHER_REGION_MILLIS;
     private List<PeerFrame.RegionLoad> regionLoads = List.of();
+    private final Set<String> servicesSeen = new HashSet<>();
     private long regionLoadsAtMillis = Long.MIN_VALUE / 2;
     private final Map<PeerLink, Told> told = new HashMap<>();
     private final Map<String, Set<String>> targetsByHost = new HashMap<>();
@@ -296,27 +297,34 @@
     }
 
     private List<PeerFrame.RegionLoad> newRegionLoads() {
-        Set<String> services = new HashSet<>();
-        state.pool().all().forEach(target -> services.add(target.entry().service()));
+        state.pool().all().forEach(target -> servicesSeen.add(target.entry().service()));
         List<PeerFrame.RegionLoad> loads = new ArrayList<>();
-        for (String name : services) {
+        for (String name : servicesSeen) {
             Option<ServiceRule> rule = state.configuration().flatMap(now -> now.service(name));
             for (Urgency urgency : Urgency.values()) {
-                rule.flatMap(service -> load(service, urgency)).forEach(loads::add);
+                rule.map(service -> load(service, urgency)).forEach(loads::add);
             }
         }
         return loads;
     }
 
-    private Option<PeerFrame.RegionLoad> load(ServiceRule service, Urgency urgency) {
+    private PeerFrame.RegionLoad load(ServiceRule service, Urgency urgency) {
         Option<Choice> best = state.chooser()
                 .choose(service, Work.PLAIN.with(urgency), Set.of(), state.regionView(), state.nowMillis());
         LatencyModel model = state.chooser().model(service.name());
+        // A region that can't serve says so: others would believe its last report for seconds, send their requests
+        // there
+        // and have each of them back two crossings later. One would see them end there as "no target may take it".
         return best.map(choice -> new PeerFrame.RegionLoad(
-                service.name(),
-                urgency,
-                choice.expectedMillis(),
-                model.perUnitMillis(service.isModel(), urgency, choice.target().slots()) / choice.candidates()));
+                        service.name(),
+                        urgency,
+                        choice.expectedMillis(),
+                        model.perUnitMillis(
+                                        service.isModel(),
+                                        urgency,
+                                        choice.target().slots())
+                                / choice.candidates()))
+                .getOrElse(() -> new PeerFrame.RegionLoad(service.name(), urgency, Double.POSITIVE_INFINITY, 0));
     }
 
     private static final class Told {
