Call refused callers back one after the other

Hypothesis: told apart by the work that they bring, as fast as this host's part of the engines could serve them, those of a short peak come back soon and those of a long one when there is room. Change: ReturnQueue in the core, by service and urgency; never longer than is of use to the caller.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -15,9 +15,12 @@
 import org.rattanplank.core.gateway.RegionLoads;
 import org.rattanplank.core.gateway.RegionView;
 import org.rattanplank.core.gateway.RepeatAllowance;
+import org.rattanplank.core.gateway.ReturnQueue;
 import org.rattanplank.core.gateway.RouteRule;
+import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.TargetChooser;
 import org.rattanplank.core.gateway.TargetPool;
+import org.rattanplank.core.gateway.Work;
 import org.rattanplank.core.intent.Configuration;
 import org.rattanplank.gateway.GatewayMetrics;
 import org.rattanplank.gateway.GatewaySettings;
@@ -57,6 +60,7 @@
     private final TargetChooser chooser;
     private final RegionLoads regionLoads = new RegionLoads();
     private final RepeatAllowance repeats;
+    private final ReturnQueue returns = new ReturnQueue();
     private final TargetConnections connections;
     private final EventLog log;
     private final GatewayMetrics metrics;
@@ -317,6 +321,29 @@
         return random.nextDouble();
     }
 
+    /**
+     * When a refused caller should come back.
+     *
+     * @param service the service of its request, or null if it isn't known
+     * @param work its request
+     * @param remainingMillis the time that the caller has left
+     * @return milliseconds
+     */
+    long returnAfter(ServiceRule service, Work work, long remainingMillis) {
+        double costMillis = service == null || !service.isModel() ? 0 : costMillis(service, work);
+        String name = service == null ? "" : service.name();
+        return returns.returnAfter(name, work.urgency(), costMillis, remainingMillis, draw(), nowMillis());
+    }
+
+    /** The time that a request takes of this host's part of the region's engines. */
+    private double costMillis(ServiceRule service, Work work) {
+        long engines = pool.all().stream()
+                .filter(target -> target.entry().service().equals(service.name()) && !target.isLeaving())
+                .count();
+        double readMillis = work.promptTokens() * chooser.model(service.name()).perUnitMillis(true, work.urgency(), 1);
+        return readMillis * regionView().hosts().size() / Math.max(1, engines);
+    }
+
     /** The hosts of other regions that may serve a route, one for each region, drawn at random. */
     Map<String, PeerLink> remoteHosts(RouteRule route) {
         Map<String, PeerLink> drawn = new HashMap<>();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -54,10 +54,7 @@
     /** A target that a request waits for, and that sends nothing to anyone for so long, is given up where allowed. */
     private static final long STALLED_MILLIS = 1_500;
 
-    /** Refused callers come back spread over this time; long enough for an engine to end some generations. */
-    private static final double RETRY_AFTER_SECONDS = 0.4;
-
-    private static final double RETRY_SPREAD_SECONDS = 0.4;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private final GatewayState state;
     private final GatewayRequest request;
@@ -355,8 +352,8 @@
 
     private void refuse(String reason) {
         HttpHeaders headers = Headers.unchecked();
-        double seconds = RETRY_AFTER_SECONDS + RETRY_SPREAD_SECONDS * state.draw();
-        headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(Math.round(seconds * 100) / 100.0));
+        long returnMillis = state.returnAfter(service, work, endsAtMillis - state.nowMillis());
+        headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(returnMillis / MILLIS_PER_SECOND));
         reply.answer(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), headers, Unpooled.EMPTY_BUFFER);
         state.metrics().ended("refused");
         end("refused", reason, false);
@@ -458,6 +455,9 @@
             open = false;
             tried.add(where);
             lastTarget = attempt == null ? where : attempt.to();
+            if (localTarget == null && !failure.mayHaveRun()) {
+                state.regionLoads().refused(where, service.name());
+            }
             attemptFailed(failure, reason);
         }
 
