--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/Main.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/Main.java
@@ -68,6 +68,7 @@
         commands.put("status", new StatusCommand());
         commands.put("explain", new ExplainCommand());
         commands.put("why", new WhyCommand());
+        commands.put("losses", new LossesCommand());
         commands.put("drain", new DrainCommand());
         commands.put("entry-hosts", new EntryHostsCommand());
         commands.put("version", new VersionCommand());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -381,7 +381,9 @@
         }
         if (reply.firstAtMillis() > 0) {
             last.with("firstPartMillis", reply.firstAtMillis() - arrivedAtMillis)
-                    .with("longestGapMillis", reply.longestGapMillis());
+                    .with("longestGapMillis", reply.longestGapMillis())
+                    .with("firstPartLate", isFirstPartLate())
+                    .with("pauseTooLong", isPauseTooLong());
         }
         lines.end(last, ordinary);
         onOver.run();
@@ -398,8 +400,15 @@
     }
 
     private boolean wasLate() {
-        return reply.firstAtMillis() - arrivedAtMillis > route.objectiveMillis()
-                || route.gapMillis() > 0 && reply.longestGapMillis() > route.gapMillis();
+        return isFirstPartLate() || isPauseTooLong();
+    }
+
+    private boolean isFirstPartLate() {
+        return reply.firstAtMillis() - arrivedAtMillis > route.objectiveMillis();
+    }
+
+    private boolean isPauseTooLong() {
+        return route.gapMillis() > 0 && reply.longestGapMillis() > route.gapMillis();
     }
 
     /** Hears one attempt, as long as it is the current one. */
