--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetChooserTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetChooserTest.java
@@ -29,6 +29,14 @@
                 .get();
     }
 
+    /** Sends six drafts with prompts of their own behind the shared part. */
+    private static void keepBusy(GatewayTarget target) {
+        for (int i = 0; i < 6; i++) {
+            List<PromptPart> parts = List.of(new PromptPart("manual", 5_000), new PromptPart("own" + i, 7_000));
+            target.reserve(new Work(12_000, 300, parts, Urgency.LAST, 0), 400_000, 0);
+        }
+    }
+
     @Test
     void shouldSpreadWorkWhenTargetsAreAlike() {
         pool.entered(Samples.target("a", HALL, false, 0), 0);
@@ -82,14 +90,48 @@
         pool.entered(Samples.target("a", HALL, false, 0), 0);
         pool.entered(Samples.target("b", HALL, false, 0), 0);
         GatewayTarget keeper = choose(0).target();
-        for (int i = 0; i < 6; i++) {
-            List<PromptPart> parts = List.of(new PromptPart("manual", 5_000), new PromptPart("own" + i, 7_000));
-            keeper.reserve(new Work(12_000, 300, parts, Urgency.LAST, 0), 400_000, 0);
-        }
+        keepBusy(keeper);
 
         assertTrue(!choose(1).target().id().equals(keeper.id()));
     }
 
+    /**
+     * Symptom: a seventh of all tokens that engines read are shared parts that another engine of the region keeps.
+     * Sequence: the keeper of a part is busy, and its requests go to other engines. Cause: these were not told whom to
+     * copy it from.
+     */
+    @Test
+    void shouldNameTheKeeperAsTheSourceWhenItIsTooBusyForTheRequest() {
+        pool.entered(Samples.target("a", HALL, false, 0), 0);
+        pool.entered(Samples.target("b", HALL, false, 0), 0);
+        Choice first = choose(0);
+        assertTrue(first.source().isEmpty());
+        keepBusy(first.target());
+
+        Choice other = choose(1);
+        assertEquals(first.target(), other.source().get());
+
+        other.target().reserve(DRAFT, 400_000, 1);
+        assertTrue(choose(2).source().isEmpty());
+    }
+
+    @Test
+    void shouldNameNoSourceWhenCopyingIsSwitchedOff() {
+        Mechanisms without = new Mechanisms(Set.of(Mechanism.COPY_PARTS));
+        TargetChooser copiesNothing = TargetChooser.of("h1", pool, new Random(1), without);
+        pool.entered(Samples.target("a", HALL, false, 0), 0);
+        pool.entered(Samples.target("b", HALL, false, 0), 0);
+        GatewayTarget keeper = choose(0).target();
+        keepBusy(keeper);
+
+        Choice other = copiesNothing
+                .choose(Samples.MODEL_SERVICE, DRAFT, Set.of(), RegionView.certain(Set.of("h1")), 1)
+                .get();
+
+        assertTrue(other.target() != keeper);
+        assertTrue(other.source().isEmpty());
+    }
+
     /**
      * Symptom: long streams end at their time without their last events while other engines are idle. Sequence: one
      * engine reads many prompts, so that its streams are slow; a long stream is sent there. Cause: only the time to the
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -222,6 +222,7 @@
                 .with("service", service.name())
                 .with("expectedMillis", choice.expectedMillis())
                 .with("candidates", choice.candidates())
+                .with("copyFrom", choice.source().map(GatewayTarget::runText).getOrElse(""))
                 .with("requestsThere", choice.target().all().requests())
                 .with("tokensWaitingThere", choice.target().all().waiting().ahead(work.urgency()))
                 .with("remainingMillis", endsAtMillis - attemptAtMillis)
