--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/WhyCommand.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/WhyCommand.java
@@ -1,13 +1,10 @@
 package org.rattanplank.cli;
 
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 
@@ -17,23 +14,16 @@
     @Parameter(description = "REQUEST-ID", required = true)
     private String requestId = "";
 
-    @Parameter(
-            names = "--logs",
-            description = "files with the standard output of the hosts, one after the other",
-            variableArity = true,
-            required = true)
-    private List<String> logs = new ArrayList<>();
+    @ParametersDelegate
+    private final LogFiles logs = new LogFiles();
 
     @Override
     Report run(Console console) {
-        List<JsonNode> lines = new ArrayList<>();
-        for (String log : logs) {
-            try {
-                lines.addAll(RequestAccount.linesOf(requestId, Files.readAllLines(Path.of(log))));
-            } catch (IOException e) {
-                return Report.of(ExitCode.USAGE, "cannot read " + log + ": " + e.getMessage());
-            }
-        }
+        return logs.lines().fold(unreadable -> unreadable, this::account);
+    }
+
+    private Report account(List<String> log) {
+        List<JsonNode> lines = RequestAccount.linesOf(requestId, log);
         if (lines.isEmpty()) {
             return Report.of(ExitCode.REFUSED, "no line of request " + requestId + " in these logs");
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -59,7 +59,7 @@
     private final GatewayState state;
     private final GatewayRequest request;
     private final CallerReply reply;
-    private final RequestLog lines;
+    private final PassLines lines;
     private final long arrivedAtMillis;
     private final Set<String> tried = new HashSet<>();
     private final Runnable onOver;
@@ -91,7 +91,7 @@
         this.request = request;
         this.reply = reply;
         this.onOver = onOver;
-        lines = new RequestLog(state.log(), request.id());
+        lines = new PassLines(new RequestLog(state.log(), request.id()));
         arrivedAtMillis = state.nowMillis();
     }
 
@@ -217,16 +217,7 @@
         attemptAtMillis = state.nowMillis();
         localTarget = choice.target();
         countSend();
-        lines.add(LogLine.of(LogEvent.SENT)
-                .with("target", choice.target().runText())
-                .with("service", service.name())
-                .with("expectedMillis", choice.expectedMillis())
-                .with("candidates", choice.candidates())
-                .with("copyFrom", choice.source().map(GatewayTarget::runText).getOrElse(""))
-                .with("requestsThere", choice.target().all().requests())
-                .with("tokensWaitingThere", choice.target().all().waiting().ahead(work.urgency()))
-                .with("remainingMillis", endsAtMillis - attemptAtMillis)
-                .with("attempt", sent));
+        lines.sent(choice, service, work, endsAtMillis - attemptAtMillis, sent);
         AttemptEvents events = new AttemptEvents(choice.target().runText());
         Attempt started = LocalSend.send(state, choice, service, call(), !route.isIdempotent(), events);
         keep(events, started);
@@ -238,14 +229,7 @@
         localTarget = null;
         countSend();
         state.regionLoads().sent(region, service.name(), Placement.units(work));
-        lines.add(LogLine.of(LogEvent.FORWARDED)
-                .with("region", region)
-                .with("to", link.host().get().name())
-                .with("service", service.name())
-                .with("expectedMillis", placement.remoteMillis(region))
-                .with("localMillis", placement.localMillis())
-                .with("stateAgeMillis", link.stateAgeMillis())
-                .with("attempt", sent));
+        lines.forwarded(placement, region, service, sent);
         TargetCall call = call();
         AttemptEvents events = new AttemptEvents(region);
         Attempt started = link.ask(
@@ -292,10 +276,7 @@
 
     private void attemptFailed(AttemptFailure failure, String reason) {
         attempt = null;
-        lines.add(LogLine.of(LogEvent.ATTEMPT_FAILED)
-                .with("failure", failure.name())
-                .with("reason", reason)
-                .with("tookMillis", state.nowMillis() - attemptAtMillis));
+        lines.attemptFailed(failure, reason, state.nowMillis() - attemptAtMillis);
         state.metrics().attemptFailed(failure);
         if (!failure.reachedTarget()) {
             sent--;
@@ -310,8 +291,7 @@
         boolean repeatable = !failure.mayHaveRun() || route.isIdempotent();
         mayHaveRun |= failure.mayHaveRun();
         if (repeatable && mayRepeat()) {
-            lines.add(LogLine.of(reply.isBegun() ? LogEvent.RESUMED : LogEvent.REPEATED)
-                    .with("lastEventId", reply.lastEventId()));
+            lines.sentAgain(reply);
             reply.attemptLost();
             send();
             return;
@@ -386,7 +366,7 @@
                     .with("firstPartLate", isFirstPartLate())
                     .with("pauseTooLong", isPauseTooLong());
         }
-        lines.end(last, ordinary);
+        lines.ended(last, ordinary);
         onOver.run();
     }
 
