--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Mechanism.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Mechanism.java
@@ -26,8 +26,6 @@
     COPY_PARTS,
     /** Long streams go to engines that end them in time. */
     END_IN_TIME,
-    /** Hosts draw their estimates apart, as they learn of each other's sends late. */
-    SPREAD,
     /** Waits for a slot and memory are part of an engine's estimate. */
     ROOM,
     /** The work of the region's other hosts is part of a target's load. */
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -23,12 +23,6 @@
     /** Estimates so close are drawn between at random, so that hosts with the same view don't all send to one target. */
     private static final double TIE = 0.02;
 
-    /**
-     * Hosts learn of each other's sends late, and the later the more there are. Drawn apart by so much for each other
-     * host, they don't all send to the same target meanwhile.
-     */
-    private static final double SPREAD_PER_HOST_MILLIS = 3;
-
     /** Each running generation slows the others' tokens a little; this spreads work between idle engines. */
     private static final double PER_RUNNING_MILLIS = 2;
 
@@ -108,15 +102,11 @@
         double readAgainMillisPerToken = mechanisms.uses(Mechanism.READ_AGAIN) ? READ_AGAIN_MILLIS_PER_TOKEN : 0;
         GatewayTarget best = null;
         double bestMillis = Double.MAX_VALUE;
-        double spreadMillis = mechanisms.uses(Mechanism.SPREAD)
-                ? SPREAD_PER_HOST_MILLIS * (region.hosts().size() - 1)
-                : 0;
         for (GatewayTarget target : eligible) {
             double firstMillis = expectedMillis(target, service, work);
             int readAgainTokens = target == keeper ? 0 : Math.max(0, sharedTokens - target.cachedTokens(shared));
             double millis = firstMillis * (1 + TIE * random.nextDouble())
                     + overrunMillis(target, service, work, firstMillis, nowMillis)
-                    + spreadMillis * random.nextDouble()
                     + readAgainMillisPerToken * readAgainTokens;
             if (millis < bestMillis) {
                 best = target;
