Take the stand-in store down and up at once, not on its event loop

The test had taken the store up before it wrote. Taking it up was a task of the store's event loop; a loop that is late reads what has come on its connections before it runs more than 64 tasks, or, woken late, before any. Ruled out: a busy loop alone (a task that holds it for 0.3 s doesn't show it: tasks that follow run before the next read). Change: the flag is volatile and holds when the call returns. Test: SiteStoreTest.shouldTakeAWriteWhenItWasTakenBackUpBefore shows the same error on the code before, none after.

--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/SiteStore.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/SiteStore.java
@@ -33,7 +33,7 @@
     private final EventLoop loop;
     private final List<Runnable> watches = new ArrayList<>();
     private final KeyValueStore store = KeyValueStore.of(change -> watchesSoon());
-    private boolean down;
+    private volatile boolean down;
     private boolean forgetful;
 
     private SiteStore(EventLoop loop) {
@@ -63,12 +63,13 @@
     }
 
     /**
-     * Refuses all calls from now on, or takes them again.
+     * Refuses all calls from now on, or takes them again. It holds when this returns: left to the event loop, a call that
+     * its caller makes next could be read first, and would be refused by a store that is back.
      *
      * @param newDown whether to refuse
      */
     public void down(boolean newDown) {
-        loop.after(0, () -> down = newDown);
+        down = newDown;
     }
 
     /** Forgets the history once: the next watch is told so. */
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
@@ -3,8 +3,10 @@
 import java.net.InetSocketAddress;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import io.vavr.control.Either;
 import org.junit.jupiter.api.AfterEach;
@@ -34,6 +36,11 @@
 @Timeout(60)
 class SiteStoreTest {
     private static final long LIMIT_SECONDS = 20;
+    private static final long BUSY_NANOS = 300_000_000;
+
+    /** After so many tasks in a row, a loop that is late reads what has come before it runs more of them. */
+    private static final int TASKS_BETWEEN_READS = 64;
+
     private static final GatewayHost HOST =
             new GatewayHost("h1", 5, Place.of("suva", "suva-hall"), "10.0.0.1:80", "10.0.0.1:90");
 
@@ -135,6 +142,33 @@
                         .version());
     }
 
+    /**
+     * Symptom: on a busy machine, a write is refused by a store that was taken back up before. Sequence: the store's loop is
+     * late while it is told that it is up; the write is sent; both wait for the loop. Cause: the loop reads what has come
+     * before it runs what it was told.
+     */
+    @Test
+    void shouldTakeAWriteWhenItWasTakenBackUpBefore() throws Exception {
+        operator.configure(SiteConfigurations.of(1));
+        next();
+        site.down(true);
+        awaitStore("lost REFUSED");
+        CountDownLatch busy = new CountDownLatch(1);
+        storeLoop.after(0, () -> {
+            busy.countDown();
+            LockSupport.parkNanos(BUSY_NANOS);
+        });
+        for (int i = 0; i < TASKS_BETWEEN_READS * 2; i++) {
+            storeLoop.after(0, () -> {});
+        }
+        busy.await();
+
+        site.down(false);
+        operator.enterTarget("t1", "desk", "10.0.0.9:8080", "suva-hall");
+
+        assertInstanceOf(ClusterFact.TargetEntered.class, next());
+    }
+
     /**
      * Symptom: a host that lives vanishes from the others' view for good. Sequence: its lease is ended by the platform
      * while it renews it. Cause: a renewal of what is gone was taken for one that failed, and tried for ever.
