--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
@@ -119,7 +119,7 @@
         });
         change.changed().forEach(target -> state.log()
                 .important(LogLine.of(LogEvent.TARGET_CHANGED)
-                        .with("target", entry.run().text())
+                        .with("target", target.runText())
                         .with("service", entry.service())
                         .with("leaving", entry.leaving())
                         .with("coldMillis", entry.coldMillis())));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -312,10 +312,9 @@
         Option<Choice> best = state.chooser()
                 .choose(service, Work.PLAIN.with(urgency), Set.of(), state.regionView(), state.nowMillis());
         LatencyModel model = state.chooser().model(service.name());
-        // A region that can't serve says so: others would believe its last report for seconds, send their requests
-        // there
-        // and have each of them back two crossings later. One would see them end there as "no target may take it": 183
-        // on a day on which a region was evacuated at its peak, 62 with this.
+        // A region that can't serve says so: others would believe its last report for seconds, send requests there and
+        // have each back two crossings later. One would see them end there as "no target may take it": 183 on a day on
+        // which a region was evacuated at its peak, 62 with this.
         return best.map(choice -> new PeerFrame.RegionLoad(
                         service.name(),
                         urgency,
