Tell what was expected of refused and forwarded requests, and how late the event loop is

Cause: lines of refusals named no figures, lines of forwards nothing of the engine that got them, and nothing showed how late the event loop was or how long a request took to come. Change: readMillis, urgency and what was expected stand in each last line; requestsThere and waitMillis in forward_taken; metrics request_read_millis and loop_delay_millis; a line loop_late from 100 ms on. Ruled out while testing: a line missed since the loop was held before its first step; the time now counts from the start.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -50,6 +50,9 @@
     /** How exactly a request's end and a silent target are noticed. */
     private static final long TICK_MILLIS = 50;
 
+    /** A loop so late has a line of the log: the objectives of plain services are some 400 ms. */
+    private static final long LATE_MILLIS = 100;
+
     /** Ticks between two looks at idle connections. */
     private static final int SLOW_TICKS = 5;
 
@@ -89,6 +92,7 @@
     private final Set<PassThrough> requests = new HashSet<>();
     private final Map<PeerLink, Map<Long, ForwardedCall>> forwarded = new HashMap<>();
     private long ticks;
+    private long notedAtMillis;
     private long stopAskedAtMillis = -1;
 
     private Gateway(
@@ -150,6 +154,7 @@
         links.listen(settings.peers());
         callers.listen(settings.callers());
         loop.execute(() -> {
+            notedAtMillis = clock.nowMillis();
             feed.start();
             lease.start();
             log.important(LogLine.of(LogEvent.STARTED).with("incarnation", self.incarnation()));
@@ -233,6 +238,7 @@
 
     private void received(CallerConnection connection, HttpRequest head, byte[] body, Consumer<CallerCall> taker) {
         Option<GatewayRequest> request = reader.read(head, body);
+        metrics.took(Latency.REQUEST_READ, connection.readMillis());
         CallerReply reply = new CallerReply(connection);
         if (request.isEmpty()) {
             reply.badRequest();
@@ -331,8 +337,24 @@
         }
     }
 
+    /**
+     * Takes note of how late the event loop is with its work. Whatever comes then waits as long, and nothing else would
+     * show it: times of requests begin when they are read.
+     */
+    private void noteDelay(long now) {
+        long delayMillis = Math.max(0, now - notedAtMillis - TICK_MILLIS);
+        notedAtMillis = now;
+        metrics.took(Latency.LOOP_DELAY, delayMillis);
+        if (delayMillis >= LATE_MILLIS) {
+            log.ordinary(LogLine.of(LogEvent.LOOP_LATE)
+                    .with("delayMillis", delayMillis)
+                    .with("requests", requests.size()));
+        }
+    }
+
     private void tick() {
         long now = clock.nowMillis();
+        noteDelay(now);
         ticks++;
         List.copyOf(requests).forEach(request -> request.tick(now));
         links.tick();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Latency.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Latency.java
@@ -10,6 +10,10 @@
     WHOLE,
     /** The longest pause between two parts of an answer. */
     LONGEST_GAP,
+    /** From a request's first byte to its last. */
+    REQUEST_READ,
+    /** How late a step of the event loop runs; all requests of the host wait as long. */
+    LOOP_DELAY,
     /** From a request's arrival to its first sending. */
     BEFORE_SEND,
     /** A question to another host and its answer, on the way alone. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -52,6 +52,8 @@
     private boolean headOnly;
     private long quietSinceMillis;
     private boolean receiving;
+    private long firstByteAtMillis;
+    private long readMillis;
 
     CallerConnection(CallerServer server, CallerBounds bounds) {
         this.server = server;
@@ -67,6 +69,15 @@
         return channel.isActive();
     }
 
+    /**
+     * How long the request took to come.
+     *
+     * @return milliseconds from its first byte to its last
+     */
+    public long readMillis() {
+        return readMillis;
+    }
+
     /**
      * Answers the request whole.
      *
@@ -173,6 +184,7 @@
         if (!receiving) {
             receiving = true;
             quietSinceMillis = server.nowMillis();
+            firstByteAtMillis = quietSinceMillis;
         } else if (head != null) {
             quietSinceMillis = server.nowMillis();
         }
@@ -260,6 +272,7 @@
         dropParts();
         HttpRequest whole = head;
         head = null;
+        readMillis = server.nowMillis() - firstByteAtMillis;
         server.received(this, whole, body, started -> call = started);
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CallerReply.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CallerReply.java
@@ -50,6 +50,11 @@
         events = new EventSplitter(lastEventId);
     }
 
+    /** How long the request took to come, from its first byte to its last. */
+    long readMillis() {
+        return connection.readMillis();
+    }
+
     boolean isBegun() {
         return begun;
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -45,6 +45,8 @@
     private final long takenAtMillis;
     private Attempt attempt;
     private String target = "";
+    private double expectedMillis;
+    private long firstPartAtMillis;
     private int unsent;
     private boolean over;
 
@@ -107,6 +109,9 @@
 
     @Override
     public void content(ByteBuf bytes) {
+        if (firstPartAtMillis == 0) {
+            firstPartAtMillis = state.nowMillis();
+        }
         link.send(new PeerFrame.AnswerContent(ask.call(), ByteBufUtil.getBytes(bytes)));
     }
 
@@ -148,12 +153,15 @@
             return;
         }
         target = choice.get().target().runText();
+        expectedMillis = choice.get().expectedMillis();
         tried.add(target);
         lines.add(LogLine.of(LogEvent.FORWARD_TAKEN)
                 .with("from", link.host().map(host -> host.name()).getOrElse(""))
                 .with("target", target)
-                .with("expectedMillis", choice.get().expectedMillis())
+                .with("expectedMillis", expectedMillis)
+                .with("waitMillis", choice.get().waitMillis())
                 .with("candidates", choice.get().candidates())
+                .with("requestsThere", choice.get().target().all().requests())
                 .with("remainingMillis", remainingMillis()));
         TargetCall call = new TargetCall(request, work, remainingMillis(), ask.lastEventId());
         Attempt started = LocalSend.send(state, choice.get(), service.get(), call, ask.once(), this);
@@ -173,14 +181,17 @@
 
     private void end(String outcome) {
         over = true;
-        lines.end(
-                LogLine.of(LogEvent.ENDED)
-                        .with("outcome", outcome)
-                        .with(
-                                "forwardedBy",
-                                link.host().map(host -> host.name()).getOrElse(""))
-                        .with("tookMillis", state.nowMillis() - takenAtMillis),
-                outcome.equals("answered"));
+        LogLine last = LogLine.of(LogEvent.ENDED)
+                .with("outcome", outcome)
+                .with("forwardedBy", link.host().map(host -> host.name()).getOrElse(""))
+                .with("target", target)
+                .with("urgency", work.urgency().name())
+                .with("expectedMillis", expectedMillis)
+                .with("tookMillis", state.nowMillis() - takenAtMillis);
+        if (firstPartAtMillis > 0) {
+            last.with("firstPartMillis", firstPartAtMillis - takenAtMillis);
+        }
+        lines.end(last, outcome.equals("answered"));
         onOver.run();
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -75,6 +75,10 @@
     private int unsent;
     private boolean counted;
     private boolean mayHaveRun;
+
+    /** What was expected where it was sent last, or where it would have been sent when it was refused. */
+    private Outlook outlook = Outlook.NONE;
+
     private boolean waiting;
     private boolean over;
 
@@ -200,13 +204,16 @@
     private void send() {
         Placement placement = placement();
         if (sent == 0 && placement.shouldRefuse()) {
+            outlook = placement.outlook();
             refuse("it would wait too long");
             return;
         }
         Option<String> region = placement.region();
         if (region.isDefined()) {
+            outlook = placement.outlook(region.get());
             forward(placement, region.get());
         } else if (placement.local().isDefined()) {
+            outlook = placement.localOutlook();
             sendLocally(placement.local().get());
         } else {
             giveUp("no target may take it");
@@ -355,8 +362,15 @@
                 .with("target", lastTarget)
                 .with("route", route == null ? "" : route.name())
                 .with("configurationVersion", state.configurationVersion())
+                .with("urgency", work.urgency().name())
                 .with("attempts", sent)
+                .with("readMillis", reply.readMillis())
                 .with("tookMillis", state.nowMillis() - arrivedAtMillis);
+        if (outlook != Outlook.NONE) {
+            last.with("region", outlook.region())
+                    .with("waitMillis", outlook.waitMillis())
+                    .with("expectedMillis", outlook.expectedMillis());
+        }
         if (!reason.isEmpty()) {
             last.with("reason", reason);
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/Placement.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/Placement.java
@@ -93,16 +93,34 @@
         if (!service.isModel() || !state.uses(Mechanism.REFUSE_LATE)) {
             return false;
         }
-        double waitMillis = local.map(Choice::waitMillis).getOrElse(Double.POSITIVE_INFINITY);
-        double expectedMillis = local.map(Choice::expectedMillis).getOrElse(Double.POSITIVE_INFINITY);
-        for (Map.Entry<String, PeerLink> host : hosts.entrySet()) {
-            double thereMillis = expectedMillis(host.getKey(), host.getValue(), units(work));
-            if (thereMillis < expectedMillis) {
-                expectedMillis = thereMillis;
-                waitMillis = expectedMillis(host.getKey(), host.getValue(), 0);
+        Outlook best = outlook();
+        return Admission.shouldRefuse(
+                best.waitMillis(), best.expectedMillis(), route.objectiveMillis(), work.urgency());
+    }
+
+    /** What may be expected at the place that is expected to answer first. */
+    Outlook outlook() {
+        Outlook best = localOutlook();
+        for (String region : hosts.keySet()) {
+            Outlook there = outlook(region);
+            if (there.expectedMillis() < best.expectedMillis()) {
+                best = there;
             }
         }
-        return Admission.shouldRefuse(waitMillis, expectedMillis, route.objectiveMillis(), work.urgency());
+        return best;
+    }
+
+    /** What may be expected in the own region. */
+    Outlook localOutlook() {
+        return local.map(choice ->
+                        new Outlook(state.self().place().region(), choice.waitMillis(), choice.expectedMillis()))
+                .getOrElse(Outlook.NONE);
+    }
+
+    /** What may be expected in another region, as far as it has told. */
+    Outlook outlook(String region) {
+        PeerLink link = hosts.get(region);
+        return new Outlook(region, expectedMillis(region, link, 0), expectedMillis(region, link, units(work)));
     }
 
     private double expectedMillis(String region, PeerLink link, int units) {
--- /dev/null
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/OverloadFlowTest.java
@@ -0,0 +1,88 @@
+package org.rattanplank.gateway;
+
+import java.io.IOException;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Engines that have more to read than they can in time. */
+@Timeout(60)
+class OverloadFlowTest {
+    /** An engine that has told nothing yet is taken to read 50 tokens a millisecond: four times the objective. */
+    private static final int BACKLOG_TOKENS = 200_000;
+
+    private static final int SMALL_TOKENS = 100;
+
+    private TestGateway gateway;
+
+    @BeforeEach
+    void startGateway() throws IOException {
+        gateway = new TestGateway();
+        gateway.configureModel();
+    }
+
+    @AfterEach
+    void closeGateway() {
+        gateway.close();
+    }
+
+    private static String generation(String id, int promptTokens) {
+        return "POST /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: " + id + "\r\nTokens: " + promptTokens
+                + ",10\r\nTime-Left: 20000\r\nContent-Length: 1\r\n\r\nx";
+    }
+
+    /** A target that takes what comes and says nothing. */
+    private static TestTarget busy() throws IOException {
+        return new TestTarget((request, out) -> {});
+    }
+
+    private void fill(TestTarget target) throws IOException, InterruptedException {
+        gateway.caller().send(generation("backlog", BACKLOG_TOKENS));
+        target.nextRequest();
+    }
+
+    /**
+     * Symptom: a log full of refusals in which nobody can tell a true overload from a wrong estimate. Sequence: an
+     * engine has much to read; a request is refused. Cause: the line told that it would wait too long, and nothing of
+     * where, how long and what its own prompt takes.
+     */
+    @Test
+    void shouldTellWhatWasExpectedWhenARequestIsRefusedForItsWait() throws Exception {
+        try (TestTarget target = busy()) {
+            gateway.target("t1", target.port());
+            fill(target);
+
+            String answer =
+                    gateway.caller().send(generation("q1", SMALL_TOKENS)).readUntil("\r\n\r\n");
+            List<String> lines = gateway.linesOf("q1");
+
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+            assertTrue(
+                    lines.stream()
+                            .anyMatch(line -> line.contains("\"region\":\"suva\"")
+                                    && line.contains("\"waitMillis\":4000.0")
+                                    && line.contains("\"expectedMillis\":404")
+                                    && line.contains("\"urgency\":\"MIDDLE\"")),
+                    lines::toString);
+        }
+    }
+
+    /**
+     * Symptom: all kinds of requests are late at once, and no line tells whether hosts, links or engines were slow.
+     * Sequence: the event loop is held up; requests are read when it goes on. Cause: their times begin when they are
+     * read, so nothing showed what they had waited for it.
+     */
+    @Test
+    void shouldTellWhenAllItsWorkWasLate() throws Exception {
+        java.util.concurrent.CountDownLatch held = gateway.hold();
+        Thread.sleep(300);
+        held.countDown();
+
+        gateway.awaitLogged("\"event\":\"loop_late\"");
+    }
+}
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -48,6 +48,7 @@
             Set.of("Expected", "Urgency"));
     private static final String HALL = "suva-hall";
     private static final long GRACE_MILLIS = 4_000;
+    private static final long ENGINE_TOKENS = 400_000;
     private static final int TRIES = 1_000;
     private static final long PAUSE_NANOS = 10_000_000;
 
@@ -90,6 +91,16 @@
 
     /** Puts a configuration in force with one route, of the path /a/, and waits for it. */
     TestGateway configure(RouteKind kind, boolean resumable, int maxAttempts) throws IOException {
+        return configure(kind, resumable, maxAttempts, 0);
+    }
+
+    /** Puts a configuration in force with one route, of streams of a model engine that may be resumed. */
+    TestGateway configureModel() throws IOException {
+        return configure(RouteKind.STREAM, true, 2, ENGINE_TOKENS);
+    }
+
+    private TestGateway configure(RouteKind kind, boolean resumable, int maxAttempts, long memoryTokens)
+            throws IOException {
         version++;
         RouteRule route = new RouteRule(
                 "r" + version,
@@ -109,7 +120,7 @@
                 new ClusterFact.Configured(GatewayConfiguration.of(
                         version,
                         List.of(route),
-                        List.of(new ServiceRule("desk", 50, 0, 0, 0, 0, 0)),
+                        List.of(new ServiceRule("desk", 50, 0, 0, 0, 0, memoryTokens)),
                         new CallerBounds(4_096, 10_000, 3_000, 15_000))),
                 false);
         awaitMetric("configuration_version " + version);
@@ -204,13 +215,18 @@
 
     /** Waits until the gateway has noticed that the store does not answer. */
     void awaitStoreLost() {
+        awaitLogged("\"event\":\"store_lost\"");
+    }
+
+    /** Waits until the log holds a text. */
+    void awaitLogged(String text) {
         for (int i = 0; i < TRIES; i++) {
-            if (logged.toString(StandardCharsets.UTF_8).contains("\"event\":\"store_lost\"")) {
+            if (logged.toString(StandardCharsets.UTF_8).contains(text)) {
                 return;
             }
             java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_NANOS);
         }
-        throw new AssertionError("the store was not lost in " + logged.toString(StandardCharsets.UTF_8));
+        throw new AssertionError("never logged: " + text + " in " + logged.toString(StandardCharsets.UTF_8));
     }
 
     /** Keeps the event loop from all work until what is given back is counted down. */
