--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/OverloadFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/OverloadFlowTest.java
@@ -7,7 +7,12 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.rattanplank.core.gateway.Urgency;
+import org.rattanplank.gateway.peer.PeerFrame;
+import org.rattanplank.gateway.peer.TestPeer;
+import org.rattanplank.gateway.target.AttemptFailure;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Engines that have more to read than they can in time. */
@@ -72,6 +77,56 @@
         }
     }
 
+    /**
+     * Symptom: too little of the least urgent kind is served in time on a large installation; its requests reach an engine
+     * of another region within 0.2 s, are begun there seconds later, and their callers leave. Sequence: at a peak thirty
+     * hosts of one region forward to the same other one, each by a report of its load that is up to a second old and knows
+     * of its own sends alone; the host that is asked expects several times the objective, and sends the request to an
+     * engine all the same, where it delays those behind it. Cause: whether a request would be late was asked once, where
+     * it arrived, and not where the load is known.
+     */
+    @Test
+    void shouldSendARequestOfAnotherRegionBackWhenItWouldBeLateHere() throws Exception {
+        try (TestTarget target = busy();
+                TestPeer peer = gateway.peer()) {
+            gateway.target("t1", target.port());
+            fill(target);
+
+            peer.ask("q1", 10_000, peer.await(PeerFrame.State.class), Urgency.LAST, SMALL_TOKENS);
+            PeerFrame.AnswerFailed answer = peer.await(PeerFrame.AnswerFailed.class);
+
+            assertEquals(AttemptFailure.NOT_SENT.name(), answer.failure());
+            assertEquals(0, target.requestsLeft());
+        }
+    }
+
+    /**
+     * Symptom: as above; a third of the requests that were late or left by their callers had been sent once more, to a
+     * place that was expected to take up to seven times the objective. Sequence: an engine says that it does not run a
+     * request (another target has its address, or it is full); every other place has much to read. Cause: whether it would
+     * be late was asked before the first sending alone. It has not run, so its caller can be told at once.
+     */
+    @Test
+    void shouldRefuseARequestThatDidNotRunWhenItWouldBeLateAtEveryOtherPlace() throws Exception {
+        TestTarget.Script refusing = (request, out) -> TestTarget.write(
+                out,
+                "HTTP/1.1 503 X\r\nRequest-Id: " + TestTarget.header(request, "request-id")
+                        + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        try (TestTarget backlog = busy();
+                TestTarget full = new TestTarget(refusing)) {
+            gateway.target("t1", backlog.port());
+            fill(backlog);
+            gateway.target("t2", full.port());
+
+            String answer =
+                    gateway.caller().send(generation("q1", SMALL_TOKENS)).readUntil("\r\n\r\n");
+
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+            assertEquals("q1", TestTarget.header(full.nextRequest(), "request-id"));
+            assertEquals(0, backlog.requestsLeft());
+        }
+    }
+
     /**
      * Symptom: all kinds of requests are late at once, and no line tells whether hosts, links or engines were slow.
      * Sequence: the event loop is held up; requests are read when it goes on. Cause: their times begin when they are
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -43,6 +43,28 @@
      * @throws IOException if the link ended
      */
     public void ask(String requestId, long remainingMillis, PeerFrame.State heard) throws IOException {
+        ask(requestId, remainingMillis, heard, Urgency.FIRST, List.of("Request-Id", requestId));
+    }
+
+    /**
+     * Asks for a generation as if this host had heard the other's state just now.
+     *
+     * @param requestId the identifier of the request
+     * @param remainingMillis the time that it has left
+     * @param heard the state
+     * @param urgency how urgent it is
+     * @param promptTokens the tokens of its prompt
+     * @throws IOException if the link ended
+     */
+    public void ask(String requestId, long remainingMillis, PeerFrame.State heard, Urgency urgency, int promptTokens)
+            throws IOException {
+        List<String> headers = List.of("Request-Id", requestId, "Tokens", promptTokens + ",10");
+        ask(requestId, remainingMillis, heard, urgency, headers);
+    }
+
+    private void ask(
+            String requestId, long remainingMillis, PeerFrame.State heard, Urgency urgency, List<String> headers)
+            throws IOException {
         send(new PeerFrame.Ask(
                 1,
                 1,
@@ -51,13 +73,13 @@
                 "POST",
                 "/a/x",
                 "desk.example",
-                List.of("Request-Id", requestId),
+                headers,
                 new byte[] {1},
                 remainingMillis,
                 heard.sentAtMillis(),
                 0,
                 "",
-                Urgency.FIRST,
+                urgency,
                 true,
                 List.of()));
     }
