Ask where the load is known, and before each sending, whether a request would be late

With two hosts a region that is near enough; with thirty, engines of the region that looked best got what was expected to take up to seven times the objective, and 12 and 4 % of the least urgent kind's attempts were read for callers that were late or had left. Change: the host that is asked expects anew and sends back what would be late; a request that did not run is checked again before each further sending; a refusal counts for that urgency and below until the region's next report.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
@@ -75,11 +75,14 @@
      *
      * @param region the region
      * @param service the service
+     * @param urgency how urgent the request was; a more urgent one may be welcome
      */
-    public void refused(String region, String service) {
-        for (Load load : loads(region, service).values()) {
-            load.addedMillis = Double.POSITIVE_INFINITY;
-        }
+    public void refused(String region, String service, Urgency urgency) {
+        loads(region, service).forEach((each, load) -> {
+            if (each.compareTo(urgency) >= 0) {
+                load.addedMillis = Double.POSITIVE_INFINITY;
+            }
+        });
     }
 
     private Map<Urgency, Load> loads(String region, String service) {
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RegionLoadsTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RegionLoadsTest.java
@@ -36,13 +36,20 @@
     @Test
     void shouldSendNothingWhenTheRegionRefusedUntilItReportsAgain() {
         report(50);
-        loads.refused(REGION, SERVICE);
+        loads.refused(REGION, SERVICE, Urgency.FIRST);
         assertEquals(Double.POSITIVE_INFINITY, expectedMillis(0));
 
         report(50);
         assertEquals(60, expectedMillis(0));
     }
 
+    @Test
+    void shouldGoOnSendingTheMoreUrgentWhenTheRegionRefusedALessUrgentRequest() {
+        report(50);
+        loads.refused(REGION, SERVICE, Urgency.LAST);
+        assertEquals(60, expectedMillis(0));
+    }
+
     @Test
     void shouldSendNothingWhenTheRegionSaysThatItCanNotServe() {
         report(Double.POSITIVE_INFINITY);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -7,8 +7,10 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Option;
+import org.rattanplank.core.gateway.Admission;
 import org.rattanplank.core.gateway.Choice;
 import org.rattanplank.core.gateway.ForwardDelay;
+import org.rattanplank.core.gateway.Mechanism;
 import org.rattanplank.core.gateway.RouteRule;
 import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.WeightedService;
@@ -136,8 +138,7 @@
         if (state.configurationVersion() <= ask.configurationVersion()) {
             return true;
         }
-        Option<RouteRule> route = state.configuration().flatMap(now -> now.route(ask.authority(), request.path()));
-        return route.exists(rule -> rule.allows(state.self().place().region())
+        return route().exists(rule -> rule.allows(state.self().place().region())
                 && rule.services().stream()
                         .filter(service -> service.weight() > 0)
                         .map(WeightedService::service)
@@ -152,6 +153,10 @@
             fail(AttemptFailure.NOT_SENT, "no target of this region may take it");
             return;
         }
+        if (isExpectedLate(service.get(), choice.get())) {
+            fail(AttemptFailure.NOT_SENT, "it would wait too long here");
+            return;
+        }
         target = choice.get().target().runText();
         expectedMillis = choice.get().expectedMillis();
         tried.add(target);
@@ -170,6 +175,23 @@
         }
     }
 
+    /**
+     * Whether it would be late here for others' sake. Its sender chose this region by a report that is up to a second old,
+     * as did the other hosts there; only here is it known what all of them sent. Taken all the same, it would be read for
+     * nobody and delay those behind it; one would see requests of other regions begun seconds after they came.
+     */
+    private boolean isExpectedLate(ServiceRule service, Choice choice) {
+        if (!ask.lastEventId().isEmpty() || !service.isModel() || !state.uses(Mechanism.REFUSE_LATE)) {
+            return false;
+        }
+        return route().exists(rule -> Admission.shouldRefuse(
+                choice.waitMillis(), choice.expectedMillis(), rule.objectiveMillis(), work.urgency()));
+    }
+
+    private Option<RouteRule> route() {
+        return state.configuration().flatMap(now -> now.route(ask.authority(), request.path()));
+    }
+
     private long remainingMillis() {
         return endsAtMillis - state.nowMillis();
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -207,7 +207,11 @@
     private void send() {
         Reach reach = reach();
         Placement placement = reach.placement();
-        if (sent == 0 && placement.shouldRefuse()) {
+        // Also before it is sent again: what was refused elsewhere has lost time, and places that are left are often
+        // full.
+        // One would see requests sent to where they are expected after several times their objective, and callers
+        // leave.
+        if (!mayHaveRun && !reply.isBegun() && placement.shouldRefuse()) {
             outlook = placement.outlook();
             refuse("it would wait too long");
             return;
@@ -464,7 +468,7 @@
             tried.add(where);
             lastTarget = attempt == null ? where : attempt.to();
             if (localTarget == null && !failure.mayHaveRun()) {
-                state.regionLoads().refused(where, service.name());
+                state.regionLoads().refused(where, service.name(), work.urgency());
             }
             attemptFailed(failure, reason);
         }
