--- /dev/null
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreHelpFlowTest.java
@@ -0,0 +1,82 @@
+package org.rattanplank.gateway;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.rattanplank.core.gateway.RouteKind;
+import org.rattanplank.gateway.peer.TestPeer;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** A host that asks the store tells others of its region what they lack. */
+@Timeout(60)
+class StoreHelpFlowTest {
+    /** As many as there are beside the followers in a region of a large installation. */
+    private static final int NEIGHBOURS = 27;
+
+    /** Some 240 targets and hosts with their configuration. */
+    private static final int STORE_BYTES = 100_000;
+
+    /** A tenth of the link of the smallest hosts, 10 Mbit/s: the rest is for callers. */
+    private static final int LINK_TENTH_BYTES_PER_MILLI = 125;
+
+    private static final int ROUNDS = 30;
+    private static final long ROUND_MILLIS = 100;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private TestGateway gateway;
+
+    @BeforeEach
+    void startGateway() throws IOException {
+        gateway = new TestGateway();
+    }
+
+    @AfterEach
+    void closeGateway() {
+        gateway.close();
+    }
+
+    /**
+     * Symptom: requests reach targets of an evacuated data centre seven seconds after the evacuation was confirmed, all
+     * from one host; its connections time out, and its requests arrive 2.5 s after they were sent. Sequence: the store's
+     * history is cut while an evacuation and other changes are written; one of the three hosts that follow the store for
+     * their region learns them later than the others. It finds that what the 27 others know is not what it knows, and
+     * tells all of it to each of them, once a second. Its link of 10 Mbit/s is full; its own calls to the store wait
+     * behind what it tells, so that it stays behind and goes on telling. Cause: nothing bounded what a host tells of the
+     * store by what its link bears.
+     */
+    @Test
+    void shouldLeaveMostOfItsLinkToCallersWhenManyHostsLackWhatItKnows() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        gateway.putBytes("targets", STORE_BYTES);
+        List<TestPeer> neighbours = new ArrayList<>();
+        for (int i = 0; i < NEIGHBOURS; i++) {
+            TestPeer neighbour = gateway.neighbour("n" + i);
+            neighbour.readOn();
+            neighbours.add(neighbour);
+        }
+
+        long beganNanos = System.nanoTime();
+        for (int i = 0; i < ROUNDS; i++) {
+            for (TestPeer neighbour : neighbours) {
+                neighbour.sayItKnows(i);
+            }
+            Thread.sleep(ROUND_MILLIS);
+        }
+        long bytes = gateway.metric("peer_bytes_sent{kind=\"store\"}");
+        double tookMillis = (System.nanoTime() - beganNanos) / NANOS_PER_MILLI;
+
+        assertTrue(bytes > 0, "nobody was told");
+        assertTrue(
+                bytes <= 2 * STORE_BYTES + LINK_TENTH_BYTES_PER_MILLI * tookMillis,
+                bytes + " bytes in " + tookMillis + " ms");
+        for (TestPeer neighbour : neighbours) {
+            neighbour.close();
+        }
+    }
+}
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -247,6 +247,27 @@
         return new TestPeer(peers);
     }
 
+    /** Links to it as another host of its region. */
+    TestPeer neighbour(String name) throws IOException {
+        return new TestPeer(peers, name, Place.of("suva", HALL));
+    }
+
+    /** Puts something of a size into the store that says nothing to a gateway. */
+    void putBytes(String key, int bytes) {
+        store.put(key, new byte[bytes], new ClusterFact.Unreadable(Option.none(), "a test's bytes"), false);
+    }
+
+    /** Reads a metric. */
+    long metric(String name) throws IOException {
+        String start = "rattanplank_gateway_" + name + " ";
+        return metrics()
+                .lines()
+                .filter(line -> line.startsWith(start))
+                .mapToLong(line -> Long.parseLong(line.substring(start.length())))
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("no metric " + name));
+    }
+
     /** Asks for the hosts that callers should use. */
     String directory() throws IOException {
         try (TestCaller caller = new TestCaller(directory)) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
@@ -33,9 +33,13 @@
 
     /** Puts an item; without a fact it is removed. */
     void put(String key, ClusterFact fact, boolean removed) {
+        put(key, new byte[0], fact, removed);
+    }
+
+    void put(String key, byte[] value, ClusterFact fact, boolean removed) {
         loop.submit(() -> {
                     revision++;
-                    StoreItem item = new StoreItem(key, new byte[0], revision, removed);
+                    StoreItem item = new StoreItem(key, value, revision, removed);
                     facts.put(revision, fact);
                     history.put(revision, item);
                     if (removed) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -3,6 +3,7 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
@@ -26,12 +27,23 @@
      * @throws IOException if it can't be reached
      */
     public TestPeer(InetSocketAddress address) throws IOException {
+        this(address, "h9", Place.of("labasa", "labasa-hall"));
+    }
+
+    /**
+     * Opens a link.
+     *
+     * @param address where the other host listens
+     * @param name its name
+     * @param place where it stands
+     * @throws IOException if it can't be reached
+     */
+    public TestPeer(InetSocketAddress address, String name, Place place) throws IOException {
         socket.connect(address, LIMIT_MILLIS);
         socket.setSoTimeout(LIMIT_MILLIS);
         in = new DataInputStream(socket.getInputStream());
         out = new DataOutputStream(socket.getOutputStream());
-        send(new PeerFrame.Hello(
-                new GatewayHost("h9", 1, Place.of("labasa", "labasa-hall"), "127.0.0.1:1", "127.0.0.1:2")));
+        send(new PeerFrame.Hello(new GatewayHost(name, 1, place, "127.0.0.1:1", "127.0.0.1:2")));
     }
 
     /**
@@ -93,6 +105,30 @@
         send(new PeerFrame.State(1, 0, 0, 500, false, 0, 0, true, false, List.of(), List.of()));
     }
 
+    /**
+     * Says that it knows the configuration and lets others ask the store.
+     *
+     * @param storeDigest the sum over what it knows of the store
+     * @throws IOException if the link ended
+     */
+    public void sayItKnows(long storeDigest) throws IOException {
+        send(new PeerFrame.State(1, 0, 0, 500, true, 1, storeDigest, false, true, List.of(), List.of()));
+    }
+
+    /** Reads whatever comes, on a thread of its own, until the link ends. */
+    public void readOn() {
+        Thread reader = new Thread(() -> {
+            try {
+                in.transferTo(OutputStream.nullOutputStream());
+            } catch (IOException e) {
+                // The test has closed the link.
+                Thread.currentThread().interrupt();
+            }
+        });
+        reader.setDaemon(true);
+        reader.start();
+    }
+
     /**
      * Reads until a frame of a kind comes.
      *
