Bound what a host tells others of the store by what its link bears, and pack it

Between thirty hosts sums differ whenever something changes, as each host's word of its own is up to half a second old. Change: a host helps one that knows less and whose sum it had not itself a moment ago; one at a time, those that know nothing first, by a tenth of the smallest link; changes go to hosts that the store turns away as well; items go packed, written once for all receivers.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -20,8 +20,6 @@
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
 import org.rattanplank.core.host.Rendezvous;
-import org.rattanplank.gateway.log.LogEvent;
-import org.rattanplank.gateway.log.LogLine;
 import org.rattanplank.gateway.pass.GatewayState;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.PeerLink;
@@ -44,18 +42,12 @@
     /** A state is sent so often also if nothing changed, as a sign of life. */
     private static final long SIGN_OF_LIFE_MILLIS = 500;
 
-    /** A host without the store is told again after so long. */
-    private static final long ITEMS_MILLIS = 1_000;
-
     /** How much further apart the states of hosts of one region are for each of them: twenty cost 0.1 s of a second. */
     private static final long PER_LINK_MILLIS = 12;
 
     /** The same for links to other regions, whose bytes are dear: at sixty links each state is a second apart. */
     private static final long PER_OTHER_LINK_MILLIS = 16;
 
-    /** Changes are on their way for a moment before both hosts know the same. */
-    private static final long LACKS_MILLIS = 700;
-
     /** Hosts of a region that ask the store for all of them; two may be cut off from it at once. */
     private static final int FOLLOWERS = 3;
 
@@ -70,6 +62,7 @@
     private final GatewayState state;
     private final PeerLinks links;
     private final StoreFeed feed;
+    private final StoreHelp help;
     private final BooleanSupplier takesCallers;
     private final List<StoreItem> changes = new ArrayList<>();
     private long followChosenAtMillis;
@@ -85,6 +78,7 @@
         this.state = state;
         this.links = links;
         this.feed = feed;
+        help = new StoreHelp(state, links, feed);
         this.takesCallers = takesCallers;
     }
 
@@ -106,9 +100,9 @@
             } else if (!ownRegion && age >= periodMillis(false)) {
                 tell(link, List.of());
             }
-            helpWithStore(link, nowMillis);
         }
         relayChanges(alive);
+        help.tick(alive, nowMillis);
         if (nowMillis - followChosenAtMillis >= CHOOSE_MILLIS) {
             followChosenAtMillis = nowMillis;
             feed.follow(shouldFollow(alive));
@@ -149,7 +143,8 @@
                 feed.isFollowing(),
                 feed.isHealthy(),
                 sent,
-                isOwnRegion(link) ? List.of() : regionLoads()));
+                isOwnRegion(link) ? List.of() : regionLoads(),
+                feed.newestRevision()));
     }
 
     /**
@@ -177,17 +172,18 @@
         if (changes.isEmpty()) {
             return;
         }
-        PeerFrame.StoreItems frame = new PeerFrame.StoreItems(0, lenientMillis(), changes);
+        long lenientMillis = state.pool().lenientMillis(state.nowMillis());
+        PeerFrame.StoreItems frame = new PeerFrame.StoreItems(0, lenientMillis, changes);
         changes.clear();
-        for (PeerLink link : alive) {
-            if (isOwnRegion(link) && !link.state().followsStore()) {
-                link.send(frame);
-            }
-        }
+        // Hosts that the store turns away ask it in vain. Told only when they are found to lack something, they would
+        // get
+        // all of it once a second for as long as anything changes.
+        links.sendAll(frame, alive.stream().filter(this::needsChanges).toList());
     }
 
-    private long lenientMillis() {
-        return state.pool().lenientMillis(state.nowMillis());
+    private boolean needsChanges(PeerLink link) {
+        return isOwnRegion(link)
+                && (!link.state().followsStore() || !link.state().storeHealthy());
     }
 
     void said(PeerLink link, PeerFrame.State said) {
@@ -232,40 +228,8 @@
         targetsByHost.put(host, now);
     }
 
-    /** Tells a host that doesn't ask the store, or is turned away by it, what it lacks. */
-    private void helpWithStore(PeerLink link, long nowMillis) {
-        PeerFrame.State peer = link.state();
-        boolean needsHelp = !peer.followsStore() || !peer.storeHealthy();
-        // A host that starts while the store is away knows nothing, and would serve nobody until the store is back:
-        // what
-        // others knew last is better, and is judged by own attempts. One would see a whole region without a host that
-        // takes callers after a rolling restart during an outage.
-        boolean mayHelp = feed.isFollowing() && feed.isHealthy() || peer.configurationVersion() == 0;
-        if (!needsHelp || !mayHelp || !feed.isComplete()) {
-            return;
-        }
-        boolean lacks = isOwnRegion(link)
-                ? peer.storeDigest() != feed.digest()
-                : peer.configurationVersion() < state.configurationVersion();
-        Told last = told.computeIfAbsent(link, each -> new Told());
-        if (!lacks) {
-            last.lacksSinceMillis = nowMillis;
-        } else if (nowMillis - last.lacksSinceMillis > LACKS_MILLIS
-                && nowMillis - link.itemsSentAtMillis() > ITEMS_MILLIS) {
-            state.log()
-                    .ordinary(LogLine.of(LogEvent.STORE_TOLD)
-                            .with("peer", link.host().get().name())
-                            .with("items", feed.items().size())
-                            .with("revision", feed.revision())
-                            .with("waitingBytes", links.waitingBytes()));
-            link.send(new PeerFrame.StoreItems(feed.revision(), lenientMillis(), List.copyOf(feed.items())));
-        }
-    }
-
     private boolean isOwnRegion(PeerLink link) {
-        return link.host()
-                .exists(host ->
-                        host.place().region().equals(state.self().place().region()));
+        return state.isOwnRegion(link);
     }
 
     private List<PeerFrame.TargetWork> sent() {
@@ -337,7 +301,6 @@
 
     private static final class Told {
         private long atMillis;
-        private long lacksSinceMillis;
         private List<PeerFrame.TargetWork> sent = List.of();
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -35,6 +35,7 @@
      * @param storeHealthy whether the store answers it
      * @param sent its work at each target, to hosts of its own region
      * @param regionLoads how soon its region is expected to answer, to hosts of other regions
+     * @param newestRevision the newest change of the store that it knows; zero if it doesn't say
      */
     record State(
             long sentAtMillis,
@@ -47,7 +48,8 @@
             boolean followsStore,
             boolean storeHealthy,
             List<TargetWork> sent,
-            List<RegionLoad> regionLoads)
+            List<RegionLoad> regionLoads,
+            long newestRevision)
             implements PeerFrame {
         public State {
             sent = List.copyOf(sent);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
 
 import io.vavr.control.Try;
 import org.msgpack.core.MessageBufferPacker;
@@ -31,18 +34,79 @@
     private static final int ANSWER_END = 7;
     private static final int ANSWER_FAILED = 8;
     private static final int CANCEL = 9;
+    private static final int PACKED = 10;
+
+    /** Smaller frames gain too little. */
+    private static final int LEAST_PACKED_BYTES = 2_048;
+
+    /** A frame that would be larger unpacked is not read; a configuration of a thousand routes has 0.4 MB. */
+    private static final int MOST_UNPACKED_BYTES = 16 << 20;
 
     private PeerFrameCodec() {}
 
     static byte[] encode(PeerFrame frame) {
+        return encode(frame, false);
+    }
+
+    /**
+     * Writes a frame.
+     *
+     * @param frame the frame
+     * @param mayPack whether the receiver reads packed items of the store; a host of an earlier version doesn't
+     * @return its bytes
+     */
+    static byte[] encode(PeerFrame frame, boolean mayPack) {
         return Try.of(() -> {
                     MessageBufferPacker out = MessagePack.newDefaultBufferPacker();
                     write(frame, out);
-                    return out.toByteArray();
+                    byte[] plain = out.toByteArray();
+                    boolean packs =
+                            mayPack && frame instanceof PeerFrame.StoreItems && plain.length >= LEAST_PACKED_BYTES;
+                    return packs ? pack(plain) : plain;
                 })
                 .get();
     }
 
+    /**
+     * Packs a written frame. A configuration of 1,300 routes takes a tenth of its bytes; it goes to some thirty hosts over
+     * a link that its callers need.
+     */
+    private static byte[] pack(byte[] plain) throws IOException {
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+        try {
+            deflater.setInput(plain);
+            deflater.finish();
+            byte[] packed = new byte[plain.length + LEAST_PACKED_BYTES];
+            int length = deflater.deflate(packed);
+            MessageBufferPacker out = MessagePack.newDefaultBufferPacker();
+            out.packInt(PACKED).packInt(plain.length);
+            out.packBinaryHeader(length).addPayload(packed, 0, length);
+            return out.toByteArray();
+        } finally {
+            deflater.end();
+        }
+    }
+
+    private static PeerFrame unpack(MessageUnpacker in) throws IOException {
+        int length = in.unpackInt();
+        if (length < 0 || length > MOST_UNPACKED_BYTES) {
+            throw new IOException("a packed frame of " + length + " bytes");
+        }
+        Inflater inflater = new Inflater();
+        try {
+            inflater.setInput(readBytes(in));
+            byte[] plain = new byte[length];
+            if (inflater.inflate(plain) != length) {
+                throw new IOException("a packed frame that is not whole");
+            }
+            return read(MessagePack.newDefaultUnpacker(plain));
+        } catch (DataFormatException e) {
+            throw new IOException("a packed frame that can't be read", e);
+        } finally {
+            inflater.end();
+        }
+    }
+
     static Try<PeerFrame> decode(byte[] bytes) {
         return Try.of(() -> read(MessagePack.newDefaultUnpacker(bytes)));
     }
@@ -98,6 +162,7 @@
             out.packString(load.service()).packInt(load.urgency().ordinal());
             out.packFloat((float) load.expectedMillis()).packFloat((float) load.perTokenMillis());
         }
+        out.packLong(state.newestRevision());
     }
 
     private static void write(PeerFrame.Ask ask, MessageBufferPacker out) throws IOException {
@@ -142,6 +207,7 @@
             case ANSWER_END -> new PeerFrame.AnswerEnd(in.unpackLong());
             case ANSWER_FAILED -> new PeerFrame.AnswerFailed(
                     in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackString());
+            case PACKED -> unpack(in);
             case CANCEL -> new PeerFrame.Cancel(in.unpackLong());
             default -> throw new IOException("unknown kind of frame " + kind);
         };
@@ -171,8 +237,21 @@
             loads.add(new PeerFrame.RegionLoad(
                     in.unpackString(), Urgency.of(in.unpackInt()), in.unpackFloat(), in.unpackFloat()));
         }
+        // A host of an earlier version ends its state here.
+        long newestRevision = in.hasNext() ? in.unpackLong() : 0;
         return new PeerFrame.State(
-                sentAt, echoed, echoAge, period, takesCallers, version, digest, follows, healthy, sent, loads);
+                sentAt,
+                echoed,
+                echoAge,
+                period,
+                takesCallers,
+                version,
+                digest,
+                follows,
+                healthy,
+                sent,
+                loads,
+                newestRevision);
     }
 
     private static PeerFrame readItems(MessageUnpacker in) throws IOException {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -45,8 +45,9 @@
     private GatewayHost host;
     private long lastHeardMillis;
     private long nextCall = 1;
-    private PeerFrame.State state = new PeerFrame.State(0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of());
+    private PeerFrame.State state = new PeerFrame.State(0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0);
     private long itemsSentAtMillis;
+    private long lackedNothingAtMillis;
     private long stateAtMillis;
     private double roundTripMillis;
 
@@ -55,6 +56,7 @@
         this.outgoing = outgoing;
         this.clock = clock;
         lastHeardMillis = clock.nowMillis();
+        lackedNothingAtMillis = lastHeardMillis;
     }
 
     /**
@@ -130,16 +132,47 @@
      * Sends a frame.
      *
      * @param frame the frame
+     * @return its bytes; none if the link has ended
      */
-    public void send(PeerFrame frame) {
-        if (frame instanceof PeerFrame.StoreItems) {
+    public int send(PeerFrame frame) {
+        if (frame instanceof PeerFrame.StoreItems items && items.revision() > 0) {
             itemsSentAtMillis = clock.nowMillis();
         }
-        if (channel != null && channel.isActive()) {
-            byte[] bytes = PeerFrameCodec.encode(frame);
-            owner.traffic().sent(frame, bytes.length);
-            channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
-        }
+        return isOpen() ? write(frame, PeerFrameCodec.encode(frame, readsPacked())) : 0;
+    }
+
+    /** Sends a frame that is written already. */
+    int write(PeerFrame frame, byte[] bytes) {
+        owner.traffic().sent(frame, bytes.length);
+        channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+        return bytes.length;
+    }
+
+    boolean isOpen() {
+        return channel != null && channel.isActive();
+    }
+
+    /** Whether the other host reads packed items: one that tells its newest revision does. */
+    boolean readsPacked() {
+        return state.newestRevision() > 0;
+    }
+
+    /**
+     * Takes note that the other host lacked nothing of the store.
+     *
+     * @param nowMillis when it was so
+     */
+    public void lackedNothing(long nowMillis) {
+        lackedNothingAtMillis = nowMillis;
+    }
+
+    /**
+     * When the other host was last seen to lack nothing of the store.
+     *
+     * @return the time
+     */
+    public long lackedNothingAtMillis() {
+        return lackedNothingAtMillis;
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -206,6 +206,28 @@
         }
     }
 
+    /**
+     * Sends one frame over several links. It is written once for all of them: a configuration of a thousand routes takes
+     * some 0.4 MB.
+     *
+     * @param frame the frame
+     * @param receivers the links
+     */
+    public void sendAll(PeerFrame frame, List<PeerLink> receivers) {
+        byte[] packed = null;
+        for (PeerLink link : receivers) {
+            if (!link.isOpen()) {
+                continue;
+            }
+            if (!link.readsPacked()) {
+                link.send(frame);
+                continue;
+            }
+            packed = packed == null ? PeerFrameCodec.encode(frame, true) : packed;
+            link.write(frame, packed);
+        }
+    }
+
     /**
      * What was sent over all links and has not left this host.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -39,6 +39,12 @@
     /** The longest wait after failed calls: what is learnt after an outage comes this much later at most. */
     private static final long LONGEST_RETRY_MILLIS = 800;
 
+    /**
+     * How old another host's word of what it knows may be: half a second between two such words in a large region, as much
+     * on the way of a change, and as much again for hosts behind with their work.
+     */
+    private static final long KNEW_LATELY_MILLIS = 1_500;
+
     private final ClusterStore store;
     private final StoreFormat format;
     private final FeedListener listener;
@@ -52,6 +58,8 @@
     private boolean leaseLost;
     private boolean following = true;
     private long digest;
+    private final DigestHistory digests = new DigestHistory();
+    private long newestRevision;
     private long lastAnswerMillis;
 
     private StoreFeed(
@@ -140,6 +148,26 @@
         return digest;
     }
 
+    /**
+     * Whether a sum is this host's own, or was a moment ago: what another host says of itself is that old.
+     *
+     * @param sum the sum over what another host knows
+     * @param nowMillis the time
+     * @return whether the other host knows what this one knew of late
+     */
+    public boolean knewLately(long sum, long nowMillis) {
+        return sum == digest || digests.held(sum, nowMillis - KNEW_LATELY_MILLIS);
+    }
+
+    /**
+     * The newest change that is known, or known not to be there.
+     *
+     * @return its revision, zero if nothing is known
+     */
+    public long newestRevision() {
+        return Math.max(newestRevision, revision());
+    }
+
     /**
      * Whether the store answers.
      *
@@ -226,6 +254,8 @@
         if (item.revision() <= knownRevision) {
             return;
         }
+        digests.replaced(digest, clock.nowMillis());
+        newestRevision = Math.max(newestRevision, item.revision());
         if (known != null) {
             digest ^= digestOf(known);
         }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreHelpFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreHelpFlowTest.java
@@ -11,6 +11,7 @@
 import org.rattanplank.core.gateway.RouteKind;
 import org.rattanplank.gateway.peer.TestPeer;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** A host that asks the store tells others of its region what they lack. */
@@ -64,7 +65,7 @@
         long beganNanos = System.nanoTime();
         for (int i = 0; i < ROUNDS; i++) {
             for (TestPeer neighbour : neighbours) {
-                neighbour.sayItKnows(i);
+                neighbour.sayItKnows(i, 1);
             }
             Thread.sleep(ROUND_MILLIS);
         }
@@ -79,4 +80,26 @@
             neighbour.close();
         }
     }
+
+    /**
+     * Symptom: a host that is behind tells others what they know already, once a second. Sequence: it learns changes of
+     * the store later than the other hosts of its region; their sums differ from its own. Cause: whoever knew something
+     * else was taken to lack something.
+     */
+    @Test
+    void shouldTellOnlyTheHostThatKnowsLessWhenBothKnowSomethingElse() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        try (TestPeer ahead = gateway.neighbour("ahead");
+                TestPeer behind = gateway.neighbour("behind")) {
+            ahead.readOn();
+            behind.readOn();
+            while (gateway.countLogged("\"peer\":\"behind\",\"items\"") == 0) {
+                ahead.sayItKnows(1, Long.MAX_VALUE);
+                behind.sayItKnows(1, 1);
+                Thread.sleep(ROUND_MILLIS);
+            }
+
+            assertEquals(0, gateway.countLogged("\"peer\":\"ahead\",\"items\""));
+        }
+    }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -1,5 +1,7 @@
 package org.rattanplank.gateway.peer;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 
 import net.jqwik.api.ForAll;
@@ -10,7 +12,9 @@
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.WaitingTokens;
 import org.rattanplank.core.host.Place;
+import org.rattanplank.gateway.store.StoreItem;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -34,7 +38,8 @@
                         false,
                         true,
                         List.of(new PeerFrame.TargetWork("t", new SentWork(2, new WaitingTokens(1, 2, 3), 4))),
-                        List.of(new PeerFrame.RegionLoad("s", Urgency.LAST, 1.5, 0.25))),
+                        List.of(new PeerFrame.RegionLoad("s", Urgency.LAST, 1.5, 0.25)),
+                        11),
                 new PeerFrame.AnswerHead(4, 200, List.of("a", "b"), "t"),
                 new PeerFrame.AnswerEnd(4),
                 new PeerFrame.AnswerFailed(4, "UNKNOWN", "why", "t"),
@@ -43,6 +48,42 @@
         frames.forEach(frame -> assertEquals(frame, again(frame)));
     }
 
+    @Test
+    void shouldPackItemsOfTheStoreWhenTheReceiverReadsThem() {
+        byte[] value = "route ".repeat(20_000).getBytes(StandardCharsets.UTF_8);
+        PeerFrame.StoreItems items =
+                new PeerFrame.StoreItems(7, 30, List.of(new StoreItem("configuration", value, 5, false)));
+
+        byte[] packed = PeerFrameCodec.encode(items, true);
+        PeerFrame.StoreItems read =
+                (PeerFrame.StoreItems) PeerFrameCodec.decode(packed).get();
+
+        assertTrue(packed.length * 10 < PeerFrameCodec.encode(items, false).length, "bytes: " + packed.length);
+        assertEquals(7, read.revision());
+        assertEquals(30, read.lenientMillis());
+        assertArrayEquals(value, read.items().get(0).value());
+    }
+
+    @Test
+    void shouldFailWithoutHarmWhenAPackedFrameIsCutShort() {
+        byte[] value = new byte[10_000];
+        byte[] packed = PeerFrameCodec.encode(
+                new PeerFrame.StoreItems(7, 30, List.of(new StoreItem("configuration", value, 5, false))), true);
+
+        assertTrue(
+                PeerFrameCodec.decode(Arrays.copyOf(packed, packed.length - 4)).isFailure());
+    }
+
+    @Test
+    void shouldReadAStateWhenItComesFromAHostThatTellsNoNewestRevision() {
+        PeerFrame.State state = new PeerFrame.State(1, 2, 3, 500, true, 9, -7, false, true, List.of(), List.of(), 0);
+        byte[] bytes = PeerFrameCodec.encode(state);
+
+        assertEquals(
+                state,
+                PeerFrameCodec.decode(Arrays.copyOf(bytes, bytes.length - 1)).get());
+    }
+
     @Test
     void shouldReadARequestWhenItsBodyHoldsAnyBytes() {
         byte[] body = {0, -1, 13, 10, 127};
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -102,17 +102,19 @@
      * @throws IOException if the link ended
      */
     public void sayItKnowsNothing() throws IOException {
-        send(new PeerFrame.State(1, 0, 0, 500, false, 0, 0, true, false, List.of(), List.of()));
+        send(new PeerFrame.State(1, 0, 0, 500, false, 0, 0, true, false, List.of(), List.of(), 0));
     }
 
     /**
      * Says that it knows the configuration and lets others ask the store.
      *
      * @param storeDigest the sum over what it knows of the store
+     * @param newestRevision the newest change that it knows
      * @throws IOException if the link ended
      */
-    public void sayItKnows(long storeDigest) throws IOException {
-        send(new PeerFrame.State(1, 0, 0, 500, true, 1, storeDigest, false, true, List.of(), List.of()));
+    public void sayItKnows(long storeDigest, long newestRevision) throws IOException {
+        send(new PeerFrame.State(
+                1, 0, 0, 500, true, 1, storeDigest, false, true, List.of(), List.of(), newestRevision));
     }
 
     /** Reads whatever comes, on a thread of its own, until the link ends. */
