--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreHelpFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreHelpFlowTest.java
@@ -26,6 +26,9 @@
     /** A tenth of the link of the smallest hosts, 10 Mbit/s: the rest is for callers. */
     private static final int LINK_TENTH_BYTES_PER_MILLI = 125;
 
+    /** So large that the system's own buffers hold only some of them. */
+    private static final int LARGE_BYTES = 2_000_000;
+
     private static final int ROUNDS = 30;
     private static final long ROUND_MILLIS = 100;
     private static final double NANOS_PER_MILLI = 1e6;
@@ -81,6 +84,32 @@
         }
     }
 
+    /**
+     * Symptom: from the moment at which a configuration of 1,300 routes is written, and written anew three times a second,
+     * hosts of all regions lose each other again and again, all kinds of requests are late, and of the least urgent kind
+     * hardly any is in time, until the end of the day. Sequence: three hosts of each region learn each version, 0.4 MB, and
+     * send it to each of twenty others; their links of 10 Mbit/s take six seconds for what comes in 0.3; signs of life and
+     * requests wait behind it. Cause: each version was queued for each host, however much was waiting already.
+     */
+    @Test
+    void shouldQueueNoFurtherVersionsWhenAHostHasNotTakenTheLast() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        try (TestPeer slow = gateway.neighbour("slow")) {
+            slow.sayItKnows(1, 1);
+            gateway.awaitLogged("\"peer\":\"slow\"");
+
+            for (int i = 0; i < ROUNDS; i++) {
+                gateway.putNoise("large", LARGE_BYTES);
+                slow.sayItKnows(1, Long.MAX_VALUE);
+                Thread.sleep(ROUND_MILLIS);
+            }
+
+            // The system's own buffers of both ends take some megabytes.
+            long bytes = gateway.metric("peer_bytes_sent{kind=\"store\"}");
+            assertTrue(bytes < ROUNDS / 2 * LARGE_BYTES, "bytes: " + bytes);
+        }
+    }
+
     /**
      * Symptom: a host that is behind tells others what they know already, once a second. Sequence: it learns changes of
      * the store later than the other hosts of its region; their sums differ from its own. Cause: whoever knew something
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
@@ -257,6 +258,13 @@
         store.put(key, new byte[bytes], new ClusterFact.Unreadable(Option.none(), "a test's bytes"), false);
     }
 
+    /** Puts bytes into the store that can't be packed. */
+    void putNoise(String key, int bytes) {
+        byte[] noise = new byte[bytes];
+        new Random(bytes).nextBytes(noise);
+        store.put(key, noise, new ClusterFact.Unreadable(Option.none(), "a test's bytes"), false);
+    }
+
     /** Reads a metric. */
     long metric(String name) throws IOException {
         String start = "rattanplank_gateway_" + name + " ";
