Pass on the newest change of each key only when the last ones have left

Change: a host gets the next changes when its link has taken the last ones, of each key the newest alone.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -64,7 +64,7 @@
     private final StoreFeed feed;
     private final StoreHelp help;
     private final BooleanSupplier takesCallers;
-    private final List<StoreItem> changes = new ArrayList<>();
+    private final StoreRelay relay;
     private long followChosenAtMillis;
     private long ownRegionMillis = OWN_REGION_MILLIS;
     private long otherRegionMillis = OTHER_REGION_MILLIS;
@@ -79,6 +79,7 @@
         this.links = links;
         this.feed = feed;
         help = new StoreHelp(state, links, feed);
+        relay = new StoreRelay(state, links);
         this.takesCallers = takesCallers;
     }
 
@@ -101,7 +102,7 @@
                 tell(link, List.of());
             }
         }
-        relayChanges(alive);
+        relay.tick(alive);
         help.tick(alive, nowMillis);
         if (nowMillis - followChosenAtMillis >= CHOOSE_MILLIS) {
             followChosenAtMillis = nowMillis;
@@ -124,7 +125,7 @@
     /** Takes note of an item that was learnt, to be told to hosts that don't ask the store. */
     void relay(StoreItem item) {
         if (feed.isFollowing()) {
-            changes.add(item);
+            relay.learnt(item);
         }
     }
 
@@ -168,24 +169,6 @@
         return Rendezvous.rank(healthy, FOLLOW_KEY).indexOf(self) < FOLLOWERS;
     }
 
-    private void relayChanges(List<PeerLink> alive) {
-        if (changes.isEmpty()) {
-            return;
-        }
-        long lenientMillis = state.pool().lenientMillis(state.nowMillis());
-        PeerFrame.StoreItems frame = new PeerFrame.StoreItems(0, lenientMillis, changes);
-        changes.clear();
-        // Hosts that the store turns away ask it in vain. Told only when they are found to lack something, they would
-        // get
-        // all of it once a second for as long as anything changes.
-        links.sendAll(frame, alive.stream().filter(this::needsChanges).toList());
-    }
-
-    private boolean needsChanges(PeerLink link) {
-        return isOwnRegion(link)
-                && (!link.state().followsStore() || !link.state().storeHealthy());
-    }
-
     void said(PeerLink link, PeerFrame.State said) {
         GatewayHost host = link.host().get();
         state.metrics().took(Latency.PEER_ROUND_TRIP, link.roundTripMillis());
@@ -210,6 +193,7 @@
 
     void lost(PeerLink link) {
         told.remove(link);
+        relay.lost(link);
         link.host().forEach(host -> takeSent(host.name(), List.of()));
     }
 
