--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -241,6 +241,11 @@
         }
     }
 
+    /** Notes raw bytes, of which a frame may be made up that isn't whole yet. */
+    void bytesCame() {
+        lastHeardMillis = clock.nowMillis();
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
@@ -250,7 +255,6 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
-        lastHeardMillis = clock.nowMillis();
         Try<PeerFrame> frame = PeerFrameCodec.decode(ByteBufUtil.getBytes(bytes));
         if (frame.isFailure()) {
             owner.unreadable(this, frame.getCause());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -12,6 +12,8 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -368,14 +370,34 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                PeerLink link = new PeerLink(PeerLinks.this, clock, outgoing);
                 channel.pipeline()
+                        .addLast(new ByteWatch(link))
                         .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                        .addLast(new PeerLink(PeerLinks.this, clock, outgoing));
+                        .addLast(link);
             }
         };
     }
 
+    /**
+     * Tells a link of raw bytes. A frame of a large item can take longer than a link may be silent; taken for dead, the link
+     * would be ended and the item sent anew, and so on while the link is crowded.
+     */
+    private static final class ByteWatch extends ChannelInboundHandlerAdapter {
+        private final PeerLink link;
+
+        private ByteWatch(PeerLink link) {
+            this.link = link;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            link.bytesCame();
+            context.fireChannelRead(bytes);
+        }
+    }
+
     private static final class Known {
         private final GatewayHost host;
         private long seenAtMillis;
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreHelpFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreHelpFlowTest.java
@@ -110,6 +110,23 @@
         }
     }
 
+    /**
+     * Symptom: hosts take each other for dead while they talk, end their links, and begin anew with what they were telling.
+     * Sequence: a large item comes over a crowded link for longer than a link may be silent. Cause: only whole frames
+     * counted as signs of life.
+     */
+    @Test
+    void shouldKeepALinkWhenALargeItemComesSlowly() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        try (TestPeer slow = gateway.neighbour("slow")) {
+            slow.readOn();
+            slow.sayItKnows(1, 1);
+            slow.sendSlowly(STORE_BYTES, ROUNDS, ROUND_MILLIS);
+
+            assertEquals(0, gateway.countLogged("\"event\":\"peer_lost\""));
+        }
+    }
+
     /**
      * Symptom: a host that is behind tells others what they know already, once a second. Sequence: it learns changes of
      * the store later than the other hosts of its region; their sums differ from its own. Cause: whoever knew something
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -11,6 +11,7 @@
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.host.Place;
+import org.rattanplank.gateway.store.StoreItem;
 
 /** A host of another region that says what a test has it say. Used by the test's thread alone. */
 public final class TestPeer implements AutoCloseable {
@@ -117,6 +118,27 @@
                 1, 0, 0, 500, true, 1, storeDigest, false, true, List.of(), List.of(), newestRevision));
     }
 
+    /**
+     * Sends a frame of items in parts, as a crowded link does.
+     *
+     * @param bytes the bytes of its one item
+     * @param parts the number of parts
+     * @param pauseMillis the pause after each
+     * @throws IOException if the link ended
+     * @throws InterruptedException if the test is ended
+     */
+    public void sendSlowly(int bytes, int parts, long pauseMillis) throws IOException, InterruptedException {
+        byte[] frame = PeerFrameCodec.encode(
+                new PeerFrame.StoreItems(0, 0, List.of(new StoreItem("slow", new byte[bytes], 1, false))));
+        out.writeInt(frame.length);
+        int part = frame.length / parts + 1;
+        for (int at = 0; at < frame.length; at += part) {
+            out.write(frame, at, Math.min(part, frame.length - at));
+            out.flush();
+            Thread.sleep(pauseMillis);
+        }
+    }
+
     /** Reads whatever comes, on a thread of its own, until the link ends. */
     public void readOn() {
         Thread reader = new Thread(() -> {
