--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -11,8 +11,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -25,6 +23,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.rattanplank.core.gateway.CallerBounds;
 import org.rattanplank.gateway.SteadyClock;
+import org.rattanplank.gateway.http.ByteWatch;
 
 /**
  * The port for callers.
@@ -90,7 +89,7 @@
                     protected void initChannel(SocketChannel channel) {
                         CallerConnection connection = new CallerConnection(CallerServer.this, bounds.get());
                         channel.pipeline()
-                                .addLast(new ByteWatch(connection))
+                                .addLast(new ByteWatch(connection::bytesCame))
                                 .addLast(new RequestDecoder(bounds.get(), connection))
                                 .addLast(new HttpResponseEncoder())
                                 .addLast(connection);
@@ -164,21 +163,6 @@
         void received(CallerConnection connection, HttpRequest head, byte[] body, Consumer<CallerCall> taker);
     }
 
-    /** Tells a connection of raw bytes. */
-    private static final class ByteWatch extends ChannelInboundHandlerAdapter {
-        private final CallerConnection connection;
-
-        private ByteWatch(CallerConnection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object bytes) {
-            connection.bytesCame();
-            context.fireChannelRead(bytes);
-        }
-    }
-
     /** Tells a connection of a request that states its length twice, in which another one could hide. */
     private static final class RequestDecoder extends HttpRequestDecoder {
         private final CallerConnection connection;
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ByteWatch.java
@@ -0,0 +1,29 @@
+package org.rattanplank.gateway.http;
+
+import java.util.Objects;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/**
+ * Tells of raw bytes before anything is made of them: a head or frame that isn't whole yet is a sign of life as well.
+ * Confined to the event loop.
+ */
+public final class ByteWatch extends ChannelInboundHandlerAdapter {
+    private final Runnable bytesCame;
+
+    /**
+     * Makes a watch.
+     *
+     * @param bytesCame run each time that bytes came
+     */
+    public ByteWatch(Runnable bytesCame) {
+        this.bytesCame = Objects.requireNonNull(bytesCame, "bytesCame");
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object bytes) {
+        bytesCame.run();
+        context.fireChannelRead(bytes);
+    }
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassLines.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassLines.java
@@ -2,6 +2,7 @@
 
 import org.rattanplank.core.gateway.Choice;
 import org.rattanplank.core.gateway.GatewayTarget;
+import org.rattanplank.core.gateway.Outlook;
 import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.Work;
 import org.rattanplank.gateway.log.LogEvent;
@@ -60,6 +61,22 @@
                 .with("lastEventId", reply.lastEventId()));
     }
 
+    /** Adds what was expected of the place where a request was sent last, or would have been sent when it was refused. */
+    static void addExpectation(LogLine last, Outlook outlook) {
+        if (outlook != Outlook.NONE) {
+            last.with("region", outlook.region())
+                    .with("waitMillis", outlook.waitMillis())
+                    .with("expectedMillis", outlook.expectedMillis());
+        }
+    }
+
+    static void addTimes(LogLine last, Timeliness times) {
+        last.with("firstPartMillis", times.firstPartMillis())
+                .with("longestGapMillis", times.longestGapMillis())
+                .with("firstPartLate", times.firstPartLate())
+                .with("pauseTooLong", times.pauseTooLong());
+    }
+
     void ended(LogLine last, boolean ordinary) {
         log.end(last, ordinary);
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -374,19 +374,12 @@
                 .with("attempts", sent)
                 .with("readMillis", reply.readMillis())
                 .with("tookMillis", state.nowMillis() - arrivedAtMillis);
-        if (outlook != Outlook.NONE) {
-            last.with("region", outlook.region())
-                    .with("waitMillis", outlook.waitMillis())
-                    .with("expectedMillis", outlook.expectedMillis());
-        }
         if (!reason.isEmpty()) {
             last.with("reason", reason);
         }
+        PassLines.addExpectation(last, outlook);
         if (reply.firstAtMillis() > 0) {
-            last.with("firstPartMillis", reply.firstAtMillis() - arrivedAtMillis)
-                    .with("longestGapMillis", reply.longestGapMillis())
-                    .with("firstPartLate", isFirstPartLate())
-                    .with("pauseTooLong", isPauseTooLong());
+            PassLines.addTimes(last, timeliness());
         }
         lines.ended(last, ordinary);
         onOver.run();
@@ -396,22 +389,14 @@
         GatewayMetrics metrics = state.metrics();
         metrics.answered();
         metrics.took(Latency.WHOLE, state.nowMillis() - arrivedAtMillis);
-        metrics.took(Latency.FIRST_PART, Math.max(0, reply.firstAtMillis() - arrivedAtMillis));
-        metrics.took(Latency.LONGEST_GAP, reply.longestGapMillis());
+        metrics.took(Latency.FIRST_PART, timeliness().firstPartMillis());
+        metrics.took(Latency.LONGEST_GAP, timeliness().longestGapMillis());
         boolean targetFailed = reply.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        end("answered", "", sent == 1 && unsent == 0 && !wasLate() && !targetFailed);
-    }
-
-    private boolean wasLate() {
-        return isFirstPartLate() || isPauseTooLong();
-    }
-
-    private boolean isFirstPartLate() {
-        return reply.firstAtMillis() - arrivedAtMillis > route.objectiveMillis();
+        end("answered", "", sent == 1 && unsent == 0 && !timeliness().isLate() && !targetFailed);
     }
 
-    private boolean isPauseTooLong() {
-        return route.gapMillis() > 0 && reply.longestGapMillis() > route.gapMillis();
+    private Timeliness timeliness() {
+        return Timeliness.of(reply, arrivedAtMillis, route);
     }
 
     /** Hears one attempt, as long as it is the current one. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -12,8 +12,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -25,6 +23,7 @@
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.host.Rendezvous;
 import org.rattanplank.gateway.SteadyClock;
+import org.rattanplank.gateway.http.ByteWatch;
 
 /**
  * The links to all other hosts.
@@ -372,7 +371,9 @@
             protected void initChannel(SocketChannel channel) {
                 PeerLink link = new PeerLink(PeerLinks.this, clock, outgoing);
                 channel.pipeline()
-                        .addLast(new ByteWatch(link))
+                        // A frame of a large item can take longer than a link may be silent; taken for dead, the link
+                        // would be ended and the item sent anew, and so on while the link is crowded.
+                        .addLast(new ByteWatch(link::bytesCame))
                         .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
                         .addLast(link);
@@ -380,24 +381,6 @@
         };
     }
 
-    /**
-     * Tells a link of raw bytes. A frame of a large item can take longer than a link may be silent; taken for dead, the link
-     * would be ended and the item sent anew, and so on while the link is crowded.
-     */
-    private static final class ByteWatch extends ChannelInboundHandlerAdapter {
-        private final PeerLink link;
-
-        private ByteWatch(PeerLink link) {
-            this.link = link;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object bytes) {
-            link.bytesCame();
-            context.fireChannelRead(bytes);
-        }
-    }
-
     private static final class Known {
         private final GatewayHost host;
         private long seenAtMillis;
