Let what was learnt of an urgency's times fade while none of it is seen

Cause: eight seconds after a peak hosts of a nearly idle region expected 1 to 5 s for a draft at home and forwarded 70 to 100 a second to regions at their peak. What is sent elsewhere is not measured, and what was learnt never faded; with thirty hosts each sees one request in thirty. Change: without an observation for 1 s the excess over the least delayed urgency halves each 0.75 s; where observations are rare a new one weighs more.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/LatencyModel.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/LatencyModel.java
@@ -1,5 +1,6 @@
 package org.rattanplank.core.gateway;
 
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.Map;
 
@@ -9,13 +10,29 @@
  * <p>A model engine's first event is taken to come after a fixed time, plus the wait until running requests have left
  * it a slot and memory, plus a time for each token of the prompts that are read before, its own included. That time is
  * learnt for each urgency apart: less urgent requests are overtaken by those that come later. A plain service's answer
- * comes after its mean time, in turns of as many as it has slots. Invariant: an estimate is never negative. Confined to
- * its owner's thread.
+ * comes after its mean time, in turns of as many as it has slots. Invariants: an estimate is never negative; what was
+ * learnt of an urgency fades to what the least delayed one takes while none of its requests is seen. Confined to its owner's
+ * thread.
  */
 public final class LatencyModel {
     /** The weight of a new observation; some thirty of them outweigh what was learnt before. */
     private static final double SMOOTHING = 0.05;
 
+    /**
+     * How long what was seen of an urgency counts: a wave of load lasts some seconds. Where requests of an urgency are rare,
+     * as on each of thirty hosts, the weight of a new one grows with the time since the last.
+     */
+    private static final double MEMORY_MILLIS = 2_000;
+
+    /** One observation alone may be a wild one. */
+    private static final double MOST_WEIGHT = 0.3;
+
+    /** Without an observation for so long, what is believed may be why there is none, and fades. */
+    private static final long QUIET_MILLIS = 1_000;
+
+    /** In so long, half of it has faded: a peak's end is known two to three seconds later. */
+    private static final double HALF_MILLIS = 750;
+
     /** Until observations say more: a first event of an idle engine. */
     private static final double START_FIXED_MILLIS = 40;
 
@@ -38,6 +55,7 @@
     private static final double PLAIN_CROWDING = 0.05;
 
     private final Map<Urgency, Double> millisPerToken = new EnumMap<>(Urgency.class);
+    private final Map<Urgency, Long> seenAtMillis = new EnumMap<>(Urgency.class);
     private double residenceMillis = START_RESIDENCE_MILLIS;
     private double plainMillis = START_PLAIN_MILLIS;
 
@@ -69,10 +87,26 @@
      *
      * @param tokens the tokens that are read before it, its own included
      * @param urgency its urgency
+     * @param nowMillis the time
      * @return milliseconds
      */
-    public double firstEventMillis(double tokens, Urgency urgency) {
-        return START_FIXED_MILLIS + tokens * millisPerToken.get(urgency);
+    public double firstEventMillis(double tokens, Urgency urgency, long nowMillis) {
+        return START_FIXED_MILLIS + tokens * millisPerToken(urgency, nowMillis);
+    }
+
+    /**
+     * What each token takes. Expected to be late, requests of an urgency are refused or sent elsewhere, and nothing is seen
+     * of them: without fading, a region would be taken for slow long after its peak. One would see work sent from idle
+     * regions to busy ones.
+     */
+    private double millisPerToken(Urgency urgency, long nowMillis) {
+        double learnt = millisPerToken.get(urgency);
+        long quietMillis = nowMillis - seenAtMillis.getOrDefault(urgency, 0L) - QUIET_MILLIS;
+        if (quietMillis <= 0) {
+            return learnt;
+        }
+        double least = Collections.min(millisPerToken.values());
+        return least + (learnt - least) * Math.pow(0.5, quietMillis / HALF_MILLIS);
     }
 
     /**
@@ -93,10 +127,11 @@
      * @param isModel whether the unit is a token of a prompt, rather than a request
      * @param urgency the urgency of the work
      * @param slots the requests that a target works on at once
+     * @param nowMillis the time
      * @return milliseconds
      */
-    public double perUnitMillis(boolean isModel, Urgency urgency, int slots) {
-        return isModel ? millisPerToken.get(urgency) : plainMillis / Math.max(1, slots);
+    public double perUnitMillis(boolean isModel, Urgency urgency, int slots, long nowMillis) {
+        return isModel ? millisPerToken(urgency, nowMillis) : plainMillis / Math.max(1, slots);
     }
 
     /**
@@ -105,13 +140,18 @@
      * @param tokens the tokens that were expected to be read before it
      * @param urgency its urgency
      * @param tookMillis the time it took beyond the time that it was expected to wait for room
+     * @param nowMillis the time
      */
-    public void firstEventTook(double tokens, Urgency urgency, double tookMillis) {
+    public void firstEventTook(double tokens, Urgency urgency, double tookMillis, long nowMillis) {
         if (tokens < LEAST_TOKENS) {
             return;
         }
         double seen = Math.min(MOST_MILLIS_PER_TOKEN, Math.max(0, tookMillis - START_FIXED_MILLIS) / tokens);
-        millisPerToken.merge(urgency, seen, (known, each) -> known + SMOOTHING * (each - known));
+        double known = millisPerToken(urgency, nowMillis);
+        long sinceMillis = nowMillis - seenAtMillis.getOrDefault(urgency, 0L);
+        double weight = Math.min(MOST_WEIGHT, Math.max(SMOOTHING, 1 - Math.exp(-sinceMillis / MEMORY_MILLIS)));
+        millisPerToken.put(urgency, known + weight * (seen - known));
+        seenAtMillis.put(urgency, nowMillis);
     }
 
     /**
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -103,7 +103,7 @@
         GatewayTarget best = null;
         double bestMillis = Double.MAX_VALUE;
         for (GatewayTarget target : eligible) {
-            double firstMillis = expectedMillis(target, service, work);
+            double firstMillis = expectedMillis(target, service, work, nowMillis);
             int readAgainTokens = target == keeper ? 0 : Math.max(0, sharedTokens - target.cachedTokens(shared));
             double millis = firstMillis * (1 + TIE * random.nextDouble())
                     + overrunMillis(target, service, work, firstMillis, nowMillis)
@@ -116,11 +116,11 @@
         if (best == null) {
             return Option.none();
         }
-        double millis = expectedMillis(best, service, work);
+        double millis = expectedMillis(best, service, work, nowMillis);
         return Option.some(new Choice(
                 best,
                 millis,
-                waitMillis(best, service, work),
+                waitMillis(best, service, work, nowMillis),
                 eligible.size(),
                 source(best, keeper, shared, sharedTokens)));
     }
@@ -131,16 +131,17 @@
      * @param target the target
      * @param service its service
      * @param work what is asked
+     * @param nowMillis the time
      * @return milliseconds
      */
-    public double expectedMillis(GatewayTarget target, ServiceRule service, Work work) {
+    public double expectedMillis(GatewayTarget target, ServiceRule service, Work work, long nowMillis) {
         LatencyModel model = model(service.name());
         int requests = target.all().requests();
         if (!service.isModel()) {
             return model.answerMillis(requests, target.slots());
         }
         return roomMillis(target, service, work)
-                + model.firstEventMillis(target.tokensAhead(work), work.urgency())
+                + model.firstEventMillis(target.tokensAhead(work), work.urgency(), nowMillis)
                 + PER_RUNNING_MILLIS * Math.min(requests, target.slots());
     }
 
@@ -205,15 +206,15 @@
         return lacksParts && mechanisms.uses(Mechanism.COPY_PARTS) ? Option.some(keeper) : Option.none();
     }
 
-    private double waitMillis(GatewayTarget target, ServiceRule service, Work work) {
+    private double waitMillis(GatewayTarget target, ServiceRule service, Work work, long nowMillis) {
         if (!service.isModel()) {
             return Math.max(
                     0,
-                    expectedMillis(target, service, work)
+                    expectedMillis(target, service, work, nowMillis)
                             - model(service.name()).answerMillis(0, 1));
         }
         double tokens = target.all().waiting().ahead(work.urgency());
-        double perToken = model(service.name()).perUnitMillis(true, work.urgency(), target.slots());
+        double perToken = model(service.name()).perUnitMillis(true, work.urgency(), target.slots(), nowMillis);
         return roomMillis(target, service, work) + tokens * perToken;
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -278,7 +278,8 @@
                         model.perUnitMillis(
                                         service.isModel(),
                                         urgency,
-                                        choice.target().slots())
+                                        choice.target().slots(),
+                                        state.nowMillis())
                                 / choice.candidates()))
                 .getOrElse(() -> new PeerFrame.RegionLoad(service.name(), urgency, Double.POSITIVE_INFINITY, 0));
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -372,7 +372,8 @@
         long engines = pool.all().stream()
                 .filter(target -> target.entry().service().equals(service.name()) && !target.isLeaving())
                 .count();
-        double readMillis = work.promptTokens() * chooser.model(service.name()).perUnitMillis(true, work.urgency(), 1);
+        double readMillis =
+                work.promptTokens() * chooser.model(service.name()).perUnitMillis(true, work.urgency(), 1, nowMillis());
         return readMillis * regionView().hosts().size() / Math.max(1, engines);
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalSend.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalSend.java
@@ -89,7 +89,10 @@
             if (success && service.isModel()) {
                 startedAtMillis = state.nowMillis();
                 model().firstEventTook(
-                                expectedTokens, work.urgency(), startedAtMillis - sentAtMillis - expectedRoomMillis);
+                                expectedTokens,
+                                work.urgency(),
+                                startedAtMillis - sentAtMillis - expectedRoomMillis,
+                                startedAtMillis);
             }
         }
         listener.content(bytes);
