--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RegionLoads.java
@@ -57,15 +57,18 @@
     }
 
     /**
-     * Takes note of a request that this host sends there.
+     * Takes note of a request that this host sends there. The other hosts of its region have the same report and send as
+     * much; what they send is not told before the next report. Counting its own alone, each of thirty hosts would go on
+     * sending to the region that looked best, and one would see forwards that arrive at many times what was expected.
      *
      * @param region the region
      * @param service the service
      * @param tokens the tokens of its prompt
+     * @param hosts the hosts of this host's region, itself included
      */
-    public void sent(String region, String service, int tokens) {
+    public void sent(String region, String service, int tokens, int hosts) {
         for (Load load : loads(region, service).values()) {
-            load.addedMillis += Math.max(1, tokens) * load.perTokenMillis;
+            load.addedMillis += Math.max(1, tokens) * load.perTokenMillis * Math.max(1, hosts);
         }
     }
 
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RegionLoadsTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RegionLoadsTest.java
@@ -3,11 +3,20 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class RegionLoadsTest {
     private static final String REGION = "labasa";
     private static final String SERVICE = "drafts";
     private static final long UNTIL_MILLIS = 3_000;
+    private static final int HOSTS = 30;
+    private static final int DRAFTS = 10;
+    private static final int DRAFT_TOKENS = 12_000;
+    private static final double REPORTED_MILLIS = 90;
+    private static final double OBJECTIVE_MILLIS = 1_000;
+
+    /** An engine that reads 50 tokens a millisecond, spread over 24 of them. */
+    private static final double PER_TOKEN_MILLIS = 0.02 / 24;
 
     private final RegionLoads loads = new RegionLoads();
 
@@ -23,12 +32,37 @@
     void shouldAddWhatWasSentWhenTheRegionHasNotReportedSince() {
         report(50);
         assertEquals(60, expectedMillis(0));
-        loads.sent(REGION, SERVICE, 200);
+        loads.sent(REGION, SERVICE, 200, 1);
         assertEquals(80, expectedMillis(0));
         report(70);
         assertEquals(80, expectedMillis(0));
     }
 
+    /**
+     * Symptom: forwards arrive at up to twenty times what their senders expected. Sequence: thirty hosts of a region at its
+     * peak get one report of another region, and each forwards ten drafts before the next one. Cause: each added its own
+     * to the report, and not what the others sent at the same time.
+     */
+    @Test
+    void shouldFillARegionOnlyToTheObjectiveWhenManyHostsForwardByOneReport() {
+        double sentMillis = 0;
+        for (int host = 0; host < HOSTS; host++) {
+            RegionLoads own = new RegionLoads();
+            own.reported(REGION, SERVICE, Urgency.LAST, REPORTED_MILLIS, PER_TOKEN_MILLIS, UNTIL_MILLIS);
+            for (int i = 0; i < DRAFTS; i++) {
+                double expectedMillis = own.expectedMillis(REGION, SERVICE, Urgency.LAST, DRAFT_TOKENS, 0);
+                if (expectedMillis <= OBJECTIVE_MILLIS) {
+                    own.sent(REGION, SERVICE, DRAFT_TOKENS, HOSTS);
+                    sentMillis += DRAFT_TOKENS * PER_TOKEN_MILLIS;
+                }
+            }
+        }
+
+        double oneEachMillis = HOSTS * DRAFT_TOKENS * PER_TOKEN_MILLIS;
+        assertTrue(REPORTED_MILLIS + sentMillis <= OBJECTIVE_MILLIS + oneEachMillis, "ms of work: " + sentMillis);
+        assertTrue(sentMillis >= (OBJECTIVE_MILLIS - REPORTED_MILLIS) / 2, "ms of work: " + sentMillis);
+    }
+
     /**
      * Symptom: requests go to another region and come back, two crossings late. Sequence: its targets are evacuated; it
      * refuses a request. Cause: its report from before was believed until it was seconds old.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -243,7 +243,8 @@
         attemptAtMillis = state.nowMillis();
         localTarget = null;
         countSend();
-        state.regionLoads().sent(region, service.name(), Placement.units(work));
+        int hosts = state.regionView().hosts().size();
+        state.regionLoads().sent(region, service.name(), Placement.units(work), hosts);
         lines.forwarded(reach, region, service, sent);
         TargetCall call = call();
         AttemptEvents events = new AttemptEvents(region);
