Let the hosts that could tell a starting one what it lacks do so in turn

Cause (the same class, found by reading): a host that starts while nobody is answered by the store was told everything by each of thirty hosts at once, 3 MB on a link that takes 2.4 s for them. It says now that it reads packed items before it knows any. Change: the order of rendezvous hashing, 0.3 s apart.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -145,7 +145,7 @@
                 feed.isHealthy(),
                 sent,
                 isOwnRegion(link) ? List.of() : regionLoads(),
-                feed.newestRevision()));
+                Math.max(PeerFrame.State.KNOWS_NOTHING, feed.newestRevision())));
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/StoreHelp.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/StoreHelp.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import io.vavr.control.Option;
+import org.rattanplank.core.gateway.HelpOrder;
 import org.rattanplank.gateway.log.EventLog;
 import org.rattanplank.gateway.log.LogEvent;
 import org.rattanplank.gateway.log.LogLine;
@@ -72,17 +73,32 @@
     private boolean mayTell(PeerLink link, long nowMillis) {
         long lackedMillis = nowMillis - link.lackedNothingAtMillis();
         return needsHelp(link)
-                && lackedMillis > Math.max(LACKS_MILLIS, PERIODS * link.state().periodMillis())
+                && lackedMillis > waitMillis(link)
                 && nowMillis - link.itemsSentAtMillis() > ITEMS_MILLIS;
     }
 
+    private long waitMillis(PeerLink link) {
+        if (!knowsNothing(link)) {
+            return Math.max(LACKS_MILLIS, PERIODS * link.state().periodMillis());
+        }
+        return LACKS_MILLIS
+                + HelpOrder.waitMillis(
+                        state.regionView().hosts(),
+                        state.self().name(),
+                        link.host().get().name());
+    }
+
+    private static boolean knowsNothing(PeerLink link) {
+        return link.state().configurationVersion() == 0;
+    }
+
     private boolean needsHelp(PeerLink link) {
         PeerFrame.State peer = link.state();
         // A host that starts while the store is away knows nothing, and would serve nobody until the store is back:
         // what
         // others knew last is better, and is judged by own attempts. One would see a whole region without a host that
         // takes callers after a rolling restart during an outage.
-        boolean mayHelp = feed.isFollowing() && feed.isHealthy() || peer.configurationVersion() == 0;
+        boolean mayHelp = feed.isFollowing() && feed.isHealthy() || knowsNothing(link);
         return mayHelp && (!peer.followsStore() || !peer.storeHealthy());
     }
 
@@ -97,9 +113,9 @@
 
     /** Hosts that know nothing serve nobody, so they go first. */
     private static boolean goesBefore(PeerLink link, PeerLink other) {
-        boolean knowsNothing = link.state().configurationVersion() == 0;
-        boolean otherKnowsNothing = other.state().configurationVersion() == 0;
-        return knowsNothing == otherKnowsNothing ? link.itemsSentAtMillis() < other.itemsSentAtMillis() : knowsNothing;
+        return knowsNothing(link) == knowsNothing(other)
+                ? link.itemsSentAtMillis() < other.itemsSentAtMillis()
+                : knowsNothing(link);
     }
 
     private void tell(PeerLink link, long nowMillis) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -51,6 +51,9 @@
             List<RegionLoad> regionLoads,
             long newestRevision)
             implements PeerFrame {
+        /** The newest revision of a host that knows nothing yet; revisions of the store are above it. */
+        public static final long KNOWS_NOTHING = 1;
+
         public State {
             sent = List.copyOf(sent);
             regionLoads = List.copyOf(regionLoads);
