--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -194,6 +194,7 @@
     void lost(PeerLink link) {
         told.remove(link);
         relay.lost(link);
+        help.lost(link);
         link.host().forEach(host -> takeSent(host.name(), List.of()));
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/StoreHelp.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/StoreHelp.java
@@ -1,6 +1,8 @@
 package org.rattanplank.gateway;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.HelpOrder;
@@ -20,8 +22,8 @@
  * knows something else at any moment; told all of it each time, thirty hosts would fill the teller's link, behind which its
  * callers and its own calls to the store wait. It would stay behind itself, and go on telling. What it buys: at most a tenth
  * of a link of 10 Mbit/s, measured as bytes sent to 27 hosts that lack 100 KB (20.8 Mbit/s before).
- * Invariants: a host is told only by one that knows at least as much; what is told in a second has at most
- * {@link #BYTES_PER_MILLI} in each millisecond, but for one telling. Confined to the event loop.
+ * Invariants: a host is told only by one that knows at least as much; no more than {@link #BYTES_PER_MILLI} is told on the
+ * average, one telling ahead. Confined to the event loop.
  */
 final class StoreHelp {
     /** A tenth of the link of the smallest hosts, which have 10 Mbit/s; the rest is for callers. */
@@ -40,6 +42,7 @@
     private final PeerLinks links;
     private final StoreFeed feed;
     private final EventLog log;
+    private final Map<PeerLink, Long> lackedNothingAtMillis = new HashMap<>();
     private double freeAtMillis;
 
     StoreHelp(GatewayState state, PeerLinks links, StoreFeed feed) {
@@ -64,14 +67,21 @@
         next.forEach(link -> tell(link, nowMillis));
     }
 
+    /** Forgets a host that is out of touch. */
+    void lost(PeerLink link) {
+        lackedNothingAtMillis.remove(link);
+    }
+
     private void noteLack(PeerLink link, long nowMillis) {
-        if (!lacks(link, nowMillis)) {
-            link.lackedNothing(nowMillis);
+        if (lacks(link, nowMillis)) {
+            lackedNothingAtMillis.putIfAbsent(link, nowMillis);
+        } else {
+            lackedNothingAtMillis.put(link, nowMillis);
         }
     }
 
     private boolean mayTell(PeerLink link, long nowMillis) {
-        long lackedMillis = nowMillis - link.lackedNothingAtMillis();
+        long lackedMillis = nowMillis - lackedNothingAtMillis.get(link);
         return needsHelp(link)
                 && lackedMillis > waitMillis(link)
                 && nowMillis - link.itemsSentAtMillis() > ITEMS_MILLIS;
@@ -94,10 +104,9 @@
 
     private boolean needsHelp(PeerLink link) {
         PeerFrame.State peer = link.state();
-        // A host that starts while the store is away knows nothing, and would serve nobody until the store is back:
-        // what
-        // others knew last is better, and is judged by own attempts. One would see a whole region without a host that
-        // takes callers after a rolling restart during an outage.
+        // A host that starts while the store is away knows nothing, and would serve nobody until it is back: what
+        // others knew last is better, and is judged by own attempts. One would see a whole region without a host
+        // that takes callers after a rolling restart during an outage.
         boolean mayHelp = feed.isFollowing() && feed.isHealthy() || knowsNothing(link);
         return mayHelp && (!peer.followsStore() || !peer.storeHealthy());
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -207,10 +207,8 @@
     private void send() {
         Reach reach = reach();
         Placement placement = reach.placement();
-        // Also before it is sent again: what was refused elsewhere has lost time, and places that are left are often
-        // full.
-        // One would see requests sent to where they are expected after several times their objective, and callers
-        // leave.
+        // Also before it is sent again: places that are left are often full. One would see requests sent to where
+        // they are expected after several times their objective, and callers that leave.
         if (!mayHaveRun && !reply.isBegun() && placement.shouldRefuse()) {
             outlook = placement.outlook();
             refuse("it would wait too long");
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -47,7 +47,6 @@
     private long nextCall = 1;
     private PeerFrame.State state = new PeerFrame.State(0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0);
     private long itemsSentAtMillis;
-    private long lackedNothingAtMillis;
     private long stateAtMillis;
     private double roundTripMillis;
 
@@ -56,7 +55,6 @@
         this.outgoing = outgoing;
         this.clock = clock;
         lastHeardMillis = clock.nowMillis();
-        lackedNothingAtMillis = lastHeardMillis;
     }
 
     /**
@@ -157,24 +155,6 @@
         return state.newestRevision() > 0;
     }
 
-    /**
-     * Takes note that the other host lacked nothing of the store.
-     *
-     * @param nowMillis when it was so
-     */
-    public void lackedNothing(long nowMillis) {
-        lackedNothingAtMillis = nowMillis;
-    }
-
-    /**
-     * When the other host was last seen to lack nothing of the store.
-     *
-     * @return the time
-     */
-    public long lackedNothingAtMillis() {
-        return lackedNothingAtMillis;
-    }
-
     /**
      * What was sent and has not left this host, as its own link or the other host takes it too slowly.
      *
