--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/EventLog.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/EventLog.java
@@ -19,7 +19,8 @@
 /**
  * Writes log lines as JSON, one object a line.
  *
- * <p>Invariants: handing in a line never waits; at most {@link #LINES} lines are held, of which {@link #RESERVE} are kept
+ * <p>Invariants: handing in a line never waits; a text of more than {@link #TEXT_CHARS} characters is cut; at most
+ * {@link #LINES} lines are held, of which {@link #RESERVE} are kept
  * for lines that must not be lost to ordinary ones; lines that find no room are counted, and the count is written as
  * soon as there is room. Thread safe.
  */
@@ -30,6 +31,9 @@
     /** Failures, changes of belief and the process's own life. */
     static final int RESERVE = 1_000;
 
+    /** The homes of some ten routes; a longer text is cut and its length told. */
+    static final int TEXT_CHARS = 400;
+
     /** Lines are written together; a line waits so long at most while the reader reads. */
     private static final long PAUSE_MILLIS = 200;
 
@@ -184,7 +188,13 @@
         } else if (value instanceof Boolean truth) {
             json.writeBoolean(truth);
         } else {
-            json.writeString(String.valueOf(value));
+            json.writeString(bounded(String.valueOf(value)));
         }
     }
+
+    private static String bounded(String text) {
+        return text.length() <= TEXT_CHARS
+                ? text
+                : text.substring(0, TEXT_CHARS) + "... (" + text.length() + " characters)";
+    }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/log/EventLogTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/log/EventLogTest.java
@@ -42,6 +42,22 @@
         }
     }
 
+    /**
+     * Symptom: each version of a configuration of 1,400 routes makes a line of some 50 KB at each host. Sequence: the line
+     * names the homes of all routes. Cause: the number of lines was bounded, and not their length.
+     */
+    @Test
+    void shouldCutALongTextWhenALineHoldsOne() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (EventLog log = EventLog.start("h1", out, () -> 5)) {
+            log.important(LogLine.of(LogEvent.CONFIGURED).with("homes", "r=[suva], ".repeat(MANY)));
+        }
+
+        String line = out.toString(StandardCharsets.UTF_8);
+        assertTrue(line.length() < 2 * EventLog.TEXT_CHARS, () -> "characters: " + line.length());
+        assertTrue(line.contains("... (100000 characters)"), line);
+    }
+
     /**
      * Symptom: requests stop when the reader of the log does. Sequence: standard output is read no longer; its buffer
      * fills; a request writes a line. Cause: whoever writes a line waits for the reader.
