Answer what has come before a stopping gateway ends its callers' connections

Callers saw: a booking sent on a kept connection while its host is replaced ends without a byte; nobody can tell whether it ran.

Cause: a stopping host ended as soon as no request was in progress and 1.7 s had passed, and closed idle connections without looking whether bytes waited in their sockets. An event loop that stood still runs its timers before it reads (a select that was interrupted by the standstill returns nothing). By reading, the same cause: a half-read request, a connection that nobody had accepted yet when the port closed, and an answer whose last bytes had not left did not keep the process from ending.

Ruled out: a race of the caller's (the requests were sent 0.4 s before the host closed); a longer quiet time (it only moves the moment).

Change: GatewayStop holds the steps of the stop. A connection is ended only after a read in the same step that found nothing, its sending half first; the process ends when the last connection has. What is still under way when the time is up is answered (502, or 503 if it can't have run) instead of cut.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -57,21 +57,6 @@
     /** Ticks between two looks at idle connections. */
     private static final int SLOW_TICKS = 5;
 
-    /**
-     * A stopping process ends no sooner: callers that hold an older list still come, nearly all of them for one of the
-     * list's lifetimes at most. Longer stops would overlap when hosts are stopped in turn, and leave few that serve.
-     */
-    private static final long STOP_LEAST_MILLIS = 1_700;
-
-    /**
-     * Requests that come later after the word to stop are refused: what begins so late may not end in the time left, and
-     * would be cut in the middle. Callers that hold the longest-lived list have moved by then.
-     */
-    private static final long TAKE_WHILE_STOPPING_MILLIS = 2_800;
-
-    /** What is left of the time for stopping for the process to end in. */
-    private static final long STOP_MARGIN_MILLIS = 700;
-
     private final GatewaySettings settings;
     private final AdapterNames names;
     private final SteadyClock clock = SteadyClock.ofProcess();
@@ -94,7 +79,7 @@
     private final Map<PeerLink, Map<Long, ForwardedCall>> forwarded = new HashMap<>();
     private long ticks;
     private long notedAtMillis;
-    private long stopAskedAtMillis = -1;
+    private Option<GatewayStop> stop = Option.none();
 
     private Gateway(
             GatewaySettings settings,
@@ -170,15 +155,21 @@
      */
     public void stop(Runnable ended) {
         loop.execute(() -> {
-            if (stopAskedAtMillis >= 0) {
+            if (stop.isDefined()) {
                 return;
             }
-            stopAskedAtMillis = clock.nowMillis();
+            stop = Option.some(new GatewayStop(
+                    state,
+                    callers,
+                    this::hasWork,
+                    this::cutAll,
+                    settings.limits().stopGraceMillis(),
+                    ended));
             log.important(LogLine.of(LogEvent.STOPPING).with("requests", requests.size()));
             callers.stop();
             lease.leave();
             reports.tellAll();
-            loop.scheduleAtFixedRate(() -> endWhenDone(ended), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+            loop.scheduleAtFixedRate(stop.get()::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         });
     }
 
@@ -277,7 +268,7 @@
     }
 
     private boolean takesCallers() {
-        return stopAskedAtMillis < 0 && state.isInformed() && !state.isRetiring();
+        return stop.isEmpty() && state.isInformed() && !state.isRetiring();
     }
 
     private void relay(StoreItem item) {
@@ -367,20 +358,15 @@
         }
     }
 
-    private void endWhenDone(Runnable ended) {
-        long stoppingMillis = clock.nowMillis() - stopAskedAtMillis;
-        if (stoppingMillis >= TAKE_WHILE_STOPPING_MILLIS) {
-            state.takeNoMore();
-            callers.closePort();
-            callers.closeIdle();
-        }
-        boolean done = requests.isEmpty() && forwarded.values().stream().allMatch(Map::isEmpty);
-        long most = settings.limits().stopGraceMillis() - STOP_MARGIN_MILLIS;
-        if (done && stoppingMillis >= STOP_LEAST_MILLIS || stoppingMillis >= most) {
-            callers.closeIdle();
-            log.important(LogLine.of(LogEvent.STOPPED).with("requests", requests.size()));
-            ended.run();
-        }
+    private boolean hasWork() {
+        return !requests.isEmpty() || forwarded.values().stream().anyMatch(calls -> !calls.isEmpty());
+    }
+
+    /** Ends what is still under way: an answer that tells so is better than a connection that just ends. */
+    private void cutAll() {
+        List.copyOf(requests).forEach(PassThrough::cut);
+        List.copyOf(forwarded.values())
+                .forEach(calls -> List.copyOf(calls.values()).forEach(ForwardedCall::cut));
     }
 
     private void gauges() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -2,14 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -28,17 +29,25 @@
 import io.netty.util.ReferenceCountUtil;
 import org.rattanplank.core.gateway.CallerBounds;
 import org.rattanplank.gateway.http.Headers;
+import org.rattanplank.gateway.http.WaitingBytes;
 
 /**
  * One caller's connection, which carries one request at a time.
  *
  * <p>Invariants: a request is handed on only when it is whole and sound; each gets one answer, or the connection ends;
- * an answer that broke off never ends like a whole one. Confined to the event loop.
+ * an answer that broke off never ends like a whole one; a connection that this host ends by itself has no request of its
+ * caller before its end. Confined to the event loop.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
     /** A caller that reads so little of its answer is cut off: its bytes would fill this process's memory. */
     private static final int MAX_UNREAD_BYTES = 4 << 20;
 
+    /**
+     * How long a connection stays after its sending half has ended. Closed at once, what its caller still sends would
+     * reset it, and the reset could overtake the last answer: the caller would see neither the answer nor the end.
+     */
+    static final long LINGER_MILLIS = 300;
+
     private final CallerServer server;
     private final CallerBounds bounds;
     private Channel channel;
@@ -49,6 +58,7 @@
     private boolean keepAlive = true;
     private boolean unsound;
     private boolean closing;
+    private boolean halfClosed;
     private boolean headOnly;
     private long quietSinceMillis;
     private boolean receiving;
@@ -138,22 +148,63 @@
         channel.close();
     }
 
-    void closeIfIdle() {
-        if (call == null && head == null && !receiving) {
-            channel.close();
+    /**
+     * Ends the connection if nothing of a request has come. Whether it has is known only after a read in this very step:
+     * without it a request that waits in the socket would be cut off, and the caller would see the connection end instead
+     * of an answer. What comes later, across the end on its way, is left unread, so that it surely did not run.
+     */
+    void endIfIdle() {
+        if (!isIdle()) {
+            return;
         }
+        WaitingBytes.read(channel);
+        if (isIdle()) {
+            channel.config().setAutoRead(false);
+            halfClose();
+        } else if (channel.isActive()) {
+            server.foundWaiting();
+        }
+    }
+
+    private boolean isIdle() {
+        return call == null && head == null && !receiving && !closing && channel.isActive();
     }
 
     void tick(long nowMillis) {
-        if (call != null) {
+        if (call != null || nowMillis - quietSinceMillis <= leastTimeoutMillis()) {
             return;
         }
+        if (closing) {
+            // Its caller doesn't take the last answer.
+            channel.close();
+            return;
+        }
+        WaitingBytes.read(channel);
         long quietMillis = nowMillis - quietSinceMillis;
-        if (receiving && head == null && quietMillis > bounds.headTimeoutMillis()) {
+        if (call != null || closing || !channel.isActive()) {
+            return;
+        }
+        if (head != null && quietMillis > bounds.idleTimeoutMillis()
+                || head == null && receiving && quietMillis > bounds.headTimeoutMillis()) {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT);
         } else if (quietMillis > bounds.idleTimeoutMillis()) {
-            channel.close();
+            endIfIdle();
+        }
+    }
+
+    private long leastTimeoutMillis() {
+        return receiving && head == null && !closing ? bounds.headTimeoutMillis() : bounds.idleTimeoutMillis();
+    }
+
+    /** Ends the sending half behind all that was written, and the rest a moment later or when the caller has. */
+    private void halfClose() {
+        if (halfClosed) {
+            return;
         }
+        halfClosed = true;
+        closing = true;
+        ((SocketChannel) channel).shutdownOutput();
+        channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -313,7 +364,7 @@
         receiving = false;
         quietSinceMillis = server.nowMillis();
         if (closing) {
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> halfClose());
         }
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -24,12 +24,13 @@
 import org.rattanplank.core.gateway.CallerBounds;
 import org.rattanplank.gateway.SteadyClock;
 import org.rattanplank.gateway.http.ByteWatch;
+import org.rattanplank.gateway.http.WaitingBytes;
 
 /**
  * The port for callers.
  *
  * <p>Invariant: while the process stops, requests on open and new connections are still answered, each with the word
- * that its connection ends. Confined to the event loop but for {@link #listen}.
+ * that its connection ends; no connection is ended before a request that has come over it. Confined to the event loop but for {@link #listen}.
  */
 public final class CallerServer {
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -47,6 +48,8 @@
     private final IntConsumer refused;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel port;
+    private long opened;
+    private long requestsFoundWaiting;
     private boolean stopping;
 
     /**
@@ -110,14 +113,40 @@
         return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS);
     }
 
-    /** Takes no new connections. */
+    /**
+     * Takes no new connections. Those that wait to be accepted are taken first: the system would reset them, and with
+     * them the requests that were sent already.
+     */
     public void closePort() {
+        long before;
+        do {
+            before = opened;
+            WaitingBytes.read(port);
+        } while (opened > before);
         port.close();
     }
 
-    /** Closes the connections that wait for nothing. */
-    public void closeIdle() {
-        List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+    /** Ends the connections that carry no request. */
+    public void endIdle() {
+        List.copyOf(connections).forEach(CallerConnection::endIfIdle);
+    }
+
+    /**
+     * Counts the connections that have not ended.
+     *
+     * @return the number, those included whose last answer is on its way
+     */
+    public int connections() {
+        return connections.size();
+    }
+
+    /**
+     * Counts the requests that had come when their connection was about to be ended as idle.
+     *
+     * @return the number since the start
+     */
+    public long requestsFoundWaiting() {
+        return requestsFoundWaiting;
     }
 
     /** Closes connections that were idle, or slow to send a head, for too long. */
@@ -135,6 +164,7 @@
     }
 
     void opened(CallerConnection connection) {
+        opened++;
         connections.add(connection);
     }
 
@@ -142,6 +172,10 @@
         connections.remove(connection);
     }
 
+    void foundWaiting() {
+        requestsFoundWaiting++;
+    }
+
     void refused(int status) {
         refused.accept(status);
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -104,6 +104,18 @@
         end("cancelled");
     }
 
+    /** Ends it because this process ends, with a word to the host that asked. */
+    public void cut() {
+        if (over) {
+            return;
+        }
+        AttemptFailure failure = attempt == null ? AttemptFailure.NOT_SENT : AttemptFailure.UNKNOWN;
+        if (attempt != null) {
+            attempt.cancel();
+        }
+        fail(failure, "this host ends");
+    }
+
     @Override
     public void head(int status, HttpHeaders headers) {
         link.send(new PeerFrame.AnswerHead(ask.call(), status, PeerLink.flat(headers), target));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -166,6 +166,21 @@
         }
     }
 
+    /**
+     * Ends it because this process ends: its caller hears at least whether it may have run, where a connection that just
+     * ended would leave that open.
+     */
+    public void cut() {
+        if (over) {
+            return;
+        }
+        if (attempt != null) {
+            attempt.cancel();
+            mayHaveRun = true;
+        }
+        giveUp("this host ends");
+    }
+
     @Override
     public void callerLeft() {
         if (over) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -12,9 +12,11 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Option;
@@ -49,6 +51,7 @@
             Set.of("Expected", "Urgency"));
     private static final String HALL = "suva-hall";
     private static final long GRACE_MILLIS = 4_000;
+    private static final long END_LIMIT_MILLIS = 20_000;
     private static final long ENGINE_TOKENS = 400_000;
     private static final int TRIES = 1_000;
     private static final long PAUSE_NANOS = 10_000_000;
@@ -73,6 +76,11 @@
     private int targets;
 
     TestGateway() throws IOException {
+        this(GRACE_MILLIS);
+    }
+
+    /** Makes a gateway whose stop may take so long. */
+    TestGateway(long graceMillis) throws IOException {
         GatewaySettings settings = new GatewaySettings(
                 "h1",
                 Place.of("suva", HALL),
@@ -83,7 +91,7 @@
                 peers,
                 metrics,
                 ownAddress(),
-                new SharedLimits(GRACE_MILLIS, 0.2, 160, 10_000, 1, 1_000),
+                new SharedLimits(graceMillis, 0.2, 160, 10_000, 1, 1_000),
                 Mechanisms.ALL);
         EventLog log = EventLog.start("h1", logged, System::nanoTime);
         gateway = Gateway.of(settings, new AdapterNames(NAMES, store, new Directory()), group, store, log, 1);
@@ -176,7 +184,7 @@
             if (lines.stream().anyMatch(line -> line.contains("\"event\":\"ended\""))) {
                 return lines;
             }
-            java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_NANOS);
+            LockSupport.parkNanos(PAUSE_NANOS);
         }
         throw new AssertionError("no end of " + requestId + " in " + logged.toString(StandardCharsets.UTF_8));
     }
@@ -225,7 +233,7 @@
             if (logged.toString(StandardCharsets.UTF_8).contains(text)) {
                 return;
             }
-            java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_NANOS);
+            LockSupport.parkNanos(PAUSE_NANOS);
         }
         throw new AssertionError("never logged: " + text + " in " + logged.toString(StandardCharsets.UTF_8));
     }
@@ -288,12 +296,63 @@
     void stop() throws IOException {
         gateway.stop(ended::countDown);
         while (directory().contains("127.")) {
-            java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_NANOS);
+            LockSupport.parkNanos(PAUSE_NANOS);
+        }
+    }
+
+    /**
+     * Asks the gateway to stop and lets its event loop stand still at once. It stands still once more between its next
+     * look at its sockets and whatever was due meanwhile, as a process does that gets no time just then.
+     */
+    Standstill stopAndStandStill(long standstillMillis) throws InterruptedException {
+        Standstill standstill = new Standstill();
+        CountDownLatch begun = new CountDownLatch(1);
+        EventLoop loop = group.next();
+        loop.execute(() -> {
+            // Due before all that the stop has yet to do.
+            loop.schedule(standstill::standAfterLastRead, 0, TimeUnit.MILLISECONDS);
+            gateway.stop(ended::countDown);
+            loop.execute(() -> {
+                begun.countDown();
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(standstillMillis));
+            });
+        });
+        begun.await();
+        return standstill;
+    }
+
+    /** The second time for which the event loop stands still. */
+    static final class Standstill {
+        private final CountDownLatch lastRead = new CountDownLatch(1);
+        private final CountDownLatch over = new CountDownLatch(1);
+
+        /** Waits until the event loop has read for the last time before its timers run. */
+        void awaitLastRead() throws InterruptedException {
+            lastRead.await();
         }
+
+        /** Lets the event loop go on. */
+        void end() {
+            over.countDown();
+        }
+
+        private void standAfterLastRead() {
+            lastRead.countDown();
+            try {
+                over.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** Whether the process would have ended by now. */
+    boolean hasEnded() {
+        return ended.getCount() == 0;
     }
 
     void awaitEnded() throws InterruptedException {
-        if (!ended.await(GRACE_MILLIS * 2, TimeUnit.MILLISECONDS)) {
+        if (!ended.await(END_LIMIT_MILLIS, TimeUnit.MILLISECONDS)) {
             throw new AssertionError("the gateway did not end");
         }
     }
@@ -317,7 +376,7 @@
             if (shown.contains("rattanplank_gateway_" + line + "\n")) {
                 return;
             }
-            java.util.concurrent.locks.LockSupport.parkNanos(PAUSE_NANOS);
+            LockSupport.parkNanos(PAUSE_NANOS);
         }
         throw new AssertionError("never shown: " + line + " in " + shown);
     }
