Reply to what has come before a stopping entry host ends its connections

Cause: CallerDrain counted 300 ms by the clock in which no request was handled as 300 ms in which none came, and was done by that clock, whether or not the port was closed yet, those who waited there were accepted and what they sent was read. And no reply of a stopping host told its caller to leave the connection, so callers used kept ones to the end.

Ruled out: the callers' own race (each call of PlannedStopTest has a new connection); a longer quiet time, which the load would pass as well.

Change: replies of a leaving host say Connection: close. A stop is done only when the port is closed and every connection has ended.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
@@ -247,11 +247,12 @@
         } else if (action instanceof Action.KeepLinks keep) {
             links.keep(keep.hosts());
         } else if (action instanceof Action.Stop) {
-            finishStop(new CallerDrain(callerServer, this::unfinished, clock));
+            finishStop(new CallerDrain(callerServer, this::unfinished, clock::nowMillis));
         }
     }
 
     private void drain() {
+        callerServer.leave();
         runner.raise(new Event.DrainAsked());
     }
 
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerServer.java
@@ -56,6 +56,7 @@
     private final AtomicLong requests = new AtomicLong();
     private final AtomicInteger unsentReplies = new AtomicInteger();
     private Option<GatedServer> server = Option.none();
+    private volatile boolean leaving;
 
     /**
      * Makes a server that is not open yet.
@@ -137,11 +138,30 @@
         return gate.accepted() + requests.get();
     }
 
+    /** Tells each caller with its next reply that its connection ends, so that kept ones are not used to the very end. */
+    public void leave() {
+        leaving = true;
+    }
+
     /** Takes no more connections; requests on those that are open are still answered. */
     public void stopAccepting() {
         server.forEach(GatedServer::stopAccepting);
     }
 
+    /**
+     * Tells whether no more connections come.
+     *
+     * @return whether the port is closed and the last that waited there were accepted
+     */
+    public boolean isPortClosed() {
+        return server.forAll(GatedServer::isPortClosed);
+    }
+
+    /** Ends the connections that carry no request, each after a last look at what has come over it. */
+    public void endIdle() {
+        gate.endIdle();
+    }
+
     @Override
     public void close() {
         server.forEach(open -> Try.run(open::stop));
@@ -288,6 +308,9 @@
 
     private Response head(Context context, CallerReply reply) {
         Response response = context.getResponse().noCompress();
+        if (leaving) {
+            response.forceCloseConnection();
+        }
         response.status(ratpack.http.Status.of(reply.status()));
         reply.headers().forEach((name, value) -> response.getHeaders().set(name, value));
         if (reply.status() == Refusal.UNAVAILABLE) {
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/ConnectionGate.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/ConnectionGate.java
@@ -1,5 +1,7 @@
 package org.rattanplank.daemon.caller;
 
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -21,6 +23,7 @@
     private final int maxConnections;
     private final long readTimeoutMillis;
     private final AtomicInteger connections = new AtomicInteger();
+    private final Set<CallerConnection> open = ConcurrentHashMap.newKeySet();
     private final AtomicLong accepted = new AtomicLong();
 
     ConnectionGate(String host, int maxConnections, long readTimeoutMillis) {
@@ -37,13 +40,23 @@
         return connections.get();
     }
 
+    /** Ends the connections that carry no request. */
+    void endIdle() {
+        open.forEach(CallerConnection::endIfIdle);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object connection) {
         Channel child = (Channel) connection;
         accepted.incrementAndGet();
         boolean full = connections.incrementAndGet() > maxConnections;
-        child.closeFuture().addListener(closed -> connections.decrementAndGet());
-        child.pipeline().addFirst(new CallerConnection(host, full, readTimeoutMillis));
+        CallerConnection caller = new CallerConnection(host, full, readTimeoutMillis);
+        open.add(caller);
+        child.closeFuture().addListener(closed -> {
+            open.remove(caller);
+            connections.decrementAndGet();
+        });
+        child.pipeline().addFirst(caller);
         context.fireChannelRead(connection);
     }
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/GatedServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/GatedServer.java
@@ -20,6 +20,7 @@
     private static final int NONE_WAITS = -1;
 
     private final ConnectionGate gate;
+    private volatile boolean portClosed;
 
     GatedServer(Action<? super RatpackServerSpec> definition, ConnectionGate gate) throws Exception {
         super(definition, Impositions.current());
@@ -37,10 +38,14 @@
             if (channel instanceof EpollServerSocketChannel epoll) {
                 acceptWaiting(epoll);
             }
-            channel.close();
+            channel.close().addListener(closed -> portClosed = true);
         });
     }
 
+    boolean isPortClosed() {
+        return portClosed;
+    }
+
     private static void acceptWaiting(EpollServerSocketChannel open) {
         Socket listening = new Socket(open.fd().intValue());
         byte[] address = new byte[MAX_ADDRESS_BYTES];
