Wait for callers that have just connected when a stopping gateway ends what is idle

Callers saw: a new connection ends without an answer, as its request crosses the end on its way. Cause: a connection that carried nothing yet counted as idle at once. The way between regions takes 160 ms there and back. Change: such a connection is idle only half a second after it was opened. The stand-still in the test needs no clock: the event loop is held before and after its first look at idle connections.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -48,6 +48,12 @@
      */
     static final long LINGER_MILLIS = 300;
 
+    /**
+     * Who has connected and sent nothing yet is about to: its connection is not idle for so long, the longest way there
+     * and back. Ended sooner, its request would cross the end and get no answer.
+     */
+    private static final long FRESH_MILLIS = 500;
+
     private final CallerServer server;
     private final CallerBounds bounds;
     private Channel channel;
@@ -62,6 +68,7 @@
     private boolean headOnly;
     private long quietSinceMillis;
     private boolean receiving;
+    private boolean fresh = true;
     private long firstByteAtMillis;
     private long readMillis;
 
@@ -154,7 +161,8 @@
      * of an answer. What comes later, across the end on its way, is left unread, so that it surely did not run.
      */
     void endIfIdle() {
-        if (!isIdle()) {
+        boolean expected = fresh && server.nowMillis() - quietSinceMillis < FRESH_MILLIS;
+        if (!isIdle() || expected) {
             return;
         }
         WaitingBytes.read(channel);
@@ -232,6 +240,7 @@
 
     /** Notes raw bytes, of which a head may be made up that isn't whole yet. */
     void bytesCame() {
+        fresh = false;
         if (!receiving) {
             receiving = true;
             quietSinceMillis = server.nowMillis();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PlannedStopFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PlannedStopFlowTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -106,6 +107,32 @@
         }
     }
 
+    /**
+     * Symptom: new connections end without an answer while a host stops. Sequence: callers connect just before the host
+     * ends what is idle, and send a moment later. Cause: a connection that has carried nothing yet was taken for one that
+     * is done.
+     */
+    @Test
+    void shouldWaitForWhoeverHasJustConnectedWhenTheHostEndsWhatIsIdle() throws Exception {
+        TestGateway.Standstill standstill = gateway.stopAndStandStill(STANDSTILL_MILLIS);
+
+        standstill.awaitLastRead();
+        List<TestCaller> callers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            callers.add(gateway.caller());
+        }
+        CountDownLatch afterTheFirstLook = gateway.hold();
+        standstill.end();
+        for (int i = 0; i < CALLERS; i++) {
+            callers.get(i).send(request(i));
+        }
+        afterTheFirstLook.countDown();
+        for (TestCaller caller : callers) {
+            String answer = caller.readUntil("\r\n\r\n").toLowerCase(Locale.ROOT);
+            assertTrue(answer.startsWith("http/1.1 200") || answer.startsWith("http/1.1 503"), answer);
+        }
+    }
+
     /**
      * Symptom: a request is cut in the middle of its body when a host is replaced. Sequence: a caller has sent half of a
      * request when the time for callers is over. Cause: the process ended as soon as no whole request was in progress.
