Send in the test only after the host has looked at idle connections

The test of callers that have just connected passed without its mend as well: its requests were mostly sent before the event loop went on, so the read in the same step found them.

--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PlannedStopFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PlannedStopFlowTest.java
@@ -121,12 +121,14 @@
         for (int i = 0; i < CALLERS; i++) {
             callers.add(gateway.caller());
         }
-        CountDownLatch afterTheFirstLook = gateway.hold();
+        CountDownLatch lookedAtIdle = new CountDownLatch(1);
+        CountDownLatch goOn = gateway.hold(lookedAtIdle);
         standstill.end();
+        lookedAtIdle.await();
         for (int i = 0; i < CALLERS; i++) {
             callers.get(i).send(request(i));
         }
-        afterTheFirstLook.countDown();
+        goOn.countDown();
         for (TestCaller caller : callers) {
             String answer = caller.readUntil("\r\n\r\n").toLowerCase(Locale.ROOT);
             assertTrue(answer.startsWith("http/1.1 200") || answer.startsWith("http/1.1 503"), answer);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -240,8 +240,14 @@
 
     /** Keeps the event loop from all work until what is given back is counted down. */
     CountDownLatch hold() {
+        return hold(new CountDownLatch(1));
+    }
+
+    /** The same; tells when it has begun. */
+    CountDownLatch hold(CountDownLatch begun) {
         CountDownLatch released = new CountDownLatch(1);
         group.next().execute(() -> {
+            begun.countDown();
             try {
                 released.await();
             } catch (InterruptedException e) {
