Count silence to what was surely read, and end links with the last call that was taken

Callers would see: after a host stood still for two seconds its links are dropped, calls over them are of unknown outcome (502 for bookings), targets that answered seem silent and are left, requests whose answers wait in the socket are given up, and the store seems lost. When a host ends, a booking that another host forwards to it in that moment is of unknown outcome.

Cause: steps in time run before the sockets are read after a standstill; and the end of a link told nothing of which calls had been taken. Evidence: the event loop held between its last read and its steps, a peer's state sent meanwhile: peer_lost "nothing came from it", test shouldKeepALinkWhenItsHostStoodStillAndHasNotReadYet fails on the clock, passes on the horizon. A peer that ends before it took a booking: 502 before, 503 (not run) now. All three tests fail with the two mends taken out.

Change: ReadHorizon, the time up to which everything was read (the tick before, if the tick is late); silence of links and targets, and the time of requests, are counted to it. Ticks have a fixed delay, so that two never run without a read between them. Calls to the store look once more before their limit ends them. A stopping host reads its links once more, answers, and says Leaving with the number of the last call that it took; later ones are sent elsewhere as not run. Hosts of an earlier version drop the link on that frame, as they did on its end.

Looked at and left: connect time-outs of targets (nothing was sent, the request goes elsewhere); the store's lease (renewed by the store's answers, not by silence); idle connections to targets (closed early, never cut a request). Not mended: a kept connection to a target that the target has ended, unread.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -60,6 +60,7 @@
     private final GatewaySettings settings;
     private final AdapterNames names;
     private final SteadyClock clock = SteadyClock.ofProcess();
+    private final ReadHorizon horizon = ReadHorizon.of(clock.nowMillis(), LATE_MILLIS);
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final EventLog log;
@@ -78,7 +79,6 @@
     private final Set<PassThrough> requests = new HashSet<>();
     private final Map<PeerLink, Map<Long, ForwardedCall>> forwarded = new HashMap<>();
     private long ticks;
-    private long notedAtMillis;
     private Option<GatewayStop> stop = Option.none();
 
     private Gateway(
@@ -99,7 +99,7 @@
         reader = new RequestReader(names.headers());
         connections = new TargetConnections(group, names.headers(), clock);
         state = new GatewayState(settings, self, clock, random, connections, log, metrics);
-        links = new PeerLinks(self, group, clock, this);
+        links = new PeerLinks(self, group, clock, horizon::millis, this);
 
         callers = new CallerServer(group, clock, this::bounds, this::received, this::unsound);
         beliefs = new Beliefs(state, links, this::keyLost, this::relay);
@@ -140,12 +140,12 @@
         links.listen(settings.peers());
         callers.listen(settings.callers());
         loop.execute(() -> {
-            notedAtMillis = clock.nowMillis();
             feed.start();
             lease.start();
             log.important(LogLine.of(LogEvent.STARTED).with("incarnation", self.incarnation()));
         });
-        loop.scheduleAtFixedRate(this::tickSafely, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        // Two ticks are never run in the same turn of the event loop, so that it reads between them.
+        loop.scheduleWithFixedDelay(this::tickSafely, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -161,6 +161,7 @@
             stop = Option.some(new GatewayStop(
                     state,
                     callers,
+                    links,
                     this::hasWork,
                     this::cutAll,
                     settings.limits().stopGraceMillis(),
@@ -334,8 +335,7 @@
      * show it: times of requests begin when they are read.
      */
     private void noteDelay(long now) {
-        long delayMillis = Math.max(0, now - notedAtMillis - TICK_MILLIS);
-        notedAtMillis = now;
+        long delayMillis = Math.max(0, horizon.ticked(now) - TICK_MILLIS);
         metrics.took(Latency.LOOP_DELAY, delayMillis);
         if (delayMillis >= LATE_MILLIS) {
             log.ordinary(LogLine.of(LogEvent.LOOP_LATE)
@@ -348,7 +348,7 @@
         long now = clock.nowMillis();
         noteDelay(now);
         ticks++;
-        List.copyOf(requests).forEach(request -> request.tick(now));
+        List.copyOf(requests).forEach(request -> request.tick(horizon.millis()));
         links.tick();
         reports.tick(now);
         beliefs.tick(now);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStop.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStop.java
@@ -6,11 +6,12 @@
 import org.rattanplank.gateway.log.LogEvent;
 import org.rattanplank.gateway.log.LogLine;
 import org.rattanplank.gateway.pass.GatewayState;
+import org.rattanplank.gateway.peer.PeerLinks;
 
 /**
  * The steps by which a process ends after it was told to.
  *
- * <p>Invariants: callers are answered until their connections have ended; a connection ends only after a
+ * <p>Invariants: callers and other hosts are answered until their connections have ended; a connection ends only after a
  * read that found nothing on it, so whatever reached this host before has its answer. The time for stopping is never
  * passed. Confined to the event loop.
  */
@@ -36,6 +37,7 @@
 
     private final GatewayState state;
     private final CallerServer callers;
+    private final PeerLinks links;
     private final BooleanSupplier hasWork;
     private final Runnable cut;
     private final long graceMillis;
@@ -50,6 +52,7 @@
      *
      * @param state what all requests share
      * @param callers the callers' connections
+     * @param links the links to other hosts
      * @param hasWork whether a request of a caller or another host is under way
      * @param cut ends all that is under way
      * @param graceMillis how long a stop may take
@@ -58,12 +61,14 @@
     GatewayStop(
             GatewayState state,
             CallerServer callers,
+            PeerLinks links,
             BooleanSupplier hasWork,
             Runnable cut,
             long graceMillis,
             Runnable ended) {
         this.state = state;
         this.callers = callers;
+        this.links = links;
         this.hasWork = hasWork;
         this.cut = cut;
         this.graceMillis = graceMillis;
@@ -89,7 +94,7 @@
             endIdle();
             cut.run();
         }
-        boolean done = portsClosed && callers.connections() == 0 && !hasWork.getAsBoolean();
+        boolean done = portsClosed && callers.connections() == 0 && !hasWork.getAsBoolean() && links.areEnded();
         if (done || stoppingMillis >= graceMillis - END_MARGIN_MILLIS) {
             end();
         }
@@ -99,8 +104,12 @@
         if (!portsClosed) {
             portsClosed = true;
             callers.closePort();
+            links.closePort();
         }
         callers.endIdle();
+        if (callers.haveEnded() && !hasWork.getAsBoolean()) {
+            links.end(hasWork);
+        }
     }
 
     private void end() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -174,6 +174,10 @@
         }
     }
 
+    boolean isHalfClosed() {
+        return halfClosed;
+    }
+
     private boolean isIdle() {
         return call == null && head == null && !receiving && !closing && channel.isActive();
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -140,6 +140,15 @@
         return connections.size();
     }
 
+    /**
+     * Tells whether nothing can come from callers any more.
+     *
+     * @return whether each connection has at least its sending half ended
+     */
+    public boolean haveEnded() {
+        return connections.stream().allMatch(CallerConnection::isHalfClosed);
+    }
+
     /**
      * Counts the requests that had come when their connection was about to be ended as idle.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpCaller.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpCaller.java
@@ -140,6 +140,12 @@
         }
 
         private void timeUp() {
+            // A host that stood still may not have read the answer yet: the store would seem lost though it answers.
+            Consumer<Option<HttpReply>> late = waiting;
+            WaitingBytes.read(channel);
+            if (waiting != late) {
+                return;
+            }
             // The connection may have gone silent for good, with no sign but this.
             channel.close();
             end(Option.none());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -180,4 +180,11 @@
      * @param call the call
      */
     record Cancel(long call) implements PeerFrame {}
+
+    /**
+     * The last frame of a host that ends: it has answered all calls that it took, and takes no more.
+     *
+     * @param lastCall the number of the last call that it took; later ones did not run and never will
+     */
+    record Leaving(long lastCall) implements PeerFrame {}
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -35,6 +35,7 @@
     private static final int ANSWER_FAILED = 8;
     private static final int CANCEL = 9;
     private static final int PACKED = 10;
+    private static final int LEAVING = 11;
 
     /** Smaller frames gain too little. */
     private static final int LEAST_PACKED_BYTES = 2_048;
@@ -140,6 +141,8 @@
             out.packString(failed.failure()).packString(failed.reason()).packString(failed.target());
         } else if (frame instanceof PeerFrame.Cancel cancel) {
             out.packInt(CANCEL).packLong(cancel.call());
+        } else if (frame instanceof PeerFrame.Leaving leaving) {
+            out.packInt(LEAVING).packLong(leaving.lastCall());
         }
     }
 
@@ -209,6 +212,7 @@
                     in.unpackLong(), in.unpackString(), in.unpackString(), in.unpackString());
             case PACKED -> unpack(in);
             case CANCEL -> new PeerFrame.Cancel(in.unpackLong());
+            case LEAVING -> new PeerFrame.Leaving(in.unpackLong());
             default -> throw new IOException("unknown kind of frame " + kind);
         };
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 
 import io.netty.buffer.ByteBuf;
@@ -13,12 +15,14 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Option;
 import io.vavr.control.Try;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.gateway.SteadyClock;
 import org.rattanplank.gateway.http.Headers;
+import org.rattanplank.gateway.http.WaitingBytes;
 import org.rattanplank.gateway.target.Attempt;
 import org.rattanplank.gateway.target.AttemptFailure;
 import org.rattanplank.gateway.target.AttemptListener;
@@ -35,6 +39,9 @@
 
     private static final int SILENT_PERIODS = 3;
 
+    /** How long a link stays after its sending half has ended, for what the other host had already sent. */
+    private static final long LINGER_MILLIS = 300;
+
     private static final double SMOOTHING = 0.2;
 
     private final PeerLinks owner;
@@ -45,6 +52,9 @@
     private GatewayHost host;
     private long lastHeardMillis;
     private long nextCall = 1;
+    private long lastTaken;
+    private boolean ending;
+    private boolean otherEnds;
     private PeerFrame.State state = new PeerFrame.State(0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0);
     private long itemsSentAtMillis;
     private long stateAtMillis;
@@ -99,7 +109,7 @@
      * @return whether something came from it a short while ago
      */
     public boolean isAlive() {
-        return channel != null && channel.isActive() && clock.nowMillis() - lastHeardMillis < silentMillis();
+        return isOpen() && !otherEnds && owner.readUpToMillis() - lastHeardMillis < silentMillis();
     }
 
     /** Whether this host opened the connection. */
@@ -176,7 +186,7 @@
     public Attempt ask(LongFunction<PeerFrame.Ask> ask, AttemptListener listener) {
         long number = nextCall++;
         PeerAttempt attempt = new PeerAttempt(number, listener);
-        if (channel == null || !channel.isActive()) {
+        if (!isOpen() || otherEnds) {
             // The end of the connection has been told already: nothing would end this call before its time is up.
             listener.failed(AttemptFailure.NOT_SENT, "the link to the other host has ended");
             return attempt;
@@ -215,6 +225,27 @@
         return headers;
     }
 
+    /**
+     * Ends the link in order: what has come is read in this same step, and the other host is told which call was the last
+     * that was taken. Without that word it could not tell whether a call that crossed the end has run, and a booking would
+     * end without a known outcome. Does nothing if a call has come.
+     *
+     * @param hasWork whether a call is under way
+     */
+    void end(BooleanSupplier hasWork) {
+        if (ending || !isOpen()) {
+            return;
+        }
+        WaitingBytes.read(channel);
+        if (hasWork.getAsBoolean() || !isOpen()) {
+            return;
+        }
+        ending = true;
+        send(new PeerFrame.Leaving(lastTaken));
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> ((SocketChannel) channel).shutdownOutput());
+        channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     void close() {
         if (channel != null) {
             channel.close();
@@ -229,6 +260,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        owner.opened(this);
         lastHeardMillis = clock.nowMillis();
         send(new PeerFrame.Hello(owner.self()));
     }
@@ -273,7 +305,12 @@
         } else if (frame instanceof PeerFrame.StoreItems known) {
             owner.listener().storeItems(known);
         } else if (frame instanceof PeerFrame.Ask ask) {
-            owner.listener().asked(this, ask);
+            if (!ending) {
+                lastTaken = Math.max(lastTaken, ask.call());
+                owner.listener().asked(this, ask);
+            }
+        } else if (frame instanceof PeerFrame.Leaving leaving) {
+            left(leaving.lastCall());
         } else if (frame instanceof PeerFrame.Cancel cancel) {
             owner.listener().cancelled(this, cancel.call());
         } else {
@@ -281,6 +318,17 @@
         }
     }
 
+    /** The other host ends: what it did not take can go elsewhere. */
+    private void left(long lastCall) {
+        otherEnds = true;
+        for (PeerAttempt call : List.copyOf(calls.values())) {
+            if (call.number > lastCall) {
+                calls.remove(call.number);
+                call.listener.failed(AttemptFailure.NOT_SENT, "the other host had ended before");
+            }
+        }
+    }
+
     private void readAnswer(PeerFrame frame) {
         if (frame instanceof PeerFrame.AnswerHead head) {
             PeerAttempt call = calls.get(head.call());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -9,9 +9,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -69,6 +72,9 @@
     private final Map<String, Known> known = new HashMap<>();
     private final Map<String, PeerLink> links = new LinkedHashMap<>();
     private final Map<PeerLink, Long> retired = new HashMap<>();
+    private final Set<PeerLink> open = new HashSet<>();
+    private final LongSupplier readUpTo;
+    private Channel port;
     private long nextLookMillis;
 
     /**
@@ -77,12 +83,15 @@
      * @param self this host
      * @param group the event loop
      * @param clock the clock
+     * @param readUpTo until when all that came was surely read
      * @param listener hears the links
      */
-    public PeerLinks(GatewayHost self, EventLoopGroup group, SteadyClock clock, PeerListener listener) {
+    public PeerLinks(
+            GatewayHost self, EventLoopGroup group, SteadyClock clock, LongSupplier readUpTo, PeerListener listener) {
         this.self = self;
         this.group = group;
         this.clock = clock;
+        this.readUpTo = readUpTo;
         this.listener = listener;
     }
 
@@ -92,14 +101,15 @@
      * @param address where
      */
     public void listen(InetSocketAddress address) {
-        new ServerBootstrap()
+        port = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(initializer(false))
                 .bind(address)
-                .syncUninterruptibly();
+                .syncUninterruptibly()
+                .channel();
     }
 
     /**
@@ -247,6 +257,40 @@
         return traffic;
     }
 
+    /** Takes no new links. */
+    public void closePort() {
+        port.close();
+    }
+
+    /**
+     * Ends all links over which nothing comes any more.
+     *
+     * @param hasWork whether a call of another host is under way
+     */
+    public void end(BooleanSupplier hasWork) {
+        for (PeerLink link : List.copyOf(open)) {
+            link.end(hasWork);
+        }
+    }
+
+    /**
+     * Tells whether all links have ended.
+     *
+     * @return whether none is open
+     */
+    public boolean areEnded() {
+        return open.isEmpty();
+    }
+
+    /** Until when all that came was surely read; a link's silence is counted to then. */
+    long readUpToMillis() {
+        return readUpTo.getAsLong();
+    }
+
+    void opened(PeerLink link) {
+        open.add(link);
+    }
+
     GatewayHost self() {
         return self;
     }
@@ -298,6 +342,7 @@
     }
 
     void closed(PeerLink link) {
+        open.remove(link);
         retired.remove(link);
         drop(link, "the connection ended");
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -54,6 +54,10 @@
     private static final long END_LIMIT_MILLIS = 20_000;
     private static final long ENGINE_TOKENS = 400_000;
     private static final int TRIES = 1_000;
+
+    /** Each periodic step of a gateway is due within this time. */
+    private static final long TICKS_DUE_MILLIS = 400;
+
     private static final long PAUSE_NANOS = 10_000_000;
 
     private static final AtomicInteger COUNT = new AtomicInteger();
@@ -327,6 +331,21 @@
         return standstill;
     }
 
+    /**
+     * Lets the event loop stand still from after a look at its sockets until what is given back is counted down, with its
+     * periodic steps due right after.
+     */
+    CountDownLatch standStillBeforeItsSteps() throws InterruptedException {
+        Standstill standstill = new Standstill();
+        EventLoop loop = group.next();
+        loop.execute(() -> {
+            loop.schedule(standstill::standAfterLastRead, 0, TimeUnit.MILLISECONDS);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(TICKS_DUE_MILLIS));
+        });
+        standstill.awaitLastRead();
+        return standstill.over;
+    }
+
     /** The second time for which the event loop stands still. */
     static final class Standstill {
         private final CountDownLatch lastRead = new CountDownLatch(1);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -43,7 +43,8 @@
                 new PeerFrame.AnswerHead(4, 200, List.of("a", "b"), "t"),
                 new PeerFrame.AnswerEnd(4),
                 new PeerFrame.AnswerFailed(4, "UNKNOWN", "why", "t"),
-                new PeerFrame.Cancel(4));
+                new PeerFrame.Cancel(4),
+                new PeerFrame.Leaving(4));
 
         frames.forEach(frame -> assertEquals(frame, again(frame)));
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -153,6 +153,30 @@
         reader.start();
     }
 
+    /**
+     * Tells that it ends and that it took no call after the one given.
+     *
+     * @param lastCall the number of the call
+     * @throws IOException if the link ended
+     */
+    public void leave(long lastCall) throws IOException {
+        send(new PeerFrame.Leaving(lastCall));
+    }
+
+    /**
+     * Says that its region answers for a service soon.
+     *
+     * @param service the service
+     * @throws IOException if the link ended
+     */
+    public void sayItServes(String service) throws IOException {
+        List<PeerFrame.RegionLoad> loads = List.of(
+                new PeerFrame.RegionLoad(service, Urgency.FIRST, 1, 0),
+                new PeerFrame.RegionLoad(service, Urgency.MIDDLE, 1, 0),
+                new PeerFrame.RegionLoad(service, Urgency.LAST, 1, 0));
+        send(new PeerFrame.State(1, 0, 0, 500, true, 1, 0, false, true, List.of(), loads, 0));
+    }
+
     /**
      * Reads until a frame of a kind comes.
      *
