Send nothing behind the last frame of a link that ends

Cause: the flush behind Leaving was an empty buffer, which the frame encoder made an empty frame of. The test reads to the end of the link now; it failed with the flush. The frame's own write is what the end of the sending half waits for.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -12,6 +12,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -146,14 +147,18 @@
         if (frame instanceof PeerFrame.StoreItems items && items.revision() > 0) {
             itemsSentAtMillis = clock.nowMillis();
         }
-        return isOpen() ? write(frame, PeerFrameCodec.encode(frame, readsPacked())) : 0;
+        if (!isOpen()) {
+            return 0;
+        }
+        byte[] bytes = PeerFrameCodec.encode(frame, readsPacked());
+        write(frame, bytes);
+        return bytes.length;
     }
 
     /** Sends a frame that is written already. */
-    int write(PeerFrame frame, byte[] bytes) {
+    ChannelFuture write(PeerFrame frame, byte[] bytes) {
         owner.traffic().sent(frame, bytes.length);
-        channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
-        return bytes.length;
+        return channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
     }
 
     boolean isOpen() {
@@ -241,8 +246,9 @@
             return;
         }
         ending = true;
-        send(new PeerFrame.Leaving(lastTaken));
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> ((SocketChannel) channel).shutdownOutput());
+        PeerFrame.Leaving leaving = new PeerFrame.Leaving(lastTaken);
+        write(leaving, PeerFrameCodec.encode(leaving))
+                .addListener(written -> ((SocketChannel) channel).shutdownOutput());
         channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
@@ -134,6 +134,7 @@
 
             assertEquals(200, peer.await(PeerFrame.AnswerHead.class).status());
             assertEquals(1, peer.await(PeerFrame.Leaving.class).lastCall());
+            assertTrue(peer.readsToTheEnd());
         }
     }
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.List;
 
 import org.rattanplank.core.gateway.GatewayHost;
@@ -194,6 +195,24 @@
         }
     }
 
+    /**
+     * Reads what comes until the other host ends the link.
+     *
+     * @return whether the link ended behind a whole frame, and each could be read
+     * @throws IOException if the link broke
+     */
+    public boolean readsToTheEnd() throws IOException {
+        byte[] length = in.readNBytes(Integer.BYTES);
+        while (length.length == Integer.BYTES) {
+            if (PeerFrameCodec.decode(in.readNBytes(ByteBuffer.wrap(length).getInt()))
+                    .isFailure()) {
+                return false;
+            }
+            length = in.readNBytes(Integer.BYTES);
+        }
+        return length.length == 0;
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
