Let the last host of a region go on while it stops, and send no caller astray meanwhile

Cause, from logs of all hosts: a stop lasts as long as its streams (4 to 6 s), the next host is stopped 0.5 to 0.8 s later, and each host only saw to its own end. From the stopping of a region's last host (9.4 s) to the started of its first (13.6 s) nobody took calls or forwards for its engines. In the same gap a region had no host for callers; where the routes of a host name have homes that share none, the directory named the home of most of them at once. By reading, third: the directory noted when a region was asked for, not when it was there. What the three findings of homed callers share: a region whose hosts stop, start and don't know each other yet counts as a region without hosts.

Ruled out: hosts that had just started (none named others in the first 6 s); links (all were up); evacuation (requests went to engines that may be used).

Change, in the core: StopPlan, OtherHosts, LongestTimes. Of the hosts of a region that stop, the one that can go on longest takes work until another takes callers; late in its time only what ended in two thirds of the time that is left of late. Hosts tell how long they take work. The directory names hosts that are about to end where no other may have the requests, names no host while those that may were there in the last 6 s, and notes what is there by itself.

Left: drafts are refused in the last seconds of a stop.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
@@ -148,6 +148,22 @@
                 .toList();
     }
 
+    /**
+     * The regions that are homes of every route of a host name that has some.
+     *
+     * @param authority what the callers address
+     * @return the regions, in the order of {@link #homeRegions}
+     */
+    public List<String> commonHomeRegions(String authority) {
+        List<RouteRule> homed = routesByHostName.getOrDefault(hostName(authority), List.of()).stream()
+                .filter(route -> !route.homeRegions().isEmpty())
+                .toList();
+        return homeRegions(authority).stream()
+                .filter(region ->
+                        homed.stream().allMatch(route -> route.homeRegions().contains(region)))
+                .toList();
+    }
+
     /**
      * The homes of routes that have some, for logs.
      *
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/CallerDirectoryTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/CallerDirectoryTest.java
@@ -79,4 +79,38 @@
     void shouldNameNoHostWhenNoConfigurationTellsTheHomes() {
         assertEquals(List.of(), directory.list(List.of(suva, lautoka, labasa), Option.none(), 60_000));
     }
+
+    /**
+     * Symptom: homed callers at hosts of other regions, a third time. Sequence: a region's last host stops; nobody had
+     * asked this host for that region for a while. Cause: the time at which a region was asked for was taken for the time
+     * at which it was there.
+     */
+    @Test
+    void shouldNameNoHostWhenTheRegionWasSeenButNotAskedForLately() {
+        directory.saw(List.of(lautoka), 10_000);
+
+        assertEquals(List.of(), directory.list(List.of(suva), caller("lautoka"), 12_000));
+    }
+
+    /**
+     * Symptom: requests of routes with one home are handed to hosts of another route's home. Sequence: all hosts of the
+     * callers' region are stopped in turn; the routes of their host name have homes that share no region. Cause: the
+     * region of most routes was named at once, though the callers' own hosts were back a moment later.
+     */
+    @Test
+    void shouldNameNoHostWhenNoHomeMayHaveAllAndTheCallersOwnHostsWereThereLately() {
+        Option<CallerPlace> mixed =
+                Option.some(new CallerPlace("labasa", "labasa-hall", List.of("suva", "lautoka"), List.of()));
+        directory.saw(List.of(labasa), 10_000);
+
+        assertEquals(List.of(), directory.list(List.of(suva, lautoka), mixed, 12_000));
+        assertEquals(
+                List.of("s:80"), directory.list(List.of(suva, lautoka), mixed, 10_000 + CallerDirectory.AWAY_MILLIS));
+    }
+
+    @Test
+    void shouldNameAHostThatIsAboutToEndOnlyWhenNoOtherMayHaveTheRequests() {
+        assertEquals(List.of("l:80"), directory.list(List.of(suva), List.of(lautoka), caller("lautoka"), 1));
+        assertEquals(List.of("s:80"), directory.list(List.of(suva), List.of(labasa), caller(), 1));
+    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -107,7 +108,7 @@
         state.join(links, feed::isComplete);
         lease = HostLease.of(
                 store, names.storeFormat(), self, loop, settings.limits().leaseMillis(), this::leaseTold);
-        reports = new PeerReports(state, links, feed, this::takesCallers);
+        reports = new PeerReports(state, links, feed, this::takesCallers, this::workMillis);
         gauges();
     }
 
@@ -272,6 +273,13 @@
         return stop.isEmpty() && state.isInformed() && !state.isRetiring();
     }
 
+    private long workMillis() {
+        if (takesCallers()) {
+            return PeerFrame.State.FOR_GOOD;
+        }
+        return state.isInformed() ? stop.map(GatewayStop::workMillis).getOrElse(0L) : 0;
+    }
+
     private void relay(StoreItem item) {
         reports.relay(item);
     }
@@ -305,19 +313,28 @@
     }
 
     private List<String> callersHosts(AdapterNames.Question question) {
+        List<GatewayHost> takers = hosts(takesCallers(), PeerFrame.State::takesCallers);
+        List<GatewayHost> ending = hosts(workMillis() > 0 && !takesCallers(), PeerFrame.State::isLastOfItsRegion);
+        Option<CallerPlace> place = state.configuration()
+                .map(configuration -> new CallerPlace(
+                        question.region(),
+                        question.dataCentre(),
+                        configuration.homeRegions(question.hostName()),
+                        configuration.commonHomeRegions(question.hostName())));
+        return directory.list(takers, ending, place, clock.nowMillis());
+    }
+
+    private List<GatewayHost> hosts(boolean withSelf, Predicate<PeerFrame.State> which) {
         List<GatewayHost> hosts = new ArrayList<>();
-        if (takesCallers()) {
+        if (withSelf) {
             hosts.add(self);
         }
         for (PeerLink link : links.alive()) {
-            if (link.state().takesCallers()) {
+            if (which.test(link.state())) {
                 hosts.add(link.host().get());
             }
         }
-        Option<CallerPlace> place = state.configuration()
-                .map(configuration -> new CallerPlace(
-                        question.region(), question.dataCentre(), configuration.homeRegions(question.hostName())));
-        return directory.list(hosts, place, clock.nowMillis());
+        return hosts;
     }
 
     private void tickSafely() {
@@ -355,6 +372,7 @@
         if (ticks % SLOW_TICKS == 0) {
             connections.tick();
             callers.tick();
+            directory.saw(hosts(workMillis() > 0, said -> said.workMillis() > 0), now);
         }
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStop.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStop.java
@@ -2,10 +2,14 @@
 
 import java.util.function.BooleanSupplier;
 
+import io.vavr.control.Option;
+import org.rattanplank.core.gateway.OtherHosts;
+import org.rattanplank.core.gateway.StopPlan;
 import org.rattanplank.gateway.caller.CallerServer;
 import org.rattanplank.gateway.log.LogEvent;
 import org.rattanplank.gateway.log.LogLine;
 import org.rattanplank.gateway.pass.GatewayState;
+import org.rattanplank.gateway.peer.PeerLink;
 import org.rattanplank.gateway.peer.PeerLinks;
 
 /**
@@ -16,22 +20,6 @@
  * passed. Confined to the event loop.
  */
 final class GatewayStop {
-    /**
-     * Connections that carry nothing are ended no sooner: callers that hold an older list still come, nearly all of them
-     * for one of the list's lifetimes at most. Longer stops would overlap when hosts are stopped in turn, and leave few
-     * that serve.
-     */
-    private static final long SERVE_LEAST_MILLIS = 1_700;
-
-    /**
-     * Requests that come later after the word to stop are refused: what begins so late may not end in the time left, and
-     * would be cut in the middle. Callers that hold the longest-lived list have moved by then.
-     */
-    private static final long TAKE_MILLIS = 2_800;
-
-    /** What is left of the time for stopping when everything is cut: for the last answers to leave. */
-    private static final long CUT_MARGIN_MILLIS = 700;
-
     /** What is left of the time for stopping for the process to end in. */
     private static final long END_MARGIN_MILLIS = 300;
 
@@ -41,6 +29,7 @@
     private final BooleanSupplier hasWork;
     private final Runnable cut;
     private final long graceMillis;
+    private final StopPlan plan;
     private final Runnable ended;
     private final long askedAtMillis;
     private boolean portsClosed;
@@ -72,8 +61,36 @@
         this.hasWork = hasWork;
         this.cut = cut;
         this.graceMillis = graceMillis;
+        plan = StopPlan.within(graceMillis);
         this.ended = ended;
         askedAtMillis = state.nowMillis();
+        state.limitBegins(this::mayBegin);
+    }
+
+    /** How much longer work should be sent here though this host is about to end. */
+    long workMillis() {
+        return portsClosed ? 0 : plan.workMillis(stoppingMillis(), others());
+    }
+
+    private boolean mayBegin(Option<Long> longestMillis) {
+        return !isCut && plan.mayBegin(stoppingMillis(), others(), longestMillis);
+    }
+
+    private long stoppingMillis() {
+        return state.nowMillis() - askedAtMillis;
+    }
+
+    private OtherHosts others() {
+        boolean oneTakesCallers = false;
+        long longestMillis = 0;
+        for (PeerLink link : links.alive()) {
+            if (state.isOwnRegion(link)) {
+                oneTakesCallers |= link.state().takesCallers();
+                longestMillis = Math.max(longestMillis, link.state().workMillis() - link.stateAgeMillis());
+            }
+        }
+        long ownMillis = plan.workMillis(stoppingMillis(), OtherHosts.AWAY);
+        return OtherHosts.of(links.knowsOthersInOwnRegion(), oneTakesCallers, longestMillis, ownMillis);
     }
 
     /** Goes on. Called again and again until the process ends. */
@@ -81,16 +98,12 @@
         if (over) {
             return;
         }
-        long stoppingMillis = state.nowMillis() - askedAtMillis;
-        if (stoppingMillis >= TAKE_MILLIS) {
-            state.takeNoMore();
-        }
-        if (stoppingMillis >= TAKE_MILLIS || stoppingMillis >= SERVE_LEAST_MILLIS && !hasWork.getAsBoolean()) {
+        long stoppingMillis = stoppingMillis();
+        if (portsClosed || plan.mayEnd(stoppingMillis, others(), hasWork.getAsBoolean())) {
             endIdle();
         }
-        if (stoppingMillis >= graceMillis - CUT_MARGIN_MILLIS && !isCut) {
+        if (stoppingMillis >= plan.cutMillis() && !isCut) {
             isCut = true;
-            state.takeNoMore();
             endIdle();
             cut.run();
         }
@@ -116,7 +129,7 @@
         over = true;
         state.log()
                 .important(LogLine.of(LogEvent.STOPPED)
-                        .with("tookMillis", state.nowMillis() - askedAtMillis)
+                        .with("tookMillis", stoppingMillis())
                         .with("connections", callers.connections())
                         .with("foundWaiting", callers.requestsFoundWaiting())
                         .with("cut", isCut));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.Choice;
@@ -64,8 +65,10 @@
     private final StoreFeed feed;
     private final StoreHelp help;
     private final BooleanSupplier takesCallers;
+    private final LongSupplier workMillis;
     private final StoreRelay relay;
     private long followChosenAtMillis;
+    private boolean toldToTakeWork;
     private long ownRegionMillis = OWN_REGION_MILLIS;
     private long otherRegionMillis = OTHER_REGION_MILLIS;
     private List<PeerFrame.RegionLoad> regionLoads = List.of();
@@ -74,16 +77,27 @@
     private final Map<PeerLink, Told> told = new HashMap<>();
     private final Map<String, Set<String>> targetsByHost = new HashMap<>();
 
-    PeerReports(GatewayState state, PeerLinks links, StoreFeed feed, BooleanSupplier takesCallers) {
+    PeerReports(
+            GatewayState state,
+            PeerLinks links,
+            StoreFeed feed,
+            BooleanSupplier takesCallers,
+            LongSupplier workMillis) {
         this.state = state;
         this.links = links;
         this.feed = feed;
         help = new StoreHelp(state, links, feed);
         relay = new StoreRelay(state, links);
         this.takesCallers = takesCallers;
+        this.workMillis = workMillis;
     }
 
     void tick(long nowMillis) {
+        if (workMillis.getAsLong() > 0 != toldToTakeWork) {
+            // Others go on sending work, or send none, by what they were told last.
+            toldToTakeWork = !toldToTakeWork;
+            tellAll();
+        }
         List<PeerLink> alive = List.copyOf(links.alive());
         long ownRegionLinks = alive.stream().filter(state::isOwnRegion).count();
         ownRegionMillis = Math.max(OWN_REGION_MILLIS, PER_LINK_MILLIS * ownRegionLinks);
@@ -145,7 +159,8 @@
                 feed.isHealthy(),
                 sent,
                 state.isOwnRegion(link) ? List.of() : regionLoads(),
-                Math.max(PeerFrame.State.KNOWS_NOTHING, feed.newestRevision())));
+                Math.max(PeerFrame.State.KNOWS_NOTHING, feed.newestRevision()),
+                workMillis.getAsLong()));
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -132,6 +132,7 @@
     @Override
     public void ended() {
         link.send(new PeerFrame.AnswerEnd(ask.call()));
+        route().forEach(rule -> state.tookWhole(rule, state.nowMillis() - takenAtMillis));
         end("answered");
     }
 
@@ -169,6 +170,10 @@
             fail(AttemptFailure.NOT_SENT, "it would wait too long here");
             return;
         }
+        if (!route().forAll(state::mayBegin)) {
+            fail(AttemptFailure.NOT_SENT, "this host is about to end");
+            return;
+        }
         target = choice.get().target().runText();
         expectedMillis = choice.get().expectedMillis();
         tried.add(target);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import io.vavr.control.Option;
@@ -13,6 +14,7 @@
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.GatewayTarget;
+import org.rattanplank.core.gateway.LongestTimes;
 import org.rattanplank.core.gateway.Mechanism;
 import org.rattanplank.core.gateway.Mechanisms;
 import org.rattanplank.core.gateway.Placement;
@@ -76,7 +78,8 @@
     private PeersInTouch peers = PeersInTouch.NONE;
     private long peersAtMillis = Long.MIN_VALUE / 2;
     private final long startedAtMillis;
-    private boolean takesRequests = true;
+    private final LongestTimes longestTimes = new LongestTimes();
+    private Predicate<Option<Long>> mayBegin = longestMillis -> true;
     private BooleanSupplier complete = () -> false;
 
     /**
@@ -325,13 +328,26 @@
         return mechanisms.uses(mechanism);
     }
 
-    /** Refuses requests from now on. */
-    public void takeNoMore() {
-        takesRequests = false;
+    /**
+     * Lets only some requests begin from now on.
+     *
+     * @param limit tells by the longest time in milliseconds that requests of a kind took of late whether another may begin
+     */
+    public void limitBegins(Predicate<Option<Long>> limit) {
+        mayBegin = limit;
+    }
+
+    /** Whether requests of some kind may begin. */
+    boolean mayBeginAny() {
+        return mayBegin.test(Option.some(0L));
+    }
+
+    boolean mayBegin(RouteRule route) {
+        return mayBegin.test(longestTimes.longestMillis(route.name(), nowMillis()));
     }
 
-    boolean takesRequests() {
-        return takesRequests;
+    void tookWhole(RouteRule route, long millis) {
+        longestTimes.took(route.name(), millis, nowMillis());
     }
 
     RepeatAllowance repeats() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -59,6 +59,8 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    private static final String ABOUT_TO_END = "this host is about to end";
+
     private final GatewayState state;
     private final GatewayRequest request;
     private final CallerReply reply;
@@ -107,8 +109,8 @@
         if (over) {
             return;
         }
-        if (!state.takesRequests()) {
-            refuse("this host is about to end");
+        if (!state.mayBeginAny()) {
+            refuse(ABOUT_TO_END);
             return;
         }
         if (!state.isInformed()) {
@@ -229,6 +231,10 @@
             refuse("it would wait too long");
             return;
         }
+        if (!mayHaveRun && !reply.isBegun() && !state.mayBegin(route)) {
+            refuse(ABOUT_TO_END);
+            return;
+        }
         Option<String> region = placement.region();
         if (region.isDefined()) {
             outlook = placement.outlook(region.get());
@@ -403,6 +409,7 @@
         GatewayMetrics metrics = state.metrics();
         metrics.answered();
         metrics.took(Latency.WHOLE, state.nowMillis() - arrivedAtMillis);
+        state.tookWhole(route, state.nowMillis() - arrivedAtMillis);
         metrics.took(Latency.FIRST_PART, timeliness().firstPartMillis());
         metrics.took(Latency.LONGEST_GAP, timeliness().longestGapMillis());
         boolean targetFailed = reply.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PeersInTouch.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PeersInTouch.java
@@ -16,7 +16,7 @@
  * The other hosts as they are seen at one moment. Immutable; its links are confined to the event loop.
  *
  * @param region the hosts of this host's region
- * @param takersByRegion the links to hosts of other regions that take callers; no region is empty
+ * @param takersByRegion the links to hosts of other regions that take work; no region is empty
  */
 record PeersInTouch(RegionView region, Map<String, List<PeerLink>> takersByRegion) {
     /** Nothing is known. */
@@ -31,6 +31,7 @@
         Set<String> inTouch = new HashSet<>();
         inTouch.add(self.name());
         Map<String, List<PeerLink>> takers = new HashMap<>();
+        Map<String, List<PeerLink>> ending = new HashMap<>();
         for (PeerLink link : links.alive()) {
             GatewayHost host = link.host().get();
             String region = host.place().region();
@@ -38,8 +39,12 @@
                 inTouch.add(host.name());
             } else if (link.state().takesCallers()) {
                 takers.computeIfAbsent(region, name -> new ArrayList<>()).add(link);
+            } else if (link.state().isLastOfItsRegion()) {
+                ending.computeIfAbsent(region, name -> new ArrayList<>()).add(link);
             }
         }
+        // A host that is about to end is asked only where no other is left.
+        ending.forEach(takers::putIfAbsent);
         boolean certain = settled && inTouch.containsAll(names);
         names.addAll(inTouch);
         return new PeersInTouch(new RegionView(names, certain), takers);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -36,6 +36,8 @@
      * @param sent its work at each target, to hosts of its own region
      * @param regionLoads how soon its region is expected to answer, to hosts of other regions
      * @param newestRevision the newest change of the store that it knows; zero if it doesn't say
+     * @param workMillis how long work may be sent to it: {@link #FOR_GOOD} if it takes callers, less if it is about to end
+     *     as the last of its region, zero if none should be
      */
     record State(
             long sentAtMillis,
@@ -49,8 +51,15 @@
             boolean storeHealthy,
             List<TargetWork> sent,
             List<RegionLoad> regionLoads,
-            long newestRevision)
+            long newestRevision,
+            long workMillis)
             implements PeerFrame {
+        /** How long a host takes work that takes callers. */
+        public static final long FOR_GOOD = Long.MAX_VALUE;
+
+        /** What counts for a host that has said nothing yet. */
+        static final State NONE = new State(0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0, 0);
+
         /** The newest revision of a host that knows nothing yet; revisions of the store are above it. */
         public static final long KNOWS_NOTHING = 1;
 
@@ -58,6 +67,15 @@
             sent = List.copyOf(sent);
             regionLoads = List.copyOf(regionLoads);
         }
+
+        /**
+         * Whether it takes work though it is about to end.
+         *
+         * @return whether it is the last of its region
+         */
+        public boolean isLastOfItsRegion() {
+            return workMillis > 0 && !takesCallers;
+        }
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -166,6 +166,7 @@
             out.packFloat((float) load.expectedMillis()).packFloat((float) load.perTokenMillis());
         }
         out.packLong(state.newestRevision());
+        out.packLong(state.workMillis());
     }
 
     private static void write(PeerFrame.Ask ask, MessageBufferPacker out) throws IOException {
@@ -243,6 +244,7 @@
         }
         // A host of an earlier version ends its state here.
         long newestRevision = in.hasNext() ? in.unpackLong() : 0;
+        long workMillis = in.hasNext() ? in.unpackLong() : takesCallers ? PeerFrame.State.FOR_GOOD : 0;
         return new PeerFrame.State(
                 sentAt,
                 echoed,
@@ -255,7 +257,8 @@
                 healthy,
                 sent,
                 loads,
-                newestRevision);
+                newestRevision,
+                workMillis);
     }
 
     private static PeerFrame readItems(MessageUnpacker in) throws IOException {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -56,7 +56,7 @@
     private long lastTaken;
     private boolean ending;
     private boolean otherEnds;
-    private PeerFrame.State state = new PeerFrame.State(0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0);
+    private PeerFrame.State state = PeerFrame.State.NONE;
     private long itemsSentAtMillis;
     private long stateAtMillis;
     private double roundTripMillis;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -161,6 +161,15 @@
         return names;
     }
 
+    /**
+     * Tells whether this region has other hosts, in touch or not.
+     *
+     * @return whether one was entered or in touch of late
+     */
+    public boolean knowsOthersInOwnRegion() {
+        return known.values().stream().anyMatch(each -> isOwnRegion(each.host));
+    }
+
     /**
      * How many hosts there are, in touch or not.
      *
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -19,6 +19,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class PeerFrameCodecTest {
+    /** The newest revision, and how long work may be sent there, of the state that is cut short. */
+    private static final int NEWER_BYTES = 1 + 9;
+
     private static PeerFrame again(PeerFrame frame) {
         return PeerFrameCodec.decode(PeerFrameCodec.encode(frame)).get();
     }
@@ -39,7 +42,8 @@
                         true,
                         List.of(new PeerFrame.TargetWork("t", new SentWork(2, new WaitingTokens(1, 2, 3), 4))),
                         List.of(new PeerFrame.RegionLoad("s", Urgency.LAST, 1.5, 0.25)),
-                        11),
+                        11,
+                        1_000),
                 new PeerFrame.AnswerHead(4, 200, List.of("a", "b"), "t"),
                 new PeerFrame.AnswerEnd(4),
                 new PeerFrame.AnswerFailed(4, "UNKNOWN", "why", "t"),
@@ -77,12 +81,14 @@
 
     @Test
     void shouldReadAStateWhenItComesFromAHostThatTellsNoNewestRevision() {
-        PeerFrame.State state = new PeerFrame.State(1, 2, 3, 500, true, 9, -7, false, true, List.of(), List.of(), 0);
+        PeerFrame.State state = new PeerFrame.State(
+                1, 2, 3, 500, true, 9, -7, false, true, List.of(), List.of(), 0, PeerFrame.State.FOR_GOOD);
         byte[] bytes = PeerFrameCodec.encode(state);
 
         assertEquals(
                 state,
-                PeerFrameCodec.decode(Arrays.copyOf(bytes, bytes.length - 1)).get());
+                PeerFrameCodec.decode(Arrays.copyOf(bytes, bytes.length - NEWER_BYTES))
+                        .get());
     }
 
     @Test
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -104,7 +104,7 @@
      * @throws IOException if the link ended
      */
     public void sayItKnowsNothing() throws IOException {
-        send(new PeerFrame.State(1, 0, 0, 500, false, 0, 0, true, false, List.of(), List.of(), 0));
+        send(new PeerFrame.State(1, 0, 0, 500, false, 0, 0, true, false, List.of(), List.of(), 0, 0));
     }
 
     /**
@@ -116,7 +116,7 @@
      */
     public void sayItKnows(long storeDigest, long newestRevision) throws IOException {
         send(new PeerFrame.State(
-                1, 0, 0, 500, true, 1, storeDigest, false, true, List.of(), List.of(), newestRevision));
+                1, 0, 0, 500, true, 1, storeDigest, false, true, List.of(), List.of(), newestRevision, 1_000));
     }
 
     /**
@@ -175,7 +175,7 @@
                 new PeerFrame.RegionLoad(service, Urgency.FIRST, 1, 0),
                 new PeerFrame.RegionLoad(service, Urgency.MIDDLE, 1, 0),
                 new PeerFrame.RegionLoad(service, Urgency.LAST, 1, 0));
-        send(new PeerFrame.State(1, 0, 0, 500, true, 1, 0, false, true, List.of(), loads, 0));
+        send(new PeerFrame.State(1, 0, 0, 500, true, 1, 0, false, true, List.of(), loads, 0, 1_000));
     }
 
     /**
