Read links of a stopping entry host once more before they end

The planned stop's cause, at rattanplankd's links: a stop was over when the answers that were due had left; a request of another host that waited unread in a socket was lost with its link, and its outcome unknown. Change: when callers are gone, the port for other hosts closes, and each link that carries no request is ended after a read in the same step, its sending half first; the stop is over when all have ended. Test: the other host's event loop is held, a request is sent, the end asked for, the loop goes on: without the read the request is lost (the test waits in vain), with it it is taken and answered. Left: a request that crosses the end of the link.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/Daemon.java
@@ -257,7 +257,7 @@
     }
 
     private void finishStop(CallerDrain drain) {
-        if (drain.isDone()) {
+        if (drain.isDone() && peerServer.forAll(PeerServer::end) && unfinished() == 0) {
             stop.finished();
         } else if (!stop.isOver()) {
             pollers.schedule(() -> finishStop(drain), FLUSH_CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerConnection.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/CallerConnection.java
@@ -16,6 +16,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import io.vavr.control.Option;
+import org.rattanplank.daemon.http.WaitingBytes;
 
 /**
  * Bounds one connection of a caller.
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/WaitingBytes.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/WaitingBytes.java
@@ -1,4 +1,4 @@
-package org.rattanplank.daemon.caller;
+package org.rattanplank.daemon.http;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -12,13 +12,18 @@
  * Reads what has come over a connection and still waits in its socket, so that it isn't ended as idle while a request
  * waits there. Stateless; called on the connection's event loop.
  */
-final class WaitingBytes {
+public final class WaitingBytes {
     private static final int MOST_BYTES = 65_536;
     private static final int ENDED = -1;
 
     private WaitingBytes() {}
 
-    static void read(Channel channel) {
+    /**
+     * Hands all that has come to the connection's handlers.
+     *
+     * @param channel the connection
+     */
+    public static void read(Channel channel) {
         if (!(channel instanceof EpollSocketChannel epoll)) {
             org.rattanplank.gateway.http.WaitingBytes.read(channel);
             return;
@@ -46,7 +51,7 @@
             ByteBuffer space = bytes.internalNioBuffer(0, MOST_BYTES);
             return channel.fd().read(space, space.position(), space.limit());
         } catch (IOException e) {
-            Logger.debug(e, "caller: a connection broke before its end");
+            Logger.debug(e, "a connection broke before its end");
             return ENDED;
         }
     }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.Future;
 import io.vavr.control.Option;
 import org.rattanplank.core.Event;
@@ -19,6 +20,7 @@
 import org.rattanplank.daemon.call.Call;
 import org.rattanplank.daemon.call.Calls;
 import org.rattanplank.daemon.call.Envelope;
+import org.rattanplank.daemon.http.WaitingBytes;
 import org.rattanplank.daemon.runtime.Events;
 import org.rattanplank.schema.message.ForwardCancel;
 import org.rattanplank.schema.message.ForwardEnd;
@@ -38,6 +40,9 @@
 final class PeerConnection extends FrameHandler {
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
+    /** How long a connection stays after its sending half has ended, for the last answers to be read. */
+    private static final long LINGER_MILLIS = 300;
+
     private final LinkContext context;
     private final Calls calls;
     private final Events events;
@@ -46,6 +51,8 @@
     private final Map<String, Long> asked = new ConcurrentHashMap<>();
     private Option<Hello> other = Option.none();
     private Option<Future<?>> checker = Option.none();
+    private volatile Option<Channel> open = Option.none();
+    private boolean ending;
 
     PeerConnection(LinkContext context, Calls calls, Events events, AtomicInteger unsentAnswers) {
         super(context.traffic());
@@ -61,6 +68,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext active) {
+        open = Option.some(active.channel());
         long interval = context.times().pingIntervalMillis();
         Runnable check = () -> {
             if (silence.isSilent(context.clock().nowMillis())) {
@@ -71,6 +79,26 @@
                 active.channel().eventLoop().scheduleAtFixedRate(check, interval, interval, TimeUnit.MILLISECONDS));
     }
 
+    /**
+     * Ends the connection if it carries no request; called on any thread. It is read once more before: a request that
+     * waits in the socket of a host that stood still would be lost with it, and its outcome unknown.
+     */
+    void endIfIdle() {
+        open.forEach(channel -> channel.eventLoop().execute(() -> endIfIdle(channel)));
+    }
+
+    private void endIfIdle(Channel channel) {
+        if (ending || !asked.isEmpty()) {
+            return;
+        }
+        WaitingBytes.read(channel);
+        if (asked.isEmpty() && channel.isActive()) {
+            ending = true;
+            ((SocketChannel) channel).shutdownOutput();
+            channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     @Override
     void received(Channel channel, PeerMessage message) {
         silence.heard(context.clock().nowMillis());
@@ -99,6 +127,9 @@
     }
 
     private void take(Channel channel, ForwardRequest message) {
+        if (ending) {
+            return;
+        }
         PeerAsker asker = new PeerAsker(message.requestId(), message.attempt(), answer -> answer(channel, answer));
         if (calls.isFull()) {
             asker.finish(new Outcome.NotRun(
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerServer.java
@@ -1,6 +1,8 @@
 package org.rattanplank.daemon.peer;
 
 import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -18,10 +20,12 @@
 public final class PeerServer implements AutoCloseable {
     private final Channel channel;
     private final AtomicInteger unsentAnswers;
+    private final Set<PeerConnection> open;
 
-    private PeerServer(Channel channel, AtomicInteger unsentAnswers) {
+    private PeerServer(Channel channel, AtomicInteger unsentAnswers, Set<PeerConnection> open) {
         this.channel = channel;
         this.unsentAnswers = unsentAnswers;
+        this.open = open;
     }
 
     /**
@@ -40,6 +44,7 @@
         LinkContext context = links.context();
         AtomicInteger connections = new AtomicInteger();
         AtomicInteger unsent = new AtomicInteger();
+        Set<PeerConnection> open = ConcurrentHashMap.newKeySet();
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loops)
                 .channel(TransportDetector.getServerSocketChannelImpl())
@@ -53,11 +58,13 @@
                             child.close();
                             return;
                         }
-                        new PeerConnection(context, calls, events, unsent)
-                                .addTo(child.pipeline(), context.sizes().maxFrameBytes());
+                        PeerConnection connection = new PeerConnection(context, calls, events, unsent);
+                        open.add(connection);
+                        child.closeFuture().addListener(done -> open.remove(connection));
+                        connection.addTo(child.pipeline(), context.sizes().maxFrameBytes());
                     }
                 });
-        return Try.of(() -> new PeerServer(bootstrap.bind(address, port).sync().channel(), unsent));
+        return Try.of(() -> new PeerServer(bootstrap.bind(address, port).sync().channel(), unsent, open));
     }
 
     /**
@@ -78,6 +85,17 @@
         return unsentAnswers.get();
     }
 
+    /**
+     * Takes no more connections, and ends those that carry no request, each after a last look at what has come over it.
+     *
+     * @return whether all have ended
+     */
+    public boolean end() {
+        channel.close();
+        open.forEach(PeerConnection::endIfIdle);
+        return open.isEmpty();
+    }
+
     @Override
     public void close() {
         channel.close();
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/peer/LinksTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/peer/LinksTest.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.util.concurrent.EventExecutor;
 import io.vavr.control.Try;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -37,6 +39,7 @@
     private static final String CHAT = TestHosts.CHAT;
 
     private final DefaultExecController controller = new DefaultExecController(2);
+    private final DefaultExecController otherController = new DefaultExecController(1);
     private final RecordingEvents events = new RecordingEvents();
     private final RecordingEvents otherEvents = new RecordingEvents();
     private final Calls otherCalls = Calls.of(10);
@@ -45,6 +48,7 @@
     @AfterEach
     void close() {
         controller.close();
+        otherController.close();
     }
 
     @Test
@@ -160,7 +164,7 @@
     private void withPeer(long pingTimeoutMillis, Scenario scenario) {
         Links otherLinks = links(Directory.empty(), otherEvents, pingTimeoutMillis, "labasa-1");
         PeerServer peer = PeerServer.open(
-                        "127.0.0.1", 0, controller.getEventLoopGroup(), otherLinks, otherCalls, otherEvents)
+                        "127.0.0.1", 0, otherController.getEventLoopGroup(), otherLinks, otherCalls, otherEvents)
                 .get();
         Links links = links(TestHosts.directory("labasa-1", peer.port()), events, pingTimeoutMillis);
         try (peer) {
@@ -171,6 +175,53 @@
         links.close();
     }
 
+    /*
+     * Symptom: a booking's outcome is unknown when the host that it is forwarded to is replaced.
+     * Sequence: that host stands still at the end of its stop; the request comes; when it goes on, it ends.
+     * Cause: the stop was over when the answers that were due had left, whatever waited unread on its links.
+     */
+    @Test
+    void shouldTakeARequestThatHasComeWhenTheOtherHostEndsWhatIsIdle() {
+        withPeer(30_000, (links, peer) -> {
+            forward(links, "r1");
+            otherEvents.next(Event.PeerAsked.class);
+            otherCalls.finish("r1", new Outcome.NotRun(Failure.of(Step.ROUTE, "any", "full"), 700));
+            ended();
+            CountDownLatch goOn = holdTheOtherHost();
+
+            peer.end();
+            forward(links, "r2");
+            awaitSent();
+            goOn.countDown();
+
+            assertEquals("r2", otherEvents.next(Event.PeerAsked.class).request().id());
+            otherCalls.finish("r2", new Outcome.NotRun(Failure.of(Step.ROUTE, "any", "full"), 700));
+            assertInstanceOf(AttemptResult.NotRun.class, ended());
+            while (!peer.end()) {
+                Thread.onSpinWait();
+            }
+        });
+    }
+
+    private CountDownLatch holdTheOtherHost() {
+        CountDownLatch released = new CountDownLatch(1);
+        otherController.getEventLoopGroup().next().execute(() -> {
+            try {
+                released.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        return released;
+    }
+
+    /** Waits until each event loop of this host has done what it was told before. */
+    private void awaitSent() throws InterruptedException {
+        for (EventExecutor loop : controller.getEventLoopGroup()) {
+            loop.submit(() -> {}).sync();
+        }
+    }
+
     private void forward(Links links, String requestId) {
         Call call = TestHosts.call(requestId, CHAT, asker);
         Action.StartAttempt start = new Action.StartAttempt(
