--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/StopPlan.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/StopPlan.java
@@ -7,10 +7,10 @@
  *
  * <p>Hosts of a region are often stopped one after the other, faster than each is back, since a stop lasts as long as the
  * streams that are open. If each only saw to its own end, engines that may be used would have no host that reaches them,
- * and callers would be refused, or sent to regions where their data must not go, for seconds. So the host of a region
- * that can do so longest goes on with what surely ends in its time until another host there takes callers. Invariants: with
- * another host that takes work, a stop takes as long as its own requests; nothing begins that wouldn't surely end before the host is cut off.
- * Immutable and thread safe.
+ * and callers would be refused, or sent to regions where their data must not go, for seconds. So of the hosts of a region
+ * that stop, the one that can go on longest takes what surely ends in its time, until another host there takes callers.
+ * Invariants: with another host that takes work, a stop takes as long as its own requests; late in its time nothing begins
+ * that wouldn't surely end before everything is cut. Immutable and thread safe.
  */
 public final class StopPlan {
     /**
