End a link only when the last answer over it has left

Cause: the read before the end takes the request, a worker thread decides its answer at once, so that no request is left when the event loop looks again; but the answer's write waits behind that look, and the sending half was ended before it. The same was so for any answer decided on another thread. Change: a link carries nothing only when each answer has left, and never in the step that took a request.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
@@ -1,6 +1,7 @@
 package org.rattanplank.daemon.peer;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -51,8 +52,13 @@
     private final Map<String, Long> asked = new ConcurrentHashMap<>();
     private Option<Hello> other = Option.none();
     private Option<Future<?>> checker = Option.none();
+
+    /** Requests whose answer has not left: one that is decided on another thread waits behind what this loop does now. */
+    private final Set<String> owed = ConcurrentHashMap.newKeySet();
+
     private volatile Option<Channel> open = Option.none();
     private boolean ending;
+    private long taken;
 
     PeerConnection(LinkContext context, Calls calls, Events events, AtomicInteger unsentAnswers) {
         super(context.traffic());
@@ -88,11 +94,12 @@
     }
 
     private void endIfIdle(Channel channel) {
-        if (ending || !asked.isEmpty()) {
+        if (ending || !asked.isEmpty() || !owed.isEmpty()) {
             return;
         }
+        long takenBefore = taken;
         WaitingBytes.read(channel);
-        if (asked.isEmpty() && channel.isActive()) {
+        if (taken == takenBefore && asked.isEmpty() && owed.isEmpty() && channel.isActive()) {
             ending = true;
             ((SocketChannel) channel).shutdownOutput();
             channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
@@ -130,6 +137,8 @@
         if (ending) {
             return;
         }
+        taken++;
+        owed.add(message.requestId());
         PeerAsker asker = new PeerAsker(message.requestId(), message.attempt(), answer -> answer(channel, answer));
         if (calls.isFull()) {
             asker.finish(new Outcome.NotRun(
@@ -161,6 +170,7 @@
 
     private void askerLeft(String requestId) {
         asked.remove(requestId);
+        owed.remove(requestId);
         if (calls.find(requestId).isDefined()) {
             calls.remove(requestId);
             events.raise(new Event.AskerLeft(requestId));
@@ -179,7 +189,12 @@
         }
         unsentAnswers.incrementAndGet();
         ChannelPromise written = channel.newPromise();
-        written.addListener(done -> unsentAnswers.decrementAndGet());
+        written.addListener(done -> {
+            unsentAnswers.decrementAndGet();
+            if (message instanceof ForwardEnd end) {
+                owed.remove(end.requestId());
+            }
+        });
         write(channel, message, FrameCodec.encode(message), written);
     }
 
