--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -283,6 +283,11 @@
         store.put(key, noise, new ClusterFact.Unreadable(Option.none(), "a test's bytes"), false);
     }
 
+    /** How often the store was asked for all that it holds. */
+    long storeLists() {
+        return store.lists();
+    }
+
     /** Reads a metric. */
     long metric(String name) throws IOException {
         String start = "rattanplank_gateway_" + name + " ";
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -119,6 +119,16 @@
                 1, 0, 0, 500, true, 1, storeDigest, false, true, List.of(), List.of(), newestRevision, 1_000));
     }
 
+    /**
+     * Says that it knows the configuration and asks the store itself.
+     *
+     * @param newestRevision the newest change that it knows
+     * @throws IOException if the link ended
+     */
+    public void sayItFollows(long newestRevision) throws IOException {
+        send(new PeerFrame.State(1, 0, 0, 500, true, 1, 0, true, true, List.of(), List.of(), newestRevision, 1_000));
+    }
+
     /**
      * Sends a frame of items in parts, as a crowded link does.
      *
