End a call to the store when nothing comes, not while its answer comes

Callers saw: hosts that take the store for lost, and ask it for everything anew, while it answers them. Cause: a call ended 1.5 s after it began, however much of its answer had come; a list with a configuration of two thousand routes is 0.85 MB on the wire, 0.7 s of a link of 10 Mbit/s that has nothing else to do, and 2 s in windows of 64 KB over 160 ms. Evidence: HttpCallerTest.shouldTakeAnAnswerWhenItsBytesComeForLongerThanTheLimit failed before. Change: the limit counts from the last bytes, eight times at most; a connection that has gone silent is noticed as soon as before (shouldEndACallWhenNoBytesComeForTheLimit).

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpCaller.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpCaller.java
@@ -30,13 +30,16 @@
 /**
  * Makes short calls to one address over connections that are kept.
  *
- * <p>Invariants: each call ends once, with a whole answer or none, at its limit at the latest; a connection whose answer
- * did not come is not used again. Confined to the event loop.
+ * <p>Invariants: each call ends once, with a whole answer or none, when nothing came for its limit or it has taken
+ * {@link #MOST_LIMITS} times as long; a connection whose answer did not come is not used again. Confined to the event loop.
  */
 public final class HttpCaller {
     private static final int CONNECT_MILLIS = 1_000;
     private static final int MAX_ANSWER_BYTES = 16 << 20;
 
+    /** How many times its limit a call may take while bytes of its answer come: a large one may fill a small link. */
+    private static final int MOST_LIMITS = 8;
+
     private final EventLoopGroup group;
     private final InetSocketAddress address;
     private final ArrayDeque<Handler> idle = new ArrayDeque<>();
@@ -82,6 +85,8 @@
         private Channel channel;
         private Consumer<Option<HttpReply>> waiting;
         private ScheduledFuture<?> limit;
+        private int limitsLeft;
+        private boolean came;
 
         private void open(HttpCall call, Consumer<Option<HttpReply>> reply) {
             waiting = reply;
@@ -94,7 +99,7 @@
                         @Override
                         protected void initChannel(SocketChannel socket) {
                             socket.pipeline()
-                                    .addLast(new ByteWatch(traffic::received))
+                                    .addLast(new ByteWatch(Handler.this::bytesCame))
                                     .addLast(new HttpClientCodec())
                                     .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
                                     .addLast(Handler.this);
@@ -112,6 +117,11 @@
             startLimit(call);
         }
 
+        private void bytesCame(int count) {
+            came = true;
+            traffic.received(count);
+        }
+
         private void send(HttpCall call, Consumer<Option<HttpReply>> reply) {
             waiting = reply;
             startLimit(call);
@@ -147,16 +157,27 @@
         }
 
         private void startLimit(HttpCall call) {
-            limit = group.next().schedule(this::timeUp, call.limitMillis(), TimeUnit.MILLISECONDS);
+            limitsLeft = MOST_LIMITS;
+            runLimit(call);
         }
 
-        private void timeUp() {
+        private void runLimit(HttpCall call) {
+            came = false;
+            limit = group.next().schedule(() -> timeUp(call), call.limitMillis(), TimeUnit.MILLISECONDS);
+        }
+
+        private void timeUp(HttpCall call) {
             // A host that stood still may not have read the answer yet: the store would seem lost though it answers.
             Consumer<Option<HttpReply>> late = waiting;
             WaitingBytes.read(channel);
             if (waiting != late) {
                 return;
             }
+            limitsLeft--;
+            if (came && limitsLeft > 0) {
+                runLimit(call);
+                return;
+            }
             // The connection may have gone silent for good, with no sign but this.
             channel.close();
             end(Option.none());
