--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/gateway/GatewayFleet.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/gateway/GatewayFleet.java
@@ -37,6 +37,7 @@
     private static final int FIRST_PORT = 18_500;
     private static final int PORTS = 6;
     private static final int BYTE_VALUES = 250;
+    private static final long LINK_BYTES_PER_MILLI = 125_000;
     private static final SharedLimits LIMITS = new SharedLimits(8_000, 0.2, 160, 10_000, 1, 1_000);
 
     private final EventLoop loop = EventLoop.of();
@@ -112,6 +113,7 @@
                 address(number, 3),
                 address(number, 4),
                 store,
+                LINK_BYTES_PER_MILLI,
                 LIMITS,
                 Mechanisms.ALL);
         EventLoopGroup group = new NioEventLoopGroup(1);
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/LinkShareTest.java
@@ -0,0 +1,64 @@
+package org.rattanplank.core.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class LinkShareTest {
+    private static final double LINK_BYTES_PER_MILLI = 1_250;
+    private static final int PART_BYTES = 8_192;
+
+    /** Guards against background bytes that fill a link, whatever there is to send and however often it is tried. */
+    @Property(tries = 300)
+    void shouldKeepEachSpanWithinTheShareWhenAllThatMayGoIsSent(
+            @ForAll @DoubleRange(min = 0.05, max = 1) double share,
+            @ForAll @Size(min = 2, max = 60) List<@IntRange(min = 1, max = 200) Integer> pausesMillis) {
+        LinkShare link = LinkShare.of(LINK_BYTES_PER_MILLI, share);
+        List<long[]> moved = new ArrayList<>();
+        long now = 0;
+        for (int pause : pausesMillis) {
+            now += pause;
+            while (link.isFree(now)) {
+                link.moved(PART_BYTES, now);
+                moved.add(new long[] {now, PART_BYTES});
+            }
+        }
+
+        for (long[] first : moved) {
+            long bytes = 0;
+            for (long[] each : moved) {
+                if (each[0] >= first[0]) {
+                    bytes += each[1];
+                    double spanMillis = each[0] - first[0] + LinkShare.AHEAD_MILLIS;
+                    assertTrue(bytes <= LINK_BYTES_PER_MILLI * share * spanMillis + PART_BYTES, "bytes: " + bytes);
+                }
+            }
+        }
+    }
+
+    @Test
+    void shouldTellHowLongItIsTakenWhenBytesWereMoved() {
+        LinkShare link = LinkShare.of(LINK_BYTES_PER_MILLI, 0.5);
+
+        link.moved(62_500, 1_000);
+
+        assertEquals(100, link.takenMillis(1_000));
+        assertEquals(0, link.takenMillis(1_100));
+    }
+
+    @Test
+    void shouldRefuseAShareWhenItIsNone() {
+        assertThrows(IllegalArgumentException.class, () -> LinkShare.of(LINK_BYTES_PER_MILLI, 0));
+        assertThrows(IllegalArgumentException.class, () -> LinkShare.of(0, 1));
+    }
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Beliefs.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import java.util.function.Consumer;
 
 import org.rattanplank.core.gateway.EntryChange;
 import org.rattanplank.core.gateway.GatewayConfiguration;
@@ -31,19 +30,16 @@
     private final GatewayState state;
     private final PeerLinks links;
     private final Runnable ownKeyLost;
-    private final Consumer<StoreItem> relay;
     private final Set<String> unreadableTold = new HashSet<>();
 
-    Beliefs(GatewayState state, PeerLinks links, Runnable ownKeyLost, Consumer<StoreItem> relay) {
+    Beliefs(GatewayState state, PeerLinks links, Runnable ownKeyLost) {
         this.state = state;
         this.links = links;
         this.ownKeyLost = ownKeyLost;
-        this.relay = relay;
     }
 
     @Override
     public void learnt(StoreItem item, ClusterFact fact) {
-        relay.accept(item);
         if (fact instanceof ClusterFact.Configured configured) {
             configured(configured.configuration());
         } else if (fact instanceof ClusterFact.IntentsApplied applied) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -40,7 +40,6 @@
 import org.rattanplank.gateway.store.HostLease;
 import org.rattanplank.gateway.store.StoreFailure;
 import org.rattanplank.gateway.store.StoreFeed;
-import org.rattanplank.gateway.store.StoreItem;
 import org.rattanplank.gateway.target.TargetConnections;
 
 /**
@@ -107,12 +106,13 @@
         links = new PeerLinks(self, group, clock, horizon::millis, this);
 
         callers = new CallerServer(group, clock, this::bounds, this::received, this::unsound);
-        beliefs = new Beliefs(state, links, this::keyLost, this::relay);
-        feed = StoreFeed.of(store, names.storeFormat(), beliefs, loop, clock, random);
+        beliefs = new Beliefs(state, links, this::keyLost);
+        feed = StoreFeed.of(store, names.storeFormat(), beliefs, loop, clock, random, settings.linkBytesPerMilli());
         state.join(links, feed::isComplete);
         lease = HostLease.of(
                 store, names.storeFormat(), self, loop, settings.limits().leaseMillis(), this::leaseTold);
-        reports = new PeerReports(state, links, feed, this::takesCallers, this::workMillis);
+        reports =
+                new PeerReports(state, links, feed, settings.linkBytesPerMilli(), this::takesCallers, this::workMillis);
         gauges(store.traffic());
     }
 
@@ -209,11 +209,7 @@
     @Override
     public void storeItems(PeerFrame.StoreItems known) {
         state.pool().beLenient(known.lenientMillis(), clock.nowMillis());
-        if (known.revision() > 0) {
-            feed.takeFromPeer(known.revision(), known.items());
-        } else {
-            feed.takeChanges(known.items());
-        }
+        feed.takeFromPeer(known.base(), known.revision(), known.items());
     }
 
     @Override
@@ -284,10 +280,6 @@
         return state.isInformed() ? stop.map(GatewayStop::workMillis).getOrElse(0L) : 0;
     }
 
-    private void relay(StoreItem item) {
-        reports.relay(item);
-    }
-
     private void leaseTold(Option<StoreFailure> failure) {
         feed.leaseAnswered(failure.isEmpty());
         failure.forEach(
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewaySettings.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param peers where other hosts reach this one
  * @param metrics where metrics are served
  * @param store where the platform's store is
+ * @param linkBytesPerMilli what this host's link takes each way
  * @param limits the bounds that all hosts keep together
  * @param mechanisms which mechanisms decide; all but in experiments
  */
@@ -34,12 +35,16 @@
         InetSocketAddress peers,
         InetSocketAddress metrics,
         InetSocketAddress store,
+        long linkBytesPerMilli,
         SharedLimits limits,
         Mechanisms mechanisms) {
     public GatewaySettings {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(place, "place");
         regionsByDataCentre = Map.copyOf(regionsByDataCentre);
+        if (linkBytesPerMilli <= 0) {
+            throw new IllegalArgumentException("a link of " + linkBytesPerMilli + " bytes/ms");
+        }
         Objects.requireNonNull(limits, "limits");
         Objects.requireNonNull(mechanisms, "mechanisms");
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -13,27 +13,30 @@
 import org.rattanplank.core.gateway.Choice;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.GatewayTarget;
+import org.rattanplank.core.gateway.HelpOrder;
 import org.rattanplank.core.gateway.LatencyModel;
 import org.rattanplank.core.gateway.Mechanism;
 import org.rattanplank.core.gateway.RegionLoads;
 import org.rattanplank.core.gateway.SentWork;
 import org.rattanplank.core.gateway.ServiceRule;
+import org.rattanplank.core.gateway.StoreFollowers;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
-import org.rattanplank.core.host.Rendezvous;
 import org.rattanplank.gateway.pass.GatewayState;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.PeerLink;
 import org.rattanplank.gateway.peer.PeerLinks;
+import org.rattanplank.gateway.peer.StoreDuties;
+import org.rattanplank.gateway.peer.StoreReceiver;
+import org.rattanplank.gateway.peer.StoreTelling;
 import org.rattanplank.gateway.store.StoreFeed;
-import org.rattanplank.gateway.store.StoreItem;
 
 /**
  * What hosts tell each other of their work and of the store.
  *
  * <p>Invariant: what another host said of its work counts only while it is in touch. Confined to the event loop.
  */
-final class PeerReports {
+final class PeerReports implements StoreDuties {
     /** Hosts of one region share targets, and learn of each other's sends this fast; bytes inside a region are free. */
     private static final long OWN_REGION_MILLIS = 100;
 
@@ -49,24 +52,29 @@
     /** The same for links to other regions, whose bytes are dear: at sixty links each state is a second apart. */
     private static final long PER_OTHER_LINK_MILLIS = 16;
 
-    /** Hosts of a region that ask the store for all of them; two may be cut off from it at once. */
-    private static final int FOLLOWERS = 3;
-
     /** How often the hosts that ask the store are chosen anew. */
     private static final long CHOOSE_MILLIS = 250;
 
     /** How old a report of this region's load may be when it is told; a quarter of the least time between two. */
     private static final long LOADS_MILLIS = 100;
 
-    private static final String FOLLOW_KEY = "store";
+    /** Changes are on their way for a moment before another host knows the same. */
+    private static final long LACKS_MILLIS = 700;
+
+    /** A host's word of what it knows may be on its way for twice the longest time between two such words. */
+    private static final int PERIODS = 2;
+
+    /** A host that could help gives the one before it so long, in which the other host says that it was helped. */
+    private static final long TURN_MILLIS = 600;
 
     private final GatewayState state;
     private final PeerLinks links;
     private final StoreFeed feed;
-    private final StoreHelp help;
+    private final StoreTelling telling;
+    private final long linkBytesPerMilli;
     private final BooleanSupplier takesCallers;
     private final LongSupplier workMillis;
-    private final StoreRelay relay;
+    private StoreFollowers followers = StoreFollowers.of(List.of());
     private long followChosenAtMillis;
     private boolean toldToTakeWork;
     private long ownRegionMillis = OWN_REGION_MILLIS;
@@ -81,13 +89,18 @@
             GatewayState state,
             PeerLinks links,
             StoreFeed feed,
+            long linkBytesPerMilli,
             BooleanSupplier takesCallers,
             LongSupplier workMillis) {
         this.state = state;
         this.links = links;
         this.feed = feed;
-        help = new StoreHelp(state, links, feed);
-        relay = new StoreRelay(state, links);
+        this.linkBytesPerMilli = linkBytesPerMilli;
+        telling = new StoreTelling(
+                feed.knowledge(),
+                linkBytesPerMilli,
+                nowMillis -> state.pool().lenientMillis(nowMillis),
+                line -> state.log().ordinary(line));
         this.takesCallers = takesCallers;
         this.workMillis = workMillis;
     }
@@ -116,12 +129,12 @@
                 tell(link, List.of());
             }
         }
-        relay.tick(alive);
-        help.tick(alive, nowMillis);
         if (nowMillis - followChosenAtMillis >= CHOOSE_MILLIS) {
             followChosenAtMillis = nowMillis;
-            feed.follow(shouldFollow(alive));
+            followers = followers(alive);
+            feed.follow(!feed.isComplete() || followers.follows(state.self().name()));
         }
+        telling.tick(alive, this, nowMillis);
     }
 
     private long periodMillis(boolean ownRegion) {
@@ -136,13 +149,6 @@
         tell(link, state.isOwnRegion(link) ? sent() : List.of());
     }
 
-    /** Takes note of an item that was learnt, to be told to hosts that don't ask the store. */
-    void relay(StoreItem item) {
-        if (feed.isFollowing()) {
-            relay.learnt(item);
-        }
-    }
-
     private void tell(PeerLink link, List<PeerFrame.TargetWork> sent) {
         Told last = told.computeIfAbsent(link, each -> new Told());
         last.atMillis = state.nowMillis();
@@ -154,34 +160,79 @@
                 periodMillis(state.isOwnRegion(link)),
                 takesCallers.getAsBoolean(),
                 state.configurationVersion(),
-                feed.digest(),
+                feed.knowledge().digest(),
                 feed.isFollowing(),
                 feed.isHealthy(),
                 sent,
                 state.isOwnRegion(link) ? List.of() : regionLoads(),
-                Math.max(PeerFrame.State.KNOWS_NOTHING, feed.newestRevision()),
-                workMillis.getAsLong()));
+                Math.max(PeerFrame.State.KNOWS_NOTHING, feed.knowledge().newestRevision()),
+                workMillis.getAsLong(),
+                feed.knowledge().revision(),
+                linkBytesPerMilli));
     }
 
-    /**
-     * Whether this host should ask the store itself: in a large region a few do so for all, as each call is paid for.
-     * A host that the store turns away goes on asking, so that it learns when that ends.
-     */
-    private boolean shouldFollow(List<PeerLink> alive) {
-        List<String> healthy = new ArrayList<>();
-        boolean othersFollow = false;
+    private StoreFollowers followers(List<PeerLink> alive) {
+        List<StoreFollowers.Candidate> candidates = new ArrayList<>();
+        candidates.add(new StoreFollowers.Candidate(state.self().name(), feed.isHealthy(), linkBytesPerMilli));
         for (PeerLink link : alive) {
-            if (state.isOwnRegion(link) && link.state().storeHealthy()) {
-                healthy.add(link.host().get().name());
-                othersFollow |= link.state().followsStore();
+            if (state.isOwnRegion(link)) {
+                PeerFrame.State said = link.state();
+                candidates.add(
+                        new StoreFollowers.Candidate(link.name(), said.storeHealthy(), said.linkBytesPerMilli()));
             }
         }
-        if (!feed.isComplete() || !feed.isHealthy() || healthy.size() < FOLLOWERS || !othersFollow) {
-            return true;
+        return StoreFollowers.of(candidates);
+    }
+
+    @Override
+    public boolean tells(StoreReceiver receiver) {
+        PeerFrame.State peer = receiver.state();
+        return followsWell()
+                && needsTelling(peer)
+                && peer.knownRevision() != PeerFrame.State.UNTOLD
+                && followers.tellerOf(receiver.name()).contains(state.self().name());
+    }
+
+    @Override
+    public long helpAfterMillis(StoreReceiver receiver) {
+        PeerFrame.State peer = receiver.state();
+        if (!needsTelling(peer)) {
+            return NEVER;
+        }
+        if (knowsNothing(peer)) {
+            // A host that starts while the store is away would serve nobody until it is back: what others knew last is
+            // better, and is judged by own attempts.
+            return LACKS_MILLIS
+                    + HelpOrder.waitMillis(
+                            state.regionView().hosts(), state.self().name(), receiver.name());
+        }
+        if (!followsWell() || !lacks(receiver)) {
+            return NEVER;
+        }
+        long wait = Math.max(LACKS_MILLIS, PERIODS * peer.periodMillis());
+        return wait + TURN_MILLIS * followers.turn(state.self().name());
+    }
+
+    private boolean followsWell() {
+        return feed.isFollowing() && feed.isHealthy();
+    }
+
+    private static boolean needsTelling(PeerFrame.State peer) {
+        return !peer.followsStore() || !peer.storeHealthy();
+    }
+
+    private static boolean knowsNothing(PeerFrame.State peer) {
+        return peer.configurationVersion() == 0;
+    }
+
+    private boolean lacks(StoreReceiver receiver) {
+        PeerFrame.State peer = receiver.state();
+        if (!state.regionView().hosts().contains(receiver.name())) {
+            // Hosts of another region learn from each other while the store answers some of them.
+            return !peer.storeHealthy() && peer.configurationVersion() < state.configurationVersion();
         }
-        String self = state.self().name();
-        healthy.add(self);
-        return Rendezvous.rank(healthy, FOLLOW_KEY).indexOf(self) < FOLLOWERS;
+        return peer.knownRevision() != PeerFrame.State.UNTOLD
+                || peer.newestRevision() < feed.knowledge().newestRevision();
     }
 
     void said(PeerLink link, PeerFrame.State said) {
@@ -208,8 +259,7 @@
 
     void lost(PeerLink link) {
         told.remove(link);
-        relay.lost(link);
-        help.lost(link);
+        telling.lost(link);
         link.host().forEach(host -> takeSent(host.name(), List.of()));
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -38,6 +38,9 @@
      * @param newestRevision the newest change of the store that it knows; zero if it doesn't say
      * @param workMillis how long work may be sent to it: {@link #FOR_GOOD} if it takes callers, less if it is about to end
      *     as the last of its region, zero if none should be
+     * @param knownRevision the revision up to which it knows all of the store; zero if it knows nothing, {@link #UNTOLD} if
+     *     it doesn't say
+     * @param linkBytesPerMilli what its link takes, zero if it doesn't say
      */
     record State(
             long sentAtMillis,
@@ -52,13 +55,19 @@
             List<TargetWork> sent,
             List<RegionLoad> regionLoads,
             long newestRevision,
-            long workMillis)
+            long workMillis,
+            long knownRevision,
+            long linkBytesPerMilli)
             implements PeerFrame {
         /** How long a host takes work that takes callers. */
         public static final long FOR_GOOD = Long.MAX_VALUE;
 
+        /** The known revision of a host of an earlier version, which doesn't say it. */
+        public static final long UNTOLD = -1;
+
         /** What counts for a host that has said nothing yet. */
-        static final State NONE = new State(0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0, 0);
+        static final State NONE =
+                new State(0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0, 0, UNTOLD, 0);
 
         /** The newest revision of a host that knows nothing yet; revisions of the store are above it. */
         public static final long KNOWS_NOTHING = 1;
@@ -99,16 +108,25 @@
     /**
      * What a host knows of the store, for one that doesn't ask it.
      *
-     * @param revision the revision up to which it knows everything; zero if these are only the newest changes
+     * @param base the revision since which these are all changes; zero if they are all items
+     * @param revision the revision up to which they are; zero if they are only some changes
      * @param lenientMillis how much longer removed entries may come back, as the store was away
      * @param items the items
      */
-    record StoreItems(long revision, long lenientMillis, List<StoreItem> items) implements PeerFrame {
+    record StoreItems(long base, long revision, long lenientMillis, List<StoreItem> items) implements PeerFrame {
         public StoreItems {
             items = List.copyOf(items);
         }
     }
 
+    /**
+     * A part of a frame that is too large to be sent at once. Other frames may come between two parts.
+     *
+     * @param last whether the frame is whole with it
+     * @param bytes the part
+     */
+    record Part(boolean last, byte[] bytes) implements PeerFrame {}
+
     /**
      * A request to be served in the receiver's region.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -36,6 +36,8 @@
     private static final int CANCEL = 9;
     private static final int PACKED = 10;
     private static final int LEAVING = 11;
+    private static final int STORE_CHANGES = 12;
+    private static final int PART = 13;
 
     /** Smaller frames gain too little. */
     private static final int LEAST_PACKED_BYTES = 2_048;
@@ -119,7 +121,12 @@
         } else if (frame instanceof PeerFrame.State state) {
             write(state, out);
         } else if (frame instanceof PeerFrame.StoreItems known) {
-            out.packInt(STORE_ITEMS).packLong(known.revision()).packLong(known.lenientMillis());
+            if (known.base() == 0) {
+                out.packInt(STORE_ITEMS);
+            } else {
+                out.packInt(STORE_CHANGES).packLong(known.base());
+            }
+            out.packLong(known.revision()).packLong(known.lenientMillis());
             out.packArrayHeader(known.items().size());
             for (StoreItem item : known.items()) {
                 out.packString(item.key()).packLong(item.revision()).packBoolean(item.removed());
@@ -141,6 +148,9 @@
             out.packString(failed.failure()).packString(failed.reason()).packString(failed.target());
         } else if (frame instanceof PeerFrame.Cancel cancel) {
             out.packInt(CANCEL).packLong(cancel.call());
+        } else if (frame instanceof PeerFrame.Part part) {
+            out.packInt(PART).packBoolean(part.last());
+            write(part.bytes(), out);
         } else if (frame instanceof PeerFrame.Leaving leaving) {
             out.packInt(LEAVING).packLong(leaving.lastCall());
         }
@@ -167,6 +177,7 @@
         }
         out.packLong(state.newestRevision());
         out.packLong(state.workMillis());
+        out.packLong(state.knownRevision()).packLong(state.linkBytesPerMilli());
     }
 
     private static void write(PeerFrame.Ask ask, MessageBufferPacker out) throws IOException {
@@ -203,7 +214,9 @@
         return switch (kind) {
             case HELLO -> new PeerFrame.Hello(readHost(in));
             case STATE -> readState(in);
-            case STORE_ITEMS -> readItems(in);
+            case STORE_ITEMS -> readItems(0, in);
+            case STORE_CHANGES -> readItems(in.unpackLong(), in);
+            case PART -> new PeerFrame.Part(in.unpackBoolean(), readBytes(in));
             case ASK -> readAsk(in);
             case ANSWER_HEAD -> new PeerFrame.AnswerHead(
                     in.unpackLong(), in.unpackInt(), readTexts(in), in.unpackString());
@@ -245,6 +258,8 @@
         // A host of an earlier version ends its state here.
         long newestRevision = in.hasNext() ? in.unpackLong() : 0;
         long workMillis = in.hasNext() ? in.unpackLong() : takesCallers ? PeerFrame.State.FOR_GOOD : 0;
+        long knownRevision = in.hasNext() ? in.unpackLong() : PeerFrame.State.UNTOLD;
+        long linkBytesPerMilli = in.hasNext() ? in.unpackLong() : 0;
         return new PeerFrame.State(
                 sentAt,
                 echoed,
@@ -258,10 +273,12 @@
                 sent,
                 loads,
                 newestRevision,
-                workMillis);
+                workMillis,
+                knownRevision,
+                linkBytesPerMilli);
     }
 
-    private static PeerFrame readItems(MessageUnpacker in) throws IOException {
+    private static PeerFrame readItems(long base, MessageUnpacker in) throws IOException {
         long revision = in.unpackLong();
         long lenientMillis = in.unpackLong();
         List<StoreItem> items = new ArrayList<>();
@@ -271,7 +288,7 @@
             boolean removed = in.unpackBoolean();
             items.add(new StoreItem(key, readBytes(in), itemRevision, removed));
         }
-        return new PeerFrame.StoreItems(revision, lenientMillis, items);
+        return new PeerFrame.StoreItems(base, revision, lenientMillis, items);
     }
 
     private static PeerFrame readAsk(MessageUnpacker in) throws IOException {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -1,5 +1,7 @@
 package org.rattanplank.gateway.peer;
 
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -34,7 +36,7 @@
  * <p>Invariant: each call that was asked over it ends once; when the connection ends, calls that it carried may have run
  * or still run. Confined to the event loop.
  */
-public final class PeerLink extends SimpleChannelInboundHandler<ByteBuf> {
+public final class PeerLink extends SimpleChannelInboundHandler<ByteBuf> implements StoreReceiver {
     /** A link that brought nothing for so long is taken to be dead: three times the usual time between two states. */
     private static final long SILENT_MILLIS = 1_600;
 
@@ -57,7 +59,7 @@
     private boolean ending;
     private boolean otherEnds;
     private PeerFrame.State state = PeerFrame.State.NONE;
-    private long itemsSentAtMillis;
+    private final ByteArrayOutputStream parts = new ByteArrayOutputStream();
     private long stateAtMillis;
     private double roundTripMillis;
 
@@ -77,11 +79,12 @@
         return Option.of(host);
     }
 
-    /**
-     * What the other host said last.
-     *
-     * @return its state
-     */
+    @Override
+    public String name() {
+        return host().map(GatewayHost::name).getOrElse("");
+    }
+
+    @Override
     public PeerFrame.State state() {
         return state;
     }
@@ -128,35 +131,26 @@
         return Math.max(SILENT_MILLIS, SILENT_PERIODS * state.periodMillis());
     }
 
-    /**
-     * When this host told the other one what it knows of the store.
-     *
-     * @return the time of the last telling
-     */
-    public long itemsSentAtMillis() {
-        return itemsSentAtMillis;
-    }
-
     /**
      * Sends a frame.
      *
      * @param frame the frame
-     * @return its bytes; none if the link has ended
      */
-    public int send(PeerFrame frame) {
-        if (frame instanceof PeerFrame.StoreItems items && items.revision() > 0) {
-            itemsSentAtMillis = clock.nowMillis();
+    public void send(PeerFrame frame) {
+        if (isOpen()) {
+            write(frame, PeerFrameCodec.encode(frame));
         }
-        if (!isOpen()) {
-            return 0;
+    }
+
+    @Override
+    public void send(PeerFrame frame, byte[] bytes) {
+        if (isOpen()) {
+            write(frame, bytes);
         }
-        byte[] bytes = PeerFrameCodec.encode(frame, readsPacked());
-        write(frame, bytes);
-        return bytes.length;
     }
 
     /** Sends a frame that is written already. */
-    ChannelFuture write(PeerFrame frame, byte[] bytes) {
+    private ChannelFuture write(PeerFrame frame, byte[] bytes) {
         owner.traffic().sent(frame, bytes.length);
         return channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
     }
@@ -165,16 +159,8 @@
         return channel != null && channel.isActive();
     }
 
-    /** Whether the other host reads packed items: one that tells its newest revision does. */
-    boolean readsPacked() {
-        return state.newestRevision() > 0;
-    }
-
-    /**
-     * What was sent and has not left this host, as its own link or the other host takes it too slowly.
-     *
-     * @return bytes
-     */
+    /** What was sent and has not left this host, as its own link or the other host takes it too slowly. */
+    @Override
     public long waitingBytes() {
         ChannelOutboundBuffer waiting =
                 channel == null ? null : channel.unsafe().outboundBuffer();
@@ -274,7 +260,11 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) {
-        Try<PeerFrame> frame = PeerFrameCodec.decode(ByteBufUtil.getBytes(bytes));
+        readFrame(ByteBufUtil.getBytes(bytes));
+    }
+
+    private void readFrame(byte[] bytes) {
+        Try<PeerFrame> frame = PeerFrameCodec.decode(bytes);
         if (frame.isFailure()) {
             owner.unreadable(this, frame.getCause());
             return;
@@ -311,6 +301,8 @@
             owner.listener().state(this, newer);
         } else if (frame instanceof PeerFrame.StoreItems known) {
             owner.listener().storeItems(known);
+        } else if (frame instanceof PeerFrame.Part part) {
+            readPart(part);
         } else if (frame instanceof PeerFrame.Ask ask) {
             if (!ending) {
                 lastTaken = Math.max(lastTaken, ask.call());
@@ -325,6 +317,17 @@
         }
     }
 
+    private void readPart(PeerFrame.Part part) {
+        parts.writeBytes(part.bytes());
+        if (parts.size() > PeerLinks.MAX_FRAME_BYTES) {
+            owner.unreadable(this, new IOException("a frame in parts of over " + PeerLinks.MAX_FRAME_BYTES + " bytes"));
+        } else if (part.last()) {
+            byte[] whole = parts.toByteArray();
+            parts.reset();
+            readFrame(whole);
+        }
+    }
+
     /** The other host ends: what it did not take can go elsewhere. */
     private void left(long lastCall) {
         otherEnds = true;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -39,7 +39,7 @@
     private static final int LENGTH_BYTES = 4;
 
     /** A body of the largest size with its headers fits, and so does all that the store holds. */
-    private static final int MAX_FRAME_BYTES = 16 << 20;
+    static final int MAX_FRAME_BYTES = 16 << 20;
 
     private static final int CONNECT_MILLIS = 1_000;
 
@@ -226,28 +226,6 @@
         }
     }
 
-    /**
-     * Sends one frame over several links. It is written once for all of them: a configuration of a thousand routes takes
-     * some 0.4 MB.
-     *
-     * @param frame the frame
-     * @param receivers the links
-     */
-    public void sendAll(PeerFrame frame, List<PeerLink> receivers) {
-        byte[] packed = null;
-        for (PeerLink link : receivers) {
-            if (!link.isOpen()) {
-                continue;
-            }
-            if (!link.readsPacked()) {
-                link.send(frame);
-                continue;
-            }
-            packed = packed == null ? PeerFrameCodec.encode(frame, true) : packed;
-            link.write(frame, packed);
-        }
-    }
-
     /**
      * What was sent over all links and has not left this host.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerTraffic.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerTraffic.java
@@ -63,7 +63,7 @@
         }
 
         private static Kind of(PeerFrame frame) {
-            if (frame instanceof PeerFrame.StoreItems) {
+            if (frame instanceof PeerFrame.StoreItems || frame instanceof PeerFrame.Part) {
                 return STORE;
             }
             return frame instanceof PeerFrame.State || frame instanceof PeerFrame.Hello ? STATES : REQUESTS;
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReceiver.java
@@ -0,0 +1,33 @@
+package org.rattanplank.gateway.peer;
+
+/** Another host, as far as it is told of the store. Confined to the event loop. */
+public interface StoreReceiver {
+    /**
+     * What it is called.
+     *
+     * @return its name
+     */
+    String name();
+
+    /**
+     * What it said last.
+     *
+     * @return its state
+     */
+    PeerFrame.State state();
+
+    /**
+     * What was sent to it and has not left this host.
+     *
+     * @return bytes
+     */
+    long waitingBytes();
+
+    /**
+     * Sends a frame.
+     *
+     * @param frame the frame
+     * @param bytes the frame as it is written
+     */
+    void send(PeerFrame frame, byte[] bytes);
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -1,27 +1,23 @@
 package org.rattanplank.gateway.store;
 
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
-import org.rattanplank.core.host.Rendezvous;
+import org.rattanplank.core.gateway.LinkShare;
 import org.rattanplank.core.store.Backoff;
 import org.rattanplank.gateway.SteadyClock;
 
 /**
  * Follows the store's items: lists them once, then waits for changes, and lists again when the changes are gone.
  *
- * <p>Invariants: an item's older revision never replaces a newer one; a key that is missing from a whole list made at a
- * higher revision than the key's is removed. What other hosts know is taken in the same way while the store is out.
- * Confined to its event loop.
+ * <p>Invariants: a key that is missing from a whole list made at a higher revision than the key's is removed; what is read
+ * takes {@link #READ_SHARE} of the host's link on the average, one list and one watch ahead. What other hosts know is taken
+ * at any time. Confined to its event loop.
  */
 public final class StoreFeed {
     /**
@@ -39,11 +35,20 @@
     /** The longest wait after failed calls: what is learnt after an outage comes this much later at most. */
     private static final long LONGEST_RETRY_MILLIS = 800;
 
+    /** The part of the host's link that answers of the store may take; the rest is for callers. */
+    private static final double READ_SHARE = 0.4;
+
     /**
-     * How old another host's word of what it knows may be: half a second between two such words in a large region, as much
-     * on the way of a change, and as much again for hosts behind with their work.
+     * After a longer pause everything is listed: a watch brings each version of an item that was written meanwhile, a list
+     * the newest alone.
      */
-    private static final long KNEW_LATELY_MILLIS = 1_500;
+    private static final long LONGEST_PAUSE_MILLIS = 1_000;
+
+    /** A host whose calls failed while it followed the store counts as turned away for so long after it left off. */
+    private static final long TURNED_AWAY_MILLIS = 2_000;
+
+    /** Values come as base64 text, which takes four bytes for three. */
+    private static final double WIRE_BYTES_PER_BYTE = 4.0 / 3;
 
     private final ClusterStore store;
     private final StoreFormat format;
@@ -51,16 +56,18 @@
     private final EventLoop loop;
     private final SteadyClock clock;
     private final RandomGenerator random;
-    private final Map<String, Cursor> cursors = new HashMap<>();
-    private final Map<String, StoreItem> items = new HashMap<>();
-    private final Map<String, Long> removedAt = new HashMap<>();
+    private final LinkShare reading;
+    private final StoreKnowledge knowledge = new StoreKnowledge();
+    private final Set<String> listed = new HashSet<>();
+    private Backoff backoff = Backoff.of(0, FIRST_RETRY_MILLIS, LONGEST_RETRY_MILLIS);
+    private long listRevision;
+    private long calledAtMillis;
+    private long lastAnswerMillis;
+    private long lostAtMillis;
+    private boolean busy;
     private boolean lost;
     private boolean leaseLost;
     private boolean following = true;
-    private long digest;
-    private final DigestHistory digests = new DigestHistory();
-    private long newestRevision;
-    private long lastAnswerMillis;
 
     private StoreFeed(
             ClusterStore store,
@@ -68,13 +75,15 @@
             FeedListener listener,
             EventLoop loop,
             SteadyClock clock,
-            RandomGenerator random) {
+            RandomGenerator random,
+            long linkBytesPerMilli) {
         this.store = store;
         this.format = format;
         this.listener = listener;
         this.loop = loop;
         this.clock = clock;
         this.random = random;
+        reading = LinkShare.of(linkBytesPerMilli, READ_SHARE);
         lastAnswerMillis = clock.nowMillis();
     }
 
@@ -87,6 +96,7 @@
      * @param loop the event loop of all calls
      * @param clock the clock
      * @param random the source of jitter
+     * @param linkBytesPerMilli what this host's link takes
      * @return the feed
      */
     public static StoreFeed of(
@@ -95,29 +105,35 @@
             FeedListener listener,
             EventLoop loop,
             SteadyClock clock,
-            RandomGenerator random) {
-        return new StoreFeed(store, format, listener, loop, clock, random);
+            RandomGenerator random,
+            long linkBytesPerMilli) {
+        return new StoreFeed(store, format, listener, loop, clock, random, linkBytesPerMilli);
     }
 
     /** Begins to list and follow. */
     public void start() {
-        for (String prefix : format.prefixes()) {
-            Cursor cursor = new Cursor(prefix);
-            cursors.put(prefix, cursor);
-            cursor.list("");
-        }
+        busy = true;
+        list("");
     }
 
     /**
-     * Follows the store from now on, or leaves that to other hosts that tell what they learn.
+     * Follows the store from now on, or leaves that to other hosts that tell what they learn. A host that knows everything
+     * up to some revision asks for the changes since.
      *
      * @param wanted whether to follow
      */
     public void follow(boolean wanted) {
-        boolean begins = wanted && !following;
+        if (following && !wanted && lost) {
+            lostAtMillis = clock.nowMillis();
+        }
         following = wanted;
-        if (begins) {
-            cursors.values().stream().filter(cursor -> !cursor.busy).forEach(cursor -> cursor.list(""));
+        if (wanted && !busy) {
+            busy = true;
+            if (isComplete()) {
+                watch();
+            } else {
+                list("");
+            }
         }
     }
 
@@ -139,42 +155,14 @@
         leaseLost = !answered;
     }
 
-    /**
-     * A sum over all that is known, by which two hosts see that they know the same.
-     *
-     * @return the sum
-     */
-    public long digest() {
-        return digest;
-    }
-
-    /**
-     * Whether a sum is this host's own, or was a moment ago: what another host says of itself is that old.
-     *
-     * @param sum the sum over what another host knows
-     * @param nowMillis the time
-     * @return whether the other host knows what this one knew of late
-     */
-    public boolean knewLately(long sum, long nowMillis) {
-        return sum == digest || digests.held(sum, nowMillis - KNEW_LATELY_MILLIS);
-    }
-
-    /**
-     * The newest change that is known, or known not to be there.
-     *
-     * @return its revision, zero if nothing is known
-     */
-    public long newestRevision() {
-        return Math.max(newestRevision, revision());
-    }
-
     /**
      * Whether the store answers.
      *
-     * @return whether no call has failed since the last answer
+     * @return whether no call has failed since the last answer, or of late if it is no longer followed
      */
     public boolean isHealthy() {
-        return !leaseLost && !(following && lost);
+        boolean turnedAway = lost && (following || clock.nowMillis() - lostAtMillis < TURNED_AWAY_MILLIS);
+        return !leaseLost && !turnedAway;
     }
 
     /**
@@ -183,7 +171,7 @@
      * @return whether it was
      */
     public boolean isComplete() {
-        return cursors.values().stream().allMatch(cursor -> cursor.revision > 0);
+        return knowledge.revision() > 0;
     }
 
     /**
@@ -196,92 +184,125 @@
     }
 
     /**
-     * The revision up to which everything is known.
+     * What is known.
      *
-     * @return the revision, zero if something was never listed
+     * @return the items and the revision up to which they are all
      */
-    public long revision() {
-        return cursors.values().stream()
-                .mapToLong(cursor -> cursor.revision)
-                .min()
-                .orElse(0);
-    }
-
-    /**
-     * What is known, for a host that can't reach the store.
-     *
-     * @return the items
-     */
-    public Collection<StoreItem> items() {
-        return List.copyOf(items.values());
+    public StoreKnowledge knowledge() {
+        return knowledge;
     }
 
     /**
      * Takes what another host knows.
      *
-     * @param revision the other host's revision
-     * @param known all items that it knows
+     * @param base the revision since which these are all changes; zero if these are all items
+     * @param revision the revision up to which they are; zero if they are only some of the changes
+     * @param known the items and removals
      */
-    public void takeFromPeer(long revision, List<StoreItem> known) {
-        if (following && !lost) {
-            return;
-        }
+    public void takeFromPeer(long base, long revision, List<StoreItem> known) {
         Set<String> present = new HashSet<>();
         for (StoreItem item : known) {
             present.add(item.key());
             take(item);
         }
-        for (Cursor cursor : cursors.values()) {
-            if (revision >= cursor.revision) {
-                removeMissing(cursor.prefix, present, revision);
-                cursor.revision = revision;
-            }
+        if (revision == 0 || base > knowledge.revision()) {
+            return;
+        }
+        if (base == 0 && revision >= knowledge.revision()) {
+            knowledge.missingFrom(present, revision).forEach(this::take);
         }
+        knowledge.complete(revision);
     }
 
-    /**
-     * Takes changes that another host has just learnt.
-     *
-     * @param changes the changes
-     */
-    public void takeChanges(List<StoreItem> changes) {
-        changes.forEach(this::take);
+    private void take(StoreItem item) {
+        if (knowledge.take(item)) {
+            listener.learnt(item, format.read(item));
+        }
     }
 
-    private void take(StoreItem item) {
-        StoreItem known = items.get(item.key());
-        long knownRevision = known != null ? known.revision() : removedAt.getOrDefault(item.key(), 0L);
-        if (item.revision() <= knownRevision) {
+    private void list(String after) {
+        if (!following && isComplete()) {
+            busy = false;
             return;
         }
-        digests.replaced(digest, clock.nowMillis());
-        newestRevision = Math.max(newestRevision, item.revision());
-        if (known != null) {
-            digest ^= digestOf(known);
+        if (after.isEmpty()) {
+            listed.clear();
+            listRevision = Long.MAX_VALUE;
         }
-        if (item.removed()) {
-            items.remove(item.key());
-            removedAt.put(item.key(), item.revision());
-        } else {
-            items.put(item.key(), item);
-            digest ^= digestOf(item);
-            removedAt.remove(item.key());
+        calledAtMillis = clock.nowMillis();
+        store.list(format.prefix(), after, this::listed);
+    }
+
+    private void listed(Either<StoreFailure, StorePage> reply) {
+        if (reply.isLeft()) {
+            retry(reply.getLeft(), () -> list(""));
+            return;
+        }
+        answered();
+        listener.storeAnswered(clock.nowMillis() - calledAtMillis);
+        StorePage page = reply.get();
+        took(FeedReading.LIST, page);
+        // Pages are no snapshot: only the first page's revision is surely covered by all of them.
+        listRevision = Math.min(listRevision, page.revision());
+        page.items().forEach(item -> {
+            listed.add(item.key());
+            take(item);
+        });
+        if (page.more() && !page.items().isEmpty()) {
+            list(page.items().get(page.items().size() - 1).key());
+            return;
         }
-        listener.learnt(item, format.read(item));
+        knowledge.missingFrom(listed, listRevision).forEach(this::take);
+        knowledge.complete(listRevision);
+        backoff = backoff.succeeded();
+        watch();
     }
 
-    private void removeMissing(String prefix, Set<String> present, long revision) {
-        List<String> missing = new ArrayList<>();
-        for (StoreItem item : items.values()) {
-            if (item.key().startsWith(prefix) && !present.contains(item.key()) && item.revision() <= revision) {
-                missing.add(item.key());
-            }
+    private void watch() {
+        busy = following;
+        if (busy) {
+            calledAtMillis = clock.nowMillis();
+            store.watch(format.prefix(), knowledge.revision(), WATCH_MILLIS, this::watched);
+        }
+    }
+
+    private void watched(Either<StoreFailure, StorePage> reply) {
+        if (reply.isLeft()) {
+            watchFailed(reply.getLeft());
+            return;
+        }
+        answered();
+        backoff = backoff.succeeded();
+        StorePage page = reply.get();
+        took(FeedReading.WATCH, page);
+        page.items().forEach(this::take);
+        knowledge.complete(page.revision());
+        if (page.items().isEmpty()) {
+            watch();
+            return;
         }
-        missing.forEach(key -> take(new StoreItem(key, new byte[0], revision, true)));
+        long pauseMillis = Math.max(GATHER_MILLIS, reading.takenMillis(clock.nowMillis()));
+        Runnable next = pauseMillis > LONGEST_PAUSE_MILLIS ? () -> list("") : this::watch;
+        loop.schedule(next, pauseMillis, TimeUnit.MILLISECONDS);
     }
 
-    private static long digestOf(StoreItem item) {
-        return Rendezvous.mix(Rendezvous.hash(item.key()) ^ item.revision());
+    private void watchFailed(StoreFailure failure) {
+        if (failure == StoreFailure.HISTORY_GONE) {
+            long pauseMillis = reading.takenMillis(clock.nowMillis());
+            loop.schedule(() -> list(""), pauseMillis, TimeUnit.MILLISECONDS);
+        } else if (failure == StoreFailure.NO_ANSWER && ageMillis() < WATCH_MILLIS) {
+            // A waiting watch may be cut though the store is well; following on costs one call.
+            retryQuietly(this::watch);
+        } else {
+            // After an outage the changes in between may be gone without a word, so everything is listed anew.
+            retry(failure, () -> list(""));
+        }
+    }
+
+    private void took(FeedReading how, StorePage page) {
+        long bytes = page.valueBytes();
+        reading.moved(Math.round(bytes * WIRE_BYTES_PER_BYTE), clock.nowMillis());
+        listener.read(how, bytes, page.items().size(), clock.nowMillis() - calledAtMillis);
     }
 
     private void answered() {
@@ -292,106 +313,17 @@
         }
     }
 
-    private void failed(StoreFailure failure) {
+    private void retry(StoreFailure failure, Runnable next) {
         if (!lost) {
             lost = true;
             listener.storeLost(failure);
         }
+        retryQuietly(next);
     }
 
-    /** Follows the keys of one prefix. */
-    private final class Cursor {
-        private final String prefix;
-        private final Set<String> listed = new HashSet<>();
-        private long revision;
-        private long listRevision;
-        private long calledAtMillis;
-        private boolean busy;
-        private Backoff backoff = Backoff.of(0, FIRST_RETRY_MILLIS, LONGEST_RETRY_MILLIS);
-
-        private Cursor(String prefix) {
-            this.prefix = prefix;
-        }
-
-        private void list(String after) {
-            if (after.isEmpty()) {
-                listed.clear();
-                listRevision = Long.MAX_VALUE;
-            }
-            busy = true;
-            calledAtMillis = clock.nowMillis();
-            store.list(prefix, after, this::listed);
-        }
-
-        private void listed(Either<StoreFailure, StorePage> reply) {
-            if (reply.isLeft()) {
-                retry(reply.getLeft(), () -> list(""));
-                return;
-            }
-            answered();
-            listener.storeAnswered(clock.nowMillis() - calledAtMillis);
-            StorePage page = reply.get();
-            listener.read(FeedReading.LIST, page.valueBytes(), page.items().size(), clock.nowMillis() - calledAtMillis);
-            // Pages are no snapshot: only the first page's revision is surely covered by all of them.
-            listRevision = Math.min(listRevision, page.revision());
-            page.items().forEach(item -> {
-                listed.add(item.key());
-                take(item);
-            });
-            if (page.more() && !page.items().isEmpty()) {
-                list(page.items().get(page.items().size() - 1).key());
-                return;
-            }
-            removeMissing(prefix, listed, listRevision);
-            revision = Math.max(revision, listRevision);
-            backoff = backoff.succeeded();
-            watch();
-        }
-
-        private void watch() {
-            busy = following;
-            if (busy) {
-                calledAtMillis = clock.nowMillis();
-                store.watch(prefix, revision, WATCH_MILLIS, this::watched);
-            }
-        }
-
-        private void watched(Either<StoreFailure, StorePage> reply) {
-            if (reply.isLeft()) {
-                StoreFailure failure = reply.getLeft();
-                if (failure == StoreFailure.HISTORY_GONE) {
-                    list("");
-                } else if (failure == StoreFailure.NO_ANSWER && ageMillis() < WATCH_MILLIS) {
-                    // A waiting watch may be cut though the store is well; following on costs one call.
-                    retryQuietly(this::watch);
-                } else {
-                    // After an outage the changes in between may be gone without a word, so everything is listed anew.
-                    retry(failure, () -> list(""));
-                }
-                return;
-            }
-            answered();
-            backoff = backoff.succeeded();
-            StorePage page = reply.get();
-            listener.read(
-                    FeedReading.WATCH, page.valueBytes(), page.items().size(), clock.nowMillis() - calledAtMillis);
-            page.items().forEach(StoreFeed.this::take);
-            revision = Math.max(revision, page.revision());
-            if (page.items().isEmpty()) {
-                watch();
-            } else {
-                loop.schedule(this::watch, GATHER_MILLIS, TimeUnit.MILLISECONDS);
-            }
-        }
-
-        private void retry(StoreFailure failure, Runnable next) {
-            failed(failure);
-            retryQuietly(next);
-        }
-
-        private void retryQuietly(Runnable next) {
-            backoff = backoff.failed();
-            loop.schedule(next, backoff.delayMillis(random), TimeUnit.MILLISECONDS);
-        }
+    private void retryQuietly(Runnable next) {
+        backoff = backoff.failed();
+        long pauseMillis = Math.max(backoff.delayMillis(random), reading.takenMillis(clock.nowMillis()));
+        loop.schedule(next, pauseMillis, TimeUnit.MILLISECONDS);
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFormat.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFormat.java
@@ -1,17 +1,15 @@
 package org.rattanplank.gateway.store;
 
-import java.util.List;
-
 import org.rattanplank.core.gateway.GatewayHost;
 
 /** What the items of the store are named and how their values are written. Stateless and thread safe. */
 public interface StoreFormat {
     /**
-     * The start of the keys that the platform and its operator write.
+     * The start of all keys that say something to a host.
      *
-     * @return prefixes, each to be listed and followed
+     * @return the prefix to be listed and followed
      */
-    List<String> prefixes();
+    String prefix();
 
     /**
      * Reads an item.
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -49,6 +49,7 @@
             "Parts",
             "Hint",
             Set.of("Expected", "Urgency"));
+    private static final long LINK_BYTES_PER_MILLI = 1_250;
     private static final String HALL = "suva-hall";
     private static final long GRACE_MILLIS = 4_000;
     private static final long END_LIMIT_MILLIS = 20_000;
@@ -95,6 +96,7 @@
                 peers,
                 metrics,
                 ownAddress(),
+                LINK_BYTES_PER_MILLI,
                 new SharedLimits(graceMillis, 0.2, 160, 10_000, 1, 1_000),
                 Mechanisms.ALL);
         EventLog log = EventLog.start("h1", logged, System::nanoTime);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
@@ -130,8 +130,8 @@
     }
 
     @Override
-    public List<String> prefixes() {
-        return List.of("");
+    public String prefix() {
+        return "";
     }
 
     @Override
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -19,8 +19,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class PeerFrameCodecTest {
-    /** The newest revision, and how long work may be sent there, of the state that is cut short. */
-    private static final int NEWER_BYTES = 1 + 9;
+    /**
+     * The newest revision, how long work may be sent there, the known revision and the link, of the state that is cut short.
+     */
+    private static final int NEWER_BYTES = 1 + 9 + 1 + 1;
 
     private static PeerFrame again(PeerFrame frame) {
         return PeerFrameCodec.decode(PeerFrameCodec.encode(frame)).get();
@@ -43,7 +45,9 @@
                         List.of(new PeerFrame.TargetWork("t", new SentWork(2, new WaitingTokens(1, 2, 3), 4))),
                         List.of(new PeerFrame.RegionLoad("s", Urgency.LAST, 1.5, 0.25)),
                         11,
-                        1_000),
+                        1_000,
+                        10,
+                        1_250),
                 new PeerFrame.AnswerHead(4, 200, List.of("a", "b"), "t"),
                 new PeerFrame.AnswerEnd(4),
                 new PeerFrame.AnswerFailed(4, "UNKNOWN", "why", "t"),
@@ -57,7 +61,7 @@
     void shouldPackItemsOfTheStoreWhenTheReceiverReadsThem() {
         byte[] value = "route ".repeat(20_000).getBytes(StandardCharsets.UTF_8);
         PeerFrame.StoreItems items =
-                new PeerFrame.StoreItems(7, 30, List.of(new StoreItem("configuration", value, 5, false)));
+                new PeerFrame.StoreItems(0, 7, 30, List.of(new StoreItem("configuration", value, 5, false)));
 
         byte[] packed = PeerFrameCodec.encode(items, true);
         PeerFrame.StoreItems read =
@@ -73,7 +77,7 @@
     void shouldFailWithoutHarmWhenAPackedFrameIsCutShort() {
         byte[] value = new byte[10_000];
         byte[] packed = PeerFrameCodec.encode(
-                new PeerFrame.StoreItems(7, 30, List.of(new StoreItem("configuration", value, 5, false))), true);
+                new PeerFrame.StoreItems(0, 7, 30, List.of(new StoreItem("configuration", value, 5, false))), true);
 
         assertTrue(
                 PeerFrameCodec.decode(Arrays.copyOf(packed, packed.length - 4)).isFailure());
@@ -82,7 +86,21 @@
     @Test
     void shouldReadAStateWhenItComesFromAHostThatTellsNoNewestRevision() {
         PeerFrame.State state = new PeerFrame.State(
-                1, 2, 3, 500, true, 9, -7, false, true, List.of(), List.of(), 0, PeerFrame.State.FOR_GOOD);
+                1,
+                2,
+                3,
+                500,
+                true,
+                9,
+                -7,
+                false,
+                true,
+                List.of(),
+                List.of(),
+                0,
+                PeerFrame.State.FOR_GOOD,
+                PeerFrame.State.UNTOLD,
+                0);
         byte[] bytes = PeerFrameCodec.encode(state);
 
         assertEquals(
--- /dev/null
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreTellingTest.java
@@ -0,0 +1,132 @@
+package org.rattanplank.gateway.peer;
+
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class StoreTellingTest {
+    private static final long SMALL_LINK_BYTES_PER_MILLI = 1_250;
+    private static final int CONFIGURATION_BYTES = 60_000;
+    private static final long STEP_MILLIS = 50;
+
+    /** Items are written at the pace of a storm for so long. */
+    private static final int ROUNDS = 30;
+
+    /** A change holds for all hosts so long after it is acknowledged. */
+    private static final long APPLY_MILLIS = 4_000;
+
+    /** A host that ended counts for so long, and then each host chooses anew. */
+    private static final long TAKEOVER_MILLIS = 2_500;
+
+    /** Half of the link is left to callers, in each span of time. */
+    private static final double SHARE = StoreTelling.RELAY_SHARE + StoreTelling.HELP_SHARE;
+
+    /**
+     * Guards against a link that is full of what its host tells others: whatever the number of hosts, the links, the sizes,
+     * the rate of changes, and whichever hosts end or are turned away by the store.
+     */
+    @Property(tries = 40)
+    void shouldLeaveHalfOfEachLinkToCallersWhenAnythingChanges(
+            @ForAll @IntRange(min = 2, max = 60) int hosts,
+            @ForAll @LongRange(min = 125, max = 25_000) long linkBytesPerMilli,
+            @ForAll @IntRange(min = 1, max = 300_000) int itemBytes,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        TestRegion region = new TestRegion(seed);
+        for (int i = 0; i < hosts; i++) {
+            region.addHost(linkBytesPerMilli * (1 + random.nextInt(3)));
+        }
+        for (int i = 0; i < ROUNDS; i++) {
+            region.put("large", 1 + random.nextInt(itemBytes));
+            region.put("small-" + random.nextInt(ROUNDS), 200);
+            TestRegion.Host host = region.hosts().get(random.nextInt(hosts));
+            if (random.nextInt(4) == 0) {
+                host.turnAway(random.nextBoolean());
+            }
+            if (host.follows() && random.nextInt(8) == 0) {
+                host.end();
+            }
+            region.run(STEP_MILLIS * (1 + random.nextInt(10)));
+        }
+
+        region.hosts().forEach(StoreTellingTest::assertShareKept);
+    }
+
+    /** Guards against a bound that is kept by telling nobody in time. */
+    @Property(tries = 10)
+    void shouldTellAllHostsInTimeWhenAConfigurationOfTwoThousandRoutesIsWritten(
+            @ForAll @IntRange(min = 2, max = 120) int hosts, @ForAll long seed) {
+        TestRegion region = region(hosts, seed);
+
+        region.put("configuration", CONFIGURATION_BYTES);
+        region.run(APPLY_MILLIS);
+
+        assertTrue(region.agrees());
+    }
+
+    /** Guards against hosts whose teller has ended and that nobody else tells. */
+    @Property(tries = 10)
+    void shouldTellAllHostsWhenAFollowerEndsWhileItTellsThem(
+            @ForAll @IntRange(min = 4, max = 90) int hosts, @ForAll long seed) {
+        TestRegion region = region(hosts, seed);
+
+        region.put("configuration", CONFIGURATION_BYTES);
+        region.remove("small-1");
+        region.run(4 * STEP_MILLIS);
+        region.hosts().stream()
+                .filter(TestRegion.Host::follows)
+                .findFirst()
+                .get()
+                .end();
+        region.run(APPLY_MILLIS + TAKEOVER_MILLIS);
+
+        assertTrue(region.agrees());
+    }
+
+    /** Guards against an evacuation that waits behind a configuration. */
+    @Test
+    void shouldTellASmallChangeAtOnceWhenLargeOnesAreUnderWay() {
+        TestRegion region = region(40, 1);
+        region.put("configuration", 5 * CONFIGURATION_BYTES);
+        region.run(4 * STEP_MILLIS);
+
+        region.put("evacuation", 10);
+        region.run(8 * STEP_MILLIS);
+
+        List<TestRegion.Host> hosts = region.hosts();
+        assertTrue(hosts.stream().allMatch(host -> host.knows("evacuation")));
+        assertTrue(hosts.stream().anyMatch(host -> !host.knows("configuration")));
+    }
+
+    private static TestRegion region(int hosts, long seed) {
+        TestRegion region = new TestRegion(seed);
+        for (int i = 0; i < hosts; i++) {
+            region.addHost(SMALL_LINK_BYTES_PER_MILLI);
+        }
+        for (int i = 0; i < ROUNDS; i++) {
+            region.put("small-" + i, 200);
+        }
+        region.run(APPLY_MILLIS);
+        return region;
+    }
+
+    private static void assertShareKept(TestRegion.Host host) {
+        double bytesPerMilli = SHARE * host.linkBytesPerMilli();
+        // Two shares, each with a part and the bytes of a step ahead.
+        double ahead = 2 * (StoreTransfer.PART_BYTES + 100) + bytesPerMilli * STEP_MILLIS;
+        double waiting = 0;
+        long lastMillis = 0;
+        for (long[] sent : host.sent()) {
+            waiting = Math.max(0, waiting - bytesPerMilli * (sent[0] - lastMillis)) + sent[1];
+            lastMillis = sent[0];
+            assertTrue(waiting <= ahead, waiting + " bytes beyond the share, " + ahead + " allowed");
+        }
+    }
+}
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -17,6 +17,7 @@
 /** A host of another region that says what a test has it say. Used by the test's thread alone. */
 public final class TestPeer implements AutoCloseable {
     private static final int LIMIT_MILLIS = 20_000;
+    private static final long LINK_BYTES_PER_MILLI = 1_250;
 
     private final Socket socket = new Socket();
     private final DataInputStream in;
@@ -104,7 +105,8 @@
      * @throws IOException if the link ended
      */
     public void sayItKnowsNothing() throws IOException {
-        send(new PeerFrame.State(1, 0, 0, 500, false, 0, 0, true, false, List.of(), List.of(), 0, 0));
+        send(new PeerFrame.State(
+                1, 0, 0, 500, false, 0, 0, true, false, List.of(), List.of(), 0, 0, 0, LINK_BYTES_PER_MILLI));
     }
 
     /**
@@ -116,7 +118,21 @@
      */
     public void sayItKnows(long storeDigest, long newestRevision) throws IOException {
         send(new PeerFrame.State(
-                1, 0, 0, 500, true, 1, storeDigest, false, true, List.of(), List.of(), newestRevision, 1_000));
+                1,
+                0,
+                0,
+                500,
+                true,
+                1,
+                storeDigest,
+                false,
+                true,
+                List.of(),
+                List.of(),
+                newestRevision,
+                1_000,
+                newestRevision,
+                LINK_BYTES_PER_MILLI));
     }
 
     /**
@@ -126,7 +142,22 @@
      * @throws IOException if the link ended
      */
     public void sayItFollows(long newestRevision) throws IOException {
-        send(new PeerFrame.State(1, 0, 0, 500, true, 1, 0, true, true, List.of(), List.of(), newestRevision, 1_000));
+        send(new PeerFrame.State(
+                1,
+                0,
+                0,
+                500,
+                true,
+                1,
+                0,
+                true,
+                true,
+                List.of(),
+                List.of(),
+                newestRevision,
+                1_000,
+                newestRevision,
+                LINK_BYTES_PER_MILLI));
     }
 
     /**
@@ -140,7 +171,7 @@
      */
     public void sendSlowly(int bytes, int parts, long pauseMillis) throws IOException, InterruptedException {
         byte[] frame = PeerFrameCodec.encode(
-                new PeerFrame.StoreItems(0, 0, List.of(new StoreItem("slow", new byte[bytes], 1, false))));
+                new PeerFrame.StoreItems(0, 0, 0, List.of(new StoreItem("slow", new byte[bytes], 1, false))));
         out.writeInt(frame.length);
         int part = frame.length / parts + 1;
         for (int at = 0; at < frame.length; at += part) {
@@ -185,7 +216,8 @@
                 new PeerFrame.RegionLoad(service, Urgency.FIRST, 1, 0),
                 new PeerFrame.RegionLoad(service, Urgency.MIDDLE, 1, 0),
                 new PeerFrame.RegionLoad(service, Urgency.LAST, 1, 0));
-        send(new PeerFrame.State(1, 0, 0, 500, true, 1, 0, false, true, List.of(), loads, 0, 1_000));
+        send(new PeerFrame.State(
+                1, 0, 0, 500, true, 1, 0, false, true, List.of(), loads, 0, 1_000, 0, LINK_BYTES_PER_MILLI));
     }
 
     /**
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
@@ -36,6 +36,7 @@
 /** The adapter's store client and the feed, against the stand-in of the users' store. */
 @Timeout(60)
 class SiteStoreTest {
+    private static final long LINK_BYTES_PER_MILLI = 125_000;
     private static final long LIMIT_SECONDS = 20;
     private static final long BUSY_NANOS = 300_000_000;
 
@@ -65,7 +66,8 @@
                 new Listener(),
                 loop.group().next(),
                 SteadyClock.ofProcess(),
-                new Random(1));
+                new Random(1),
+                LINK_BYTES_PER_MILLI);
         loop.after(0, feed::start);
     }
 
