--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreLinkFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreLinkFlowTest.java
@@ -140,6 +140,17 @@
         }
     }
 
+    @Test
+    void shouldLearnAnItemWhenItComesInPartsWithOtherFramesBetween() throws Exception {
+        long revision = 1_000_000;
+        try (TestPeer teller = gateway.neighbour("n1")) {
+            teller.sendInParts(revision, LARGE_BYTES, LARGE_BYTES / 7);
+            while (teller.await(PeerFrame.State.class).newestRevision() < revision) {
+                teller.sayItKnows(0, 1);
+            }
+        }
+    }
+
     /** Lets the others say for three seconds that the store answers them, and that one of them doesn't ask it. */
     private static void goOnSaying(List<TestPeer> followers, TestPeer neighbour) throws Exception {
         for (int i = 0; i < ROUNDS; i++) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.List;
 
 import org.rattanplank.core.gateway.GatewayHost;
@@ -181,6 +182,24 @@
         }
     }
 
+    /**
+     * Sends an item in a frame of several parts, with a state between them.
+     *
+     * @param revision the item's revision
+     * @param bytes its bytes
+     * @param partBytes the bytes of each part but the last
+     * @throws IOException if the link ended
+     */
+    public void sendInParts(long revision, int bytes, int partBytes) throws IOException {
+        byte[] frame = PeerFrameCodec.encode(
+                new PeerFrame.StoreItems(0, 0, 0, List.of(new StoreItem("parts", new byte[bytes], revision, false))));
+        for (int at = 0; at < frame.length; at += partBytes) {
+            int end = Math.min(frame.length, at + partBytes);
+            send(new PeerFrame.Part(end == frame.length, Arrays.copyOfRange(frame, at, end)));
+            sayItKnows(0, 1);
+        }
+    }
+
     /** Reads whatever comes, on a thread of its own, until the link ends. */
     public void readOn() {
         Thread reader = new Thread(() -> {
