--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -22,6 +22,7 @@
 import org.rattanplank.core.gateway.StoreFollowers;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
+import org.rattanplank.core.host.Rendezvous;
 import org.rattanplank.gateway.pass.GatewayState;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.PeerLink;
@@ -75,6 +76,7 @@
     private final BooleanSupplier takesCallers;
     private final LongSupplier workMillis;
     private StoreFollowers followers = StoreFollowers.of(List.of());
+    private long followersSum = Long.MIN_VALUE;
     private long followChosenAtMillis;
     private boolean toldToTakeWork;
     private long ownRegionMillis = OWN_REGION_MILLIS;
@@ -131,7 +133,7 @@
         }
         if (nowMillis - followChosenAtMillis >= CHOOSE_MILLIS) {
             followChosenAtMillis = nowMillis;
-            followers = followers(alive);
+            chooseFollowers(alive);
             feed.follow(!feed.isComplete() || followers.follows(state.self().name()));
         }
         telling.tick(alive, this, nowMillis);
@@ -171,6 +173,22 @@
                 linkBytesPerMilli));
     }
 
+    /** Ranks the hosts of this region anew if one of them has come, gone or changed; a sum over them tells. */
+    private void chooseFollowers(List<PeerLink> alive) {
+        long sum = feed.isHealthy() ? 1 : 0;
+        for (PeerLink link : alive) {
+            if (link.isOwnRegion()) {
+                PeerFrame.State said = link.state();
+                long candidate = 2 * said.linkBytesPerMilli() + (said.storeHealthy() ? 1 : 0);
+                sum += Rendezvous.mix(Rendezvous.mix(link.name().hashCode()) ^ candidate);
+            }
+        }
+        if (sum != followersSum) {
+            followersSum = sum;
+            followers = followers(alive);
+        }
+    }
+
     private StoreFollowers followers(List<PeerLink> alive) {
         List<StoreFollowers.Candidate> candidates = new ArrayList<>();
         candidates.add(new StoreFollowers.Candidate(state.self().name(), feed.isHealthy(), linkBytesPerMilli));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreTelling.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreTelling.java
@@ -213,7 +213,7 @@
                 knowledge.revision(),
                 knowledge.newestRevision(),
                 host.readsParts());
-        if (written.isEmpty() || !written.get().contents().equals(contents)) {
+        if (written.isEmpty() || !written.get().contents().isSame(contents)) {
             PeerFrame.StoreItems frame = new PeerFrame.StoreItems(
                     base, whole ? knowledge.revision() : 0, lenientMillis.applyAsLong(nowMillis), items);
             byte[] bytes = PeerFrameCodec.encode(frame, host.readsPacked());
@@ -229,7 +229,18 @@
             int items,
             long revision,
             long newestRevision,
-            boolean readsParts) {}
+            boolean readsParts) {
+        /** Compares field by field: for equals of a record the run-time library makes code when it is first called. */
+        private boolean isSame(Contents other) {
+            return base == other.base
+                    && smallBase == other.smallBase
+                    && whole == other.whole
+                    && items == other.items
+                    && revision == other.revision
+                    && newestRevision == other.newestRevision
+                    && readsParts == other.readsParts;
+        }
+    }
 
     private record Written(Contents contents, PeerFrame.StoreItems frame, byte[] bytes) {}
 }
