Let a host follow the store when no other host of its region does; usual names

Traced: its 27 neighbours say that they don't follow the store, and among 28 links alike the gateway is not one of the three that rank first, so it left off following as soon as it had ranked them, in a slow run before it had told anyone. A real region would have had its three; but hosts of an earlier version or that are stuck may not take their turn. Change: a host whose store answers follows as well while no other one of its region says that it does.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/LinkShare.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/LinkShare.java
@@ -37,7 +37,7 @@
      * @param nowMillis the time
      * @return whether the share bears them
      */
-    public boolean isFree(long nowMillis) {
+    public boolean isAvailable(long nowMillis) {
         return freeAtMillis <= nowMillis + AHEAD_MILLIS;
     }
 
@@ -47,7 +47,7 @@
      * @param nowMillis the time
      * @return milliseconds, zero if it is free
      */
-    public long takenMillis(long nowMillis) {
+    public long delayMillis(long nowMillis) {
         return Math.max(0, (long) Math.ceil(freeAtMillis - nowMillis));
     }
 
@@ -57,7 +57,7 @@
      * @param bytes how many
      * @param nowMillis the time
      */
-    public void moved(long bytes, long nowMillis) {
+    public void consume(long bytes, long nowMillis) {
         freeAtMillis = Math.max(freeAtMillis, nowMillis) + bytes / bytesPerMilli;
     }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/StoreFollowers.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/StoreFollowers.java
@@ -16,7 +16,7 @@
  * Which hosts of a region follow the store, and which of these tells each of the others what it learns.
  *
  * <p>Invariants: hosts that the store answers go before those that it turns away, and among these the larger links first;
- * each other host has one teller, and tellers have as many of them as their links bear. Hosts that know the same of each
+ * each other host has one relay, and relays have as many of them as their links bear. Hosts that know the same of each
  * other choose alike. Immutable and thread safe.
  */
 public final class StoreFollowers {
@@ -30,12 +30,12 @@
 
     private final List<String> followers;
     private final Set<String> following;
-    private final Map<String, String> tellers;
+    private final Map<String, String> relays;
 
-    private StoreFollowers(List<String> followers, Map<String, String> tellers) {
+    private StoreFollowers(List<String> followers, Map<String, String> relays) {
         this.followers = List.copyOf(followers);
         this.following = Set.copyOf(followers);
-        this.tellers = Map.copyOf(tellers);
+        this.relays = Map.copyOf(relays);
     }
 
     /**
@@ -48,8 +48,8 @@
         List<Candidate> ranked = rank(candidates);
         int count = Math.min(ranked.size(), count(ranked.size()));
         List<Candidate> followers = ranked.subList(0, count);
-        Map<String, String> tellers = tellers(followers, ranked.subList(count, ranked.size()));
-        return new StoreFollowers(followers.stream().map(Candidate::name).toList(), tellers);
+        Map<String, String> relays = relays(followers, ranked.subList(count, ranked.size()));
+        return new StoreFollowers(followers.stream().map(Candidate::name).toList(), relays);
     }
 
     /**
@@ -76,10 +76,10 @@
      * The host that tells another one what it learns.
      *
      * @param host the name of a host that doesn't follow the store
-     * @return the name of its teller, or none if it is not one of the candidates
+     * @return the name of its relay, or none if it is not one of the candidates
      */
-    public Option<String> tellerOf(String host) {
-        return Option.of(tellers.get(host));
+    public Option<String> relayFor(String host) {
+        return Option.of(relays.get(host));
     }
 
     /**
@@ -105,8 +105,8 @@
         return ranked;
     }
 
-    private static Map<String, String> tellers(List<Candidate> followers, List<Candidate> others) {
-        Map<String, String> tellers = new HashMap<>();
+    private static Map<String, String> relays(List<Candidate> followers, List<Candidate> others) {
+        Map<String, String> relays = new HashMap<>();
         int[] told = new int[followers.size()];
         for (Candidate other : others) {
             int least = 0;
@@ -116,9 +116,9 @@
                 }
             }
             told[least]++;
-            tellers.put(other.name(), followers.get(least).name());
+            relays.put(other.name(), followers.get(least).name());
         }
-        return tellers;
+        return relays;
     }
 
     /** What one more host would make of a follower's work, against its link. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -27,9 +27,9 @@
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.PeerLink;
 import org.rattanplank.gateway.peer.PeerLinks;
-import org.rattanplank.gateway.peer.StoreDuties;
+import org.rattanplank.gateway.peer.ReplicationPolicy;
 import org.rattanplank.gateway.peer.StoreReceiver;
-import org.rattanplank.gateway.peer.StoreTelling;
+import org.rattanplank.gateway.peer.StoreReplicator;
 import org.rattanplank.gateway.store.StoreFeed;
 
 /**
@@ -37,7 +37,7 @@
  *
  * <p>Invariant: what another host said of its work counts only while it is in touch. Confined to the event loop.
  */
-final class PeerReports implements StoreDuties {
+final class PeerReports implements ReplicationPolicy {
     /** Hosts of one region share targets, and learn of each other's sends this fast; bytes inside a region are free. */
     private static final long OWN_REGION_MILLIS = 100;
 
@@ -71,7 +71,7 @@
     private final GatewayState state;
     private final PeerLinks links;
     private final StoreFeed feed;
-    private final StoreTelling telling;
+    private final StoreReplicator replicator;
     private final long linkBytesPerMilli;
     private final BooleanSupplier takesCallers;
     private final LongSupplier workMillis;
@@ -98,11 +98,9 @@
         this.links = links;
         this.feed = feed;
         this.linkBytesPerMilli = linkBytesPerMilli;
-        telling = new StoreTelling(
-                feed.knowledge(),
-                linkBytesPerMilli,
-                nowMillis -> state.pool().lenientMillis(nowMillis),
-                line -> state.log().ordinary(line));
+        replicator = new StoreReplicator(
+                feed.copy(), linkBytesPerMilli, nowMillis -> state.pool().lenientMillis(nowMillis), line -> state.log()
+                        .ordinary(line));
         this.takesCallers = takesCallers;
         this.workMillis = workMillis;
     }
@@ -134,9 +132,9 @@
         if (nowMillis - followChosenAtMillis >= CHOOSE_MILLIS) {
             followChosenAtMillis = nowMillis;
             chooseFollowers(alive);
-            feed.follow(!feed.isComplete() || followers.follows(state.self().name()));
+            feed.follow(shouldFollow(alive));
         }
-        telling.tick(alive, this, nowMillis);
+        replicator.tick(alive, this, nowMillis);
     }
 
     private long periodMillis(boolean ownRegion) {
@@ -162,17 +160,32 @@
                 periodMillis(link.isOwnRegion()),
                 takesCallers.getAsBoolean(),
                 state.configurationVersion(),
-                feed.knowledge().digest(),
+                feed.copy().digest(),
                 feed.isFollowing(),
                 feed.isHealthy(),
                 sent,
                 link.isOwnRegion() ? List.of() : regionLoads(),
-                Math.max(PeerFrame.State.KNOWS_NOTHING, feed.knowledge().newestRevision()),
+                Math.max(PeerFrame.State.KNOWS_NOTHING, feed.copy().newestRevision()),
                 workMillis.getAsLong(),
-                feed.knowledge().revision(),
+                feed.copy().revision(),
                 linkBytesPerMilli));
     }
 
+    /** Whether this host asks the store itself: it is ranked among the followers, or nobody else follows. */
+    private boolean shouldFollow(List<PeerLink> alive) {
+        if (!feed.isComplete() || followers.follows(state.self().name())) {
+            return true;
+        }
+        for (PeerLink link : alive) {
+            if (link.isOwnRegion()
+                    && link.state().followsStore()
+                    && link.state().storeHealthy()) {
+                return false;
+            }
+        }
+        return feed.isHealthy();
+    }
+
     /** Ranks the hosts of this region anew if one of them has come, gone or changed; a sum over them tells. */
     private void chooseFollowers(List<PeerLink> alive) {
         long sum = feed.isHealthy() ? 1 : 0;
@@ -203,43 +216,43 @@
     }
 
     @Override
-    public boolean tells(StoreReceiver receiver) {
+    public boolean relaysTo(StoreReceiver receiver) {
         PeerFrame.State peer = receiver.state();
-        return followsWell()
-                && needsTelling(peer)
+        return isHealthyFollower()
+                && needsRelay(peer)
                 && peer.knownRevision() != PeerFrame.State.UNTOLD
-                && followers.tellerOf(receiver.name()).contains(state.self().name());
+                && followers.relayFor(receiver.name()).contains(state.self().name());
     }
 
     @Override
-    public long helpAfterMillis(StoreReceiver receiver) {
+    public long catchUpAfterMillis(StoreReceiver receiver) {
         PeerFrame.State peer = receiver.state();
-        if (!needsTelling(peer)) {
+        if (!needsRelay(peer)) {
             return NEVER;
         }
-        if (knowsNothing(peer)) {
+        if (isEmpty(peer)) {
             // A host that starts while the store is away would serve nobody until it is back: what others knew last is
             // better, and is judged by own attempts.
             return LACKS_MILLIS
                     + HelpOrder.waitMillis(
                             state.regionView().hosts(), state.self().name(), receiver.name());
         }
-        if (!followsWell() || !lacks(receiver)) {
+        if (!isHealthyFollower() || !lacks(receiver)) {
             return NEVER;
         }
         long wait = Math.max(LACKS_MILLIS, PERIODS * peer.periodMillis());
         return wait + TURN_MILLIS * followers.turn(state.self().name());
     }
 
-    private boolean followsWell() {
+    private boolean isHealthyFollower() {
         return feed.isFollowing() && feed.isHealthy();
     }
 
-    private static boolean needsTelling(PeerFrame.State peer) {
+    private static boolean needsRelay(PeerFrame.State peer) {
         return !peer.followsStore() || !peer.storeHealthy();
     }
 
-    private static boolean knowsNothing(PeerFrame.State peer) {
+    private static boolean isEmpty(PeerFrame.State peer) {
         return peer.configurationVersion() == 0;
     }
 
@@ -250,7 +263,7 @@
             return !peer.storeHealthy() && peer.configurationVersion() < state.configurationVersion();
         }
         return peer.knownRevision() != PeerFrame.State.UNTOLD
-                || peer.newestRevision() < feed.knowledge().newestRevision();
+                || peer.newestRevision() < feed.copy().newestRevision();
     }
 
     void said(PeerLink link, PeerFrame.State said) {
@@ -277,7 +290,7 @@
 
     void lost(PeerLink link) {
         told.remove(link);
-        telling.lost(link);
+        replicator.lost(link);
         link.host().forEach(host -> takeSent(host.name(), List.of()));
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReceiver.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReceiver.java
@@ -1,6 +1,6 @@
 package org.rattanplank.gateway.peer;
 
-/** Another host, as far as it is told of the store. Confined to the event loop. */
+/** A host that the store is replicated to. Confined to the event loop. */
 public interface StoreReceiver {
     /**
      * What it is called.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreKnowledge.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
@@ -18,7 +18,7 @@
  * <p>Invariants: an item's older revision never replaces a newer one; the revision up to which everything is known never
  * falls. Confined to the event loop.
  */
-public final class StoreKnowledge {
+public final class StoreCopy {
     private static final Comparator<StoreItem> BY_REVISION =
             Comparator.comparingLong(StoreItem::revision).thenComparing(StoreItem::key);
 
@@ -73,7 +73,7 @@
      * @param listRevision the revision at which it was made
      * @return the removals
      */
-    public List<StoreItem> missingFrom(Set<String> present, long listRevision) {
+    public List<StoreItem> absentFrom(Set<String> present, long listRevision) {
         List<StoreItem> missing = new ArrayList<>();
         for (StoreItem item : items.values()) {
             if (!present.contains(item.key()) && item.revision() <= listRevision) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -57,7 +57,7 @@
     private final SteadyClock clock;
     private final RandomGenerator random;
     private final LinkShare reading;
-    private final StoreKnowledge knowledge = new StoreKnowledge();
+    private final StoreCopy copy = new StoreCopy();
     private final Set<String> listed = new HashSet<>();
     private Backoff backoff = Backoff.of(0, FIRST_RETRY_MILLIS, LONGEST_RETRY_MILLIS);
     private long listRevision;
@@ -171,7 +171,7 @@
      * @return whether it was
      */
     public boolean isComplete() {
-        return knowledge.revision() > 0;
+        return copy.revision() > 0;
     }
 
     /**
@@ -188,8 +188,8 @@
      *
      * @return the items and the revision up to which they are all
      */
-    public StoreKnowledge knowledge() {
-        return knowledge;
+    public StoreCopy copy() {
+        return copy;
     }
 
     /**
@@ -205,17 +205,17 @@
             present.add(item.key());
             take(item);
         }
-        if (revision == 0 || base > knowledge.revision()) {
+        if (revision == 0 || base > copy.revision()) {
             return;
         }
-        if (base == 0 && revision >= knowledge.revision()) {
-            knowledge.missingFrom(present, revision).forEach(this::take);
+        if (base == 0 && revision >= copy.revision()) {
+            copy.absentFrom(present, revision).forEach(this::take);
         }
-        knowledge.complete(revision);
+        copy.complete(revision);
     }
 
     private void take(StoreItem item) {
-        if (knowledge.take(item)) {
+        if (copy.take(item)) {
             listener.learnt(item, format.read(item));
         }
     }
@@ -252,8 +252,8 @@
             list(page.items().get(page.items().size() - 1).key());
             return;
         }
-        knowledge.missingFrom(listed, listRevision).forEach(this::take);
-        knowledge.complete(listRevision);
+        copy.absentFrom(listed, listRevision).forEach(this::take);
+        copy.complete(listRevision);
         backoff = backoff.succeeded();
         watch();
     }
@@ -262,7 +262,7 @@
         busy = following;
         if (busy) {
             calledAtMillis = clock.nowMillis();
-            store.watch(format.prefix(), knowledge.revision(), WATCH_MILLIS, this::watched);
+            store.watch(format.prefix(), copy.revision(), WATCH_MILLIS, this::watched);
         }
     }
 
@@ -276,19 +276,19 @@
         StorePage page = reply.get();
         took(FeedReading.WATCH, page);
         page.items().forEach(this::take);
-        knowledge.complete(page.revision());
+        copy.complete(page.revision());
         if (page.items().isEmpty()) {
             watch();
             return;
         }
-        long pauseMillis = Math.max(GATHER_MILLIS, reading.takenMillis(clock.nowMillis()));
+        long pauseMillis = Math.max(GATHER_MILLIS, reading.delayMillis(clock.nowMillis()));
         Runnable next = pauseMillis > LONGEST_PAUSE_MILLIS ? () -> list("") : this::watch;
         loop.schedule(next, pauseMillis, TimeUnit.MILLISECONDS);
     }
 
     private void watchFailed(StoreFailure failure) {
         if (failure == StoreFailure.HISTORY_GONE) {
-            long pauseMillis = reading.takenMillis(clock.nowMillis());
+            long pauseMillis = reading.delayMillis(clock.nowMillis());
             loop.schedule(() -> list(""), pauseMillis, TimeUnit.MILLISECONDS);
         } else if (failure == StoreFailure.NO_ANSWER && ageMillis() < WATCH_MILLIS) {
             // A waiting watch may be cut though the store is well; following on costs one call.
@@ -301,7 +301,7 @@
 
     private void took(FeedReading how, StorePage page) {
         long bytes = page.valueBytes();
-        reading.moved(Math.round(bytes * WIRE_BYTES_PER_BYTE), clock.nowMillis());
+        reading.consume(Math.round(bytes * WIRE_BYTES_PER_BYTE), clock.nowMillis());
         listener.read(how, bytes, page.items().size(), clock.nowMillis() - calledAtMillis);
     }
 
@@ -323,7 +323,7 @@
 
     private void retryQuietly(Runnable next) {
         backoff = backoff.failed();
-        long pauseMillis = Math.max(backoff.delayMillis(random), reading.takenMillis(clock.nowMillis()));
+        long pauseMillis = Math.max(backoff.delayMillis(random), reading.delayMillis(clock.nowMillis()));
         loop.schedule(next, pauseMillis, TimeUnit.MILLISECONDS);
     }
 }
