--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerReports.java
@@ -13,23 +13,17 @@
 import org.rattanplank.core.gateway.Choice;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.GatewayTarget;
-import org.rattanplank.core.gateway.HelpOrder;
 import org.rattanplank.core.gateway.LatencyModel;
 import org.rattanplank.core.gateway.Mechanism;
 import org.rattanplank.core.gateway.RegionLoads;
 import org.rattanplank.core.gateway.SentWork;
 import org.rattanplank.core.gateway.ServiceRule;
-import org.rattanplank.core.gateway.StoreFollowers;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
-import org.rattanplank.core.host.Rendezvous;
 import org.rattanplank.gateway.pass.GatewayState;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.PeerLink;
 import org.rattanplank.gateway.peer.PeerLinks;
-import org.rattanplank.gateway.peer.ReplicationPolicy;
-import org.rattanplank.gateway.peer.StoreReceiver;
-import org.rattanplank.gateway.peer.StoreReplicator;
 import org.rattanplank.gateway.store.StoreFeed;
 
 /**
@@ -37,7 +31,7 @@
  *
  * <p>Invariant: what another host said of its work counts only while it is in touch. Confined to the event loop.
  */
-final class PeerReports implements ReplicationPolicy {
+final class PeerReports {
     /** Hosts of one region share targets, and learn of each other's sends this fast; bytes inside a region are free. */
     private static final long OWN_REGION_MILLIS = 100;
 
@@ -53,31 +47,16 @@
     /** The same for links to other regions, whose bytes are dear: at sixty links each state is a second apart. */
     private static final long PER_OTHER_LINK_MILLIS = 16;
 
-    /** How often the hosts that ask the store are chosen anew. */
-    private static final long CHOOSE_MILLIS = 250;
-
     /** How old a report of this region's load may be when it is told; a quarter of the least time between two. */
     private static final long LOADS_MILLIS = 100;
 
-    /** Changes are on their way for a moment before another host knows the same. */
-    private static final long LACKS_MILLIS = 700;
-
-    /** A host's word of what it knows may be on its way for twice the longest time between two such words. */
-    private static final int PERIODS = 2;
-
-    /** A host that could help gives the one before it so long, in which the other host says that it was helped. */
-    private static final long TURN_MILLIS = 600;
-
     private final GatewayState state;
     private final PeerLinks links;
     private final StoreFeed feed;
-    private final StoreReplicator replicator;
+    private final RegionReplication replication;
     private final long linkBytesPerMilli;
     private final BooleanSupplier takesCallers;
     private final LongSupplier workMillis;
-    private StoreFollowers followers = StoreFollowers.of(List.of());
-    private long followersSum = Long.MIN_VALUE;
-    private long followChosenAtMillis;
     private boolean toldToTakeWork;
     private long ownRegionMillis = OWN_REGION_MILLIS;
     private long otherRegionMillis = OTHER_REGION_MILLIS;
@@ -98,9 +77,7 @@
         this.links = links;
         this.feed = feed;
         this.linkBytesPerMilli = linkBytesPerMilli;
-        replicator = new StoreReplicator(
-                feed.copy(), linkBytesPerMilli, nowMillis -> state.pool().lenientMillis(nowMillis), line -> state.log()
-                        .ordinary(line));
+        replication = new RegionReplication(state, feed, linkBytesPerMilli);
         this.takesCallers = takesCallers;
         this.workMillis = workMillis;
     }
@@ -129,12 +106,7 @@
                 tell(link, List.of());
             }
         }
-        if (nowMillis - followChosenAtMillis >= CHOOSE_MILLIS) {
-            followChosenAtMillis = nowMillis;
-            chooseFollowers(alive);
-            feed.follow(shouldFollow(alive));
-        }
-        replicator.tick(alive, this, nowMillis);
+        replication.tick(alive, nowMillis);
     }
 
     private long periodMillis(boolean ownRegion) {
@@ -171,101 +143,6 @@
                 linkBytesPerMilli));
     }
 
-    /** Whether this host asks the store itself: it is ranked among the followers, or nobody else follows. */
-    private boolean shouldFollow(List<PeerLink> alive) {
-        if (!feed.isComplete() || followers.follows(state.self().name())) {
-            return true;
-        }
-        for (PeerLink link : alive) {
-            if (link.isOwnRegion()
-                    && link.state().followsStore()
-                    && link.state().storeHealthy()) {
-                return false;
-            }
-        }
-        return feed.isHealthy();
-    }
-
-    /** Ranks the hosts of this region anew if one of them has come, gone or changed; a sum over them tells. */
-    private void chooseFollowers(List<PeerLink> alive) {
-        long sum = feed.isHealthy() ? 1 : 0;
-        for (PeerLink link : alive) {
-            if (link.isOwnRegion()) {
-                PeerFrame.State said = link.state();
-                long candidate = 2 * said.linkBytesPerMilli() + (said.storeHealthy() ? 1 : 0);
-                sum += Rendezvous.mix(Rendezvous.mix(link.name().hashCode()) ^ candidate);
-            }
-        }
-        if (sum != followersSum) {
-            followersSum = sum;
-            followers = followers(alive);
-        }
-    }
-
-    private StoreFollowers followers(List<PeerLink> alive) {
-        List<StoreFollowers.Candidate> candidates = new ArrayList<>();
-        candidates.add(new StoreFollowers.Candidate(state.self().name(), feed.isHealthy(), linkBytesPerMilli));
-        for (PeerLink link : alive) {
-            if (link.isOwnRegion()) {
-                PeerFrame.State said = link.state();
-                candidates.add(
-                        new StoreFollowers.Candidate(link.name(), said.storeHealthy(), said.linkBytesPerMilli()));
-            }
-        }
-        return StoreFollowers.of(candidates);
-    }
-
-    @Override
-    public boolean relaysTo(StoreReceiver receiver) {
-        PeerFrame.State peer = receiver.state();
-        return isHealthyFollower()
-                && needsRelay(peer)
-                && peer.knownRevision() != PeerFrame.State.UNTOLD
-                && followers.relayFor(receiver.name()).contains(state.self().name());
-    }
-
-    @Override
-    public long catchUpAfterMillis(StoreReceiver receiver) {
-        PeerFrame.State peer = receiver.state();
-        if (!needsRelay(peer)) {
-            return NEVER;
-        }
-        if (isEmpty(peer)) {
-            // A host that starts while the store is away would serve nobody until it is back: what others knew last is
-            // better, and is judged by own attempts.
-            return LACKS_MILLIS
-                    + HelpOrder.waitMillis(
-                            state.regionView().hosts(), state.self().name(), receiver.name());
-        }
-        if (!isHealthyFollower() || !lacks(receiver)) {
-            return NEVER;
-        }
-        long wait = Math.max(LACKS_MILLIS, PERIODS * peer.periodMillis());
-        return wait + TURN_MILLIS * followers.turn(state.self().name());
-    }
-
-    private boolean isHealthyFollower() {
-        return feed.isFollowing() && feed.isHealthy();
-    }
-
-    private static boolean needsRelay(PeerFrame.State peer) {
-        return !peer.followsStore() || !peer.storeHealthy();
-    }
-
-    private static boolean isEmpty(PeerFrame.State peer) {
-        return peer.configurationVersion() == 0;
-    }
-
-    private boolean lacks(StoreReceiver receiver) {
-        PeerFrame.State peer = receiver.state();
-        if (!state.regionView().hosts().contains(receiver.name())) {
-            // Hosts of another region learn from each other while the store answers some of them.
-            return !peer.storeHealthy() && peer.configurationVersion() < state.configurationVersion();
-        }
-        return peer.knownRevision() != PeerFrame.State.UNTOLD
-                || peer.newestRevision() < feed.copy().newestRevision();
-    }
-
     void said(PeerLink link, PeerFrame.State said) {
         GatewayHost host = link.host().get();
         state.metrics().took(Latency.PEER_ROUND_TRIP, link.roundTripMillis());
@@ -290,7 +167,7 @@
 
     void lost(PeerLink link) {
         told.remove(link);
-        replicator.lost(link);
+        replication.lost(link);
         link.host().forEach(host -> takeSent(host.name(), List.of()));
     }
 
