Count requests under way when a stopping host judges what ends in time

Cause, by reading: a host that stops begins what surely ends in time, by the longest of its kind that has ended of late; one that still runs and has taken longer already was not counted. Change: it counts with what it has taken so far. GatewayFlowTest.shouldBeginNothingWhenOneOfItsKindIsUnderWayForLongerThanTheTimeLeft failed before (200 instead of 503) and passes.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/LongestTimes.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/LongestTimes.java
@@ -17,10 +17,10 @@
     private final Map<String, Longest> kinds = new HashMap<>();
 
     /**
-     * Takes note of a whole answer.
+     * Takes note of a whole answer, or of a request that is still under way.
      *
      * @param kind the kind of request
-     * @param millis what it took
+     * @param millis what it took, or has taken so far
      * @param nowMillis the time
      */
     public void took(String kind, long millis, long nowMillis) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedCall.java
@@ -132,7 +132,7 @@
     @Override
     public void ended() {
         link.send(new PeerFrame.AnswerEnd(ask.call()));
-        route().forEach(rule -> state.tookWhole(rule, state.nowMillis() - takenAtMillis));
+        route().forEach(rule -> state.takes(rule, state.nowMillis() - takenAtMillis));
         end("answered");
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -335,7 +335,8 @@
         return mayBegin.test(longestTimes.longestMillis(route.name(), nowMillis()));
     }
 
-    void tookWhole(RouteRule route, long millis) {
+    /** Takes note of how long a request takes, or has taken so far if it is still under way. */
+    void takes(RouteRule route, long millis) {
         longestTimes.took(route.name(), millis, nowMillis());
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/PassThrough.java
@@ -160,6 +160,7 @@
             timeUp();
             return;
         }
+        state.takes(route, nowMillis - arrivedAtMillis);
         if (isStalled(nowMillis)) {
             Attempt stalled = attempt;
             localTarget.unreachable(nowMillis);
@@ -409,7 +410,7 @@
         GatewayMetrics metrics = state.metrics();
         metrics.answered();
         metrics.took(Latency.WHOLE, state.nowMillis() - arrivedAtMillis);
-        state.tookWhole(route, state.nowMillis() - arrivedAtMillis);
+        state.takes(route, state.nowMillis() - arrivedAtMillis);
         metrics.took(Latency.FIRST_PART, timeliness().firstPartMillis());
         metrics.took(Latency.LONGEST_GAP, timeliness().longestGapMillis());
         boolean targetFailed = reply.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
@@ -19,6 +19,8 @@
 @Timeout(60)
 class GatewayFlowTest {
     private static final long LIMIT_SECONDS = 20;
+    private static final long UNDER_WAY_MILLIS = 2_000;
+    private static final long STOPPING_MILLIS = 1_000;
 
     private TestGateway gateway;
 
@@ -328,6 +330,40 @@
         }
     }
 
+    /** Guards against an answer that is cut at a planned stop though others of its kind show that it takes too long. */
+    @Test
+    void shouldBeginNothingWhenOneOfItsKindIsUnderWayForLongerThanTheTimeLeft() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        try (TestTarget target = new TestTarget((request, out) -> {
+            if (request.contains("slow")) {
+                awaitQuietly(released);
+            }
+            TestTarget.write(out, TestTarget.answer(request, 200, "one"));
+        })) {
+            gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
+            TestCaller kept = gateway.caller().send(request("q1", "b"));
+            kept.readUntil("one");
+            TestCaller slow = gateway.caller().send(request("slow", "b"));
+            Thread.sleep(UNDER_WAY_MILLIS);
+
+            gateway.stop();
+            Thread.sleep(STOPPING_MILLIS);
+            kept.send(request("q2", "b"));
+
+            kept.readUntil("HTTP/1.1 503");
+            released.countDown();
+            slow.readUntil("one");
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * Symptom: requests go where the operator no longer wants them. Sequence: a newer configuration is in force; an older
      * one comes late, from a host that was cut off. Cause: whatever came last was taken.
