--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreLinkFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreLinkFlowTest.java
@@ -29,6 +29,10 @@
     /** Half of the link of the smallest hosts, 10 Mbit/s. */
     private static final int LINK_HALF_BYTES_PER_MILLI = 625;
 
+    /** The most that an item may have. */
+    private static final int LARGEST_BYTES = 1 << 20;
+
+    private static final int VERSIONS = 12;
     private static final int ROUNDS = 30;
     private static final int ROUNDS_PER_VERSION = 5;
     private static final long ROUND_MILLIS = 100;
@@ -140,6 +144,21 @@
         }
     }
 
+    /** Guards against a follower's link that is full of versions of an item that are replaced before they are read. */
+    @Test
+    void shouldReadTheNewestVersionAloneWhenALargeItemIsWrittenAgainAndAgain() throws Exception {
+        long lists = gateway.storeLists();
+        for (int i = 0; i < VERSIONS; i++) {
+            gateway.putNoise("large", LARGEST_BYTES);
+            Thread.sleep(ROUND_MILLIS);
+        }
+        while (gateway.storeLists() == lists) {
+            Thread.sleep(ROUND_MILLIS);
+        }
+
+        assertTrue(gateway.metric("unreadable_items_total") < VERSIONS / 2, "versions read");
+    }
+
     @Test
     void shouldLearnAnItemWhenItComesInPartsWithOtherFramesBetween() throws Exception {
         long revision = 1_000_000;
