--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -118,6 +118,11 @@
      * @throws IOException if the link ended
      */
     public void sayItKnows(long storeDigest, long newestRevision) throws IOException {
+        sayItKnows(storeDigest, newestRevision, false, 0);
+    }
+
+    private void sayItKnows(long storeDigest, long newestRevision, boolean follows, long linkBytesPerMilli)
+            throws IOException {
         send(new PeerFrame.State(
                 1,
                 0,
@@ -126,14 +131,14 @@
                 true,
                 1,
                 storeDigest,
-                false,
+                follows,
                 true,
                 List.of(),
                 List.of(),
                 newestRevision,
                 1_000,
                 newestRevision,
-                0));
+                linkBytesPerMilli));
     }
 
     /**
@@ -143,22 +148,7 @@
      * @throws IOException if the link ended
      */
     public void sayItFollows(long newestRevision) throws IOException {
-        send(new PeerFrame.State(
-                1,
-                0,
-                0,
-                500,
-                true,
-                1,
-                0,
-                true,
-                true,
-                List.of(),
-                List.of(),
-                newestRevision,
-                1_000,
-                newestRevision,
-                LINK_BYTES_PER_MILLI));
+        sayItKnows(0, newestRevision, true, LINK_BYTES_PER_MILLI);
     }
 
     /**
