Merge what another host sends in one place; derive what was kept twice

Found on reading the whole change again; behaviour as it was: - what StoreFeed did with a peer's items stood once more in the test's region, so the property ran on a copy of the rule.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/StoreFollowers.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/StoreFollowers.java
@@ -4,10 +4,8 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import io.vavr.control.Option;
 import org.rattanplank.core.host.Rendezvous;
@@ -29,12 +27,10 @@
     private static final String KEY = "store";
 
     private final List<String> followers;
-    private final Set<String> following;
     private final Map<String, String> relays;
 
     private StoreFollowers(List<String> followers, Map<String, String> relays) {
         this.followers = List.copyOf(followers);
-        this.following = Set.copyOf(followers);
         this.relays = Map.copyOf(relays);
     }
 
@@ -69,7 +65,7 @@
      * @return whether it does
      */
     public boolean follows(String host) {
-        return following.contains(host);
+        return followers.contains(host);
     }
 
     /**
@@ -96,7 +92,7 @@
     private static List<Candidate> rank(Collection<Candidate> candidates) {
         List<String> names = candidates.stream().map(Candidate::name).toList();
         Map<String, Integer> order = new HashMap<>();
-        Rendezvous.rank(new HashSet<>(names), KEY).forEach(name -> order.put(name, order.size()));
+        Rendezvous.rank(names, KEY).forEach(name -> order.put(name, order.size()));
         List<Candidate> ranked = new ArrayList<>(candidates);
         ranked.sort(Comparator.comparing(Candidate::answeredByStore)
                 .thenComparing(Candidate::linkBytesPerMilli)
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RegionReplication.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RegionReplication.java
@@ -121,7 +121,7 @@
         if (!needsRelay(peer)) {
             return NEVER;
         }
-        if (isEmpty(peer)) {
+        if (isUninformed(peer)) {
             // A host that starts while the store is away would serve nobody until it is back: what others knew last is
             // better, and is judged by own attempts.
             return LACKS_MILLIS
@@ -143,13 +143,13 @@
         return !peer.followsStore() || !peer.storeHealthy();
     }
 
-    private static boolean isEmpty(PeerFrame.State peer) {
+    private static boolean isUninformed(PeerFrame.State peer) {
         return peer.configurationVersion() == 0;
     }
 
     private boolean lacks(StoreReceiver receiver) {
         PeerFrame.State peer = receiver.state();
-        if (!state.regionView().hosts().contains(receiver.name())) {
+        if (!receiver.isOwnRegion()) {
             // Hosts of another region learn from each other while the store answers some of them.
             return !peer.storeHealthy() && peer.configurationVersion() < state.configurationVersion();
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -117,11 +117,7 @@
         return isOpen() && !otherEnds && owner.readUpToMillis() - lastHeardMillis < silentMillis();
     }
 
-    /**
-     * Whether it leads to a host of this host's region.
-     *
-     * @return whether it does; not before the other host has said who it is
-     */
+    @Override
     public boolean isOwnRegion() {
         return ownRegion;
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReceiver.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReceiver.java
@@ -9,6 +9,13 @@
      */
     String name();
 
+    /**
+     * Whether it is a host of this host's region.
+     *
+     * @return whether it is; not before it has said who it is
+     */
+    boolean isOwnRegion();
+
     /**
      * What it said last.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
@@ -57,6 +58,35 @@
         return true;
     }
 
+    /**
+     * Takes what another host knows.
+     *
+     * @param base the revision since which these are all changes; zero if these are all items
+     * @param upTo the revision up to which they are; zero if they are only some of the changes
+     * @param known the items and removals
+     * @return the items and removals that are newer than what was known
+     */
+    public List<StoreItem> merge(long base, long upTo, List<StoreItem> known) {
+        List<StoreItem> newer = new ArrayList<>();
+        Set<String> present = new HashSet<>();
+        for (StoreItem item : known) {
+            present.add(item.key());
+            if (take(item)) {
+                newer.add(item);
+            }
+        }
+        if (upTo == 0 || base > revision) {
+            return newer;
+        }
+        if (base == 0 && upTo >= revision) {
+            List<StoreItem> absent = absentFrom(present, upTo);
+            absent.forEach(this::take);
+            newer.addAll(absent);
+        }
+        complete(upTo);
+        return newer;
+    }
+
     /**
      * Takes note that everything is known up to a revision.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -200,26 +200,19 @@
      * @param known the items and removals
      */
     public void takeFromPeer(long base, long revision, List<StoreItem> known) {
-        Set<String> present = new HashSet<>();
-        for (StoreItem item : known) {
-            present.add(item.key());
-            take(item);
-        }
-        if (revision == 0 || base > copy.revision()) {
-            return;
-        }
-        if (base == 0 && revision >= copy.revision()) {
-            copy.absentFrom(present, revision).forEach(this::take);
-        }
-        copy.complete(revision);
+        copy.merge(base, revision, known).forEach(this::learnt);
     }
 
     private void take(StoreItem item) {
         if (copy.take(item)) {
-            listener.learnt(item, format.read(item));
+            learnt(item);
         }
     }
 
+    private void learnt(StoreItem item) {
+        listener.learnt(item, format.read(item));
+    }
+
     private void list(String after) {
         if (!following && isComplete()) {
             busy = false;
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreHelpFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreHelpFlowTest.java
@@ -1,7 +1,6 @@
 package org.rattanplank.gateway;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 
 import org.junit.jupiter.api.AfterEach;
@@ -58,12 +57,7 @@
     void shouldLeaveMostOfItsLinkToCallersWhenManyHostsLackWhatItKnows() throws Exception {
         gateway.configure(RouteKind.SAFE, false, 1);
         gateway.putBytes("targets", STORE_BYTES);
-        List<TestPeer> neighbours = new ArrayList<>();
-        for (int i = 0; i < NEIGHBOURS; i++) {
-            TestPeer neighbour = gateway.neighbour("n" + i);
-            neighbour.readOn();
-            neighbours.add(neighbour);
-        }
+        List<TestPeer> neighbours = gateway.neighbours(NEIGHBOURS);
 
         long beganNanos = System.nanoTime();
         for (int i = 0; i < ROUNDS; i++) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreLinkFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreLinkFlowTest.java
@@ -55,12 +55,7 @@
     /** Guards against requests that are late at a host that passes a large configuration on to its region. */
     @Test
     void shouldLeaveHalfOfItsLinkToCallersWhenALargeItemChanges() throws Exception {
-        List<TestPeer> neighbours = new ArrayList<>();
-        for (int i = 0; i < NEIGHBOURS; i++) {
-            TestPeer neighbour = gateway.neighbour("n" + i);
-            neighbour.readOn();
-            neighbours.add(neighbour);
-        }
+        List<TestPeer> neighbours = gateway.neighbours(NEIGHBOURS);
 
         long beganNanos = System.nanoTime();
         for (int i = 0; i < ROUNDS; i++) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -273,6 +274,17 @@
         return new TestPeer(peers, name, Place.of("suva", HALL));
     }
 
+    /** Links to it as many other hosts of its region, which read whatever comes. */
+    List<TestPeer> neighbours(int count) throws IOException {
+        List<TestPeer> neighbours = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            TestPeer neighbour = neighbour("n" + i);
+            neighbour.readOn();
+            neighbours.add(neighbour);
+        }
+        return neighbours;
+    }
+
     /** Puts something of a size into the store that says nothing to a gateway. */
     void putBytes(String key, int bytes) {
         store.put(key, new byte[bytes], new ClusterFact.Unreadable(Option.none(), "a test's bytes"), false);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
@@ -4,11 +4,9 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 
 import org.rattanplank.core.gateway.StoreFollowers;
 import org.rattanplank.gateway.store.StoreCopy;
@@ -183,20 +181,6 @@
             copy.complete(revision);
         }
 
-        private void take(PeerFrame.StoreItems frame) {
-            Set<String> present = new HashSet<>();
-            frame.items().forEach(item -> {
-                present.add(item.key());
-                copy.take(item);
-            });
-            if (frame.revision() > 0 && frame.base() <= copy.revision()) {
-                if (frame.base() == 0) {
-                    copy.absentFrom(present, frame.revision()).forEach(copy::take);
-                }
-                copy.complete(frame.revision());
-            }
-        }
-
         @Override
         public boolean relaysTo(StoreReceiver receiver) {
             return isHealthyFollower()
@@ -233,6 +217,11 @@
             return to.name;
         }
 
+        @Override
+        public boolean isOwnRegion() {
+            return true;
+        }
+
         @Override
         public PeerFrame.State state() {
             return to.said;
@@ -259,7 +248,7 @@
 
         private void arrive(PeerFrame frame) {
             if (frame instanceof PeerFrame.StoreItems items) {
-                to.take(items);
+                to.copy.merge(items.base(), items.revision(), items.items());
             } else if (frame instanceof PeerFrame.Part part) {
                 parts.add(part.bytes());
                 if (part.last()) {
