Continue streams that must not run again at a backup when their engine fails

The platform lets an engine send a running stream's KV cache to a second one and continue there as the same run; it was not used.

Change: such a stream is sent with a backup (BackupChooser: warm, with memory, in another data centre if one has room, the less loaded of two at random), its memory is part of the work that hosts report of each other, and LocalAttempt continues it there once, behind the last whole event, within the retry budget, for callers and for forwarded requests alike. A backup that has no copy ends the stream as before. Silence counts only after the first event. Mechanism back-up-streams.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -231,8 +231,8 @@
         return RendezvousHashing.mix(idHash ^ prefixHash);
     }
 
-    double kvCacheShortfallTokens(Work work, long kvCacheTokens) {
-        return totalWork().kvCacheTokens() + work.exclusiveTokens() - USABLE_KV_CACHE_FRACTION * kvCacheTokens;
+    double kvCacheShortfallTokens(int tokens, long kvCacheTokens) {
+        return totalWork().kvCacheTokens() + tokens - USABLE_KV_CACHE_FRACTION * kvCacheTokens;
     }
 
     /**
@@ -262,6 +262,13 @@
         return sent;
     }
 
+    /** Records the memory that the backup of a stream takes up, and returns the work to be passed to {@link #release}. */
+    InFlightWork reserveBackup(long kvCacheTokens) {
+        InFlightWork backup = InFlightWork.ofBackup(kvCacheTokens);
+        addOwnWork(backup);
+        return backup;
+    }
+
     /**
      * Records that the prefill of a request has completed.
      *
@@ -297,8 +304,8 @@
      * @param sent its work in flight
      */
     public void updateWorkOfHost(String host, InFlightWork sent) {
-        InFlightWork previous = sent.requests() == 0 ? workByHost.remove(host) : workByHost.put(host, sent);
-        InFlightWork current = sent.requests() == 0 ? InFlightWork.NONE : sent;
+        InFlightWork previous = sent.isNone() ? workByHost.remove(host) : workByHost.put(host, sent);
+        InFlightWork current = sent.isNone() ? InFlightWork.NONE : sent;
         totalWork = totalWork.plus(current).minus(previous == null ? InFlightWork.NONE : previous);
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/InFlightRequest.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/InFlightRequest.java
@@ -21,6 +21,7 @@
     private static final double LARGE_PREFILL_MILLIS = 50;
 
     private final GatewayTarget target;
+    private final boolean failover;
     private final ServiceRule service;
     private final LatencyModel model;
     private final Work work;
@@ -37,20 +38,27 @@
     private boolean released;
 
     private InFlightRequest(
-            TargetChooser chooser, TargetChoice choice, ServiceRule service, Work work, long nowMillis) {
-        target = choice.target();
+            TargetChooser chooser,
+            GatewayTarget target,
+            int prefillTokens,
+            boolean failover,
+            ServiceRule service,
+            Work work,
+            long nowMillis) {
+        this.target = target;
+        this.failover = failover;
         this.service = service;
         this.work = work;
         model = chooser.latencyModel(service.name());
         sentAtMillis = nowMillis;
         requestsAhead = target.totalWork().requests();
-        prefillMillis = service.isModel() ? choice.prefillTokens() * model.prefillMillisPerToken(nowMillis) : 0;
-        if (service.isModel()) {
-            model.recordPromptSent(choice.prefillTokens(), work.urgency());
+        prefillMillis = service.isModel() ? prefillTokens * model.prefillMillisPerToken(nowMillis) : 0;
+        if (service.isModel() && !failover) {
+            model.recordPromptSent(prefillTokens, work.urgency());
         }
-        expectedTokens = target.totalWork().prefillBacklog().ahead(work.urgency()) + (double) choice.prefillTokens();
+        expectedTokens = target.totalWork().prefillBacklog().ahead(work.urgency()) + (double) prefillTokens;
         expectedCapacityWaitMillis = service.isModel() ? chooser.capacityWaitMillis(target, service, work) : 0;
-        reserved = target.reserve(work, choice.prefillTokens(), service.kvCacheTokens(), nowMillis);
+        reserved = target.reserve(work, prefillTokens, service.kvCacheTokens(), nowMillis);
     }
 
     /**
@@ -65,7 +73,23 @@
      */
     public static InFlightRequest of(
             TargetChooser chooser, TargetChoice choice, ServiceRule service, Work work, long nowMillis) {
-        return new InFlightRequest(chooser, choice, service, work, nowMillis);
+        return new InFlightRequest(chooser, choice.target(), choice.prefillTokens(), false, service, work, nowMillis);
+    }
+
+    /**
+     * Records a stream that continues at its backup. The engine admits it first and prefills next to nothing, so its
+     * latencies say nothing about other requests.
+     *
+     * @param chooser the chooser of its targets
+     * @param backup the target that holds the backup
+     * @param service the service of the target
+     * @param work the work that is left
+     * @param nowMillis the time
+     * @return the request in flight
+     */
+    public static InFlightRequest ofFailover(
+            TargetChooser chooser, GatewayTarget backup, ServiceRule service, Work work, long nowMillis) {
+        return new InFlightRequest(chooser, backup, 0, true, service, work, nowMillis);
     }
 
     /**
@@ -97,6 +121,8 @@
         if (success && service.isModel()) {
             startedAtMillis = nowMillis;
             target.streams().add(this);
+        }
+        if (success && service.isModel() && !failover) {
             model.recordFirstEvent(
                     expectedTokens, work.urgency(), nowMillis - sentAtMillis - expectedCapacityWaitMillis, nowMillis);
         }
@@ -109,9 +135,9 @@
      * @param nowMillis the time
      */
     public void recordEnd(boolean success, long nowMillis) {
-        if (success && service.isModel()) {
+        if (success && service.isModel() && !failover) {
             model.recordDecode(nowMillis - (double) startedAtMillis);
-        } else if (success) {
+        } else if (success && !service.isModel()) {
             model.recordAnswer(requestsAhead, target.slots(), nowMillis - (double) sentAtMillis);
         }
         release();
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/InFlightWork.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/InFlightWork.java
@@ -17,6 +17,25 @@
         Objects.requireNonNull(prefillBacklog, "prefillBacklog");
     }
 
+    /**
+     * Returns the work that the backup of a stream brings to the engine that holds it: it only takes up memory.
+     *
+     * @param kvCacheTokens the tokens of the stream
+     * @return the work
+     */
+    static InFlightWork ofBackup(long kvCacheTokens) {
+        return new InFlightWork(0, PrefillBacklog.NONE, kvCacheTokens);
+    }
+
+    /**
+     * Returns whether nothing is in flight. The backup of a stream is no request, but takes up memory.
+     *
+     * @return whether there are neither requests nor tokens in memory
+     */
+    public boolean isNone() {
+        return requests == 0 && kvCacheTokens == 0;
+    }
+
     InFlightWork plus(InFlightWork other) {
         return new InFlightWork(
                 requests + other.requests,
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Mechanism.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Mechanism.java
@@ -32,6 +32,8 @@
     OTHERS_WORK,
     /** The ranks of routes distinguish requests, here and at targets. */
     RANK,
+    /** Streams that must not run again have a backup at a second engine, where they continue after a failure. */
+    BACK_UP_STREAMS,
     /** Requests that arrive before a configuration is known wait for it briefly. */
     AWAIT_CONFIGURATION;
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/ServiceRule.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/ServiceRule.java
@@ -12,6 +12,7 @@
  * @param slots the requests that one target processes concurrently; zero if not configured
  * @param eventTokens the tokens in one event of a stream; zero if not configured
  * @param kvCacheTokens the capacity of one engine's KV cache, in tokens; zero if it is no model engine
+ * @param supportsBackups whether an engine can send the KV cache of a running stream to another engine as it grows
  */
 public record ServiceRule(
         String name,
@@ -20,7 +21,8 @@
         double coldRequestsPerSecond,
         int slots,
         int eventTokens,
-        long kvCacheTokens) {
+        long kvCacheTokens,
+        boolean supportsBackups) {
     public ServiceRule {
         Objects.requireNonNull(name, "name");
     }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -47,6 +47,7 @@
     private final TargetPool pool;
     private final RandomGenerator random;
     private final Mechanisms mechanisms;
+    private final BackupChooser backupChooser;
     private final Map<String, LatencyModel> models = new HashMap<>();
 
     private TargetChooser(String self, TargetPool pool, RandomGenerator random, Mechanisms mechanisms) {
@@ -54,6 +55,7 @@
         this.mechanisms = mechanisms;
         this.pool = pool;
         this.random = random;
+        backupChooser = new BackupChooser(pool, random);
     }
 
     /**
@@ -202,6 +204,30 @@
                 .orElse(best);
     }
 
+    /**
+     * Reserves a backup for a stream that is about to be sent. Only a stream that must not run again has one: another
+     * one resumes at any engine, and a backup occupies memory and bandwidth.
+     *
+     * @param route the route of the stream
+     * @param service its service
+     * @param work its work
+     * @param primary the engine that it is sent to
+     * @param nowMillis the time
+     * @return the backup, or none if the stream needs none or no other engine has room
+     */
+    public Option<StreamBackup> reserveBackup(
+            RouteRule route, ServiceRule service, Work work, GatewayTarget primary, long nowMillis) {
+        if (!mechanisms.isEnabled(Mechanism.BACK_UP_STREAMS)
+                || !service.supportsBackups()
+                || route.kind() != RouteKind.STREAM
+                || route.isIdempotent()) {
+            return Option.none();
+        }
+        return backupChooser
+                .choose(primary, service, work, nowMillis)
+                .map(target -> StreamBackup.reserve(primary, target, pool, work.totalTokens()));
+    }
+
     private Option<TargetChoice> choose(PlacementRequest request, Work work, RegionView regionView, long nowMillis) {
         return choose(request.service(), work, request.excluded(), regionView, nowMillis);
     }
@@ -336,7 +362,7 @@
                 .capacityWaitMillis(
                         target.totalWork().requests() + 1 - target.slots(),
                         target.slots(),
-                        target.kvCacheShortfallTokens(work, service.kvCacheTokens()),
+                        target.kvCacheShortfallTokens(work.exclusiveTokens(), service.kvCacheTokens()),
                         target.totalWork().kvCacheTokens());
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Work.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Work.java
@@ -45,6 +45,26 @@
         return new Work(promptTokens, outputTokens, promptParts, urgency, millis);
     }
 
+    /**
+     * Returns the work that is left after some of the tokens were generated.
+     *
+     * @param generatedTokens the tokens that the caller has received
+     * @return the work
+     */
+    public Work afterGenerating(int generatedTokens) {
+        return new Work(
+                promptTokens, Math.max(0, outputTokens - generatedTokens), promptParts, urgency, remainingMillis);
+    }
+
+    /**
+     * Returns the tokens that the request holds in KV cache when it ends.
+     *
+     * @return tokens
+     */
+    public int totalTokens() {
+        return promptTokens + outputTokens;
+    }
+
     /**
      * Returns the parts that other requests may share: all but the last.
      *
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/Samples.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/Samples.java
@@ -7,8 +7,8 @@
 final class Samples {
     static final String MODEL = "drafts";
     static final String PLAIN = "bookings";
-    static final ServiceRule MODEL_SERVICE = new ServiceRule(MODEL, 360, 3_000, 2.1, 64, 8, 400_000);
-    static final ServiceRule PLAIN_SERVICE = new ServiceRule(PLAIN, 96, 0, 0, 0, 0, 0);
+    static final ServiceRule MODEL_SERVICE = new ServiceRule(MODEL, 360, 3_000, 2.1, 64, 8, 400_000, true);
+    static final ServiceRule PLAIN_SERVICE = new ServiceRule(PLAIN, 96, 0, 0, 0, 0, 0, false);
 
     private Samples() {}
 
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/SimulatedEngine.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/SimulatedEngine.java
@@ -24,22 +24,27 @@
     private static final int CHUNK_TOKENS = 1_024;
     private static final long CACHE_TOKENS = 200_000;
 
+    /** The tokens of a stream that its backup lacks: those generated since the last copy. */
+    private static final int UNCOPIED_TOKENS = 50;
+
     private final VirtualTime time;
-    private final PriorityQueue<Generation> waiting = new PriorityQueue<>(Comparator.<Generation>comparingInt(
-                    generation -> generation.work.urgency().level())
-            .thenComparingLong(generation -> generation.number));
+    private final PriorityQueue<Generation> waiting =
+            new PriorityQueue<>(Comparator.<Generation, Boolean>comparing(generation -> !generation.hasBackup)
+                    .thenComparingInt(generation -> generation.work.urgency().level())
+                    .thenComparingLong(generation -> generation.number));
     private final List<Generation> running = new ArrayList<>();
     private final LinkedHashMap<String, Integer> cache = new LinkedHashMap<>(64, 0.75f, true);
     private long cachedTokens;
     private long submitted;
     private boolean busy;
+    private boolean crashed;
 
     SimulatedEngine(VirtualTime time) {
         this.time = time;
     }
 
     Generation submit(Work work, int tokens, SimulatedEngine transferSource, Listener listener) {
-        Generation generation = new Generation(submitted++, work, tokens, listener);
+        Generation generation = new Generation(submitted++, work, tokens, listener, false);
         generation.pendingPrefillTokens = Math.max(
                 1, work.promptTokens() - Math.max(cachedTokens(work), transferableTokens(work, transferSource)));
         waiting.add(generation);
@@ -50,6 +55,27 @@
         return generation;
     }
 
+    /** Continues a stream whose backup is here: it is admitted first and prefills only what had not arrived yet. */
+    Generation continueFromBackup(Work work, int tokens, Listener listener) {
+        Generation generation = new Generation(submitted++, work, tokens, listener, true);
+        generation.pendingPrefillTokens = UNCOPIED_TOKENS;
+        waiting.add(generation);
+        if (!busy) {
+            step();
+        }
+        return generation;
+    }
+
+    /** Loses all requests, and reports each as lost. */
+    void crash() {
+        crashed = true;
+        List<Generation> lost = new ArrayList<>(running);
+        lost.addAll(waiting);
+        running.clear();
+        waiting.clear();
+        lost.forEach(generation -> generation.listener.onLost(generation.generatedTokens));
+    }
+
     void cancel(Generation generation) {
         waiting.remove(generation);
         running.remove(generation);
@@ -84,7 +110,7 @@
     }
 
     private void step() {
-        busy = !running.isEmpty() || !waiting.isEmpty();
+        busy = !crashed && (!running.isEmpty() || !waiting.isEmpty());
         if (!busy) {
             return;
         }
@@ -105,6 +131,10 @@
         double millis =
                 STEP_MILLIS + MILLIS_PER_RUNNING_STREAM * decoding.size() + prefillTokens / PREFILL_TOKENS_PER_MILLI;
         time.after(millis, () -> {
+            if (crashed) {
+                starting.forEach(generation -> generation.listener.onLost(0));
+                return;
+            }
             running.addAll(starting);
             decoding.addAll(starting);
             decoding.forEach(this::generateToken);
@@ -129,6 +159,8 @@
     /** Receives the events of a generation. */
     interface Listener {
         void onEvent(boolean last);
+
+        void onLost(int generatedTokens);
     }
 
     /** One request at the engine. Confined to one thread. */
@@ -137,10 +169,12 @@
         private final Work work;
         private final int tokens;
         private final Listener listener;
+        private final boolean hasBackup;
         private int pendingPrefillTokens;
         private int generatedTokens;
 
-        private Generation(long number, Work work, int tokens, Listener listener) {
+        private Generation(long number, Work work, int tokens, Listener listener, boolean hasBackup) {
+            this.hasBackup = hasBackup;
             this.number = number;
             this.work = work;
             this.tokens = tokens;
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/SimulatedRegion.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/SimulatedRegion.java
@@ -10,6 +10,8 @@
 import java.util.Random;
 import java.util.Set;
 
+import io.vavr.control.Option;
+
 /**
  * Simulates the hosts of one region and their engines in virtual time. The decisions are made by the production code,
  * and hosts observe each other's work with a delay.
@@ -19,8 +21,8 @@
 final class SimulatedRegion {
     private static final String REGION = "r1";
     private static final String DATA_CENTRE = "r1-hall";
-    private static final ServiceRule SERVICE =
-            new ServiceRule(Samples.MODEL, 700, 0, 0, SimulatedEngine.SLOTS, SimulatedEngine.EVENT_TOKENS, 400_000);
+    private static final ServiceRule SERVICE = new ServiceRule(
+            Samples.MODEL, 700, 0, 0, SimulatedEngine.SLOTS, SimulatedEngine.EVENT_TOKENS, 400_000, true);
     private static final double HINT_SPREAD = 0.5;
     private static final long MIN_REPORT_INTERVAL_MILLIS = 100;
     private static final long REPORT_INTERVAL_MILLIS_PER_HOST = 12;
@@ -29,13 +31,15 @@
 
     private final VirtualTime time = new VirtualTime();
     private final Random random;
+    private final Mechanisms mechanisms;
     private final Map<String, SimulatedEngine> engines = new HashMap<>();
     private final List<Host> hosts = new ArrayList<>();
     private final Map<StreamKind, List<Call>> calls = new EnumMap<>(StreamKind.class);
     private final ClusterView clusterView;
 
-    private SimulatedRegion(int hostCount, int engineCount, long seed) {
+    private SimulatedRegion(int hostCount, int engineCount, long seed, Mechanisms mechanisms) {
         random = new Random(seed);
+        this.mechanisms = mechanisms;
         Set<String> names = new HashSet<>();
         for (int i = 0; i < hostCount; i++) {
             names.add("h" + i);
@@ -54,19 +58,54 @@
 
     /** Simulates so many seconds of callers at a multiple of the usual rate. */
     static SimulatedRegion simulate(int hostCount, int engineCount, double load, int seconds, long seed) {
-        SimulatedRegion region = new SimulatedRegion(hostCount, engineCount, seed);
+        return of(hostCount, engineCount, seed, Mechanisms.ALL).run(load, seconds);
+    }
+
+    /** Returns a region without callers. */
+    static SimulatedRegion of(int hostCount, int engineCount, long seed, Mechanisms mechanisms) {
+        return new SimulatedRegion(hostCount, engineCount, seed, mechanisms);
+    }
+
+    /** Lets some of the engines crash. All hosts know it at once, as their connections are reset. */
+    SimulatedRegion crashAfter(long millis, int count) {
+        time.after(millis, () -> {
+            for (int i = 0; i < count; i++) {
+                String id = "e" + i;
+                hosts.forEach(host -> host.pool.remove(id, time.nowMillis()));
+                engines.get(id).crash();
+            }
+        });
+        return this;
+    }
+
+    /** Simulates so many seconds of callers at a multiple of the usual rate, until all requests have ended. */
+    SimulatedRegion run(double load, int seconds) {
         for (StreamKind kind : StreamKind.values()) {
-            region.scheduleArrival(kind, load * engineCount * kind.perEngineAndSecond() / 1_000, seconds * 1_000L);
+            scheduleArrival(kind, load * engines.size() * kind.perEngineAndSecond() / 1_000, seconds * 1_000L);
         }
         long reportIntervalMillis =
-                Math.max(MIN_REPORT_INTERVAL_MILLIS, REPORT_INTERVAL_MILLIS_PER_HOST * (hostCount - 1));
-        for (Host host : region.hosts) {
-            region.time.after(
-                    region.random.nextDouble() * reportIntervalMillis,
-                    () -> region.time.every(reportIntervalMillis, host::report));
-        }
-        region.time.runUntil(seconds * 1_000L + 13_000);
-        return region;
+                Math.max(MIN_REPORT_INTERVAL_MILLIS, REPORT_INTERVAL_MILLIS_PER_HOST * (hosts.size() - 1));
+        for (Host host : hosts) {
+            time.after(
+                    random.nextDouble() * reportIntervalMillis, () -> time.every(reportIntervalMillis, host::report));
+        }
+        time.runUntil(seconds * 1_000L + 13_000);
+        return this;
+    }
+
+    /** Returns the fraction answered completely of a kind's requests that had begun when their engine crashed. */
+    double servedOfInterrupted(StreamKind kind) {
+        List<Call> interrupted =
+                calls.get(kind).stream().filter(call -> call.interrupted).toList();
+        return served(interrupted, 0, 1);
+    }
+
+    /** Returns the KV cache tokens that hosts have reserved at engines. */
+    long reservedTokens() {
+        return hosts.stream()
+                .flatMap(host -> host.pool.all().stream())
+                .mapToLong(target -> target.ownWork().kvCacheTokens())
+                .sum();
     }
 
     /** Returns the fraction of a kind's requests that were answered completely. */
@@ -119,7 +158,7 @@
 
         private Host(String name, Random random) {
             this.name = name;
-            chooser = TargetChooser.of(name, pool, random);
+            chooser = TargetChooser.of(name, pool, random, mechanisms);
             engines.keySet().stream()
                     .sorted()
                     .forEach(id -> pool.register(Samples.target(id, DATA_CENTRE, false, 0), 0));
@@ -147,7 +186,23 @@
         private boolean retried;
         private boolean served;
         private boolean inTime;
+        private boolean begun;
+        private boolean interrupted;
+        private Option<StreamBackup> backup = Option.none();
+        private SimulatedEngine engine;
+        private InFlightRequest inFlight;
         private SimulatedEngine.Generation generation;
+        private final SimulatedEngine.Listener listener = new SimulatedEngine.Listener() {
+            @Override
+            public void onEvent(boolean last) {
+                received(last);
+            }
+
+            @Override
+            public void onLost(int generatedTokens) {
+                lost(generatedTokens);
+            }
+        };
 
         private Call(StreamKind kind, int tokens, Host host) {
             this.kind = kind;
@@ -162,23 +217,23 @@
             long remainingMillis = arrivedAtMillis + work.remainingMillis() - now;
             Work remaining = work.withRemainingMillis(remainingMillis);
             PlacementRequest request = new PlacementRequest(kind.route(), SERVICE, remaining, Set.of());
-            Placement placement =
-                    Placement.of(request, clusterView, host.chooser, new RegionLoads(), Mechanisms.ALL, now);
+            Placement placement = Placement.of(request, clusterView, host.chooser, new RegionLoads(), mechanisms, now);
             if (placement.localChoice().isEmpty() || placement.shouldReject()) {
                 retryOnce();
                 return;
             }
             TargetChoice choice = placement.localChoice().get();
-            SimulatedEngine engine = engines.get(choice.target().id());
+            engine = engines.get(choice.target().id());
             SimulatedEngine transferSource = choice.transferSource()
                     .map(target -> engines.get(target.id()))
                     .getOrElse((SimulatedEngine) null);
-            InFlightRequest inFlight = InFlightRequest.of(host.chooser, choice, SERVICE, remaining, now);
+            backup = host.chooser.reserveBackup(kind.route(), SERVICE, remaining, choice.target(), now);
+            inFlight = InFlightRequest.of(host.chooser, choice, SERVICE, remaining, now);
             if (inFlight.isLargePrefill()) {
                 host.report(choice.target());
             }
-            generation = engine.submit(remaining, tokens, transferSource, last -> received(inFlight, last));
-            time.after(remainingMillis, () -> timeOut(engine, inFlight));
+            generation = engine.submit(remaining, tokens, transferSource, listener);
+            time.after(remainingMillis, this::timeOut);
         }
 
         private void retryOnce() {
@@ -188,22 +243,45 @@
             }
         }
 
-        private void received(InFlightRequest inFlight, boolean last) {
+        private void received(boolean last) {
             long now = time.nowMillis();
+            begun = true;
             inTime |= now - arrivedAtMillis <= kind.route().objectiveMillis();
             inFlight.recordEvent(true, now);
             if (last) {
                 inFlight.recordEnd(true, now);
                 served = true;
-                generation = null;
+                end();
+            }
+        }
+
+        private void lost(int generatedTokens) {
+            long now = time.nowMillis();
+            interrupted = begun;
+            inFlight.release();
+            if (!begun || !backup.exists(each -> each.mayFailOver(now))) {
+                end();
+                return;
             }
+            backup.get().recordFailover();
+            GatewayTarget target = backup.get().target();
+            inFlight = InFlightRequest.ofFailover(
+                    host.chooser, target, SERVICE, work.afterGenerating(generatedTokens), now);
+            engine = engines.get(target.id());
+            generation = engine.continueFromBackup(work, Math.max(1, tokens - generatedTokens), listener);
         }
 
-        private void timeOut(SimulatedEngine engine, InFlightRequest inFlight) {
+        private void timeOut() {
             if (generation != null) {
                 engine.cancel(generation);
-                inFlight.release();
+                end();
             }
         }
+
+        private void end() {
+            inFlight.release();
+            backup.forEach(StreamBackup::release);
+            generation = null;
+        }
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -375,6 +375,9 @@
         recordLoopDelay(now);
         ticks++;
         List.copyOf(requests).forEach(request -> request.tick(readWatermark.millis()));
+        for (Map<Long, ForwardedRequest> calls : List.copyOf(forwarded.values())) {
+            List.copyOf(calls.values()).forEach(call -> call.tick(readWatermark.millis()));
+        }
         links.tick();
         stateExchange.tick(now);
         stateUpdater.tick(now);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
@@ -68,6 +68,16 @@
         count("requests_total", "outcome=\"" + outcome + "\"");
     }
 
+    /** Counts a stream that was sent with a backup. */
+    public void backedUp() {
+        registry.counter(PREFIX + "streams_backed_up_total").inc();
+    }
+
+    /** Counts a stream that continued at its backup. */
+    public void failedOver() {
+        registry.counter(PREFIX + "streams_failed_over_total").inc();
+    }
+
     /** Counts a request that was answered by a target. */
     public void answered() {
         count("requests_total", "outcome=\"answered\"");
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/HeaderNames.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/HeaderNames.java
@@ -12,6 +12,9 @@
  * @param expectedTarget the identifier of the only target that may run the request
  * @param notExecuted in a response: the target did not run the request
  * @param transferSource the address of the target that has cached prompt parts which the receiving target lacks
+ * @param backup the address of the target that receives the KV cache of a stream as it grows
+ * @param continuedFrom the address of the receiving target and the identifier of the request whose backup it holds,
+ *     separated by a slash
  * @param urgency the urgency of the request, 0 is the most urgent
  * @param tokens the number of prompt tokens and the maximum number of tokens to generate, separated by a comma
  * @param promptParts the parts of the prompt as ID:TOKENS, separated by commas
@@ -25,6 +28,8 @@
         String expectedTarget,
         String notExecuted,
         String transferSource,
+        String backup,
+        String continuedFrom,
         String urgency,
         String tokens,
         String promptParts,
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -251,7 +251,7 @@
     private List<PeerFrame.TargetWork> ownWork() {
         List<PeerFrame.TargetWork> work = new ArrayList<>();
         for (GatewayTarget target : state.pool().all()) {
-            if (target.ownWork().requests() > 0) {
+            if (!target.ownWork().isNone()) {
                 work.add(work(target, state.nowMillis()));
             }
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -46,6 +46,8 @@
     REPEATED,
     /** A stream was resumed at another target. */
     RESUMED,
+    /** A stream whose target failed continues at its backup. */
+    FAILED_OVER,
     /** A request received its final response, or its caller disconnected. */
     ENDED,
     /** The complete local copy of the store was sent to another host. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/RequestLog.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/RequestLog.java
@@ -6,8 +6,8 @@
 /**
  * Buffers the log lines of one request until its outcome is known.
  *
- * <p>Invariant: a request that succeeded at its first attempt writes only its last line; any other request writes all
- * its lines, at most {@link #MAX_LINES} and the last. Confined to the event loop.
+ * <p>Invariant: a request that succeeded at its first attempt without a notable line writes only its last line; any
+ * other request writes all its lines, at most {@link #MAX_LINES} and the last. Confined to the event loop.
  */
 public final class RequestLog {
     private static final int MAX_LINES = 32;
@@ -15,6 +15,7 @@
     private final EventLog log;
     private final String requestId;
     private final List<LogLine> lines = new ArrayList<>(4);
+    private boolean notable;
 
     /**
      * Creates the log of a request.
@@ -38,6 +39,16 @@
         }
     }
 
+    /**
+     * Buffers a line that is written also if the request succeeds.
+     *
+     * @param line the line
+     */
+    public void addNotable(LogLine line) {
+        notable = true;
+        add(line);
+    }
+
     /**
      * Writes the last line, and the buffered lines unless the request was ordinary.
      *
@@ -46,7 +57,7 @@
      */
     public void end(LogLine last, boolean ordinary) {
         last.with("requestId", requestId);
-        if (ordinary) {
+        if (ordinary && !notable) {
             log.writeOrdinary(last);
             return;
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedRequest.java
@@ -97,6 +97,17 @@
         send();
     }
 
+    /**
+     * Checks its attempt periodically.
+     *
+     * @param nowMillis the time
+     */
+    public void tick(long nowMillis) {
+        if (!finished && attempt != null) {
+            attempt.tick(nowMillis);
+        }
+    }
+
     /** Cancels it without a response. */
     public void cancel() {
         if (finished) {
@@ -195,8 +206,8 @@
                                 .totalStats(state.nowMillis())
                                 .meanInterTokenMillis())
                 .with("remainingMillis", remainingMillis()));
-        TargetCall call = new TargetCall(request, work, remainingMillis(), frame.lastEventId());
-        Attempt started = LocalAttempt.send(state, choice.get(), service.get(), call, frame.atMostOnce(), this);
+        TargetCall call = new TargetCall(request, work, remainingMillis(), frame.lastEventId(), frame.atMostOnce());
+        Attempt started = LocalAttempt.send(state, choice.get(), route(), service.get(), call, this, requestLog);
         if (!finished && attempt == null) {
             attempt = started;
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -3,48 +3,99 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.InFlightRequest;
+import org.rattanplank.core.gateway.RouteRule;
+import org.rattanplank.core.gateway.ServiceEstimate;
 import org.rattanplank.core.gateway.ServiceRule;
+import org.rattanplank.core.gateway.StreamBackup;
 import org.rattanplank.core.gateway.TargetChoice;
+import org.rattanplank.core.gateway.Work;
+import org.rattanplank.gateway.caller.EventSplitter;
+import org.rattanplank.gateway.log.LogEvent;
+import org.rattanplank.gateway.log.LogLine;
+import org.rattanplank.gateway.log.RequestLog;
 import org.rattanplank.gateway.target.Attempt;
 import org.rattanplank.gateway.target.AttemptFailure;
 import org.rattanplank.gateway.target.AttemptListener;
 import org.rattanplank.gateway.target.TargetCall;
 
 /**
- * An attempt at a target of this region, with its accounting from the send to its end.
+ * An attempt at a target of this region, with its accounting from the send to its end. A stream with a backup continues
+ * there if its target fails, which its listener doesn't notice.
  *
- * <p>Invariant: the accounting records each chunk and exactly one end. Confined to the event loop.
+ * <p>Invariants: the accounting records each chunk and exactly one end; of a stream with a backup the listener receives
+ * whole events only, each once and in order; after a failover every failure counts as unknown, as the stream has run.
+ * Confined to the event loop.
  */
 final class LocalAttempt implements Attempt, AttemptListener {
     private final GatewayState state;
-    private final GatewayTarget target;
+    private final ServiceRule service;
+    private final TargetCall call;
     private final AttemptListener listener;
-    private final InFlightRequest sentRequest;
+    private final RequestLog log;
+    private final Option<StreamBackup> backup;
+    private final EventSplitter events;
+    private final long deadlineMillis;
+    private GatewayTarget target;
+    private InFlightRequest sentRequest;
+    private Option<Long> lastEventAtMillis = Option.none();
+    private boolean headersDelivered;
     private boolean success;
     private Attempt attempt;
 
     private LocalAttempt(
-            GatewayState state, TargetChoice choice, ServiceRule service, TargetCall call, AttemptListener listener) {
+            GatewayState state,
+            TargetChoice choice,
+            ServiceRule service,
+            TargetCall call,
+            Option<StreamBackup> backup,
+            AttemptListener listener,
+            RequestLog log) {
         this.state = state;
-        this.target = choice.target();
+        this.service = service;
+        this.call = call;
+        this.backup = backup;
         this.listener = listener;
+        this.log = log;
+        events = new EventSplitter(call.lastEventId());
+        deadlineMillis = state.nowMillis() + call.remainingMillis();
+        target = choice.target();
         sentRequest = InFlightRequest.of(state.chooser(), choice, service, call.work(), state.nowMillis());
     }
 
+    /**
+     * Sends a request to a target.
+     *
+     * @param state the state that all requests share
+     * @param choice the target
+     * @param route the route of the request, if it is known here
+     * @param service the service of the target
+     * @param call the request
+     * @param listener receives the events of the attempt
+     * @param log the log of the request
+     * @return the attempt
+     */
     static Attempt send(
             GatewayState state,
             TargetChoice choice,
+            Option<RouteRule> route,
             ServiceRule service,
             TargetCall call,
-            boolean once,
-            AttemptListener listener) {
-        LocalAttempt localAttempt = new LocalAttempt(state, choice, service, call, listener);
+            AttemptListener listener,
+            RequestLog log) {
+        Option<StreamBackup> backup = route.flatMap(
+                rule -> state.chooser().reserveBackup(rule, service, call.work(), choice.target(), state.nowMillis()));
+        TargetCall backedUp = call.withBackup(backup.map(StreamBackup::target));
+        LocalAttempt localAttempt = new LocalAttempt(state, choice, service, backedUp, backup, listener, log);
         if (localAttempt.sentRequest.isLargePrefill()) {
             state.notifyLargePrefill(choice.target());
         }
-        localAttempt.attempt = state.connections().send(choice, call, once, localAttempt);
+        if (backup.isDefined()) {
+            state.metrics().backedUp();
+        }
+        localAttempt.connect(choice, backedUp);
         return localAttempt;
     }
 
@@ -55,31 +106,113 @@
 
     @Override
     public void cancel() {
-        sentRequest.release();
+        release();
         attempt.cancel();
     }
 
+    @Override
+    public void tick(long nowMillis) {
+        if (backup.exists(each -> each.isPrimaryStalled(lastEventAtMillis, nowMillis)) && tryReserveFailover()) {
+            target.recordUnreachable(nowMillis);
+            attempt.cancel();
+            failOver("the target is unresponsive");
+        }
+    }
+
     @Override
     public void headersReceived(int status, HttpHeaders headers) {
         success = status < HttpResponseStatus.BAD_REQUEST.code();
-        listener.headersReceived(status, headers);
+        if (!headersDelivered) {
+            headersDelivered = true;
+            listener.headersReceived(status, headers);
+        } else if (status != HttpResponseStatus.OK.code()) {
+            attempt.cancel();
+            failed(AttemptFailure.UNKNOWN, "the backup responded with status " + status);
+        }
     }
 
     @Override
     public void contentReceived(ByteBuf bytes) {
+        lastEventAtMillis = Option.some(state.nowMillis());
         sentRequest.recordEvent(success, state.nowMillis());
-        listener.contentReceived(bytes);
+        if (backup.isEmpty()) {
+            listener.contentReceived(bytes);
+        } else {
+            deliver(events.append(bytes));
+        }
     }
 
     @Override
     public void completed() {
         sentRequest.recordEnd(success, state.nowMillis());
+        release();
+        deliver(events.takeRemainder());
         listener.completed();
     }
 
     @Override
     public void failed(AttemptFailure failure, String reason) {
+        if (failure.mayHaveRun() && tryReserveFailover()) {
+            failOver(reason);
+            return;
+        }
+        boolean hasRun = backup.exists(StreamBackup::hasFailedOver);
+        release();
+        listener.failed(hasRun ? AttemptFailure.UNKNOWN : failure, reason);
+    }
+
+    private void connect(TargetChoice choice, TargetCall sentCall) {
+        attempt = state.connections().send(choice, sentCall, this);
+    }
+
+    /**
+     * Returns whether the stream may continue at its backup. It is the same run, but another arrival at a target, so
+     * that it takes from the retry budget.
+     */
+    private boolean tryReserveFailover() {
+        long now = state.nowMillis();
+        boolean failing = headersDelivered && !success;
+        return !failing
+                && now < deadlineMillis
+                && backup.exists(each -> each.mayFailOver(now))
+                && state.retryBudget().trySpend(service.name(), now);
+    }
+
+    private void failOver(String reason) {
+        long now = state.nowMillis();
+        sentRequest.release();
+        backup.get().recordFailover();
+        events.discardRemainder();
+        logFailover(reason);
+        target = backup.get().target();
+        Work remainingWork = call.work()
+                .withRemainingMillis(deadlineMillis - now)
+                .afterGenerating(events.eventCount() * service.eventTokens());
+        sentRequest = InFlightRequest.ofFailover(state.chooser(), target, service, remainingWork, now);
+        TargetChoice choice = new TargetChoice(target, ServiceEstimate.NONE, 0, 1, Option.none());
+        connect(choice, call.failOver(remainingWork, deadlineMillis - now, events.lastEventId()));
+    }
+
+    private void logFailover(String reason) {
+        state.metrics().failedOver();
+        log.addNotable(LogLine.of(LogEvent.FAILED_OVER)
+                .with("target", target.incarnationText())
+                .with("backup", backup.get().target().incarnationText())
+                .with("lastEventId", events.lastEventId())
+                .with("events", events.eventCount())
+                .with("remainingMillis", deadlineMillis - state.nowMillis())
+                .with("reason", reason));
+    }
+
+    private void deliver(ByteBuf bytes) {
+        if (bytes.isReadable()) {
+            listener.contentReceived(bytes);
+        }
+        bytes.release();
+    }
+
+    private void release() {
         sentRequest.release();
-        listener.failed(failure, reason);
+        backup.forEach(StreamBackup::release);
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -64,6 +64,7 @@
     private final GatewayState state;
     private final GatewayRequest request;
     private final CallerResponse response;
+    private final RequestLog requestLog;
     private final DecisionLog decisionLog;
     private final long arrivedAtMillis;
     private final Set<String> excluded = new HashSet<>();
@@ -103,7 +104,8 @@
         this.request = request;
         this.response = response;
         this.onFinished = onFinished;
-        decisionLog = new DecisionLog(new RequestLog(state.log(), request.id()));
+        requestLog = new RequestLog(state.log(), request.id());
+        decisionLog = new DecisionLog(requestLog);
         arrivedAtMillis = state.nowMillis();
     }
 
@@ -165,7 +167,10 @@
             return;
         }
         state.recordDuration(route, nowMillis - arrivedAtMillis);
-        if (isStalled(nowMillis)) {
+        if (attempt != null) {
+            attempt.tick(nowMillis);
+        }
+        if (!finished && isStalled(nowMillis)) {
             Attempt stalled = attempt;
             localTarget.recordUnreachable(nowMillis);
             stalled.cancel();
@@ -259,7 +264,8 @@
         recordSend();
         decisionLog.sent(choice, service, work, attemptAtMillis, deadlineMillis, attemptsSent);
         AttemptHandler handler = new AttemptHandler(choice.target().incarnationText());
-        Attempt started = LocalAttempt.send(state, choice, service, targetCall(), !route.isIdempotent(), handler);
+        Attempt started =
+                LocalAttempt.send(state, choice, Option.some(route), service, targetCall(), handler, requestLog);
         setAttempt(handler, started);
     }
 
@@ -312,7 +318,12 @@
     }
 
     private TargetCall targetCall() {
-        return new TargetCall(request, remainingWork(), deadlineMillis - state.nowMillis(), response.lastEventId());
+        return new TargetCall(
+                request,
+                remainingWork(),
+                deadlineMillis - state.nowMillis(),
+                response.lastEventId(),
+                !route.isIdempotent());
     }
 
     /** Returns its work, limited to the remaining time. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/Attempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/Attempt.java
@@ -11,4 +11,11 @@
 
     /** Cancels the request without notifying the listener; the connection is closed so that the target stops. */
     void cancel();
+
+    /**
+     * Checks the attempt periodically.
+     *
+     * @param nowMillis the time
+     */
+    default void tick(long nowMillis) {}
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -160,9 +160,11 @@
         headers.set(names.timeoutMillis(), Long.toString(Math.max(1, call.remainingMillis())));
         headers.set(names.expectedTarget(), target.id());
         headers.set(names.urgency(), Integer.toString(call.work().urgency().level()));
-        transferSource
-                .map(GatewayTarget::entry)
-                .forEach(from -> headers.set(names.transferSource(), from.ip() + ':' + from.port()));
+        transferSource.forEach(from -> headers.set(names.transferSource(), address(from)));
+        call.backup().forEach(backup -> headers.set(names.backup(), address(backup)));
+        if (call.failover()) {
+            headers.set(names.continuedFrom(), address(target) + '/' + request.id());
+        }
         if (!call.lastEventId().isEmpty()) {
             headers.set(names.lastEventId(), call.lastEventId());
         }
@@ -178,6 +180,10 @@
                 EmptyHttpHeaders.INSTANCE);
     }
 
+    private static String address(GatewayTarget target) {
+        return target.entry().ip() + ':' + target.entry().port();
+    }
+
     private static boolean mayHaveBody(String method) {
         return method.equals("POST") || method.equals("PUT") || method.equals("PATCH");
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -72,14 +72,13 @@
      *
      * @param choice the target
      * @param call the request
-     * @param atMostOnce whether the request must run at most once
      * @param listener receives the events of the attempt
      * @return the attempt
      */
-    public Attempt send(TargetChoice choice, TargetCall call, boolean atMostOnce, AttemptListener listener) {
+    public Attempt send(TargetChoice choice, TargetCall call, AttemptListener listener) {
         GatewayTarget target = choice.target();
         TargetAttempt attempt = new TargetAttempt(choice, call, names, listener, clock);
-        TargetConnection reused = takeIdle(target, atMostOnce ? AT_MOST_ONCE_IDLE_FRACTION : 1);
+        TargetConnection reused = takeIdle(target, call.atMostOnce() ? AT_MOST_ONCE_IDLE_FRACTION : 1);
         if (reused != null) {
             attempt.connected(reused);
             return attempt;
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -47,11 +47,13 @@
             "Expected",
             "Not-Run",
             "Copy-From",
+            "Backup",
+            "Continue-From",
             "Urgency",
             "Tokens",
             "Parts",
             "Hint",
-            Set.of("Expected", "Urgency"));
+            Set.of("Expected", "Urgency", "Backup", "Continue-From"));
     private static final long LINK_BYTES_PER_MILLI = 1_250;
     private static final String DATA_CENTRE = "suva-hall";
     private static final long GRACE_MILLIS = 4_000;
@@ -118,6 +120,11 @@
         return configure(RouteKind.STREAM, true, 2, KV_CACHE_TOKENS);
     }
 
+    /** Applies a configuration with one route for streams of a model engine that must not run again. */
+    TestGateway configureModelWithoutResumption() throws IOException {
+        return configure(RouteKind.STREAM, false, 1, KV_CACHE_TOKENS);
+    }
+
     private TestGateway configure(RouteKind kind, boolean resumable, int maxAttempts, long kvCacheTokens)
             throws IOException {
         version++;
@@ -139,7 +146,7 @@
                 new ClusterEvent.ConfigurationChanged(GatewayConfiguration.of(
                         version,
                         List.of(route),
-                        List.of(new ServiceRule("desk", 50, 0, 0, 0, 0, kvCacheTokens)),
+                        List.of(new ServiceRule("desk", 50, 0, 0, 0, 0, kvCacheTokens, kvCacheTokens > 0)),
                         new CallerLimits(4_096, 10_000, 3_000, 15_000))),
                 false);
         awaitMetric("configuration_version " + version);
