Pace the watches of the store while it changes often

Change: the pause doubles within a series of changes up to 600 ms and is short again after a quiet second.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import org.rattanplank.core.gateway.LinkRateLimiter;
+import org.rattanplank.core.gateway.WatchPacer;
 import org.rattanplank.core.store.Backoff;
 import org.rattanplank.gateway.MonotonicClock;
 
@@ -27,9 +28,6 @@
      */
     static final long WATCH_TIMEOUT_MILLIS = 4_000;
 
-    /** Changes come in groups; this delay before the next watch gathers a group into one call. */
-    private static final long BATCH_DELAY_MILLIS = 150;
-
     /** The first delay after a failed call; short, as a store that rejected one call usually accepts the next. */
     private static final long MIN_RETRY_MILLIS = 100;
 
@@ -58,6 +56,7 @@
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final LinkRateLimiter readLimiter;
+    private final WatchPacer watchPacer = new WatchPacer();
     private final StoreCopy copy = new StoreCopy();
     private final Set<String> listedKeys = new HashSet<>();
     private Backoff backoff = Backoff.of(0, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS);
@@ -276,7 +275,9 @@
             watch();
             return;
         }
-        long pauseMillis = Math.max(BATCH_DELAY_MILLIS, readLimiter.delayMillis(clock.nowMillis()));
+        long waitedMillis = clock.nowMillis() - calledAtMillis;
+        long pauseMillis =
+                Math.max(watchPacer.pauseAfterChanges(waitedMillis), readLimiter.delayMillis(clock.nowMillis()));
         Runnable next = pauseMillis > MAX_WATCH_PAUSE_MILLIS ? () -> list("") : this::watch;
         loop.schedule(next, pauseMillis, TimeUnit.MILLISECONDS);
     }
