Leave silent hosts out of the list for callers while others of the region respond

Cause: a host that loses power keeps its links for 1.6 s, so callers were sent there and waited a second for a connection; those of a data centre without power were sent to its hosts alone.

Change: a host from which no byte came for two of its periods (1 s) is listed only if no host of the caller's region responds. It stays connected otherwise. Tests: EntryHostDirectoryTest, by pattern: one silent host, all of a data centre, all of a region.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/EntryHostDirectory.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/EntryHostDirectory.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -15,7 +16,7 @@
  *
  * <p>Invariants: a caller is sent out of its region only if no host there accepts callers; then to a region that may
  * serve all of its requests, and to any other only if those regions have had no host for a while. A host that is about
- * to shut down is listed only where no other may be. Confined to its owner's thread.
+ * to shut down, or that has been silent and may have lost power, is listed only where no other may be. Confined to its owner's thread.
  */
 public final class EntryHostDirectory {
     /** Maximum number of hosts that a caller receives. */
@@ -68,7 +69,7 @@
      * @return the addresses; empty if the caller should query another host, or retry later
      */
     public List<String> list(Collection<GatewayHost> hosts, Option<CallerLocation> location, long nowMillis) {
-        return list(hosts, List.of(), location, nowMillis);
+        return list(hosts, List.of(), Set.of(), location, nowMillis);
     }
 
     /**
@@ -76,6 +77,8 @@
      *
      * @param hosts the hosts that accept callers
      * @param closing the hosts that are about to shut down and accept work as the last of their regions
+     * @param silent those of the hosts that accept callers which are overdue; a caller whose host has lost power waits
+     *     for a connection until it times out
      * @param location the location of the caller; none while no configuration states where its requests may go
      * @param nowMillis the time
      * @return the addresses; empty if the caller should query another host, or retry later
@@ -83,6 +86,7 @@
     public List<String> list(
             Collection<GatewayHost> hosts,
             Collection<GatewayHost> closing,
+            Set<GatewayHost> silent,
             Option<CallerLocation> location,
             long nowMillis) {
         recordHosts(hosts, nowMillis);
@@ -98,7 +102,10 @@
         // others keep their connections while no host accepts callers.
         List<Predicate<GatewayHost>> suitableThoughClosing =
                 caller.homeRegions().isEmpty() ? List.of() : suitable;
-        return firstMatch(hosts, suitable)
+        List<GatewayHost> responsive =
+                hosts.stream().filter(host -> !silent.contains(host)).toList();
+        return firstMatch(responsive, nearby(caller))
+                .orElse(() -> firstMatch(hosts, suitable))
                 .orElse(() -> firstMatch(closing, suitableThoughClosing))
                 .orElse(() -> werePresentRecently(caller, nowMillis) ? Option.some(List.of()) : Option.none())
                 .orElse(() -> firstMatch(hosts, inRegions(caller.homeRegions())))
@@ -107,10 +114,7 @@
 
     /** Returns which hosts may serve all requests of a caller, best first. */
     private static List<Predicate<GatewayHost>> suitableFor(CallerLocation caller) {
-        List<Predicate<GatewayHost>> choices = new ArrayList<>();
-        choices.add(host -> host.location().dataCentre().equals(caller.dataCentre())
-                && host.location().region().equals(caller.region()));
-        choices.add(host -> host.location().region().equals(caller.region()));
+        List<Predicate<GatewayHost>> choices = new ArrayList<>(nearby(caller));
         choices.addAll(inRegions(caller.commonHomes()));
         if (caller.homeRegions().isEmpty()) {
             choices.add(host -> true);
@@ -118,6 +122,12 @@
         return choices;
     }
 
+    /** Returns which hosts are in the caller's region, those of its data centre first. */
+    private static List<Predicate<GatewayHost>> nearby(CallerLocation caller) {
+        Predicate<GatewayHost> inRegion = host -> host.location().region().equals(caller.region());
+        return List.of(inRegion.and(host -> host.location().dataCentre().equals(caller.dataCentre())), inRegion);
+    }
+
     private static List<Predicate<GatewayHost>> inRegions(List<String> regions) {
         return regions.stream()
                 .<Predicate<GatewayHost>>map(
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/EntryHostDirectoryTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/EntryHostDirectoryTest.java
@@ -1,6 +1,7 @@
 package org.rattanplank.core.gateway;
 
 import java.util.List;
+import java.util.Set;
 
 import io.vavr.control.Option;
 import org.junit.jupiter.api.Test;
@@ -115,7 +116,33 @@
 
     @Test
     void shouldListAClosingHostOnlyWhenNoOtherMayServeTheRequests() {
-        assertEquals(List.of("l:80"), directory.list(List.of(suva), List.of(lautoka), caller("lautoka"), 1));
-        assertEquals(List.of("s:80"), directory.list(List.of(suva), List.of(labasa), caller(), 1));
+        assertEquals(List.of("l:80"), directory.list(List.of(suva), List.of(lautoka), Set.of(), caller("lautoka"), 1));
+        assertEquals(List.of("s:80"), directory.list(List.of(suva), List.of(labasa), Set.of(), caller(), 1));
+    }
+
+    private List<String> listWithSilent(Set<GatewayHost> silent, GatewayHost... hosts) {
+        return directory.list(List.of(hosts), List.of(), silent, caller("suva"), 60_000);
+    }
+
+    /** Guards against callers that wait for a connection to a host that has just lost power. */
+    @Test
+    void shouldLeaveOutASilentHostWhenAnotherOfTheDataCentreResponds() {
+        GatewayHost other = host("c", "labasa");
+
+        assertEquals(List.of("c:80"), listWithSilent(Set.of(labasa), suva, labasa, other));
+    }
+
+    /** Guards against callers of a data centre without power that are sent to its hosts alone. */
+    @Test
+    void shouldListTheRestOfTheRegionWhenAllHostsOfTheDataCentreAreSilent() {
+        GatewayHost store = new GatewayHost("d", 1, Location.of("labasa", "labasa-store"), "d:80", "d:90");
+
+        assertEquals(List.of("d:80"), listWithSilent(Set.of(labasa), suva, labasa, store));
+    }
+
+    /** Guards against callers sent out of their region for a host that is only late. */
+    @Test
+    void shouldListSilentHostsWhenNoOtherOfTheRegionResponds() {
+        assertEquals(List.of("b:80"), listWithSilent(Set.of(labasa), suva, labasa));
     }
 }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RollingStopSearchTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RollingStopSearchTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 import io.vavr.control.Option;
 import org.junit.jupiter.api.Test;
@@ -266,7 +267,7 @@
         private void query(Host queried, int caller, List<GatewayHost> accepting, List<GatewayHost> closing, long now) {
             List<String> homeRegions = List.of("r" + (caller + 1) % REGIONS, "r" + (caller + 2) % REGIONS);
             CallerLocation location = new CallerLocation("r" + caller, "d" + caller, homeRegions, List.of());
-            List<String> listed = queried.directory.list(accepting, closing, Option.some(location), now);
+            List<String> listed = queried.directory.list(accepting, closing, Set.of(), Option.some(location), now);
             boolean isElsewhere = listed.stream().anyMatch(address -> !address.startsWith("h" + caller));
             if (isElsewhere && hadHostsRecently(caller, now)) {
                 misdirected.add(now + " ms: " + queried.entry.name() + " lists " + listed + " for r" + caller);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -330,7 +330,17 @@
                         query.dataCentre(),
                         configuration.homeRegions(query.hostName()),
                         configuration.commonHomeRegions(query.hostName())));
-        return directory.list(accepting, draining, callerLocation, clock.nowMillis());
+        return directory.list(accepting, draining, silentHosts(), callerLocation, clock.nowMillis());
+    }
+
+    private Set<GatewayHost> silentHosts() {
+        Set<GatewayHost> silent = new HashSet<>();
+        for (PeerLink link : links.aliveLinks()) {
+            if (link.isSilent()) {
+                silent.add(link.host().get());
+            }
+        }
+        return silent;
     }
 
     private List<GatewayHost> hosts(boolean withSelf, Predicate<PeerFrame.State> condition) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -42,6 +42,11 @@
 
     private static final int UNRESPONSIVE_PERIODS = 3;
 
+    /** The minimum time without input after which a host is overdue: two of the usual intervals between reports. */
+    private static final long MIN_SILENT_MILLIS = 1_000;
+
+    private static final int SILENT_PERIODS = 2;
+
     /** How long a link stays open after its output was shut down, to read what the other host had already sent. */
     private static final long LINGER_MILLIS = 300;
 
@@ -117,6 +122,16 @@
         return isOpen() && !peerLeaving && owner.inputReadUntilMillis() - lastReceivedMillis < unresponsiveMillis();
     }
 
+    /**
+     * Returns whether the other host is overdue: it has missed a report, though it still counts as connected.
+     *
+     * @return whether no data was received from it for two of its periods
+     */
+    public boolean isSilent() {
+        return owner.inputReadUntilMillis() - lastReceivedMillis
+                >= Math.max(MIN_SILENT_MILLIS, SILENT_PERIODS * state.periodMillis());
+    }
+
     @Override
     public boolean isInOwnRegion() {
         return inOwnRegion;
