Let the run that makes the class archive serve all kinds of requests

Change: the demo has a model engine, streams that must not run again, a second engine for their backups, lookups, and two services that one region each has, so that requests are forwarded both ways, also to the archived host.

--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteConfigurations.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteConfigurations.java
@@ -20,6 +20,24 @@
     /** The service that serves bookings. */
     public static final String DESK_SERVICE = "desk";
 
+    /** The path prefix of questions, streams of a model engine that must not run again. */
+    static final String QUESTIONS_PREFIX = "/questions/";
+
+    /** The path prefix of lookups, which may be executed more than once. */
+    static final String LOOKUPS_PREFIX = "/lookups/";
+
+    /** The path prefix of reports, streams of a service that only one region has. */
+    static final String REPORTS_PREFIX = "/reports/";
+
+    /** The path prefix of audits, single responses of a service that only another region has. */
+    static final String AUDITS_PREFIX = "/audits/";
+
+    private static final String REPORTER_SERVICE = "reporter";
+    private static final String AUDITOR_SERVICE = "auditor";
+    private static final int MAX_CONNECTIONS = 100;
+    private static final int ENGINE_SLOTS = 16;
+    private static final int ENGINE_TOKENS = 100_000;
+    private static final int EVENT_TOKENS = 5;
     private static final int ROUTE_TIMEOUT_MILLIS = 5_000;
 
     private SiteConfigurations() {}
@@ -39,12 +57,44 @@
                 .add(route("bookings", BOOKINGS_PREFIX, "unsafe", DESK_SERVICE, 1));
         configuration
                 .putArray("services")
-                .add(Json.object().put("name", WRITER_SERVICE).put("max_conns", 100))
-                .add(Json.object().put("name", DESK_SERVICE).put("max_conns", 100));
+                .add(Json.object().put("name", WRITER_SERVICE).put("max_conns", MAX_CONNECTIONS))
+                .add(Json.object().put("name", DESK_SERVICE).put("max_conns", MAX_CONNECTIONS));
         configuration.putObject("limits");
         return configuration;
     }
 
+    /**
+     * Returns a configuration with all kinds of routes: streams of model engines, which may be resumed or not, single
+     * responses, and services that only one region has, so that requests are forwarded.
+     *
+     * @param version the configuration's version
+     * @return the configuration
+     */
+    public static ObjectNode allKindsOf(long version) {
+        ObjectNode configuration = of(version);
+        configuration
+                .withArray("routes")
+                .add(route("questions", QUESTIONS_PREFIX, "streaming", WRITER_SERVICE, 1))
+                .add(route("lookups", LOOKUPS_PREFIX, "safe", DESK_SERVICE, 2))
+                .add(route("reports", REPORTS_PREFIX, "streaming", REPORTER_SERVICE, 2)
+                        .put("resumable", true))
+                .add(route("audits", AUDITS_PREFIX, "unsafe", AUDITOR_SERVICE, 1));
+        ObjectNode engine = Json.object()
+                .put("slots", ENGINE_SLOTS)
+                .put("stride", EVENT_TOKENS)
+                .put("kv_capacity_tokens", ENGINE_TOKENS)
+                .put("backups", true);
+        ObjectNode writer = Json.object().put("name", WRITER_SERVICE).put("max_conns", MAX_CONNECTIONS);
+        writer.set("engine", engine);
+        configuration
+                .putArray("services")
+                .add(writer)
+                .add(Json.object().put("name", DESK_SERVICE).put("max_conns", MAX_CONNECTIONS))
+                .add(Json.object().put("name", REPORTER_SERVICE).put("max_conns", MAX_CONNECTIONS))
+                .add(Json.object().put("name", AUDITOR_SERVICE).put("max_conns", MAX_CONNECTIONS));
+        return configuration;
+    }
+
     private static ObjectNode route(String name, String prefix, String routeType, String service, int maxAttempts) {
         return Json.object()
                 .put("name", name)
