--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -48,6 +48,8 @@
     RESUMED,
     /** A stream whose target failed continues at its backup. */
     FAILED_OVER,
+    /** A stream whose target failed could not continue at its backup. */
+    NOT_FAILED_OVER,
     /** A request received its final response, or its caller disconnected. */
     ENDED,
     /** The complete local copy of the store was sent to another host. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -157,6 +157,9 @@
             return;
         }
         boolean hasRun = backup.exists(StreamBackup::hasFailedOver);
+        if (!hasRun && failure.mayHaveRun()) {
+            backup.forEach(this::logWithoutFailover);
+        }
         release();
         listener.failed(hasRun ? AttemptFailure.UNKNOWN : failure, reason);
     }
@@ -204,6 +207,14 @@
                 .with("reason", reason));
     }
 
+    private void logWithoutFailover(StreamBackup unused) {
+        log.add(LogLine.of(LogEvent.NOT_FAILED_OVER)
+                .with("backup", unused.target().incarnationText())
+                .with("backupUsable", unused.mayFailOver(state.nowMillis()))
+                .with("retriesLeft", state.retryBudget().remaining(service.name(), state.nowMillis()))
+                .with("remainingMillis", deadlineMillis - state.nowMillis()));
+    }
+
     private void deliver(ByteBuf bytes) {
         if (bytes.isReadable()) {
             listener.contentReceived(bytes);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StreamFailoverFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StreamFailoverFlowTest.java
@@ -148,6 +148,34 @@
         }
     }
 
+    /** Guards against broken streams of which nobody can tell why their backup was of no use. */
+    @Test
+    void shouldLogTheBackupWhenItIsLeaving() throws Exception {
+        CountDownLatch backupLeft = new CountDownLatch(1);
+        TestTarget.Script script = (request, out) -> {
+            TestTarget.write(out, TestTarget.streamHead(request) + BEGIN);
+            awaitQuietly(backupLeft);
+            throw new IOException("connection closed by the test");
+        };
+        try (TestTarget one = new TestTarget(script);
+                TestTarget other = new TestTarget(script)) {
+            gateway.target("t1", one.port()).target("t2", other.port());
+
+            TestCaller caller = gateway.caller().send(generation("q1"));
+            caller.readUntil("data: b");
+            gateway.removeTarget(first(one, other) == one ? "t2" : "t1");
+            gateway.awaitTargets(1);
+            backupLeft.countDown();
+            caller.readAll();
+
+            assertTrue(
+                    gateway.linesOf("q1").stream()
+                            .anyMatch(line -> line.contains("\"event\":\"not_failed_over\"")
+                                    && line.contains("\"backupUsable\":false")),
+                    () -> gateway.linesOf("q1").toString());
+        }
+    }
+
     /** Guards against a second run that starts from the beginning: nothing was answered, and the backup has no copy. */
     @Test
     void shouldNotReportNotRunWhenTheBackupRejectsAStreamThatMayHaveRun() throws Exception {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -161,6 +161,11 @@
         return this;
     }
 
+    /** Removes the entry of a target. */
+    void removeTarget(String id) {
+        store.put("targets/" + id, new ClusterEvent.TargetRemoved(id), true);
+    }
+
     /** Waits until the gateway knows that many targets. */
     void awaitTargets(int count) throws IOException {
         awaitMetric("targets " + count);
