Continue forwarded streams through another host; never one that has not begun

Change: the head of a forwarded response names the backup, and when the link ends, the asking host sends the stream to another host of that region, which sends it to the backup alone (FailoverRequest; a host of an earlier version closes the link, so it is never taken for a new request). Streams of which no event has come never fail over, neither here nor across regions.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/StreamBackup.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/StreamBackup.java
@@ -60,7 +60,7 @@
      * @return whether it has not failed over yet and the engine accepts requests
      */
     public boolean mayFailOver(long nowMillis) {
-        return !failedOver && pool.isUsable(target, nowMillis) && !target.isCold(nowMillis);
+        return !failedOver && pool.mayContinue(target, nowMillis);
     }
 
     /** Records that the stream fails over; from now on its memory is accounted for as that of a running request. */
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -234,6 +234,17 @@
                 && !(incarnationsReported && target.incarnation().startedAtMillis() == 0);
     }
 
+    /**
+     * Returns whether a stream may be continued at a target that holds its backup.
+     *
+     * @param target the target
+     * @param nowMillis the time
+     * @return whether the target may be used and is warm
+     */
+    public boolean mayContinue(GatewayTarget target, long nowMillis) {
+        return isUsable(target, nowMillis) && !target.isCold(nowMillis);
+    }
+
     private void drop(String id, long nowMillis) {
         GatewayTarget target = targets.remove(id);
         if (target != null) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -224,11 +224,12 @@
     }
 
     @Override
-    public void requestReceived(PeerLink link, PeerFrame.CallRequest frame) {
+    public void requestReceived(PeerLink link, PeerFrame.CallRequest frame, String backup) {
         GatewayRequest request = reader.request(
                 frame.method(), frame.uri(), frame.authority(), PeerLink.unflatten(frame.headers()), frame.body());
         Map<Long, ForwardedRequest> calls = forwarded.computeIfAbsent(link, each -> new HashMap<>());
-        ForwardedRequest call = new ForwardedRequest(state, link, frame, request, () -> calls.remove(frame.call()));
+        ForwardedRequest call =
+                new ForwardedRequest(state, link, frame, request, backup, () -> calls.remove(frame.call()));
         calls.put(frame.call(), call);
         startAfterPendingReads(call::start);
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
@@ -61,6 +61,15 @@
                 .with("tookMillis", tookMillis));
     }
 
+    void failedOver(String region, PeerLink link, String backup, CallerResponse response) {
+        log.addNotable(LogLine.of(LogEvent.FAILED_OVER)
+                .with("region", region)
+                .with("to", link.host().get().name())
+                .with("backup", backup)
+                .with("lastEventId", response.lastEventId())
+                .with("events", response.events()));
+    }
+
     void retried(CallerResponse response) {
         log.add(LogLine.of(response.isStarted() ? LogEvent.RESUMED : LogEvent.REPEATED)
                 .with("lastEventId", response.lastEventId()));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedRequest.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.ForwardDelay;
+import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.Mechanism;
 import org.rattanplank.core.gateway.PlacementRequest;
 import org.rattanplank.core.gateway.RouteRule;
@@ -39,6 +40,7 @@
     private final PeerLink link;
     private final PeerFrame.CallRequest frame;
     private final GatewayRequest request;
+    private final String backup;
     private final RequestLog requestLog;
     private final Runnable onFinished;
     private final Work work;
@@ -59,6 +61,7 @@
      * @param link the link it arrived on
      * @param frame the frame received
      * @param request the request to send to a target
+     * @param backup the target at whose backup a stream is to be continued, empty for a new request
      * @param onFinished run once when it is finished
      */
     public ForwardedRequest(
@@ -66,11 +69,13 @@
             PeerLink link,
             PeerFrame.CallRequest frame,
             GatewayRequest request,
+            String backup,
             Runnable onFinished) {
         this.state = state;
         this.link = link;
         this.frame = frame;
         this.request = request;
+        this.backup = backup;
         this.onFinished = onFinished;
         excluded = new HashSet<>(frame.excludedTargets());
         requestLog = new RequestLog(state.log(), frame.requestId());
@@ -94,7 +99,11 @@
             fail(AttemptFailure.NOT_SENT, "the deadline passed before the request arrived");
             return;
         }
-        send();
+        if (backup.isEmpty()) {
+            send();
+        } else {
+            continueAtBackup();
+        }
     }
 
     /**
@@ -133,7 +142,8 @@
 
     @Override
     public void headersReceived(int status, HttpHeaders headers) {
-        link.send(new PeerFrame.ResponseHead(frame.call(), status, PeerLink.flatten(headers), target));
+        String heldBy = attempt == null ? "" : attempt.backup();
+        link.send(new PeerFrame.ResponseHead(frame.call(), status, PeerLink.flatten(headers), target, heldBy));
     }
 
     @Override
@@ -154,7 +164,7 @@
     @Override
     public void failed(AttemptFailure failure, String reason) {
         attempt = null;
-        if (!failure.reachedTarget() && ++failedBeforeSend <= MAX_FAILED_BEFORE_SEND) {
+        if (backup.isEmpty() && !failure.reachedTarget() && ++failedBeforeSend <= MAX_FAILED_BEFORE_SEND) {
             send();
             return;
         }
@@ -213,6 +223,30 @@
         }
     }
 
+    /**
+     * Continues a stream whose host was lost. It may have run, so that nothing but its backup may run it.
+     */
+    private void continueAtBackup() {
+        Option<ServiceRule> service = state.configuration().flatMap(now -> now.service(frame.service()));
+        Option<GatewayTarget> holder = state.pool().findIncarnation(backup).filter(found -> state.pool()
+                .mayContinue(found, state.nowMillis()));
+        if (service.isEmpty() || holder.isEmpty()) {
+            fail(AttemptFailure.NOT_SENT, "the backup is not available");
+            return;
+        }
+        target = backup;
+        requestLog.add(LogLine.of(LogEvent.FORWARD_TAKEN)
+                .with("from", link.host().map(host -> host.name()).getOrElse(""))
+                .with("target", target)
+                .with("lastEventId", frame.lastEventId())
+                .with("remainingMillis", remainingMillis()));
+        TargetCall call = new TargetCall(request, work, remainingMillis(), frame.lastEventId(), frame.atMostOnce());
+        Attempt started = LocalAttempt.continueAtBackup(state, holder.get(), service.get(), call, this, requestLog);
+        if (!finished && attempt == null) {
+            attempt = started;
+        }
+    }
+
     private Option<TargetChoice> choose(ServiceRule service) {
         long now = state.nowMillis();
         return route().map(rule -> state.chooser()
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -423,6 +423,11 @@
         return drawnLinks;
     }
 
+    /** Returns a link to a randomly drawn host of another region, if the region may serve a route. */
+    Option<PeerLink> drawLink(RouteRule route, String region) {
+        return Option.of(drawRemoteLinks(route).get(region));
+    }
+
     private ConnectedPeers connectedPeers() {
         long now = nowMillis();
         if (now - connectedPeersAtMillis >= PEERS_CACHE_MILLIS) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -47,12 +47,13 @@
 
     private LocalAttempt(
             GatewayState state,
-            TargetChoice choice,
+            GatewayTarget target,
             ServiceRule service,
             TargetCall call,
             Option<StreamBackup> backup,
             AttemptListener listener,
             RequestLog log) {
+        this.target = target;
         this.state = state;
         this.service = service;
         this.call = call;
@@ -61,8 +62,6 @@
         this.log = log;
         events = new EventSplitter(call.lastEventId());
         deadlineMillis = state.nowMillis() + call.remainingMillis();
-        target = choice.target();
-        sentRequest = InFlightRequest.of(state.chooser(), choice, service, call.work(), state.nowMillis());
     }
 
     /**
@@ -88,7 +87,8 @@
         Option<StreamBackup> backup = route.flatMap(
                 rule -> state.chooser().reserveBackup(rule, service, call.work(), choice.target(), state.nowMillis()));
         TargetCall backedUp = call.withBackup(backup.map(StreamBackup::target));
-        LocalAttempt localAttempt = new LocalAttempt(state, choice, service, backedUp, backup, listener, log);
+        LocalAttempt localAttempt = new LocalAttempt(state, choice.target(), service, backedUp, backup, listener, log);
+        localAttempt.sentRequest = InFlightRequest.of(state.chooser(), choice, service, call.work(), state.nowMillis());
         if (localAttempt.sentRequest.isLargePrefill()) {
             state.notifyLargePrefill(choice.target());
         }
@@ -99,11 +99,41 @@
         return localAttempt;
     }
 
+    /**
+     * Continues a stream at the target that holds its backup.
+     *
+     * @param state the state that all requests share
+     * @param target the target
+     * @param service the service of the target
+     * @param call the request, with the last event that its caller has
+     * @param listener receives the events of the attempt
+     * @param log the log of the request
+     * @return the attempt
+     */
+    static Attempt continueAtBackup(
+            GatewayState state,
+            GatewayTarget target,
+            ServiceRule service,
+            TargetCall call,
+            AttemptListener listener,
+            RequestLog log) {
+        LocalAttempt localAttempt = new LocalAttempt(state, target, service, call, Option.none(), listener, log);
+        localAttempt.sendFailover(call.work(), call.lastEventId());
+        return localAttempt;
+    }
+
     @Override
     public String destination() {
         return target.incarnationText();
     }
 
+    @Override
+    public String backup() {
+        return backup.filter(each -> !each.hasFailedOver())
+                .map(each -> each.target().incarnationText())
+                .getOrElse("");
+    }
+
     @Override
     public void cancel() {
         release();
@@ -170,12 +200,13 @@
 
     /**
      * Returns whether the stream may continue at its backup. It is the same run, but another arrival at a target, so
-     * that it takes from the retry budget.
+     * that it takes from the retry budget. A request whose engine ended before it sent an event has no copy, and may be
+     * what brought the engine down.
      */
     private boolean tryReserveFailover() {
         long now = state.nowMillis();
-        boolean failing = headersDelivered && !success;
-        return !failing
+        boolean begun = success && events.eventCount() > 0;
+        return begun
                 && now < deadlineMillis
                 && backup.exists(each -> each.mayFailOver(now))
                 && state.retryBudget().trySpend(service.name(), now);
@@ -191,9 +222,14 @@
         Work remainingWork = call.work()
                 .withRemainingMillis(deadlineMillis - now)
                 .afterGenerating(events.eventCount() * service.eventTokens());
-        sentRequest = InFlightRequest.ofFailover(state.chooser(), target, service, remainingWork, now);
+        sendFailover(remainingWork, events.lastEventId());
+    }
+
+    private void sendFailover(Work work, String lastEventId) {
+        long now = state.nowMillis();
+        sentRequest = InFlightRequest.ofFailover(state.chooser(), target, service, work, now);
         TargetChoice choice = new TargetChoice(target, ServiceEstimate.NONE, 0, 1, Option.none());
-        connect(choice, call.failOver(remainingWork, deadlineMillis - now, events.lastEventId()));
+        connect(choice, call.failOver(work, deadlineMillis - now, lastEventId));
     }
 
     private void logFailover(String reason) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -81,6 +81,7 @@
     private int failedBeforeSend;
     private boolean firstSendRecorded;
     private boolean mayHaveRun;
+    private boolean failedOver;
 
     /**
      * The service estimate of the target or region to which it was last sent, or would have been sent when it was
@@ -277,28 +278,56 @@
         int hosts = state.regionView().hosts().size();
         state.regionLoads().recordSent(region, service.name(), work.urgency(), Placement.workUnits(work), hosts);
         decisionLog.forwarded(options, region, service, attemptsSent);
+        AttemptHandler handler = new AttemptHandler(region);
+        setAttempt(handler, link.sendRequest(number -> callRequest(number, link), handler));
+    }
+
+    private PeerFrame.CallRequest callRequest(long number, PeerLink link) {
         TargetCall call = targetCall();
+        return new PeerFrame.CallRequest(
+                number,
+                state.configurationVersion(),
+                service.name(),
+                request.id(),
+                request.method(),
+                request.uri(),
+                request.authority(),
+                PeerLink.flatten(request.headers()),
+                request.body(),
+                call.remainingMillis(),
+                link.state().sentAtMillis(),
+                link.stateAgeMillis(),
+                call.lastEventId(),
+                work.urgency(),
+                !route.isIdempotent(),
+                List.copyOf(excluded));
+    }
+
+    /**
+     * Continues a forwarded stream at its backup, through another host of the region: the host that served it is lost.
+     *
+     * @return whether it was sent
+     */
+    private boolean failOver(String region, String backup) {
+        boolean possible = !backup.isEmpty() && !failedOver && !route.isIdempotent() && response.events() > 0;
+        Option<PeerLink> link = possible ? state.drawLink(route, region) : Option.none();
+        if (link.isEmpty() || !state.retryBudget().trySpend(service.name(), state.nowMillis())) {
+            return false;
+        }
+        failedOver = true;
+        state.metrics().failedOver();
+        decisionLog.failedOver(region, link.get(), backup, response);
+        response.discardPartial();
+        attemptAtMillis = state.nowMillis();
+        recordSend();
         AttemptHandler handler = new AttemptHandler(region);
-        Attempt started = link.sendRequest(
-                number -> new PeerFrame.CallRequest(
-                        number,
-                        state.configurationVersion(),
-                        service.name(),
-                        request.id(),
-                        request.method(),
-                        request.uri(),
-                        request.authority(),
-                        PeerLink.flatten(request.headers()),
-                        request.body(),
-                        call.remainingMillis(),
-                        link.state().sentAtMillis(),
-                        link.stateAgeMillis(),
-                        call.lastEventId(),
-                        work.urgency(),
-                        !route.isIdempotent(),
-                        List.copyOf(excluded)),
-                handler);
-        setAttempt(handler, started);
+        setAttempt(
+                handler,
+                link.get()
+                        .sendRequest(
+                                number -> new PeerFrame.FailoverRequest(callRequest(number, link.get()), backup),
+                                handler));
+        return true;
     }
 
     private void setAttempt(AttemptHandler handler, Attempt started) {
@@ -332,9 +361,22 @@
     }
 
     private void attemptFailed(AttemptFailure failure, String reason) {
+        attemptFailed(failure, reason, "", "");
+    }
+
+    private void attemptFailed(AttemptFailure failure, String reason, String region, String backup) {
         attempt = null;
         decisionLog.attemptFailed(failure, reason, state.nowMillis() - attemptAtMillis);
         state.metrics().attemptFailed(failure);
+        if (failedOver) {
+            // It has run, so that nothing but its backup could continue it.
+            fail(reason);
+            return;
+        }
+        if (failure.mayHaveRun() && failOver(region, backup)) {
+            mayHaveRun = true;
+            return;
+        }
         if (!failure.reachedTarget()) {
             attemptsSent--;
             failedBeforeSend++;
@@ -499,10 +541,11 @@
             active = false;
             excluded.add(destination);
             lastTarget = attempt == null ? destination : attempt.destination();
+            String backup = attempt == null || localTarget != null ? "" : attempt.backup();
             if (localTarget == null && !failure.mayHaveRun()) {
                 state.regionLoads().recordRejected(destination, service.name(), work.urgency());
             }
-            attemptFailed(failure, reason);
+            attemptFailed(failure, reason, destination, backup);
         }
 
         /** Returns whether another target is available; otherwise the failure is forwarded to the caller. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -199,6 +199,15 @@
         }
     }
 
+    /**
+     * A stream to be continued in the receiver's region, as the host that served it there is lost. A host of an earlier
+     * version closes the link on receiving one, so it never takes the stream for a new request.
+     *
+     * @param request the request, with the last event that its caller has
+     * @param backup the text of the incarnation of the target that holds the backup of the stream
+     */
+    record FailoverRequest(CallRequest request, String backup) implements PeerFrame {}
+
     /**
      * The headers of a response.
      *
@@ -206,8 +215,10 @@
      * @param status the status
      * @param headers alternating names and values
      * @param target the target that responds
+     * @param backup the target that holds the backup of the stream, empty if there is none
      */
-    record ResponseHead(long call, int status, List<String> headers, String target) implements PeerFrame {
+    record ResponseHead(long call, int status, List<String> headers, String target, String backup)
+            implements PeerFrame {
         public ResponseHead {
             headers = List.copyOf(headers);
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -41,6 +41,7 @@
     private static final int STORE_CHANGES = 12;
     private static final int FRAGMENT = 13;
     private static final int LARGE_PREFILL_NOTICE = 14;
+    private static final int FAILOVER_REQUEST = 15;
 
     /** Smaller frames gain too little from compression. */
     private static final int MIN_COMPRESSIBLE_BYTES = 2_048;
@@ -137,10 +138,13 @@
             }
         } else if (frame instanceof PeerFrame.CallRequest request) {
             write(request, out);
+        } else if (frame instanceof PeerFrame.FailoverRequest failover) {
+            out.packInt(FAILOVER_REQUEST).packString(failover.backup());
+            write(failover.request(), out);
         } else if (frame instanceof PeerFrame.ResponseHead head) {
             out.packInt(RESPONSE_HEAD).packLong(head.call()).packInt(head.status());
             write(head.headers(), out);
-            out.packString(head.target());
+            out.packString(head.target()).packString(head.backup());
         } else if (frame instanceof PeerFrame.ResponseChunk chunk) {
             out.packInt(RESPONSE_CHUNK).packLong(chunk.call());
             write(chunk.bytes(), out);
@@ -243,8 +247,8 @@
             case STORE_CHANGES -> readItems(in.unpackLong(), in);
             case FRAGMENT -> new PeerFrame.Fragment(in.unpackBoolean(), readBytes(in));
             case CALL_REQUEST -> readCallRequest(in);
-            case RESPONSE_HEAD -> new PeerFrame.ResponseHead(
-                    in.unpackLong(), in.unpackInt(), readStrings(in), in.unpackString());
+            case FAILOVER_REQUEST -> readFailoverRequest(in);
+            case RESPONSE_HEAD -> readResponseHead(in);
             case RESPONSE_CHUNK -> new PeerFrame.ResponseChunk(in.unpackLong(), readBytes(in));
             case RESPONSE_END -> new PeerFrame.ResponseEnd(in.unpackLong());
             case CALL_FAILED -> new PeerFrame.CallFailed(
@@ -343,7 +347,7 @@
         return new PeerFrame.StoreItems(baseRevision, revision, graceMillis, items);
     }
 
-    private static PeerFrame readCallRequest(MessageUnpacker in) throws IOException {
+    private static PeerFrame.CallRequest readCallRequest(MessageUnpacker in) throws IOException {
         return new PeerFrame.CallRequest(
                 in.unpackLong(),
                 in.unpackLong(),
@@ -363,6 +367,24 @@
                 readStrings(in));
     }
 
+    private static PeerFrame.FailoverRequest readFailoverRequest(MessageUnpacker in) throws IOException {
+        String backup = in.unpackString();
+        if (in.unpackInt() != CALL_REQUEST) {
+            throw new IOException("failover without a request");
+        }
+        return new PeerFrame.FailoverRequest(readCallRequest(in), backup);
+    }
+
+    private static PeerFrame.ResponseHead readResponseHead(MessageUnpacker in) throws IOException {
+        return new PeerFrame.ResponseHead(
+                in.unpackLong(),
+                in.unpackInt(),
+                readStrings(in),
+                in.unpackString(),
+                // A host of an earlier version names no backup.
+                in.hasNext() ? in.unpackString() : "");
+    }
+
     private static GatewayHost readHost(MessageUnpacker in) throws IOException {
         return new GatewayHost(
                 in.unpackString(),
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -205,7 +205,7 @@
      * @param listener receives the events of the attempt
      * @return the attempt
      */
-    public Attempt sendRequest(LongFunction<PeerFrame.CallRequest> request, AttemptListener listener) {
+    public Attempt sendRequest(LongFunction<? extends PeerFrame> request, AttemptListener listener) {
         long number = nextCall++;
         PeerAttempt attempt = new PeerAttempt(number, listener);
         if (!isOpen() || peerLeaving) {
@@ -344,10 +344,9 @@
         } else if (frame instanceof PeerFrame.Fragment fragment) {
             handleFragment(fragment);
         } else if (frame instanceof PeerFrame.CallRequest request) {
-            if (!closing) {
-                lastAcceptedCall = Math.max(lastAcceptedCall, request.call());
-                owner.listener().requestReceived(this, request);
-            }
+            accept(request, "");
+        } else if (frame instanceof PeerFrame.FailoverRequest failover) {
+            accept(failover.request(), failover.backup());
         } else if (frame instanceof PeerFrame.Leaving leaving) {
             peerLeft(leaving.lastCall());
         } else if (frame instanceof PeerFrame.CallCancel cancel) {
@@ -357,6 +356,13 @@
         }
     }
 
+    private void accept(PeerFrame.CallRequest request, String backup) {
+        if (!closing) {
+            lastAcceptedCall = Math.max(lastAcceptedCall, request.call());
+            owner.listener().requestReceived(this, request, backup);
+        }
+    }
+
     private void handleFragment(PeerFrame.Fragment fragment) {
         fragments.writeBytes(fragment.bytes());
         if (fragments.size() > PeerLinks.MAX_FRAME_BYTES) {
@@ -385,6 +391,7 @@
             PeerAttempt call = calls.get(head.call());
             if (call != null) {
                 call.target = head.target();
+                call.backup = head.backup();
                 call.listener.headersReceived(head.status(), unflatten(head.headers()));
             }
         } else if (frame instanceof PeerFrame.ResponseChunk chunk) {
@@ -399,6 +406,8 @@
                     Try.of(() -> AttemptFailure.valueOf(failed.failure())).getOrElse(AttemptFailure.UNKNOWN);
             Option.of(calls.remove(failed.call())).forEach(call -> {
                 call.target = failed.target();
+                // The other host knows better than this one whether the backup is of use.
+                call.backup = "";
                 call.listener.failed(failure, failed.reason());
             });
         }
@@ -408,6 +417,7 @@
         private final long number;
         private final AttemptListener listener;
         private String target = "";
+        private String backup = "";
 
         private PeerAttempt(long number, AttemptListener listener) {
             this.number = number;
@@ -419,6 +429,11 @@
             return target.isEmpty() ? host.name() : target;
         }
 
+        @Override
+        public String backup() {
+            return backup;
+        }
+
         @Override
         public void cancel() {
             if (calls.remove(number) != null) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerListener.java
@@ -45,8 +45,9 @@
      *
      * @param link the link to it
      * @param request the request
+     * @param backup the target at whose backup a stream is to be continued, empty for a new request
      */
-    void requestReceived(PeerLink link, PeerFrame.CallRequest request);
+    void requestReceived(PeerLink link, PeerFrame.CallRequest request, String backup);
 
     /**
      * Called when a host cancels a call.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/Attempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/Attempt.java
@@ -9,6 +9,15 @@
      */
     String destination();
 
+    /**
+     * Returns the target that holds the backup of the stream, where it may be continued if the attempt fails.
+     *
+     * @return the text of the target's incarnation, or empty if there is none
+     */
+    default String backup() {
+        return "";
+    }
+
     /** Cancels the request without notifying the listener; the connection is closed so that the target stops. */
     void cancel();
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -291,6 +291,11 @@
         return new TestPeer(peers);
     }
 
+    /** Connects a host of another region by name. */
+    TestPeer peer(String name) throws IOException {
+        return new TestPeer(peers, name, Location.of("labasa", "labasa-hall"));
+    }
+
     /** Connects another host of the gateway's region. */
     TestPeer sameRegionPeer(String name) throws IOException {
         return new TestPeer(peers, name, Location.of("suva", DATA_CENTRE));
