--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Admission.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Admission.java
@@ -6,9 +6,7 @@
  * <p>It guards against lasting overload, in which requests arrive faster than engines prefill. Every accepted request
  * then waits, and a queue in which each waits longer than the latency objective serves as many as a short one, but all
  * of them late. So a request that is expected to be late is rejected while it would also have to wait; its caller may
- * retry. Rejecting raises the share of the value of all requests that is earned, less costs, from 0.45 to 0.53 on a day
- * on which half of the engines fail at the peak and from 0.59 to 0.64 on a day of milder overload, and changes nothing
- * where engines keep up.
+ * retry.
  *
  * <p>Invariant: a request that would not wait and takes nothing from lagging streams is accepted, however long its own
  * prompt is. Stateless and thread safe.
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RetryAfterQueue.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RetryAfterQueue.java
@@ -10,9 +10,8 @@
  *
  * <p>It guards against lasting overload. Callers that are all given the same short time come back into the same
  * backlog, displace others there, and are rejected again. Spread by the work that they bring, those of a short peak
- * come back soon, and those of a long one as late as is of use to them, in the order in which they were rejected. On
- * days with faults this lowers the share of callers that end rejected, for example from 2.7 to 2.1 % and from 0.8 to
- * 0.4 %. Invariant: the time is never longer than is of use to the caller, and never shorter than {@link
+ * come back soon, and those of a long one as late as is of use to them, in the order in which they were rejected.
+ * Invariant: the time is never longer than is of use to the caller, and never shorter than {@link
  * #MIN_RETRY_AFTER_MILLIS}. Confined to its owner's thread.
  */
 public final class RetryAfterQueue {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -323,8 +323,7 @@
 
     /**
      * Returns the target from which the chosen one may transfer the shared prefix: the affinity target, if it is
-     * another one. A transfer takes an engine far less time than prefill. On days with faults it saves 20 to 25 % of
-     * the recomputed tokens of shared parts (1.9 instead of 2.5 million a day), and 2 to 5 % of all prefilled tokens.
+     * another one. A transfer takes an engine far less time than prefill.
      */
     private Option<GatewayTarget> transferSource(
             GatewayTarget chosen, GatewayTarget affinityTarget, List<PromptPart> shared, int sharedTokens) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -309,7 +309,7 @@
         LatencyModel model = state.chooser().latencyModel(service.name());
         // A region without capacity reports it explicitly. Otherwise others would use its last report for seconds, send
         // requests there and get each back after two crossings. Symptom: requests that end in this region because no
-        // target is available: 183 on a day with an evacuation of a region at its peak, 62 with the explicit report.
+        // target is available.
         return best.map(choice -> new PeerFrame.RegionLoad(
                         service.name(),
                         urgency,
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -243,10 +243,10 @@
                 .with("reason", reason));
     }
 
-    private void logWithoutFailover(StreamBackup unused) {
+    private void logWithoutFailover(StreamBackup unusable) {
         log.add(LogLine.of(LogEvent.NOT_FAILED_OVER)
-                .with("backup", unused.target().incarnationText())
-                .with("backupUsable", unused.mayFailOver(state.nowMillis()))
+                .with("backup", unusable.target().incarnationText())
+                .with("backupUsable", unusable.mayFailOver(state.nowMillis()))
                 .with("retriesLeft", state.retryBudget().remaining(service.name(), state.nowMillis()))
                 .with("remainingMillis", deadlineMillis - state.nowMillis()));
     }
