Count a stream's tokens without overflow when its backup is chosen

Read in the diff: a caller that states 2^31-1 tokens in and out made the sum negative, so that an engine seemed to have room for its backup. The new test fails on the code before.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/EntryHostDirectory.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/EntryHostDirectory.java
@@ -16,7 +16,8 @@
  *
  * <p>Invariants: a caller is sent out of its region only if no host there accepts callers; then to a region that may
  * serve all of its requests, and to any other only if those regions have had no host for a while. A host that is about
- * to shut down, or that has been silent and may have lost power, is listed only where no other may be. Confined to its owner's thread.
+ * to shut down, or that has been silent and may have lost power, is listed only where no other may be. Confined to its
+ * owner's thread.
  */
 public final class EntryHostDirectory {
     /** Maximum number of hosts that a caller receives. */
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -231,7 +231,7 @@
         return RendezvousHashing.mix(idHash ^ prefixHash);
     }
 
-    double kvCacheShortfallTokens(int tokens, long kvCacheTokens) {
+    double kvCacheShortfallTokens(long tokens, long kvCacheTokens) {
         return totalWork().kvCacheTokens() + tokens - USABLE_KV_CACHE_FRACTION * kvCacheTokens;
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Work.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Work.java
@@ -61,8 +61,8 @@
      *
      * @return tokens
      */
-    public int totalTokens() {
-        return promptTokens + outputTokens;
+    public long totalTokens() {
+        return (long) promptTokens + outputTokens;
     }
 
     /**
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/BackupChooserTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/BackupChooserTest.java
@@ -81,4 +81,14 @@
 
         assertEquals(Set.of(), drawn(primary));
     }
+
+    /** Guards against a caller's counts that overflow, so that an engine seems to have room for any stream. */
+    @Test
+    void shouldChooseNoneWhenTheCallerStatesImpossibleCounts() {
+        GatewayTarget primary = engine("a", HALL);
+        engine("b", ANNEX);
+        Work impossible = new Work(Integer.MAX_VALUE, Integer.MAX_VALUE, List.of(), Urgency.MIDDLE, 10_000);
+
+        assertEquals(Option.none(), chooser.choose(primary, Samples.MODEL_SERVICE, impossible, 1));
+    }
 }
