--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/BackupChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/BackupChooser.java
@@ -45,9 +45,8 @@
 
     private boolean hasRoom(GatewayTarget target, ServiceRule service, Work work, long nowMillis) {
         return target.entry().service().equals(service.name())
-                && pool.isUsable(target, nowMillis)
+                && pool.mayContinue(target, nowMillis)
                 && target.isHealthy(nowMillis)
-                && !target.isCold(nowMillis)
                 && target.totalWork().requests() < target.slots()
                 && target.kvCacheShortfallTokens(work.totalTokens(), service.kvCacheTokens()) <= 0;
     }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -26,6 +26,9 @@
     /** Bytes of any answer within this time show that a target is alive, regardless of failures of a single connection. */
     private static final long ACTIVITY_TIMEOUT_MILLIS = 1_000;
 
+    /** A request is abandoned if its target has sent nothing to it, nor to any other request, for this long. */
+    private static final long STALL_TIMEOUT_MILLIS = 1_500;
+
     private static final long SECOND_MILLIS = 1_000;
 
     private final TargetIncarnation incarnation;
@@ -202,13 +205,15 @@
     }
 
     /**
-     * Returns whether nothing has been received from it for a while though requests are in flight.
+     * Returns whether a request in flight should be abandoned because the target is unresponsive.
      *
+     * @param sinceMillis when the request was sent, or when its last event was received
      * @param nowMillis the time
-     * @return whether it is unresponsive
+     * @return whether the target has sent nothing for too long
      */
-    public boolean isUnresponsive(long nowMillis) {
-        return nowMillis - lastActivityMillis > ACTIVITY_TIMEOUT_MILLIS;
+    public boolean isStalled(long sinceMillis, long nowMillis) {
+        return nowMillis - sinceMillis > STALL_TIMEOUT_MILLIS
+                && nowMillis - lastActivityMillis > ACTIVITY_TIMEOUT_MILLIS;
     }
 
     /**
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/StreamBackup.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/StreamBackup.java
@@ -10,9 +10,6 @@
  * to its owner's thread.
  */
 public final class StreamBackup {
-    /** A stream that has begun fails over if its engine sends nothing to any stream of this host for this long. */
-    private static final long STALL_TIMEOUT_MILLIS = 1_500;
-
     private final GatewayTarget primary;
     private final GatewayTarget target;
     private final TargetPool pool;
@@ -48,9 +45,7 @@
      * @return whether the engine should be abandoned
      */
     public boolean isPrimaryStalled(Option<Long> lastEventAtMillis, long nowMillis) {
-        return lastEventAtMillis.exists(at -> nowMillis - at > STALL_TIMEOUT_MILLIS)
-                && primary.isUnresponsive(nowMillis)
-                && mayFailOver(nowMillis);
+        return lastEventAtMillis.exists(at -> primary.isStalled(at, nowMillis)) && mayFailOver(nowMillis);
     }
 
     /**
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/EngineCrashAtPeakTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/EngineCrashAtPeakTest.java
@@ -35,10 +35,11 @@
     /** Guards against backups that take the memory and time of the requests that engines run. */
     @Test
     void shouldServeAsManyOthersWhenStreamsHaveBackups() {
-        Mechanisms without = new Mechanisms(Set.of(Mechanism.BACK_UP_STREAMS));
+        SimulatedRegion regionWith = simulate(6, 1, Mechanisms.ALL);
+        SimulatedRegion regionWithout = simulate(6, 1, new Mechanisms(Set.of(Mechanism.BACK_UP_STREAMS)));
         for (StreamKind kind : StreamKind.values()) {
-            double withBackups = simulate(6, 1, Mechanisms.ALL).served(kind);
-            double withoutBackups = simulate(6, 1, without).served(kind);
+            double withBackups = regionWith.served(kind);
+            double withoutBackups = regionWithout.served(kind);
 
             assertTrue(withBackups >= withoutBackups - 0.03, kind + ": " + withBackups + " < " + withoutBackups);
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -386,9 +386,7 @@
         recordLoopDelay(now);
         ticks++;
         List.copyOf(requests).forEach(request -> request.tick(readWatermark.millis()));
-        for (Map<Long, ForwardedRequest> calls : List.copyOf(forwarded.values())) {
-            List.copyOf(calls.values()).forEach(call -> call.tick(readWatermark.millis()));
-        }
+        forEachForwarded(call -> call.tick(readWatermark.millis()));
         links.tick();
         stateExchange.tick(now);
         stateUpdater.tick(now);
@@ -417,8 +415,13 @@
     /** Aborts all requests in progress: a response with the outcome is better than a closed connection. */
     private void abortAll() {
         List.copyOf(requests).forEach(ProxiedRequest::abort);
+        forEachForwarded(ForwardedRequest::abort);
+    }
+
+    /** Runs an action for each request of another host; the action may end the request. */
+    private void forEachForwarded(Consumer<ForwardedRequest> action) {
         List.copyOf(forwarded.values())
-                .forEach(calls -> List.copyOf(calls.values()).forEach(ForwardedRequest::abort));
+                .forEach(calls -> List.copyOf(calls.values()).forEach(action));
     }
 
     private void registerGauges(HttpClientTraffic storeTraffic) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -36,7 +36,10 @@
     private final AttemptListener listener;
     private final RequestLog log;
     private final Option<StreamBackup> backup;
-    private final EventSplitter events;
+
+    /** Splits the response into whole events; only a stream with a backup needs it. */
+    private final Option<EventSplitter> events;
+
     private final long deadlineMillis;
     private GatewayTarget target;
     private InFlightRequest sentRequest;
@@ -60,7 +63,7 @@
         this.backup = backup;
         this.listener = listener;
         this.log = log;
-        events = new EventSplitter(call.lastEventId());
+        events = backup.map(each -> new EventSplitter(call.lastEventId()));
         deadlineMillis = state.nowMillis() + call.remainingMillis();
     }
 
@@ -163,20 +166,20 @@
 
     @Override
     public void contentReceived(ByteBuf bytes) {
-        lastEventAtMillis = Option.some(state.nowMillis());
         sentRequest.recordEvent(success, state.nowMillis());
-        if (backup.isEmpty()) {
+        if (events.isEmpty()) {
             listener.contentReceived(bytes);
-        } else {
-            deliver(events.append(bytes));
+            return;
         }
+        lastEventAtMillis = Option.some(state.nowMillis());
+        deliver(events.get().append(bytes));
     }
 
     @Override
     public void completed() {
         sentRequest.recordEnd(success, state.nowMillis());
         release();
-        deliver(events.takeRemainder());
+        events.forEach(each -> deliver(each.takeRemainder()));
         listener.completed();
     }
 
@@ -205,7 +208,7 @@
      */
     private boolean tryReserveFailover() {
         long now = state.nowMillis();
-        boolean begun = success && events.eventCount() > 0;
+        boolean begun = success && events.exists(each -> each.eventCount() > 0);
         return begun
                 && now < deadlineMillis
                 && backup.exists(each -> each.mayFailOver(now))
@@ -216,13 +219,14 @@
         long now = state.nowMillis();
         sentRequest.release();
         backup.get().recordFailover();
-        events.discardRemainder();
-        logFailover(reason);
+        EventSplitter forwarded = events.get();
+        forwarded.discardRemainder();
+        logFailover(forwarded, reason);
         target = backup.get().target();
         Work remainingWork = call.work()
                 .withRemainingMillis(deadlineMillis - now)
-                .afterGenerating(events.eventCount() * service.eventTokens());
-        sendFailover(remainingWork, events.lastEventId());
+                .afterGenerating(forwarded.eventCount() * service.eventTokens());
+        sendFailover(remainingWork, forwarded.lastEventId());
     }
 
     private void sendFailover(Work work, String lastEventId) {
@@ -232,13 +236,13 @@
         connect(choice, call.failOver(work, deadlineMillis - now, lastEventId));
     }
 
-    private void logFailover(String reason) {
+    private void logFailover(EventSplitter forwarded, String reason) {
         state.metrics().failedOver();
         log.addNotable(LogLine.of(LogEvent.FAILED_OVER)
                 .with("target", target.incarnationText())
                 .with("backup", backup.get().target().incarnationText())
-                .with("lastEventId", events.lastEventId())
-                .with("events", events.eventCount())
+                .with("lastEventId", forwarded.lastEventId())
+                .with("events", forwarded.eventCount())
                 .with("remainingMillis", deadlineMillis - state.nowMillis())
                 .with("reason", reason));
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -54,9 +54,6 @@
     /** The maximum number of attempts that fail before anything is sent. Such attempts are cheap, but need a limit. */
     private static final int MAX_FAILED_BEFORE_SEND = 4;
 
-    /** An attempt is abandoned if its target sends no data to any request for this long and a retry is allowed. */
-    private static final long STALL_TIMEOUT_MILLIS = 1_500;
-
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final String STOPPING_REASON = "this host is stopping";
@@ -223,8 +220,7 @@
                 && state.uses(Mechanism.LEAVE_SILENT)
                 && route.isIdempotent()
                 && attemptsSent < route.maxAttempts()
-                && nowMillis - attemptAtMillis > STALL_TIMEOUT_MILLIS
-                && localTarget.isUnresponsive(nowMillis)
+                && localTarget.isStalled(attemptAtMillis, nowMillis)
                 && state.retryBudget().remaining(service.name(), nowMillis) > 0
                 && routingOptions().placement().localChoice().isDefined();
     }
@@ -309,7 +305,7 @@
      * @return whether it was sent
      */
     private boolean failOver(String region, String backup) {
-        boolean possible = !backup.isEmpty() && !failedOver && !route.isIdempotent() && response.events() > 0;
+        boolean possible = !backup.isEmpty() && !route.isIdempotent() && response.events() > 0;
         Option<PeerLink> link = possible ? state.drawLink(route, region) : Option.none();
         if (link.isEmpty() || !state.retryBudget().trySpend(service.name(), state.nowMillis())) {
             return false;
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteConfigurations.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteConfigurations.java
@@ -49,16 +49,17 @@
      * @return the configuration
      */
     public static ObjectNode of(long version) {
+        return of(version, service(WRITER_SERVICE));
+    }
+
+    private static ObjectNode of(long version, ObjectNode writer) {
         ObjectNode configuration = Json.object().put("version", version);
         configuration
                 .putArray("routes")
                 .add(route("drafts", DRAFTS_PREFIX, "streaming", WRITER_SERVICE, 2)
                         .put("resumable", true))
                 .add(route("bookings", BOOKINGS_PREFIX, "unsafe", DESK_SERVICE, 1));
-        configuration
-                .putArray("services")
-                .add(Json.object().put("name", WRITER_SERVICE).put("max_conns", MAX_CONNECTIONS))
-                .add(Json.object().put("name", DESK_SERVICE).put("max_conns", MAX_CONNECTIONS));
+        configuration.putArray("services").add(writer).add(service(DESK_SERVICE));
         configuration.putObject("limits");
         return configuration;
     }
@@ -71,7 +72,13 @@
      * @return the configuration
      */
     public static ObjectNode allKindsOf(long version) {
-        ObjectNode configuration = of(version);
+        ObjectNode writer = service(WRITER_SERVICE);
+        writer.putObject("engine")
+                .put("slots", ENGINE_SLOTS)
+                .put("stride", EVENT_TOKENS)
+                .put("kv_capacity_tokens", ENGINE_TOKENS)
+                .put("backups", true);
+        ObjectNode configuration = of(version, writer);
         configuration
                 .withArray("routes")
                 .add(route("questions", QUESTIONS_PREFIX, "streaming", WRITER_SERVICE, 1))
@@ -79,22 +86,14 @@
                 .add(route("reports", REPORTS_PREFIX, "streaming", REPORTER_SERVICE, 2)
                         .put("resumable", true))
                 .add(route("audits", AUDITS_PREFIX, "unsafe", AUDITOR_SERVICE, 1));
-        ObjectNode engine = Json.object()
-                .put("slots", ENGINE_SLOTS)
-                .put("stride", EVENT_TOKENS)
-                .put("kv_capacity_tokens", ENGINE_TOKENS)
-                .put("backups", true);
-        ObjectNode writer = Json.object().put("name", WRITER_SERVICE).put("max_conns", MAX_CONNECTIONS);
-        writer.set("engine", engine);
-        configuration
-                .putArray("services")
-                .add(writer)
-                .add(Json.object().put("name", DESK_SERVICE).put("max_conns", MAX_CONNECTIONS))
-                .add(Json.object().put("name", REPORTER_SERVICE).put("max_conns", MAX_CONNECTIONS))
-                .add(Json.object().put("name", AUDITOR_SERVICE).put("max_conns", MAX_CONNECTIONS));
+        configuration.withArray("services").add(service(REPORTER_SERVICE)).add(service(AUDITOR_SERVICE));
         return configuration;
     }
 
+    private static ObjectNode service(String name) {
+        return Json.object().put("name", name).put("max_conns", MAX_CONNECTIONS);
+    }
+
     private static ObjectNode route(String name, String prefix, String routeType, String service, int maxAttempts) {
         return Json.object()
                 .put("name", name)
