Keep a link open at a stop while a call on it has arrived in part

What callers saw: a host that is about to stop tells the other host that it did not accept the call, though the first bytes of it lie read in its decoder. The other host sends it elsewhere; near its deadline, or where no other host can take it, the caller is rejected though the stopping host had time to serve it.

Cause: PeerLink.closeGracefully read what was pending and then asked only whether a request is in progress. Bytes of a frame that is not complete are no request.

Change: after the read, a link stays open while a frame is incomplete, or the first fragments of a call have arrived, the other host is responsive, and the call would still be accepted. Later the other host is told at once that it was not. Fragments of a store item do not hold the stop.

Two more guard the change: with the bound of the wait removed, shouldReportTheLastCallWhenARequestNeverArrivesCompletely fails; with any fragments awaited, shouldCloseTheLinkWhenAStoreItemHasArrivedInPart does.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStop.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStop.java
@@ -16,8 +16,9 @@
  * The planned stop of a process.
  *
  * <p>Invariants: callers and other hosts get responses until their connections have closed; a connection is closed only
- * after a read that found no data on it, so every request that reached this host before has a response. The grace
- * period is never exceeded. Confined to the event loop.
+ * after a read that found no data on it, so every request that reached this host before has a response, and a request
+ * that has arrived in part is awaited while it would be accepted. The grace period is never exceeded. Confined to the
+ * event loop.
  */
 final class GatewayStop {
     /** The time at the end of the grace period that is reserved for the process to terminate. */
@@ -123,10 +124,18 @@
         }
         callers.closeIdleConnections();
         if (callers.allHalfClosed() && !hasRequests.getAsBoolean()) {
-            links.closeGracefully(hasRequests);
+            links.closeGracefully(this::mustStayOpen);
         }
     }
 
+    /**
+     * Returns whether a link has work. A call that has arrived in part is awaited only while it would still be accepted:
+     * later, the other host is told at once that it was not.
+     */
+    private boolean mustStayOpen(PeerLink link) {
+        return hasRequests.getAsBoolean() || mayAccept(Option.none()) && link.isReceivingCall();
+    }
+
     private void finish() {
         finished = true;
         state.log()
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -114,6 +114,16 @@
         }
     }
 
+    /**
+     * Returns whether a frame is a call.
+     *
+     * @param start the first bytes of the encoded frame, possibly none
+     * @return whether they tell that it is one
+     */
+    static boolean startsCall(byte[] start) {
+        return start.length > 0 && (start[0] == CALL_REQUEST || start[0] == FAILOVER_REQUEST);
+    }
+
     static Try<PeerFrame> decode(byte[] bytes) {
         return Try.of(() -> read(MessagePack.newDefaultUnpacker(bytes)));
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
+import java.util.function.Predicate;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -55,6 +55,7 @@
     private final PeerLinks owner;
     private final MonotonicClock clock;
     private final boolean outgoing;
+    private final PeerFrameDecoder decoder = new PeerFrameDecoder();
     private final Map<Long, PeerAttempt> calls = new HashMap<>();
     private Channel channel;
     private GatewayHost host;
@@ -66,6 +67,7 @@
     private boolean peerLeaving;
     private PeerFrame.State state = PeerFrame.State.NONE;
     private final ByteArrayOutputStream fragments = new ByteArrayOutputStream();
+    private boolean receivingCallFragments;
     private long stateAtMillis;
     private double roundTripMillis;
 
@@ -137,6 +139,21 @@
         return inOwnRegion;
     }
 
+    /** Returns the decoder that splits the received bytes of this link into frames. */
+    PeerFrameDecoder decoder() {
+        return decoder;
+    }
+
+    /**
+     * Returns whether a part of a call may have been received, and the rest can still follow.
+     *
+     * @return whether the other host is responsive, and a frame is incomplete or the first fragments of a call have been
+     *     received
+     */
+    public boolean isReceivingCall() {
+        return isAlive() && (decoder.hasIncompleteFrame() || receivingCallFragments);
+    }
+
     /** Returns whether this host opened the connection. */
     boolean isOutgoing() {
         return outgoing;
@@ -251,16 +268,16 @@
     /**
      * Closes the link gracefully: reads pending input in the same event loop task, and sends the other host the number of the last
      * accepted call. Without that number it could not determine whether a call that crossed the close has run, and a
-     * booking would end with an unknown outcome. Does nothing if a call has arrived.
+     * booking would end with an unknown outcome. Does nothing if the link must stay open.
      *
-     * @param hasWork returns whether a call is in progress
+     * @param mustStayOpen returns whether the link has work, after the pending input was read
      */
-    void closeGracefully(BooleanSupplier hasWork) {
+    void closeGracefully(Predicate<? super PeerLink> mustStayOpen) {
         if (closing || !isOpen()) {
             return;
         }
         PendingInput.read(channel);
-        if (hasWork.getAsBoolean() || !isOpen()) {
+        if (mustStayOpen.test(this) || !isOpen()) {
             return;
         }
         closing = true;
@@ -364,13 +381,17 @@
     }
 
     private void handleFragment(PeerFrame.Fragment fragment) {
+        if (fragments.size() == 0) {
+            receivingCallFragments = PeerFrameCodec.startsCall(fragment.bytes());
+        }
         fragments.writeBytes(fragment.bytes());
-        if (fragments.size() > PeerLinks.MAX_FRAME_BYTES) {
+        if (fragments.size() > PeerFrameDecoder.MAX_FRAME_BYTES) {
             owner.frameUnreadable(
-                    this, new IOException("fragmented frame exceeds " + PeerLinks.MAX_FRAME_BYTES + " bytes"));
+                    this, new IOException("fragmented frame exceeds " + PeerFrameDecoder.MAX_FRAME_BYTES + " bytes"));
         } else if (fragment.last()) {
             byte[] frame = fragments.toByteArray();
             fragments.reset();
+            receivingCallFragments = false;
             readFrame(frame);
         }
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -20,7 +20,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.host.RendezvousHashing;
@@ -35,11 +34,6 @@
  * store is unavailable, so that the others connect to a host that returns during the outage. Confined to the event loop.
  */
 public final class PeerLinks {
-    private static final int LENGTH_FIELD_BYTES = 4;
-
-    /** Large enough for a body of the maximum size with its headers, and for all contents of the store. */
-    static final int MAX_FRAME_BYTES = 16 << 20;
-
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
     /** Longer than a link over the longest network round trip takes to open, so that two hosts seldom open two links. */
@@ -262,13 +256,13 @@
     }
 
     /**
-     * Closes all links gracefully on which no call has arrived.
+     * Closes all links gracefully that need not stay open.
      *
-     * @param hasWork returns whether a call of another host is in progress
+     * @param mustStayOpen returns whether a link has work, after its pending input was read
      */
-    public void closeGracefully(BooleanSupplier hasWork) {
+    public void closeGracefully(Predicate<? super PeerLink> mustStayOpen) {
         for (PeerLink link : List.copyOf(openLinks)) {
-            link.closeGracefully(hasWork);
+            link.closeGracefully(mustStayOpen);
         }
     }
 
@@ -421,9 +415,8 @@
                         // limit for an unresponsive link. Otherwise the link would be closed and the item sent again
                         // for as long as the link is congested.
                         .addLast(new ByteCountHandler(link::bytesReceived))
-                        .addLast(new LengthFieldBasedFrameDecoder(
-                                MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
-                        .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
+                        .addLast(link.decoder())
+                        .addLast(new LengthFieldPrepender(PeerFrameDecoder.LENGTH_FIELD_BYTES))
                         .addLast(link);
             }
         };
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
@@ -7,7 +7,10 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.rattanplank.core.gateway.RouteKind;
+import org.rattanplank.gateway.peer.CallSplit;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.TestPeer;
 import org.rattanplank.gateway.target.AttemptFailure;
@@ -24,6 +27,9 @@
     /** Longer than a stopping host keeps serving callers. */
     private static final long STOP_PAUSE_MILLIS = 2_000;
 
+    /** The same, but with time left in which the host accepts requests. */
+    private static final long SHORT_STOP_PAUSE_MILLIS = 1_750;
+
     private TestGateway gateway;
 
     @BeforeEach
@@ -141,6 +147,87 @@
         }
     }
 
+    /**
+     * Guards against requests rejected by a stopping host that has time to serve them: only a part of the request has
+     * arrived when the host closes its links, and the host answers that it did not accept it.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void shouldAnswerARequestWhenOnlyAPartOfItHasArrivedAtTheEndOfTheStop(CallSplit split) throws Exception {
+        try (TestTarget target = new TestTarget(
+                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "one")));
+                TestPeer peer = gateway.peer()) {
+            gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
+            peer.reportIdle(false);
+            peer.sendPartOfRequest(split, "q1", 20_000, peer.await(PeerFrame.State.class));
+            gateway.awaitReceived(peer.sentBytes());
+
+            CountDownLatch resume = stopUntilLinksAreClosed();
+            try {
+                peer.sendRemainder();
+            } finally {
+                resume.countDown();
+            }
+
+            peer.awaitCallEnd(1);
+            assertEquals(1, peer.await(PeerFrame.Leaving.class).lastCall());
+            assertTrue(peer.readsUntilClosed());
+        }
+    }
+
+    /**
+     * Guards against bookings of unknown outcome when the rest of a request never arrives: before it terminates, the
+     * stopping host must still report the last call that it accepted.
+     */
+    @Test
+    void shouldReportTheLastCallWhenARequestNeverArrivesCompletely() throws Exception {
+        try (TestPeer peer = gateway.peer()) {
+            gateway.configure(RouteKind.UNSAFE, false, 1);
+            peer.reportIdle(false);
+            peer.sendPartOfRequest(CallSplit.INSIDE_BODY, "q1", 20_000, peer.await(PeerFrame.State.class));
+            gateway.awaitReceived(peer.sentBytes());
+
+            gateway.stop();
+
+            assertEquals(0, peer.await(PeerFrame.Leaving.class).lastCall());
+            assertTrue(peer.readsUntilClosed());
+            gateway.awaitEnded();
+        }
+    }
+
+    /** Guards against stops that last as long as the transfer of a large store item over a congested link. */
+    @Test
+    void shouldCloseTheLinkWhenAStoreItemHasArrivedInPart() throws Exception {
+        try (TestPeer peer = gateway.peer()) {
+            gateway.configure(RouteKind.UNSAFE, false, 1);
+            peer.reportIdle(false);
+            peer.sendFirstFragmentOfItem();
+            gateway.awaitReceived(peer.sentBytes());
+
+            CountDownLatch resume = stopUntilLinksAreClosed();
+            try {
+                assertEquals(0, peer.await(PeerFrame.Leaving.class).lastCall());
+            } finally {
+                resume.countDown();
+            }
+        }
+    }
+
+    /**
+     * Stops the gateway and blocks its event loop once the stop has closed the links that it does not keep open.
+     *
+     * @return the latch that unblocks the event loop
+     */
+    private CountDownLatch stopUntilLinksAreClosed() throws Exception {
+        TestGateway.EventLoopPause pause = gateway.stopAndPause(SHORT_STOP_PAUSE_MILLIS);
+        pause.awaitLastRead();
+        CountDownLatch linksClosed = new CountDownLatch(1);
+        CountDownLatch resume = gateway.blockEventLoop(linksClosed);
+        pause.resume();
+        linksClosed.await();
+        return resume;
+    }
+
     /**
      * Guards against callers rejected while targets are idle: the store is unavailable, hosts of two regions are
      * restarted one after the other, and the data centre of the third region is evacuated. A starting host must receive
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -340,6 +340,17 @@
                 .orElseThrow(() -> new AssertionError("no metric " + name));
     }
 
+    /** Waits until that many bytes of other hosts have been received. */
+    void awaitReceived(int bytes) throws IOException {
+        for (int i = 0; i < MAX_POLLS; i++) {
+            if (metric("peer_bytes_received") >= bytes) {
+                return;
+            }
+            LockSupport.parkNanos(POLL_INTERVAL_NANOS);
+        }
+        throw new AssertionError("fewer bytes than " + bytes + " of other hosts were received");
+    }
+
     /** Requests the entry hosts for callers. */
     String entryHosts() throws IOException {
         try (TestCaller caller = new TestCaller(entryHosts)) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Predicate;
 
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.InFlightWork;
@@ -30,6 +31,7 @@
     private final DataInputStream in;
     private final DataOutputStream out;
     private long lastStateAtMillis;
+    private byte[] remainder = {};
 
     /**
      * Opens a link.
@@ -122,6 +124,60 @@
                 List.of());
     }
 
+    /**
+     * Sends only the first bytes of a request.
+     *
+     * @param split where the request is split
+     * @param requestId the identifier of the request
+     * @param remainingMillis the time left until its deadline
+     * @param receivedState the state
+     * @throws IOException if the link was closed
+     */
+    public void sendPartOfRequest(
+            CallSplit split, String requestId, long remainingMillis, PeerFrame.State receivedState) throws IOException {
+        byte[] frame = PeerFrameCodec.encode(request(
+                requestId, remainingMillis, receivedState, Urgency.FIRST, List.of("Request-Id", requestId), ""));
+        byte[] bytes = split.wireBytes(frame);
+        sendPart(bytes, split.partBytes(bytes));
+    }
+
+    private void sendPart(byte[] bytes, int partBytes) throws IOException {
+        remainder = Arrays.copyOfRange(bytes, partBytes, bytes.length);
+        out.write(bytes, 0, partBytes);
+        out.flush();
+    }
+
+    /**
+     * Sends the bytes that follow the part of a request that was sent.
+     *
+     * @throws IOException if the link was closed
+     */
+    public void sendRemainder() throws IOException {
+        out.write(remainder);
+        out.flush();
+    }
+
+    /**
+     * Sends the first fragment of a store item.
+     *
+     * @throws IOException if the link was closed
+     */
+    public void sendFirstFragmentOfItem() throws IOException {
+        byte[] frame = PeerFrameCodec.encode(
+                new PeerFrame.StoreItems(0, 0, 0, List.of(new StoreItem("parts", new byte[100], 1, false))));
+        byte[] bytes = CallSplit.BETWEEN_FRAGMENTS.wireBytes(frame);
+        sendPart(bytes, CallSplit.BETWEEN_FRAGMENTS.partBytes(bytes));
+    }
+
+    /**
+     * Returns the number of bytes sent so far.
+     *
+     * @return the number, including the lengths of the frames
+     */
+    public int sentBytes() {
+        return out.size();
+    }
+
     /**
      * Forwards a stream that is to be continued at its backup.
      *
@@ -356,21 +412,38 @@
      * @throws IOException if the link was closed; its message contains the frames that were skipped
      */
     public <T extends PeerFrame> T await(Class<T> kind) throws IOException {
+        return kind.cast(await(kind.getSimpleName(), kind::isInstance));
+    }
+
+    /**
+     * Reads until a call has ended.
+     *
+     * @param call the number of the call
+     * @throws IOException if the link was closed before; its message contains the frames that were received
+     */
+    public void awaitCallEnd(long call) throws IOException {
+        await(
+                "end of call " + call,
+                frame -> frame.equals(new PeerFrame.ResponseEnd(call))
+                        || frame instanceof PeerFrame.CallFailed failed && failed.call() == call);
+    }
+
+    private PeerFrame await(String awaited, Predicate<PeerFrame> condition) throws IOException {
         List<PeerFrame> skipped = new ArrayList<>();
         while (true) {
-            PeerFrame frame = read(kind, skipped);
-            if (kind.isInstance(frame)) {
-                return kind.cast(frame);
+            PeerFrame frame = read(awaited, skipped);
+            if (condition.test(frame)) {
+                return frame;
             }
             skipped.add(frame);
         }
     }
 
-    private PeerFrame read(Class<?> awaited, List<PeerFrame> skipped) throws IOException {
+    private PeerFrame read(String awaited, List<PeerFrame> skipped) throws IOException {
         try {
             return PeerFrameCodec.decode(in.readNBytes(in.readInt())).get();
         } catch (IOException e) {
-            throw new IOException("no " + awaited.getSimpleName() + " among " + skipped, e);
+            throw new IOException("no " + awaited + " among " + skipped, e);
         }
     }
 
