Keep a connection of rattanplankd open at a stop while a message has arrived in part

Found by reading, while the same fault of the gateway's links was traced; not seen in a run of the programs.

What callers would see: a booking that was forwarded to a host which is being replaced ends with an unknown outcome (502), though it never ran. PeerConnection.closeIfIdle read what was pending and closed the connection when no request was in flight; a frame of which only a part had arrived was not looked at, and a request that completes after the close is dropped. On this connection nothing tells the other host what was accepted, so that its attempt is lost. A request whose body exceeds one read (64 KB) always arrives in parts.

Change: the connection stays open while its decoder holds a part of a frame. The ping timeout closes it if the rest never comes, and the drain timeout bounds the stop as before. FrameDecoder of the gateway is used for it, with the size of a frame as an argument.

Test: LinksTest.shouldAcceptRequestWhenAPartHasArrivedBeforeOtherHostClosesIdleConnections fails without the condition ("no PeerRequestReceived event received") and passes with it.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/FrameHandler.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/FrameHandler.java
@@ -8,9 +8,10 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.vavr.control.Option;
 import io.vavr.control.Try;
+import org.rattanplank.gateway.peer.FrameDecoder;
 import org.rattanplank.schema.message.PeerMessage;
 import org.rattanplank.schema.message.UnknownMessage;
 import org.tinylog.Logger;
@@ -20,20 +21,26 @@
  * channel's event loop.
  */
 abstract class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
-    private static final int LENGTH_BYTES = 4;
-
     private final TrafficCounter traffic;
+    private Option<FrameDecoder> decoder = Option.none();
 
     FrameHandler(TrafficCounter traffic) {
         this.traffic = traffic;
     }
 
     final void addTo(ChannelPipeline pipeline, int maxFrameBytes) {
-        pipeline.addLast(new LengthFieldBasedFrameDecoder(maxFrameBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
-                .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+        FrameDecoder newDecoder = new FrameDecoder(maxFrameBytes);
+        decoder = Option.some(newDecoder);
+        pipeline.addLast(newDecoder)
+                .addLast(new LengthFieldPrepender(FrameDecoder.LENGTH_FIELD_BYTES))
                 .addLast(this);
     }
 
+    /** Returns whether a message has arrived in part. */
+    final boolean isReceivingMessage() {
+        return decoder.exists(FrameDecoder::hasIncompleteFrame);
+    }
+
     /** Handles a message of a known kind. */
     abstract void received(Channel channel, PeerMessage message);
 
@@ -49,13 +56,13 @@
     }
 
     final void write(Channel channel, PeerMessage message, byte[] frame, ChannelPromise promise) {
-        traffic.sent(message, frame.length + LENGTH_BYTES);
+        traffic.sent(message, frame.length + FrameDecoder.LENGTH_FIELD_BYTES);
         channel.writeAndFlush(Unpooled.wrappedBuffer(frame), promise);
     }
 
     @Override
     protected final void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
-        int bytes = frame.readableBytes() + LENGTH_BYTES;
+        int bytes = frame.readableBytes() + FrameDecoder.LENGTH_FIELD_BYTES;
         Try<PeerMessage> message = FrameCodec.decode(ByteBufUtil.getBytes(frame));
         if (message.isFailure()) {
             Logger.warn("peer: received a frame that cannot be decoded; closing the connection");
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
@@ -90,9 +90,9 @@
     }
 
     /**
-     * Closes the connection if it has no request in flight; may be called on any thread. The socket is read once more
-     * first: after a pause of this host, a request that is still buffered in the socket would be lost with the
-     * connection, and its outcome unknown.
+     * Closes the connection if it has no request in flight and no message has arrived in part; may be called on any
+     * thread. The socket is read once more first: after a pause of this host, a request that is still buffered in the
+     * socket would be lost with the connection, and its outcome unknown.
      */
     void closeIfIdle() {
         activeChannel.forEach(channel -> channel.eventLoop().execute(() -> closeIfIdle(channel)));
@@ -107,6 +107,7 @@
         if (requestsAccepted == previouslyAccepted
                 && attemptsInFlight.isEmpty()
                 && awaitingResponse.isEmpty()
+                && !isReceivingMessage()
                 && channel.isActive()) {
             closing = true;
             ((SocketChannel) channel).shutdownOutput();
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/peer/LinksTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/peer/LinksTest.java
@@ -1,5 +1,10 @@
 package org.rattanplank.daemon.peer;
 
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -25,9 +30,13 @@
 import org.rattanplank.daemon.call.Call;
 import org.rattanplank.daemon.call.Calls;
 import org.rattanplank.daemon.platform.Directory;
+import org.rattanplank.schema.message.ForwardEnd;
+import org.rattanplank.schema.message.ForwardRequest;
 import org.rattanplank.schema.message.Heartbeat;
 import org.rattanplank.schema.message.Hello;
 import org.rattanplank.schema.message.PeerMessage;
+import org.rattanplank.schema.message.Ping;
+import org.rattanplank.schema.message.Pong;
 import ratpack.exec.internal.DefaultExecController;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -159,11 +168,15 @@
                 .get();
     }
 
-    private void withPeer(long pingTimeoutMillis, Scenario scenario) {
+    private PeerServer openPeer(long pingTimeoutMillis) {
         Links otherLinks = links(Directory.empty(), otherEventSink, pingTimeoutMillis, "labasa-1");
-        PeerServer peer = PeerServer.open(
+        return PeerServer.open(
                         "127.0.0.1", 0, otherController.getEventLoopGroup(), otherLinks, otherCalls, otherEventSink)
                 .get();
+    }
+
+    private void withPeer(long pingTimeoutMillis, Scenario scenario) {
+        PeerServer peer = openPeer(pingTimeoutMillis);
         Links links = links(TestFixtures.directory("labasa-1", peer.port()), eventSink, pingTimeoutMillis);
         try (peer) {
             scenario.run(links, peer);
@@ -189,7 +202,7 @@
 
             peer.closeIdleConnections();
             forward(links, "r2");
-            awaitSent();
+            awaitTasks(controller);
             resume.countDown();
 
             assertEquals(
@@ -206,6 +219,75 @@
         });
     }
 
+    /*
+     * Guards against a request whose outcome is unknown because the host that it is forwarded to is being replaced: only
+     * a part of the request has arrived when that host closes its idle connections.
+     */
+    @Test
+    void shouldAcceptRequestWhenAPartHasArrivedBeforeOtherHostClosesIdleConnections() throws Exception {
+        try (PeerServer peer = openPeer(30_000);
+                Socket socket = new Socket("127.0.0.1", peer.port())) {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            byte[] request = withLength(FrameCodec.encode(forwardRequest("r1")));
+            int partBytes = request.length / 2;
+            ByteArrayOutputStream first = new ByteArrayOutputStream();
+            first.writeBytes(withLength(FrameCodec.encode(new Hello("suva-1", 1, "suva", "suva-hall", 1))));
+            first.writeBytes(withLength(FrameCodec.encode(new Ping(1))));
+            first.write(request, 0, partBytes);
+            socket.getOutputStream().write(first.toByteArray());
+            assertInstanceOf(Hello.class, readMessage(in));
+            // The part was sent together with the ping, so it has been read as well.
+            assertInstanceOf(Pong.class, readMessage(in));
+
+            peer.closeIdleConnections();
+            awaitTasks(otherController);
+            socket.getOutputStream().write(request, partBytes, request.length - partBytes);
+
+            Event.PeerRequestReceived received = otherEventSink.next(Event.PeerRequestReceived.class);
+            assertEquals("r1", received.request().id());
+            otherCalls.finish("r1", new Outcome.NotRun(Failure.of(Step.ROUTE, "any", "full"), 700));
+            assertEquals(
+                    "not run",
+                    assertInstanceOf(ForwardEnd.class, readMessage(in)).outcome());
+        }
+    }
+
+    private static ForwardRequest forwardRequest(String requestId) {
+        return new ForwardRequest(
+                requestId,
+                1,
+                "account",
+                CHAT,
+                "/",
+                "POST",
+                "application/json",
+                "draft",
+                false,
+                "",
+                false,
+                "suva",
+                "",
+                20_000,
+                1,
+                1,
+                List.of(),
+                false,
+                List.of("suva-1"),
+                "",
+                new byte[100]);
+    }
+
+    private static byte[] withLength(byte[] frame) {
+        return ByteBuffer.allocate(Integer.BYTES + frame.length)
+                .putInt(frame.length)
+                .put(frame)
+                .array();
+    }
+
+    private static PeerMessage readMessage(DataInputStream in) throws IOException {
+        return FrameCodec.decode(in.readNBytes(in.readInt())).get();
+    }
+
     private CountDownLatch pauseOtherHost() {
         CountDownLatch resume = new CountDownLatch(1);
         otherController.getEventLoopGroup().next().execute(() -> {
@@ -218,8 +300,8 @@
         return resume;
     }
 
-    /** Waits until each event loop of this host has run the tasks queued so far. */
-    private void awaitSent() throws InterruptedException {
+    /** Waits until each event loop of a host has run the tasks queued so far. */
+    private static void awaitTasks(DefaultExecController controller) throws InterruptedException {
         for (EventExecutor loop : controller.getEventLoopGroup()) {
             loop.submit(() -> {}).sync();
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -50,12 +50,15 @@
     /** How long a link stays open after its output was shut down, to read what the other host had already sent. */
     private static final long LINGER_MILLIS = 300;
 
+    /** Large enough for a body of the maximum size with its headers, and for all contents of the store. */
+    private static final int MAX_FRAME_BYTES = 16 << 20;
+
     private static final double ROUND_TRIP_SMOOTHING = 0.2;
 
     private final PeerLinks owner;
     private final MonotonicClock clock;
     private final boolean outgoing;
-    private final PeerFrameDecoder decoder = new PeerFrameDecoder();
+    private final FrameDecoder decoder = new FrameDecoder(MAX_FRAME_BYTES);
     private final Map<Long, PeerAttempt> calls = new HashMap<>();
     private Channel channel;
     private GatewayHost host;
@@ -140,7 +143,7 @@
     }
 
     /** Returns the decoder that splits the received bytes of this link into frames. */
-    PeerFrameDecoder decoder() {
+    FrameDecoder decoder() {
         return decoder;
     }
 
@@ -385,9 +388,8 @@
             receivingCallFragments = PeerFrameCodec.startsCall(fragment.bytes());
         }
         fragments.writeBytes(fragment.bytes());
-        if (fragments.size() > PeerFrameDecoder.MAX_FRAME_BYTES) {
-            owner.frameUnreadable(
-                    this, new IOException("fragmented frame exceeds " + PeerFrameDecoder.MAX_FRAME_BYTES + " bytes"));
+        if (fragments.size() > MAX_FRAME_BYTES) {
+            owner.frameUnreadable(this, new IOException("fragmented frame exceeds " + MAX_FRAME_BYTES + " bytes"));
         } else if (fragment.last()) {
             byte[] frame = fragments.toByteArray();
             fragments.reset();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -416,7 +416,7 @@
                         // for as long as the link is congested.
                         .addLast(new ByteCountHandler(link::bytesReceived))
                         .addLast(link.decoder())
-                        .addLast(new LengthFieldPrepender(PeerFrameDecoder.LENGTH_FIELD_BYTES))
+                        .addLast(new LengthFieldPrepender(FrameDecoder.LENGTH_FIELD_BYTES))
                         .addLast(link);
             }
         };
