Log why a link to another host failed

PeerLink.exceptionCaught closed the link without a word, so that an exception in a handler, a frame over the limit and a reset all looked like a normal close ("connection closed"). While the known failure of PeerFlowTest was traced, this could be ruled out only by other evidence. The line peer_lost now names the exception.

Test: PeerFlowTest.shouldLogTheCauseWhenALinkFails fails without the call (the reason is "connection closed") and passes with it.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -326,6 +326,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        owner.linkFailed(this, cause);
         context.close();
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -341,6 +341,10 @@
         remove(link, "connection closed");
     }
 
+    void linkFailed(PeerLink link, Throwable cause) {
+        remove(link, "connection failed: " + cause);
+    }
+
     void frameUnreadable(PeerLink link, Throwable cause) {
         remove(link, "frame decoding failed: " + cause);
         link.close();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
@@ -228,6 +228,18 @@
         return resume;
     }
 
+    /** Guards against links whose failure can't be explained: the log must tell the exception, not only the close. */
+    @Test
+    void shouldLogTheCauseWhenALinkFails() throws Exception {
+        try (TestPeer peer = gateway.peer()) {
+            peer.await(PeerFrame.State.class);
+
+            peer.sendFrameLength(Integer.MAX_VALUE);
+
+            gateway.awaitLogged("\"reason\":\"connection failed: io.netty.handler.codec.TooLongFrameException");
+        }
+    }
+
     /**
      * Guards against callers rejected while targets are idle: the store is unavailable, hosts of two regions are
      * restarted one after the other, and the data centre of the third region is evacuated. A starting host must receive
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -157,6 +157,17 @@
         out.flush();
     }
 
+    /**
+     * Sends the length of a frame without its body.
+     *
+     * @param bytes the length
+     * @throws IOException if the link was closed
+     */
+    public void sendFrameLength(int bytes) throws IOException {
+        out.writeInt(bytes);
+        out.flush();
+    }
+
     /**
      * Sends the first fragment of a store item.
      *
