Reject a caller's request at a stop when it is incomplete and too late

What callers would see: of a request whose body is still arriving when its host stops, nothing is answered; the connection closes when the process ends. A closed connection promises nothing, so that the caller of a booking may not send it again, though it surely did not run. A part of the headers got 408 after the time limit for them.

Cause: a connection with a part of a request is not idle, so the stop leaves it open, and the abort at its end covers complete requests alone.

Change: once no request would be accepted any more, a stopping host answers those that are still incomplete with 503, Retry-After 0 and Connection: close: nothing is gained by waiting, and other hosts take the request now. The pending input is read before. The rejection's reason is logged as given instead of "malformed request".

Tests: shouldRejectAPartlyReceivedRequestWhenItCanNoLongerBeServed fails before (408 by the idle limit, 15 s after the end of the stop, as the test's process goes on) and passes. shouldAnswerARequestWhenAPartOfItsHeadersHasArrivedAtTheEndOfTheStop passed before as well: a part of a caller's request was already counted as one in progress.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -109,7 +109,7 @@
         state = new GatewayState(settings, self, clock, random, connections, log, metrics);
         links = new PeerLinks(self, group, clock, readWatermark::millis, this);
 
-        callers = new CallerServer(group, clock, this::bounds, this::onRequest, this::onMalformedRequest);
+        callers = new CallerServer(group, clock, this::bounds, this::onRequest, this::onRejectedRequest);
         stateUpdater = new ClusterStateUpdater(state, links, this::onKeyLost);
         feed = StoreFeed.of(
                 store, formats.storeFormat(), stateUpdater, loop, clock, random, settings.linkBytesPerMilli());
@@ -249,7 +249,7 @@
         CallerResponse response = new CallerResponse(connection);
         if (request.isEmpty()) {
             response.respondBadRequest();
-            onMalformedRequest(AdminResponse.BAD_REQUEST);
+            onRejectedRequest("malformed request", AdminResponse.BAD_REQUEST);
             return;
         }
         ProxiedRequest[] created = new ProxiedRequest[1];
@@ -273,9 +273,9 @@
         loop.execute(start);
     }
 
-    private void onMalformedRequest(int status) {
+    private void onRejectedRequest(String reason, int status) {
         metrics.ended(Integer.toString(status));
-        log.writeOrdinary(LogLine.of(LogEvent.REFUSED).with("status", status).with("reason", "malformed request"));
+        log.writeOrdinary(LogLine.of(LogEvent.REFUSED).with("status", status).with("reason", reason));
     }
 
     private CallerLimits bounds() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStop.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStop.java
@@ -17,8 +17,8 @@
  *
  * <p>Invariants: callers and other hosts get responses until their connections have closed; a connection is closed only
  * after a read that found no data on it, so every request that reached this host before has a response, and a request
- * that has arrived in part is awaited while it would be accepted. The grace period is never exceeded. Confined to the
- * event loop.
+ * that has arrived in part is awaited while it would be accepted, and then rejected. The grace period is never exceeded.
+ * Confined to the event loop.
  */
 final class GatewayStop {
     /** The time at the end of the grace period that is reserved for the process to terminate. */
@@ -123,6 +123,9 @@
             links.stopListening();
         }
         callers.closeIdleConnections();
+        if (!mayAccept(Option.none())) {
+            callers.rejectIncompleteRequests();
+        }
         if (callers.allHalfClosed() && !hasRequests.getAsBoolean()) {
             links.closeGracefully(this::mustStayOpen);
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -179,6 +179,25 @@
         }
     }
 
+    /**
+     * Rejects a request of which only a part has been received, so that its caller can send it to another host at once.
+     * The socket is read before, as the rest may be pending there.
+     */
+    void rejectIfIncomplete() {
+        if (!isReceiving()) {
+            return;
+        }
+        PendingInput.read(channel);
+        if (isReceiving()) {
+            HttpHeaders headers = Headers.unchecked().set(HttpHeaderNames.RETRY_AFTER, "0");
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, "this host is stopping");
+        }
+    }
+
+    private boolean isReceiving() {
+        return activeRequest == null && receivingRequest && !closing && channel.isActive();
+    }
+
     boolean isHalfClosed() {
         return halfClosed;
     }
@@ -355,11 +374,15 @@
     }
 
     private void reject(HttpResponseStatus status) {
+        reject(status, EmptyHttpHeaders.INSTANCE, "malformed request");
+    }
+
+    private void reject(HttpResponseStatus status, HttpHeaders headers, String reason) {
         releaseBody();
         keepAlive = false;
         headRequest = false;
-        respond(status.code(), EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER);
-        server.requestRejected(status.code());
+        respond(status.code(), headers, Unpooled.EMPTY_BUFFER);
+        server.requestRejected(reason, status.code());
     }
 
     private static HttpResponseStatus statusOf(Throwable cause) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
+import java.util.function.ObjIntConsumer;
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -46,7 +46,7 @@
     private final MonotonicClock clock;
     private final Supplier<CallerLimits> limits;
     private final RequestHandler handler;
-    private final IntConsumer requestRejected;
+    private final ObjIntConsumer<String> requestRejected;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel serverChannel;
     private long opened;
@@ -60,14 +60,14 @@
      * @param clock the clock
      * @param limits supplies the limits that currently apply to callers
      * @param handler receives complete requests
-     * @param requestRejected receives the status of each malformed or oversized request
+     * @param requestRejected receives the reason and the status of each request that is rejected before it is complete
      */
     public CallerServer(
             EventLoopGroup group,
             MonotonicClock clock,
             Supplier<CallerLimits> limits,
             RequestHandler handler,
-            IntConsumer requestRejected) {
+            ObjIntConsumer<String> requestRejected) {
         this.group = group;
         this.clock = clock;
         this.limits = limits;
@@ -132,6 +132,11 @@
         List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Rejects the requests of which only a part has been received, as this host is stopping. */
+    public void rejectIncompleteRequests() {
+        List.copyOf(connections).forEach(CallerConnection::rejectIfIncomplete);
+    }
+
     /**
      * Returns the number of open connections.
      *
@@ -186,8 +191,8 @@
         requestsFoundPending++;
     }
 
-    void requestRejected(int status) {
-        requestRejected.accept(status);
+    void requestRejected(String reason, int status) {
+        requestRejected.accept(reason, status);
     }
 
     void requestReceived(
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PlannedStopFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PlannedStopFlowTest.java
@@ -153,4 +153,40 @@
 
         assertTrue(answer.startsWith("http/1.1 200") || answer.startsWith("http/1.1 503"), answer);
     }
+
+    /** Guards against a request truncated in its headers when a host is replaced, like the one truncated in its body. */
+    @Test
+    void shouldAnswerARequestWhenAPartOfItsHeadersHasArrivedAtTheEndOfTheStop() throws Exception {
+        TestCaller caller = gateway.caller();
+        String wholeRequest = request(1);
+        int partChars = wholeRequest.indexOf("Time-Left");
+        caller.send(wholeRequest.substring(0, partChars));
+        TestGateway.EventLoopPause pause = gateway.stopAndPause(PAUSE_MILLIS);
+
+        pause.awaitLastRead();
+        pause.resume();
+        gateway.awaitLogged("\"event\":\"loop_late\"");
+        String answer = caller.send(wholeRequest.substring(partChars)).readUntil("\r\n\r\n");
+
+        assertTrue(answer.startsWith("HTTP/1.1 200") || answer.startsWith("HTTP/1.1 503"), answer);
+    }
+
+    /**
+     * Guards against bookings that their callers may not send again: the body never arrives completely, and the
+     * connection closes without a response when the host terminates.
+     */
+    @Test
+    void shouldRejectAPartlyReceivedRequestWhenItCanNoLongerBeServed() throws Exception {
+        TestCaller caller = gateway.caller();
+        String wholeRequest = request(1);
+        caller.send(wholeRequest.substring(0, wholeRequest.length() - 2));
+
+        gateway.stop();
+
+        String answer = caller.readUntil("\r\n\r\n").toLowerCase(Locale.ROOT);
+        assertTrue(answer.startsWith("http/1.1 503"), answer);
+        assertTrue(answer.contains("retry-after: 0\r\n"), answer);
+        assertTrue(answer.contains("connection: close"), answer);
+        gateway.awaitEnded();
+    }
 }
