Share the two parts of a truncated request in the tests of a planned stop

The existing test and the one for headers differ in where the request is split. The checks are the same; that the process has not ended is now checked for both.

--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PlannedStopFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PlannedStopFlowTest.java
@@ -138,37 +138,33 @@
      */
     @Test
     void shouldAnswerAPartlyReceivedRequestWhenTheStopTimeIsOver() throws Exception {
-        TestCaller caller = gateway.caller();
-        String wholeRequest = request(1);
-        caller.send(wholeRequest.substring(0, wholeRequest.length() - 2));
-        TestGateway.EventLoopPause pause = gateway.stopAndPause(PAUSE_MILLIS);
-
-        pause.awaitLastRead();
-        pause.resume();
-        gateway.awaitLogged("\"event\":\"loop_late\"");
-        assertFalse(gateway.hasEnded());
-        String answer = caller.send(wholeRequest.substring(wholeRequest.length() - 2))
-                .readUntil("\r\n\r\n")
-                .toLowerCase(Locale.ROOT);
+        String answer = answerWhenSplit(request(1).length() - 2);
 
         assertTrue(answer.startsWith("http/1.1 200") || answer.startsWith("http/1.1 503"), answer);
     }
 
-    /** Guards against a request truncated in its headers when a host is replaced, like the one truncated in its body. */
+    /** Guards against the same for a request that is truncated in its headers. */
     @Test
     void shouldAnswerARequestWhenAPartOfItsHeadersHasArrivedAtTheEndOfTheStop() throws Exception {
+        String answer = answerWhenSplit(request(1).indexOf("Time-Left"));
+
+        assertTrue(answer.startsWith("http/1.1 200") || answer.startsWith("http/1.1 503"), answer);
+    }
+
+    /** Sends the first characters of a request before the time for callers ends, the others after, and reads the answer. */
+    private String answerWhenSplit(int partChars) throws Exception {
         TestCaller caller = gateway.caller();
         String wholeRequest = request(1);
-        int partChars = wholeRequest.indexOf("Time-Left");
         caller.send(wholeRequest.substring(0, partChars));
         TestGateway.EventLoopPause pause = gateway.stopAndPause(PAUSE_MILLIS);
 
         pause.awaitLastRead();
         pause.resume();
         gateway.awaitLogged("\"event\":\"loop_late\"");
-        String answer = caller.send(wholeRequest.substring(partChars)).readUntil("\r\n\r\n");
-
-        assertTrue(answer.startsWith("HTTP/1.1 200") || answer.startsWith("HTTP/1.1 503"), answer);
+        assertFalse(gateway.hasEnded());
+        return caller.send(wholeRequest.substring(partChars))
+                .readUntil("\r\n\r\n")
+                .toLowerCase(Locale.ROOT);
     }
 
     /**
