Name the end of accepting, and give a frame handler its decoder on creation

From reading the change as a newcomer: GatewayStop asks acceptsRequests instead of mayAccept(Option.none()) in two places, the Retry-After of a stop is a named constant with its unit, and FrameHandler's decoder is a final field. Behaviour is unchanged; LinksTest, PeerFlowTest, PlannedStopFlowTest and PlannedStopTest pass.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/FrameHandler.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/FrameHandler.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.vavr.control.Option;
 import io.vavr.control.Try;
 import org.rattanplank.gateway.peer.FrameDecoder;
 import org.rattanplank.schema.message.PeerMessage;
@@ -22,23 +21,22 @@
  */
 abstract class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
     private final TrafficCounter traffic;
-    private Option<FrameDecoder> decoder = Option.none();
+    private final FrameDecoder decoder;
 
-    FrameHandler(TrafficCounter traffic) {
+    FrameHandler(TrafficCounter traffic, int maxFrameBytes) {
         this.traffic = traffic;
+        decoder = new FrameDecoder(maxFrameBytes);
     }
 
-    final void addTo(ChannelPipeline pipeline, int maxFrameBytes) {
-        FrameDecoder newDecoder = new FrameDecoder(maxFrameBytes);
-        decoder = Option.some(newDecoder);
-        pipeline.addLast(newDecoder)
+    final void addTo(ChannelPipeline pipeline) {
+        pipeline.addLast(decoder)
                 .addLast(new LengthFieldPrepender(FrameDecoder.LENGTH_FIELD_BYTES))
                 .addLast(this);
     }
 
     /** Returns whether a message has arrived in part. */
     final boolean isReceivingMessage() {
-        return decoder.exists(FrameDecoder::hasIncompleteFrame);
+        return decoder.hasIncompleteFrame();
     }
 
     /** Handles a message of a known kind. */
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/Link.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/Link.java
@@ -128,7 +128,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel newChannel) {
-                        handler.addTo(newChannel.pipeline(), context.sizes().maxFrameBytes());
+                        handler.addTo(newChannel.pipeline());
                     }
                 })
                 .connect(address.get().address(), address.get().peerPort());
@@ -180,7 +180,7 @@
         private boolean handshakeDone;
 
         LinkHandler() {
-            super(context.traffic());
+            super(context.traffic(), context.sizes().maxFrameBytes());
             livenessCheck = new LivenessCheck(
                     context.times().pingIntervalMillis(),
                     context.times().pingTimeoutMillis(),
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
@@ -65,7 +65,7 @@
     private long requestsAccepted;
 
     PeerConnection(LinkContext context, Calls calls, EventSink eventSink, AtomicInteger unsentResponses) {
-        super(context.traffic());
+        super(context.traffic(), context.sizes().maxFrameBytes());
         this.context = context;
         this.calls = calls;
         this.eventSink = eventSink;
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerServer.java
@@ -61,7 +61,7 @@
                         PeerConnection connection = new PeerConnection(context, calls, eventSink, unsent);
                         open.add(connection);
                         child.closeFuture().addListener(done -> open.remove(connection));
-                        connection.addTo(child.pipeline(), context.sizes().maxFrameBytes());
+                        connection.addTo(child.pipeline());
                     }
                 });
         return Try.of(() -> new PeerServer(bootstrap.bind(address, port).sync().channel(), unsent, open));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStop.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayStop.java
@@ -77,6 +77,11 @@
         return !aborted && plan.mayAccept(stoppingMillis(), otherHosts(), maxDurationMillis);
     }
 
+    /** Returns whether a request whose duration is not known may begin. */
+    private boolean acceptsRequests() {
+        return mayAccept(Option.none());
+    }
+
     private long stoppingMillis() {
         return state.nowMillis() - requestedAtMillis;
     }
@@ -123,7 +128,7 @@
             links.stopListening();
         }
         callers.closeIdleConnections();
-        if (!mayAccept(Option.none())) {
+        if (!acceptsRequests()) {
             callers.rejectIncompleteRequests();
         }
         if (callers.allHalfClosed() && !hasRequests.getAsBoolean()) {
@@ -136,7 +141,7 @@
      * later, the other host is told at once that it was not.
      */
     private boolean mustStayOpen(PeerLink link) {
-        return hasRequests.getAsBoolean() || mayAccept(Option.none()) && link.isReceivingCall();
+        return hasRequests.getAsBoolean() || acceptsRequests() && link.isReceivingCall();
     }
 
     private void finish() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -57,6 +57,9 @@
      */
     private static final long FIRST_REQUEST_GRACE_MILLIS = 500;
 
+    /** Other hosts accept the request that this one no longer does. */
+    private static final String RETRY_AFTER_STOP_SECONDS = "0";
+
     private final CallerServer server;
     private final CallerLimits limits;
     private Channel channel;
@@ -189,7 +192,7 @@
         }
         PendingInput.read(channel);
         if (isReceiving()) {
-            HttpHeaders headers = Headers.unchecked().set(HttpHeaderNames.RETRY_AFTER, "0");
+            HttpHeaders headers = Headers.unchecked().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_STOP_SECONDS);
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, "this host is stopping");
         }
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -60,7 +60,7 @@
      * @param clock the clock
      * @param limits supplies the limits that currently apply to callers
      * @param handler receives complete requests
-     * @param requestRejected receives the reason and the status of each request that is rejected before it is complete
+     * @param requestRejected receives the reason and the status of each request that is rejected before it is handled
      */
     public CallerServer(
             EventLoopGroup group,
