Keep the order of bytes in the stand-in link when a delay ends

Cause: the stand-in, not the product. Link scheduled the bytes that it read while a delay was set, and wrote those that it read after its end at once, so that they overtook the earlier ones of their connection. TCP never does that, and the class promises not to. In the soak it takes a stream that is under way when the fault REPLICA_LATE ends.

Change: each direction queues its delayed bytes; bytes that follow wait behind them.

Test: LinkTest.shouldKeepTheOrderOfBytesWhenADelayEnds failed before ("immediatedelayed ") and passes. The soak's checks are as they were.

--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/link/Link.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/link/Link.java
@@ -1,8 +1,11 @@
 package org.rattanplank.standins.link;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -121,10 +124,12 @@
         });
     }
 
-    /** Forwards the bytes of one direction. */
+    /** Forwards the bytes of one direction. Confined to the event loop. */
     private final class Forwarder extends ChannelInboundHandlerAdapter {
         private final Channel other;
         private final boolean fromClient;
+        private final Queue<Object> delayed = new ArrayDeque<>();
+        private long lastWriteAtNanos;
 
         private Forwarder(Channel other, boolean fromClient) {
             this.other = other;
@@ -145,13 +150,23 @@
                     context.channel().attr(ConnectionAttributes.DROPS_BYTES).get());
             if (dropsBytes || (fromClient ? state.dropsForward() : state.dropsBackward())) {
                 ReferenceCountUtil.release(bytes);
-            } else if (state.delayMillis() > 0) {
-                loop.schedule(state.delayMillis(), () -> other.writeAndFlush(bytes));
+            } else if (state.delayMillis() > 0 || !delayed.isEmpty()) {
+                writeLater(bytes);
             } else {
                 other.writeAndFlush(bytes);
             }
         }
 
+        /** Writes bytes after their delay, but not before the delayed bytes that were received earlier. */
+        private void writeLater(Object bytes) {
+            long now = System.nanoTime();
+            long untilLastWriteNanos = delayed.isEmpty() ? 0 : Math.max(0, lastWriteAtNanos - now);
+            long delayNanos = Math.max(TimeUnit.MILLISECONDS.toNanos(state.delayMillis()), untilLastWriteNanos);
+            lastWriteAtNanos = now + delayNanos;
+            delayed.add(bytes);
+            loop.group().schedule(() -> other.writeAndFlush(delayed.remove()), delayNanos, TimeUnit.NANOSECONDS);
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             reset(context.channel());
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/link/LinkTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/link/LinkTest.java
@@ -1,12 +1,44 @@
 package org.rattanplank.standins.link;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
 import io.netty.channel.socket.nio.NioSocketChannel;
 import org.junit.jupiter.api.Test;
+import org.rattanplank.standins.http.Addresses;
 import org.rattanplank.standins.http.EventLoop;
 
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 class LinkTest {
+    private static final long DELAY_MILLIS = 400;
+
+    /** Guards against bytes that overtake earlier ones of their connection when a delay ends, which TCP never does. */
+    @Test
+    void shouldKeepTheOrderOfBytesWhenADelayEnds() throws Exception {
+        try (EventLoop loop = EventLoop.of();
+                ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Link link = Link.open(loop, (InetSocketAddress) server.getLocalSocketAddress());
+            InetSocketAddress address = Addresses.parse(link.address());
+            try (Socket client = new Socket(address.getAddress(), address.getPort());
+                    Socket accepted = server.accept()) {
+                link.state(LinkState.delayed(DELAY_MILLIS));
+                client.getOutputStream().write("delayed ".getBytes(StandardCharsets.US_ASCII));
+                Thread.sleep(DELAY_MILLIS / 2);
+                link.state(LinkState.up());
+                client.getOutputStream().write("immediate".getBytes(StandardCharsets.US_ASCII));
+
+                byte[] received = accepted.getInputStream().readNBytes("delayed immediate".length());
+
+                assertEquals("delayed immediate", new String(received, StandardCharsets.US_ASCII));
+            }
+        }
+    }
+
     /**
      * Guards against a failure with "Socket is closed" when a link resets its connections: a connection may close after
      * it was selected for the reset, and setting an option on a closed socket throws.
