Log the target and the request's fingerprint of an attempt that may have run

It is computed only for attempts that failed with an unknown outcome.

GatewayLogTest.shouldLogTheSameFingerprintWhenTheSameRequestFailsAgain.

--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
@@ -0,0 +1,62 @@
+package org.rattanplank.core.quarantine;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * A digest by which a request that is sent again is recognized, whatever its identifier, deadline and connection are.
+ *
+ * <p>Invariant: requests of the same caller with the same method, path and body have the same fingerprint; finding two
+ * different requests with the same fingerprint is infeasible. Immutable and thread safe.
+ *
+ * @param high the first 64 bits
+ * @param low the last 64 bits
+ */
+public record Fingerprint(long high, long low) {
+    private static final String ALGORITHM = "SHA-256";
+
+    /**
+     * Computes the fingerprint of a request.
+     *
+     * @param caller identifies the caller
+     * @param method the method
+     * @param uri the path and query
+     * @param body the body
+     * @return the fingerprint
+     */
+    public static Fingerprint of(String caller, String method, String uri, byte[] body) {
+        MessageDigest digest = newDigest();
+        updateText(digest, caller);
+        updateText(digest, method);
+        updateText(digest, uri);
+        digest.update(body);
+        ByteBuffer bits = ByteBuffer.wrap(digest.digest());
+        return new Fingerprint(bits.getLong(), bits.getLong());
+    }
+
+    /**
+     * Returns the fingerprint as text, as in logs.
+     *
+     * @return 32 hexadecimal digits
+     */
+    public String text() {
+        return String.format("%016x%016x", high, low);
+    }
+
+    /** Adds a text with its length, so that characters can't move from one text to the next unnoticed. */
+    private static void updateText(MessageDigest digest, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, bytes.length));
+        digest.update(bytes);
+    }
+
+    private static MessageDigest newDigest() {
+        try {
+            return MessageDigest.getInstance(ALGORITHM);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java runtime provides " + ALGORITHM, e);
+        }
+    }
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayRequest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.Work;
+import org.rattanplank.core.quarantine.Fingerprint;
 
 /**
  * A request to be proxied. Immutable by convention: its headers and body are not modified.
@@ -35,6 +36,15 @@
         Objects.requireNonNull(uri, "uri");
     }
 
+    /**
+     * Returns the fingerprint by which the request is recognized when it is sent again.
+     *
+     * @return the fingerprint, computed anew by each call
+     */
+    public Fingerprint fingerprint() {
+        return Fingerprint.of(authority, method, uri, body);
+    }
+
     /**
      * Returns the path that routes are matched with.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
@@ -5,6 +5,7 @@
 import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.TargetChoice;
 import org.rattanplank.core.gateway.Work;
+import org.rattanplank.gateway.GatewayRequest;
 import org.rattanplank.gateway.log.LogEvent;
 import org.rattanplank.gateway.log.LogLine;
 import org.rattanplank.gateway.log.RequestLog;
@@ -54,11 +55,16 @@
                 .with("attempt", attempt));
     }
 
-    void attemptFailed(AttemptFailure failure, String reason, long tookMillis) {
-        log.add(LogLine.of(LogEvent.ATTEMPT_FAILED)
+    void attemptFailed(GatewayRequest request, AttemptFailure failure, String reason, String target, long tookMillis) {
+        LogLine line = LogLine.of(LogEvent.ATTEMPT_FAILED)
                 .with("failure", failure.name())
                 .with("reason", reason)
-                .with("tookMillis", tookMillis));
+                .with("target", target)
+                .with("tookMillis", tookMillis);
+        if (failure.mayHaveRun()) {
+            line.with("fingerprint", request.fingerprint().text());
+        }
+        log.add(line);
     }
 
     void failedOver(String region, PeerLink link, String backup, CallerResponse response) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -170,6 +170,7 @@
         }
         if (!finished && isStalled(nowMillis)) {
             Attempt stalled = attempt;
+            lastTarget = stalled.destination();
             localTarget.recordUnreachable(nowMillis);
             stalled.cancel();
             attemptFailed(AttemptFailure.UNKNOWN, "the target is unresponsive");
@@ -362,7 +363,7 @@
 
     private void attemptFailed(AttemptFailure failure, String reason, String region, String backup) {
         attempt = null;
-        decisionLog.attemptFailed(failure, reason, state.nowMillis() - attemptAtMillis);
+        decisionLog.attemptFailed(request, failure, reason, lastTarget, state.nowMillis() - attemptAtMillis);
         state.metrics().attemptFailed(failure);
         if (failedOver) {
             // It has run, so that nothing but its backup could continue it.
@@ -558,6 +559,7 @@
         private void abandon(String reason) {
             active = false;
             excluded.add(destination);
+            lastTarget = attempt == null ? destination : attempt.destination();
             Attempt failed = attempt;
             if (failed != null) {
                 failed.cancel();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayLogTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayLogTest.java
@@ -18,6 +18,7 @@
 import org.rattanplank.gateway.peer.TestPeer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests that the log lines of a failed request name its cause. */
@@ -104,6 +105,31 @@
         }
     }
 
+    /** Guards against a request that fails again and again, which no line connects with its previous arrivals. */
+    @Test
+    void shouldLogTheSameFingerprintWhenTheSameRequestFailsAgain() throws Exception {
+        try (TestTarget target = new TestTarget((request, out) -> {
+            throw new IOException("connection closed by the test");
+        })) {
+            gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
+            gateway.caller().send(request("q1")).readUntil("\r\n\r\n");
+            gateway.caller().send(request("q2")).readUntil("\r\n\r\n");
+            gateway.caller().send(request("q3").replace("/a/", "/a/other")).readUntil("\r\n\r\n");
+
+            String fingerprint = fingerprint(gateway.linesOf("q1"));
+            assertEquals(fingerprint, fingerprint(gateway.linesOf("q2")));
+            assertNotEquals(fingerprint, fingerprint(gateway.linesOf("q3")));
+        }
+    }
+
+    private static String fingerprint(List<String> lines) {
+        return lines.stream()
+                .filter(line -> line.contains("\"event\":\"attempt_failed\""))
+                .map(line -> line.replaceAll(".*\"fingerprint\":\"([0-9a-f]{32})\".*", "$1"))
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("no failed attempt in " + lines));
+    }
+
     @Test
     void shouldLogTheReasonWhenARequestIsRejected() throws Exception {
         gateway.configure(RouteKind.UNSAFE, false, 1);
