--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -25,6 +25,7 @@
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.CallerLimits;
 import org.rattanplank.core.gateway.GatewayConfiguration;
+import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.Mechanisms;
 import org.rattanplank.core.gateway.RouteKind;
 import org.rattanplank.core.gateway.RouteRule;
@@ -82,6 +83,7 @@
     private final Gateway gateway;
     private final InetSocketAddress metrics = ownAddress();
     private final InetSocketAddress peers = ownAddress();
+    private final GatewayHost self;
     private final Queue<TestCaller> openCallers = new ConcurrentLinkedQueue<>();
     private long version;
     private int targets;
@@ -92,10 +94,21 @@
 
     /** Starts a gateway with the given grace period for its stop. */
     TestGateway(long graceMillis) throws IOException {
+        this("h1", "suva", graceMillis);
+    }
+
+    /** Starts a gateway of the given name in a region; it connects to others with {@link #connect}. */
+    TestGateway(String name, String region) throws IOException {
+        this(name, region, GRACE_MILLIS);
+    }
+
+    private TestGateway(String name, String region, long graceMillis) throws IOException {
+        Location location = Location.of(region, DATA_CENTRE);
+        self = new GatewayHost(name, 1, location, text(callers), text(peers));
         GatewaySettings settings = new GatewaySettings(
-                "h1",
-                Location.of("suva", DATA_CENTRE),
-                Map.of(DATA_CENTRE, "suva"),
+                name,
+                location,
+                Map.of(DATA_CENTRE, region),
                 callers,
                 ownAddress(),
                 entryHosts,
@@ -105,7 +118,7 @@
                 LINK_BYTES_PER_MILLI,
                 new SharedLimits(graceMillis, 0.2, 160, 10_000, 1, 1_000),
                 Mechanisms.ALL);
-        EventLog log = EventLog.start("h1", logged, System::nanoTime);
+        EventLog log = EventLog.start(name, logged, System::nanoTime);
         gateway = Gateway.of(settings, new PlatformFormats(NAMES, store, new Directory()), group, store, log, 1);
         gateway.start();
     }
@@ -286,6 +299,14 @@
         return released;
     }
 
+    /** Connects two gateways and waits until each knows the other. */
+    void connect(TestGateway other) throws IOException {
+        store.put("hosts/" + other.self.name(), new ClusterEvent.HostRegistered(other.self), false);
+        other.store.put("hosts/" + self.name(), new ClusterEvent.HostRegistered(self), false);
+        awaitMetric("peers 1");
+        other.awaitMetric("peers 1");
+    }
+
     /** Connects a host of another region. */
     TestPeer peer() throws IOException {
         return new TestPeer(peers);
@@ -463,6 +484,10 @@
         throw new AssertionError("not in metrics: " + line + " in " + lastMetrics);
     }
 
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /**
      * Returns an address that only this gateway uses. A free ephemeral port may be taken by an outgoing connection
      * between the check and the bind; so each gateway has a loopback address of its own, derived from process and
