--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
@@ -0,0 +1,257 @@
+package org.rattanplank.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Quarantines requests that crash the targets that run them, from evidence that all hosts exchange.
+ *
+ * <p>Invariants: merging evidence in any order, late or several times gives the same result; evidence expires, and the
+ * oldest of requests with few crashes is dropped first when there is too much of it; a request that a target has
+ * completed since is not suspected because of earlier crashes. Confined to its owner's thread.
+ */
+public final class CrashQuarantine {
+    /** How long evidence counts, so that a quarantine lapses by itself. */
+    public static final long EXPIRY_MILLIS = 600_000;
+
+    /** The maximum number of pieces of evidence; sent to another host they take about 30 KB. */
+    public static final int MAX_EVIDENCE = 1_024;
+
+    /**
+     * The number of crashes from which on no host retries a request by itself: after a second one the request is more
+     * likely to crash a third target than to be served.
+     */
+    static final int CRASHES_WITHOUT_RETRY = 2;
+
+    private final Map<Fingerprint, Map<String, Entry>> entries = new LinkedHashMap<>();
+    private int size;
+    private Set<Fingerprint> quarantined = Set.of();
+
+    private CrashQuarantine() {}
+
+    /**
+     * Creates a quarantine without evidence.
+     *
+     * @return the quarantine
+     */
+    public static CrashQuarantine empty() {
+        return new CrashQuarantine();
+    }
+
+    /**
+     * Returns whether there is no evidence, so that no request needs a fingerprint.
+     *
+     * @return whether no request is suspected
+     */
+    public boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
+    /**
+     * Returns whether a request must not be sent to any target.
+     *
+     * @param fingerprint the request
+     * @return whether it is quarantined
+     */
+    public boolean isQuarantined(Fingerprint fingerprint) {
+        return quarantined.contains(fingerprint);
+    }
+
+    /**
+     * Returns whether a host may retry a request, or continue it elsewhere, on its own.
+     *
+     * @param fingerprint the request
+     * @return whether so few targets crashed under it that it is probably not the cause
+     */
+    public boolean mayRetry(Fingerprint fingerprint) {
+        return crashTimes(entries.getOrDefault(fingerprint, Map.of())).size() < CRASHES_WITHOUT_RETRY;
+    }
+
+    /**
+     * Records a crash that this host has noticed.
+     *
+     * @param target the text of the target's incarnation
+     * @param inFlight the requests of this host that were in flight there
+     * @param source the name of this host
+     * @param nowMillis the time
+     * @return the change
+     */
+    public EvidenceChange recordCrash(String target, Collection<Fingerprint> inFlight, String source, long nowMillis) {
+        return merge(
+                inFlight.stream()
+                        .map(fingerprint -> new CrashEvidence(target, fingerprint, false, 0))
+                        .toList(),
+                source,
+                nowMillis);
+    }
+
+    /**
+     * Merges evidence of another host.
+     *
+     * @param evidence the evidence
+     * @param source the name of the other host
+     * @param nowMillis the time
+     * @return the change
+     */
+    public EvidenceChange merge(List<CrashEvidence> evidence, String source, long nowMillis) {
+        List<CrashEvidence> news = new ArrayList<>();
+        for (CrashEvidence each : evidence) {
+            if (each.ageMillis() < EXPIRY_MILLIS && add(each, source, nowMillis)) {
+                news.add(each);
+            }
+        }
+        return news.isEmpty() ? new EvidenceChange(news, List.of()) : changed(news, nowMillis);
+    }
+
+    /**
+     * Clears a request of all crashes known so far, as a target has completed it or an operator lifts its quarantine.
+     *
+     * @param fingerprint the request
+     * @param nowMillis the time
+     * @return the change
+     */
+    public EvidenceChange clear(Fingerprint fingerprint, long nowMillis) {
+        List<CrashEvidence> cleared = new ArrayList<>();
+        entries.getOrDefault(fingerprint, Map.of()).forEach((target, entry) -> {
+            if (!entry.cleared) {
+                cleared.add(new CrashEvidence(target, fingerprint, true, nowMillis - entry.atMillis));
+            }
+        });
+        return merge(cleared, "", nowMillis);
+    }
+
+    /**
+     * Drops expired evidence.
+     *
+     * @param nowMillis the time
+     */
+    public void tick(long nowMillis) {
+        int before = size;
+        for (Map<String, Entry> crashes : entries.values()) {
+            int count = crashes.size();
+            crashes.values().removeIf(entry -> nowMillis - entry.atMillis >= EXPIRY_MILLIS);
+            size -= count - crashes.size();
+        }
+        if (size < before) {
+            entries.values().removeIf(Map::isEmpty);
+            quarantined = blamed();
+        }
+    }
+
+    /**
+     * Returns all evidence, for a host that has just been connected.
+     *
+     * @param nowMillis the time
+     * @return the evidence
+     */
+    public List<CrashEvidence> evidence(long nowMillis) {
+        List<CrashEvidence> all = new ArrayList<>();
+        entries.forEach((fingerprint, crashes) -> crashes.forEach((target, entry) ->
+                all.add(new CrashEvidence(target, fingerprint, entry.cleared, nowMillis - entry.atMillis))));
+        return all;
+    }
+
+    /**
+     * Returns the requests that are quarantined.
+     *
+     * @param nowMillis the time
+     * @return the requests with the crashes of each
+     */
+    public List<QuarantinedRequest> quarantined(long nowMillis) {
+        return quarantined.stream()
+                .map(fingerprint -> quarantinedRequest(fingerprint, nowMillis))
+                .toList();
+    }
+
+    private QuarantinedRequest quarantinedRequest(Fingerprint fingerprint, long nowMillis) {
+        return new QuarantinedRequest(
+                fingerprint,
+                entries.get(fingerprint).entrySet().stream()
+                        .filter(each -> !each.getValue().cleared)
+                        .sorted(Comparator.comparingLong(each -> each.getValue().atMillis))
+                        .map(each -> new QuarantinedRequest.Crash(
+                                each.getKey(), each.getValue().source, nowMillis - each.getValue().atMillis))
+                        .toList());
+    }
+
+    /** Adds evidence and returns whether it tells anything new. */
+    private boolean add(CrashEvidence evidence, String source, long nowMillis) {
+        Map<String, Entry> crashes = entries.computeIfAbsent(evidence.fingerprint(), each -> new HashMap<>());
+        Entry known = crashes.get(evidence.target());
+        if (known != null && (known.cleared || !evidence.cleared())) {
+            return false;
+        }
+        if (known == null) {
+            size++;
+            crashes.put(evidence.target(), new Entry(nowMillis - evidence.ageMillis(), evidence.cleared(), source));
+        } else {
+            crashes.put(evidence.target(), new Entry(known.atMillis, true, known.source));
+        }
+        return true;
+    }
+
+    private EvidenceChange changed(List<CrashEvidence> news, long nowMillis) {
+        dropExcess();
+        Set<Fingerprint> before = quarantined;
+        quarantined = blamed();
+        return new EvidenceChange(
+                news,
+                quarantined.stream()
+                        .filter(fingerprint -> !before.contains(fingerprint))
+                        .map(fingerprint -> quarantinedRequest(fingerprint, nowMillis))
+                        .toList());
+    }
+
+    private Set<Fingerprint> blamed() {
+        if (entries.values().stream().allMatch(crashes -> crashes.size() < CrashBlame.MIN_CRASHES)) {
+            return Set.of();
+        }
+        Map<Fingerprint, Map<String, Long>> crashTimes = new HashMap<>();
+        entries.forEach((fingerprint, crashes) -> crashTimes.put(fingerprint, crashTimes(crashes)));
+        return CrashBlame.of(crashTimes);
+    }
+
+    private static Map<String, Long> crashTimes(Map<String, Entry> crashes) {
+        Map<String, Long> times = new HashMap<>();
+        crashes.forEach((target, entry) -> {
+            if (!entry.cleared) {
+                times.put(target, entry.atMillis);
+            }
+        });
+        return times;
+    }
+
+    /** Drops the requests with the fewest crashes, of these the ones whose last crash was first. */
+    private void dropExcess() {
+        if (size <= MAX_EVIDENCE) {
+            return;
+        }
+        List<Fingerprint> order = entries.keySet().stream()
+                .sorted(Comparator.comparingInt((Fingerprint each) ->
+                                crashTimes(entries.get(each)).size())
+                        .thenComparingLong(each -> lastCrashMillis(entries.get(each))))
+                .toList();
+        Set<Fingerprint> dropped = new HashSet<>();
+        for (Fingerprint each : order) {
+            if (size <= MAX_EVIDENCE) {
+                break;
+            }
+            size -= entries.get(each).size();
+            dropped.add(each);
+        }
+        entries.keySet().removeAll(dropped);
+    }
+
+    private static long lastCrashMillis(Map<String, Entry> crashes) {
+        return crashes.values().stream().mapToLong(Entry::atMillis).max().orElse(0);
+    }
+
+    private record Entry(long atMillis, boolean cleared, String source) {}
+}
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/QuarantinedRequest.java
@@ -0,0 +1,40 @@
+package org.rattanplank.core.quarantine;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A request that is not sent to any target, and why. Immutable and thread safe.
+ *
+ * @param fingerprint the request
+ * @param crashes the crashes that it is blamed for, oldest first
+ */
+public record QuarantinedRequest(Fingerprint fingerprint, List<Crash> crashes) {
+    public QuarantinedRequest {
+        Objects.requireNonNull(fingerprint, "fingerprint");
+        crashes = List.copyOf(crashes);
+    }
+
+    /**
+     * A crash of a target.
+     *
+     * @param target the text of the target's incarnation
+     * @param source the host that noticed the crash, or from which this host learned of it
+     * @param ageMillis the time since the crash
+     */
+    public record Crash(String target, String source, long ageMillis) {
+        public Crash {
+            Objects.requireNonNull(target, "target");
+            Objects.requireNonNull(source, "source");
+        }
+
+        /**
+         * Returns the crash as text, as in logs.
+         *
+         * @return the target, the time since the crash and the source
+         */
+        public String text() {
+            return target + " " + ageMillis + " ms ago (" + source + ")";
+        }
+    }
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/AdminServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/AdminServer.java
@@ -25,7 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 /** Serves small in-memory responses such as readiness, entry hosts and metrics. Confined to the event loop. */
-public final class AdminServer {
+final class AdminServer {
     private static final int MAX_BODY_BYTES = 65_536;
 
     private AdminServer() {}
@@ -35,10 +35,9 @@
      *
      * @param group the event loop
      * @param address the address to bind
-     * @param answers returns the response for a path with its query
+     * @param answers returns the response to a request
      */
-    public static void listen(
-            EventLoopGroup group, InetSocketAddress address, Function<String, AdminResponse> answers) {
+    static void listen(EventLoopGroup group, InetSocketAddress address, Function<AdminRequest, AdminResponse> answers) {
         new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -57,15 +56,16 @@
     }
 
     private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Function<String, AdminResponse> answers;
+        private final Function<AdminRequest, AdminResponse> answers;
 
-        private Handler(Function<String, AdminResponse> answers) {
+        private Handler(Function<AdminRequest, AdminResponse> answers) {
             this.answers = answers;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            AdminResponse answer = answers.apply(request.uri());
+            AdminResponse answer =
+                    answers.apply(new AdminRequest(request.method().name(), request.uri()));
             DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(answer.status()),
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.rattanplank.core.gateway.EntryHostDirectory;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.gateway.caller.CallerConnection;
 import org.rattanplank.gateway.caller.CallerRequest;
 import org.rattanplank.gateway.caller.CallerServer;
@@ -76,6 +77,7 @@
     private final CallerServer callers;
     private final PeerLinks links;
     private final PeerStateExchange stateExchange;
+    private final QuarantineExchange quarantineExchange;
     private final ClusterStateUpdater stateUpdater;
     private final StoreFeed feed;
     private final HostLease lease;
@@ -118,6 +120,7 @@
                 store, formats.storeFormat(), self, loop, settings.limits().minLeaseMillis(), this::onLeaseAnswer);
         stateExchange = new PeerStateExchange(
                 state, links, feed, settings.linkBytesPerMilli(), this::acceptsCallers, this::acceptMillis);
+        quarantineExchange = new QuarantineExchange(state.quarantine(), links);
         registerGauges(store.traffic());
     }
 
@@ -205,11 +208,13 @@
         Option.of(forwarded.remove(link))
                 .forEach(calls -> List.copyOf(calls.values()).forEach(ForwardedRequest::cancel));
         stateExchange.disconnected(link);
+        quarantineExchange.disconnected(link);
     }
 
     @Override
     public void stateReceived(PeerLink link, PeerFrame.State received) {
         stateExchange.receiveState(link, received);
+        quarantineExchange.stateReceived(link);
     }
 
     @Override
@@ -217,6 +222,11 @@
         stateExchange.receiveLargePrefillNotice(link, work);
     }
 
+    @Override
+    public void crashNoticeReceived(PeerLink link, List<CrashEvidence> evidence) {
+        quarantineExchange.noticeReceived(link, evidence);
+    }
+
     @Override
     public void storeItemsReceived(PeerFrame.StoreItems storeItems) {
         state.pool().extendRemovalGrace(storeItems.removalGraceMillis(), clock.nowMillis());
@@ -303,7 +313,8 @@
         lease.keyRemoved();
     }
 
-    private AdminResponse handleAdmin(String uri) {
+    private AdminResponse handleAdmin(AdminRequest request) {
+        String uri = request.uri();
         if (formats.directoryFormat().isReadinessProbe(uri)) {
             return acceptsCallers() ? AdminResponse.text("ready\n") : AdminResponse.unavailable();
         }
@@ -319,6 +330,9 @@
             return AdminResponse.json(
                     GatewayStatus.of(state, requests.size(), !acceptsCallers()).toJson());
         }
+        if (uri.startsWith(QuarantineAdmin.PATH)) {
+            return QuarantineAdmin.handle(request, state.quarantine());
+        }
         return uri.startsWith("/metrics") ? AdminResponse.text(metrics.text()) : AdminResponse.notFound();
     }
 
@@ -390,6 +404,7 @@
         links.tick();
         stateExchange.tick(now);
         stateUpdater.tick(now);
+        state.quarantine().tick(now);
         if (ticks % IDLE_CHECK_TICKS == 0) {
             connections.tick();
             callers.closeTimedOutConnections();
@@ -441,6 +456,8 @@
         metrics.gauge("store_bytes_sent", storeTraffic::sentBytes);
         metrics.gauge("store_bytes_received", storeTraffic::receivedBytes);
         metrics.gauge("store_write_longest_millis", storeTraffic::resetLongestWriteMillis);
+        metrics.gauge(
+                "requests_quarantined", () -> state.quarantine().quarantined().size());
         metrics.gauge("target_connections_opened", connections::openedConnections);
         metrics.gauge("log_lines_dropped", log::droppedLines);
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayRequest.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import io.vavr.Lazy;
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.Work;
 import org.rattanplank.core.quarantine.Fingerprint;
@@ -19,6 +20,7 @@
  * @param timeoutMillis how long the caller waits, from the arrival; none if not given
  * @param lastEventId the last event of the stream that the caller has; none at the start of a stream
  * @param work the work it requires of a target
+ * @param fingerprint recognizes the request when it is sent again; computed when it is first needed
  */
 public record GatewayRequest(
         String id,
@@ -29,22 +31,14 @@
         byte[] body,
         Option<Long> timeoutMillis,
         Option<String> lastEventId,
-        Work work) {
+        Work work,
+        Lazy<Fingerprint> fingerprint) {
     public GatewayRequest {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(method, "method");
         Objects.requireNonNull(uri, "uri");
     }
 
-    /**
-     * Returns the fingerprint by which the request is recognized when it is sent again.
-     *
-     * @return the fingerprint, computed anew by each call
-     */
-    public Fingerprint fingerprint() {
-        return Fingerprint.of(authority, method, uri, body);
-    }
-
     /**
      * Returns the path that routes are matched with.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -162,6 +162,7 @@
                 acceptMillis.getAsLong(),
                 feed.copy().revision(),
                 linkBytesPerMilli,
+                true,
                 true));
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RequestReader.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RequestReader.java
@@ -9,11 +9,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.vavr.Lazy;
 import io.vavr.control.Option;
 import io.vavr.control.Try;
 import org.rattanplank.core.gateway.PromptPart;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.gateway.http.Headers;
 
 /**
@@ -97,7 +99,8 @@
                 body,
                 number(headers.get(names.timeoutMillis())),
                 Option.of(headers.get(names.lastEventId())),
-                work(headers));
+                work(headers),
+                Lazy.of(() -> Fingerprint.of(authority, method, uri, body)));
     }
 
     private HttpHeaders forwardableHeaders(HttpHeaders headers) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -30,6 +30,12 @@
     TARGET_CHANGED,
     /** The entry of a target was removed. */
     TARGET_GONE,
+    /** A target crashed while requests of this host were in flight there. */
+    TARGET_CRASHED,
+    /** A request is quarantined, as several targets crashed under it. */
+    QUARANTINED,
+    /** An operator has lifted the quarantine of a request. */
+    QUARANTINE_LIFTED,
     /** The evacuation of a data centre began or ended. */
     EVACUATION,
     /** A request was rejected. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
@@ -62,7 +62,7 @@
                 .with("target", target)
                 .with("tookMillis", tookMillis);
         if (failure.mayHaveRun()) {
-            line.with("fingerprint", request.fingerprint().text());
+            line.with("fingerprint", request.fingerprint().get().text());
         }
         log.add(line);
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedRequest.java
@@ -164,7 +164,8 @@
     @Override
     public void failed(AttemptFailure failure, String reason) {
         attempt = null;
-        if (backup.isEmpty() && !failure.reachedTarget() && ++failedBeforeSend <= MAX_FAILED_BEFORE_SEND) {
+        boolean mayTryAnother = backup.isEmpty() && !failure.reachedTarget() && !failure.isFinal();
+        if (mayTryAnother && ++failedBeforeSend <= MAX_FAILED_BEFORE_SEND) {
             send();
             return;
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -86,6 +86,8 @@
     private Predicate<Option<Long>> mayAccept = maxDurationMillis -> true;
     private BooleanSupplier isFeedComplete = () -> false;
     private Consumer<GatewayTarget> largePrefillListener = target -> {};
+    private final RequestQuarantine quarantine;
+    private final CrashDetector crashDetector;
 
     /**
      * Creates the state of a host without configuration, peers or targets.
@@ -122,6 +124,8 @@
                 limits.retryBudgetWindowMillis());
         mechanisms = settings.mechanisms();
         chooser = TargetChooser.of(self.name(), pool, random, mechanisms);
+        quarantine = new RequestQuarantine(self.name(), clock::nowMillis, log);
+        crashDetector = new CrashDetector(connections, quarantine);
     }
 
     /**
@@ -364,6 +368,19 @@
         recentDurations.record(route.name(), millis, nowMillis());
     }
 
+    /**
+     * Returns the quarantine of requests that crash targets.
+     *
+     * @return the quarantine
+     */
+    public RequestQuarantine quarantine() {
+        return quarantine;
+    }
+
+    CrashDetector crashDetector() {
+        return crashDetector;
+    }
+
     RetryBudget retryBudget() {
         return retryBudget;
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -46,7 +46,9 @@
     private Option<Long> lastEventAtMillis = Option.none();
     private boolean headersDelivered;
     private boolean success;
-    private Attempt attempt;
+    private Option<Attempt> attempt = Option.none();
+    private boolean checkingTarget;
+    private boolean cancelled;
 
     private LocalAttempt(
             GatewayState state,
@@ -139,15 +141,18 @@
 
     @Override
     public void cancel() {
+        cancelled = true;
         release();
-        attempt.cancel();
+        attempt.forEach(Attempt::cancel);
     }
 
     @Override
     public void tick(long nowMillis) {
-        if (backup.exists(each -> each.isPrimaryStalled(lastEventAtMillis, nowMillis)) && tryReserveFailover()) {
+        if (!checkingTarget
+                && backup.exists(each -> each.isPrimaryStalled(lastEventAtMillis, nowMillis))
+                && tryReserveFailover()) {
             target.recordUnreachable(nowMillis);
-            attempt.cancel();
+            attempt.forEach(Attempt::cancel);
             failOver("the target is unresponsive");
         }
     }
@@ -159,7 +164,7 @@
             headersDelivered = true;
             listener.headersReceived(status, headers);
         } else if (status != HttpResponseStatus.OK.code()) {
-            attempt.cancel();
+            attempt.forEach(Attempt::cancel);
             failed(AttemptFailure.UNKNOWN, "the backup responded with status " + status);
         }
     }
@@ -180,11 +185,26 @@
         sentRequest.recordEnd(success, state.nowMillis());
         release();
         events.forEach(each -> deliver(each.takeRemainder()));
+        state.quarantine().completed(call.request());
         listener.completed();
     }
 
     @Override
     public void failed(AttemptFailure failure, String reason) {
+        if (!failure.mayHaveRun()) {
+            conclude(failure, reason);
+            return;
+        }
+        checkingTarget = true;
+        state.crashDetector().connectionLost(target, call.request(), () -> {
+            checkingTarget = false;
+            if (!cancelled) {
+                conclude(failure, reason);
+            }
+        });
+    }
+
+    private void conclude(AttemptFailure failure, String reason) {
         if (failure.mayHaveRun() && tryReserveFailover()) {
             failOver(reason);
             return;
@@ -197,8 +217,13 @@
         listener.failed(hasRun ? AttemptFailure.UNKNOWN : failure, reason);
     }
 
+    /** Sends the request to a target; every way to a target leads through here. */
     private void connect(TargetChoice choice, TargetCall sentCall) {
-        attempt = state.connections().send(choice, sentCall, this);
+        if (state.quarantine().isQuarantined(call.request())) {
+            failed(AttemptFailure.QUARANTINED, "targets crashed whenever they ran the request");
+            return;
+        }
+        attempt = Option.some(state.connections().send(choice, sentCall, this));
     }
 
     /**
@@ -212,6 +237,7 @@
         return begun
                 && now < deadlineMillis
                 && backup.exists(each -> each.mayFailOver(now))
+                && state.quarantine().mayRetry(call.request())
                 && state.retryBudget().trySpend(service.name(), now);
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -1,5 +1,6 @@
 package org.rattanplank.gateway.pass;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -7,6 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vavr.control.Option;
@@ -58,6 +60,9 @@
 
     private static final String STOPPING_REASON = "this host is stopping";
 
+    private static final String QUARANTINED_REASON =
+            "quarantined: targets crashed whenever they ran this request; it has not run and will not be served";
+
     private final GatewayState state;
     private final GatewayRequest request;
     private final CallerResponse response;
@@ -231,6 +236,10 @@
     }
 
     private void send() {
+        if (state.quarantine().isQuarantined(request)) {
+            endQuarantined();
+            return;
+        }
         RoutingOptions options = routingOptions();
         Placement placement = options.placement();
         // Checked also before a retry: the remaining targets and regions are often full. Symptom: requests sent where
@@ -306,7 +315,10 @@
      * @return whether it was sent
      */
     private boolean failOver(String region, String backup) {
-        boolean possible = !backup.isEmpty() && !route.isIdempotent() && response.events() > 0;
+        boolean possible = !backup.isEmpty()
+                && !route.isIdempotent()
+                && response.events() > 0
+                && state.quarantine().mayRetry(request);
         Option<PeerLink> link = possible ? state.drawLink(route, region) : Option.none();
         if (link.isEmpty() || !state.retryBudget().trySpend(service.name(), state.nowMillis())) {
             return false;
@@ -374,6 +386,11 @@
             mayHaveRun = true;
             return;
         }
+        if (failure.isFinal()) {
+            attemptsSent--;
+            endQuarantined();
+            return;
+        }
         if (!failure.reachedTarget()) {
             attemptsSent--;
             failedBeforeSend++;
@@ -399,6 +416,7 @@
         return state.uses(Mechanism.REPEAT)
                 && attemptsSent < route.maxAttempts()
                 && response.canContinue()
+                && state.quarantine().mayRetry(request)
                 && state.retryBudget().trySpend(service.name(), state.nowMillis());
     }
 
@@ -436,6 +454,20 @@
         complete("refused", reason, false);
     }
 
+    /** Ends it as no target may run it; without {@code Retry-After}, as it would be rejected again. */
+    private void endQuarantined() {
+        if (response.isStarted() || mayHaveRun) {
+            fail(QUARANTINED_REASON);
+            return;
+        }
+        response.respond(
+                HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+                Headers.unchecked().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN),
+                Unpooled.copiedBuffer(QUARANTINED_REASON + '\n', StandardCharsets.US_ASCII));
+        state.metrics().ended("quarantined");
+        complete("quarantined", QUARANTINED_REASON, false);
+    }
+
     private void respond(HttpResponseStatus status, String reason) {
         response.respond(status.code(), Headers.unchecked(), Unpooled.EMPTY_BUFFER);
         state.metrics().ended(Integer.toString(status.code()));
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
@@ -0,0 +1,148 @@
+package org.rattanplank.gateway.pass;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.rattanplank.core.quarantine.CrashEvidence;
+import org.rattanplank.core.quarantine.CrashQuarantine;
+import org.rattanplank.core.quarantine.EvidenceChange;
+import org.rattanplank.core.quarantine.Fingerprint;
+import org.rattanplank.core.quarantine.QuarantinedRequest;
+import org.rattanplank.gateway.GatewayRequest;
+import org.rattanplank.gateway.log.EventLog;
+import org.rattanplank.gateway.log.LogEvent;
+import org.rattanplank.gateway.log.LogLine;
+
+/**
+ * This host's quarantine of requests that crash targets: applies it to requests, logs it and publishes new evidence.
+ *
+ * <p>Invariant: while no request is suspected, no fingerprint is computed. Confined to the event loop.
+ */
+public final class RequestQuarantine {
+    private final CrashQuarantine quarantine = CrashQuarantine.empty();
+    private final String self;
+    private final LongSupplier clock;
+    private final EventLog log;
+    private Consumer<List<CrashEvidence>> publisher = evidence -> {};
+
+    RequestQuarantine(String self, LongSupplier clock, EventLog log) {
+        this.self = self;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /**
+     * Sets where evidence is sent that this host has found.
+     *
+     * @param newPublisher sends evidence to other hosts
+     */
+    public void onEvidence(Consumer<List<CrashEvidence>> newPublisher) {
+        publisher = newPublisher;
+    }
+
+    /** Returns whether a request must not be sent to any target. */
+    boolean isQuarantined(GatewayRequest request) {
+        return !quarantine.isEmpty()
+                && quarantine.isQuarantined(request.fingerprint().get());
+    }
+
+    /** Returns whether this host may retry a request on its own. */
+    boolean mayRetry(GatewayRequest request) {
+        return quarantine.isEmpty() || quarantine.mayRetry(request.fingerprint().get());
+    }
+
+    /** Records that a target has completed a request, which therefore is not the cause of earlier crashes. */
+    void completed(GatewayRequest request) {
+        if (!quarantine.isEmpty()) {
+            publish(quarantine.clear(request.fingerprint().get(), clock.getAsLong()));
+        }
+    }
+
+    /** Records that a target crashed while requests of this host were in flight there. */
+    void crashed(String target, Collection<GatewayRequest> inFlight) {
+        Set<Fingerprint> fingerprints = new HashSet<>();
+        inFlight.forEach(request -> fingerprints.add(request.fingerprint().get()));
+        log.writeImportant(
+                LogLine.of(LogEvent.TARGET_CRASHED).with("target", target).with("requests", fingerprints.size()));
+        publish(quarantine.recordCrash(target, fingerprints, self, clock.getAsLong()));
+    }
+
+    /**
+     * Merges evidence of another host.
+     *
+     * @param host the other host
+     * @param evidence the evidence
+     * @return the evidence that this host didn't have
+     */
+    public List<CrashEvidence> merge(String host, List<CrashEvidence> evidence) {
+        EvidenceChange change = quarantine.merge(evidence, host, clock.getAsLong());
+        logQuarantined(change);
+        return change.news();
+    }
+
+    /**
+     * Lifts the quarantine of a request on all hosts, until more targets crash under it.
+     *
+     * @param fingerprint the text of the fingerprint
+     * @return whether the request was quarantined
+     */
+    public boolean lift(String fingerprint) {
+        List<QuarantinedRequest> lifted = quarantined().stream()
+                .filter(each -> each.fingerprint().text().equals(fingerprint))
+                .toList();
+        for (QuarantinedRequest each : lifted) {
+            log.writeImportant(LogLine.of(LogEvent.QUARANTINE_LIFTED).with("fingerprint", fingerprint));
+            publish(quarantine.clear(each.fingerprint(), clock.getAsLong()));
+        }
+        return !lifted.isEmpty();
+    }
+
+    /**
+     * Returns all evidence, for a host that has just been connected.
+     *
+     * @return the evidence
+     */
+    public List<CrashEvidence> evidence() {
+        return quarantine.evidence(clock.getAsLong());
+    }
+
+    /**
+     * Returns the requests that are quarantined.
+     *
+     * @return the requests with the crashes of each
+     */
+    public List<QuarantinedRequest> quarantined() {
+        return quarantine.quarantined(clock.getAsLong());
+    }
+
+    /**
+     * Drops expired evidence.
+     *
+     * @param nowMillis the time
+     */
+    public void tick(long nowMillis) {
+        quarantine.tick(nowMillis);
+    }
+
+    private void publish(EvidenceChange change) {
+        logQuarantined(change);
+        if (!change.news().isEmpty()) {
+            publisher.accept(change.news());
+        }
+    }
+
+    private void logQuarantined(EvidenceChange change) {
+        for (QuarantinedRequest each : change.quarantined()) {
+            List<String> crashes = new ArrayList<>();
+            each.crashes().forEach(crash -> crashes.add(crash.text()));
+            log.writeImportant(LogLine.of(LogEvent.QUARANTINED)
+                    .with("fingerprint", each.fingerprint().text())
+                    .with("crashes", String.join(", ", crashes)));
+        }
+    }
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -8,6 +8,7 @@
 import org.rattanplank.core.gateway.RegionStreamStats;
 import org.rattanplank.core.gateway.StreamStats;
 import org.rattanplank.core.gateway.Urgency;
+import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.gateway.store.StoreItem;
 
 /** A message between hosts. Immutable and thread safe. */
@@ -45,6 +46,8 @@
      * @param linkBytesPerMilli the bandwidth of the sender's link in bytes per millisecond, zero if not reported
      * @param supportsLargePrefillNotices whether the sender accepts {@link LargePrefillNotice}; a host of an earlier version closes the link on
      *     receiving one
+     * @param supportsCrashNotices whether the sender accepts {@link CrashNotice}; a host of an earlier version closes the
+     *     link on receiving one
      */
     record State(
             long sentAtMillis,
@@ -62,7 +65,8 @@
             long acceptMillis,
             long knownRevision,
             long linkBytesPerMilli,
-            boolean supportsLargePrefillNotices)
+            boolean supportsLargePrefillNotices,
+            boolean supportsCrashNotices)
             implements PeerFrame {
         /** The {@link #acceptMillis} of a host that accepts callers. */
         public static final long UNLIMITED_MILLIS = Long.MAX_VALUE;
@@ -71,8 +75,8 @@
         public static final long UNREPORTED = -1;
 
         /** The state of a host that has not reported one yet. */
-        static final State NONE =
-                new State(0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0, 0, UNREPORTED, 0, false);
+        static final State NONE = new State(
+                0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0, 0, UNREPORTED, 0, false, false);
 
         /** The newest revision of a host whose local copy is empty; revisions of the store are above it. */
         public static final long EMPTY_REVISION = 1;
@@ -108,6 +112,17 @@
      */
     record LargePrefillNotice(TargetWork work) implements PeerFrame {}
 
+    /**
+     * Evidence of crashes that the receiver may not have.
+     *
+     * @param evidence the evidence
+     */
+    record CrashNotice(List<CrashEvidence> evidence) implements PeerFrame {
+        public CrashNotice {
+            evidence = List.copyOf(evidence);
+        }
+    }
+
     /**
      * How soon a region is expected to respond for a service.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
@@ -18,6 +20,8 @@
 import org.rattanplank.core.gateway.StreamStats;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.host.Location;
+import org.rattanplank.core.quarantine.CrashEvidence;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.gateway.store.StoreItem;
 
 /**
@@ -42,6 +46,7 @@
     private static final int FRAGMENT = 13;
     private static final int LARGE_PREFILL_NOTICE = 14;
     private static final int FAILOVER_REQUEST = 15;
+    private static final int CRASH_NOTICE = 16;
 
     /** Smaller frames gain too little from compression. */
     private static final int MIN_COMPRESSIBLE_BYTES = 2_048;
@@ -172,6 +177,8 @@
             out.packInt(LARGE_PREFILL_NOTICE);
             write(notice.work(), out);
             write(notice.work().streamStats(), out);
+        } else if (frame instanceof PeerFrame.CrashNotice notice) {
+            write(notice, out);
         } else if (frame instanceof PeerFrame.Leaving leaving) {
             out.packInt(LEAVING).packLong(leaving.lastCall());
         }
@@ -203,7 +210,34 @@
             RegionStreamStats streams = load.streams();
             out.packFloat((float) streams.interTokenMillis()).packFloat((float) streams.delayCostMillisPerToken());
         }
-        out.packBoolean(state.supportsLargePrefillNotices());
+        out.packBoolean(state.supportsLargePrefillNotices()).packBoolean(state.supportsCrashNotices());
+    }
+
+    /** Writes the evidence by target, as the text of a target takes more bytes than the rest. */
+    private static void write(PeerFrame.CrashNotice notice, MessageBufferPacker out) throws IOException {
+        Map<String, List<CrashEvidence>> byTarget =
+                notice.evidence().stream().collect(Collectors.groupingBy(CrashEvidence::target));
+        out.packInt(CRASH_NOTICE).packMapHeader(byTarget.size());
+        for (Map.Entry<String, List<CrashEvidence>> each : byTarget.entrySet()) {
+            out.packString(each.getKey()).packArrayHeader(each.getValue().size());
+            for (CrashEvidence evidence : each.getValue()) {
+                Fingerprint fingerprint = evidence.fingerprint();
+                out.packLong(fingerprint.high()).packLong(fingerprint.low());
+                out.packBoolean(evidence.cleared()).packLong(evidence.ageMillis());
+            }
+        }
+    }
+
+    private static PeerFrame.CrashNotice readCrashNotice(MessageUnpacker in) throws IOException {
+        List<CrashEvidence> evidence = new ArrayList<>();
+        for (int targets = in.unpackMapHeader(); targets > 0; targets--) {
+            String target = in.unpackString();
+            for (int left = in.unpackArrayHeader(); left > 0; left--) {
+                Fingerprint fingerprint = new Fingerprint(in.unpackLong(), in.unpackLong());
+                evidence.add(new CrashEvidence(target, fingerprint, in.unpackBoolean(), in.unpackLong()));
+            }
+        }
+        return new PeerFrame.CrashNotice(evidence);
     }
 
     private static void write(PeerFrame.TargetWork work, MessageBufferPacker out) throws IOException {
@@ -266,6 +300,7 @@
             case COMPRESSED -> decompress(in);
             case CALL_CANCEL -> new PeerFrame.CallCancel(in.unpackLong());
             case LARGE_PREFILL_NOTICE -> new PeerFrame.LargePrefillNotice(withStreamLatency(readTargetWork(in), in));
+            case CRASH_NOTICE -> readCrashNotice(in);
             case LEAVING -> new PeerFrame.Leaving(in.unpackLong());
             default -> throw new IOException("unknown frame kind " + kind);
         };
@@ -302,6 +337,7 @@
             loads.set(i, withStreams(loads.get(i), in));
         }
         boolean supportsLargePrefillNotices = in.hasNext() && in.unpackBoolean();
+        boolean supportsCrashNotices = in.hasNext() && in.unpackBoolean();
         return new PeerFrame.State(
                 sentAtMillis,
                 echoedMillis,
@@ -318,7 +354,8 @@
                 acceptsWorkMillis,
                 knownRevision,
                 linkBytesPerMilli,
-                supportsLargePrefillNotices);
+                supportsLargePrefillNotices,
+                supportsCrashNotices);
     }
 
     private static PeerFrame.TargetWork readTargetWork(MessageUnpacker in) throws IOException {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerListener.java
@@ -1,5 +1,9 @@
 package org.rattanplank.gateway.peer;
 
+import java.util.List;
+
+import org.rattanplank.core.quarantine.CrashEvidence;
+
 /** Receives events of the links to other hosts. Called on the event loop. */
 public interface PeerListener {
     /**
@@ -33,6 +37,14 @@
      */
     void largePrefillNoticeReceived(PeerLink link, PeerFrame.TargetWork work);
 
+    /**
+     * Called when a host has sent evidence of crashes.
+     *
+     * @param link the link to it
+     * @param evidence the evidence
+     */
+    void crashNoticeReceived(PeerLink link, List<CrashEvidence> evidence);
+
     /**
      * Called when a host has sent contents of the store.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptFailure.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptFailure.java
@@ -4,6 +4,8 @@
 public enum AttemptFailure {
     /** Nothing of the request reached a target. */
     NOT_SENT(false, false),
+    /** The request is quarantined: it was not sent, and no other attempt will be either. */
+    QUARANTINED(false, false),
     /** A target rejected the request: it did not and will not run it. */
     REFUSED(true, false),
     /** A target may have run the request, or may still run it. */
@@ -26,6 +28,15 @@
         return reachedTarget;
     }
 
+    /**
+     * Returns whether no host sends the request to a target any more.
+     *
+     * @return whether retrying it is pointless
+     */
+    public boolean isFinal() {
+        return this == QUARANTINED;
+    }
+
     /**
      * Returns whether the request may have run.
      *
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/ConnectResult.java
@@ -0,0 +1,11 @@
+package org.rattanplank.gateway.target;
+
+/** The result of a connection attempt that checks a target. Immutable and thread safe. */
+public enum ConnectResult {
+    /** The target accepted the connection. */
+    CONNECTED,
+    /** No process listens at the target's address, or the address is unreachable. */
+    REFUSED,
+    /** There was no answer in time. */
+    TIMED_OUT
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
@@ -58,6 +58,11 @@
         return channel;
     }
 
+    /** Marks a new connection as idle. */
+    void becomeIdle() {
+        idleSinceMillis = owner.nowMillis();
+    }
+
     boolean isUsable(double idleFraction, long nowMillis) {
         return channel.isActive() && !notReusable && nowMillis - idleSinceMillis < idleMillis * idleFraction;
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -7,11 +7,14 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -34,6 +37,9 @@
     /** A live target in the same region accepts within a few milliseconds; an unresponsive one must not delay its caller. */
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+    /** How long a check may take: the request whose connection ended waits for it. */
+    private static final int CHECK_TIMEOUT_MILLIS = 200;
+
     /**
      * The fraction of the idle time within which a connection is reused for a request that must run at most once: if the
      * target closes the connection at that moment, the outcome is unknown.
@@ -60,11 +66,8 @@
     public TargetConnections(EventLoopGroup group, HeaderNames names, MonotonicClock clock) {
         this.names = names;
         this.clock = clock;
-        bootstrap = new Bootstrap()
-                .group(group)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+        bootstrap =
+                new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
     }
 
     /**
@@ -126,6 +129,30 @@
         return openedCount;
     }
 
+    /**
+     * Checks whether a target accepts connections. The new connection is kept for the next request.
+     *
+     * @param target the target
+     * @param onResult receives the result
+     */
+    public void check(GatewayTarget target, Consumer<ConnectResult> onResult) {
+        TargetConnection connection = new TargetConnection(names.requestId(), this);
+        connect(target, connection, CHECK_TIMEOUT_MILLIS, done -> {
+            if (!done.isSuccess()) {
+                target.recordUnreachable(clock.nowMillis());
+                onResult.accept(
+                        done.cause() instanceof ConnectTimeoutException
+                                ? ConnectResult.TIMED_OUT
+                                : ConnectResult.REFUSED);
+                return;
+            }
+            targetByConnection.put(connection, target);
+            connection.becomeIdle();
+            release(connection);
+            onResult.accept(ConnectResult.CONNECTED);
+        });
+    }
+
     long nowMillis() {
         return clock.nowMillis();
     }
@@ -163,11 +190,28 @@
 
     private void open(GatewayTarget target, TargetAttempt attempt) {
         TargetConnection connection = new TargetConnection(names.requestId(), this);
+        Channel channel = connect(target, connection, CONNECT_TIMEOUT_MILLIS, done -> {
+            if (done.isSuccess() && target.isTerminated()) {
+                connection.close();
+                attempt.connectFailed(new ConnectException("the target has restarted"));
+            } else if (done.isSuccess()) {
+                targetByConnection.put(connection, target);
+                attempt.connected(connection);
+            } else {
+                attempt.connectFailed(done.cause());
+            }
+        });
+        attempt.connectStarted(channel);
+    }
+
+    private Channel connect(
+            GatewayTarget target, TargetConnection connection, int timeoutMillis, ChannelFutureListener listener) {
         openedCount++;
         InetSocketAddress address =
                 new InetSocketAddress(target.entry().ip(), target.entry().port());
         Channel channel = bootstrap
                 .clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel socket) {
@@ -178,20 +222,10 @@
                     }
                 })
                 .connect(address)
-                .addListener(done -> {
-                    if (done.isSuccess() && target.isTerminated()) {
-                        connection.close();
-                        attempt.connectFailed(new ConnectException("the target has restarted"));
-                    } else if (done.isSuccess()) {
-                        targetByConnection.put(connection, target);
-                        attempt.connected(connection);
-                    } else {
-                        attempt.connectFailed(done.cause());
-                    }
-                })
+                .addListener(listener)
                 .channel();
         connection.attach(channel);
-        attempt.connectStarted(channel);
+        return channel;
     }
 
     /** Decodes responses; the response to a HEAD request has no body regardless of its headers. */
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -10,6 +10,9 @@
 import org.junit.jupiter.api.Timeout;
 import org.rattanplank.core.gateway.RouteKind;
 import org.rattanplank.core.gateway.TargetIncarnation;
+import org.rattanplank.gateway.peer.PeerFrame;
+import org.rattanplank.gateway.peer.TestPeer;
+import org.rattanplank.gateway.target.AttemptFailure;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -27,6 +30,7 @@
 
     private final AtomicInteger crashes = new AtomicInteger();
     private final List<AutoCloseable> resources = new ArrayList<>();
+    private volatile String crashingPath = CRASHING_PATH;
     private int requests;
 
     @AfterEach
@@ -47,7 +51,7 @@
         for (int i = 0; i < count; i++) {
             TestTarget[] self = new TestTarget[1];
             self[0] = new TestTarget((request, out) -> {
-                if (request.startsWith("POST " + CRASHING_PATH + " ")) {
+                if (request.startsWith("POST " + crashingPath + " ")) {
                     crashes.incrementAndGet();
                     self[0].close();
                     throw new IOException("crashed by the test");
@@ -123,4 +127,65 @@
         assertEquals(MAX_CRASHES, crashes.get());
         assertTrue(response.startsWith("HTTP/1.1 503 "), response);
     }
+
+    /** Guards against crashing requests that reach targets through another region's host, which knows nothing of them. */
+    @Test
+    void shouldRejectAForwardedRequestWhenThreeTargetsCrashedUnderIt() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", TARGETS);
+        crashingPath = TestPeer.URI;
+        for (int i = 0; i < MAX_CRASHES; i++) {
+            assertEquals(AttemptFailure.UNKNOWN.name(), forward(gateway, "f" + i));
+        }
+
+        assertEquals(AttemptFailure.QUARANTINED.name(), forward(gateway, "f" + MAX_CRASHES));
+        assertEquals(MAX_CRASHES, crashes.get());
+    }
+
+    /** Guards against innocent requests that are refused as their connections end while their targets live. */
+    @Test
+    void shouldNotSuspectARequestWhenOnlyItsConnectionsEnd() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        try (TestTarget target = new TestTarget((request, out) -> {
+            throw new IOException("connection closed by the test");
+        })) {
+            gateway.registerTarget(new TargetIncarnation("t", 0), target.port());
+            gateway.awaitTargets(1);
+
+            for (int i = 0; i < RETRIES; i++) {
+                send(gateway, CRASHING_PATH);
+            }
+
+            assertEquals(0, gateway.countLogged("\"event\":\"target_crashed\""));
+        }
+    }
+
+    /** Guards against a quarantine that nobody can end before it lapses. */
+    @Test
+    void shouldSendARequestAgainWhenAnOperatorLiftsItsQuarantine() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", TARGETS);
+        for (int i = 0; i < RETRIES; i++) {
+            send(gateway, CRASHING_PATH);
+        }
+        crashingPath = "";
+        String listed = gateway.admin("GET", "/quarantine");
+        String fingerprint = listed.replaceAll("(?s).*\"fingerprint\":\"([0-9a-f]{32})\".*", "$1");
+        assertTrue(listed.contains("\"target\":\"t"), listed);
+
+        String unknown = gateway.admin("DELETE", "/quarantine/" + "0".repeat(32));
+        String lifted = gateway.admin("DELETE", "/quarantine/" + fingerprint);
+
+        assertTrue(unknown.startsWith("HTTP/1.1 404 "), unknown);
+        assertTrue(lifted.startsWith("HTTP/1.1 200 "), lifted);
+        assertTrue(send(gateway, CRASHING_PATH).startsWith("HTTP/1.1 200 "));
+    }
+
+    /** Forwards a request as another region's host does, and returns how it failed. */
+    private String forward(TestGateway gateway, String requestId) throws IOException {
+        try (TestPeer peer = gateway.peer()) {
+            peer.sendRequest(requestId, 20_000, peer.await(PeerFrame.State.class));
+            return peer.await(PeerFrame.CallFailed.class).failure();
+        }
+    }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -380,6 +380,14 @@
         }
     }
 
+    /** Sends a request of an operator. */
+    String admin(String method, String uri) throws IOException {
+        try (TestCaller caller = new TestCaller(metrics)) {
+            return caller.send(method + " " + uri + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                    .readAll();
+        }
+    }
+
     /** Stops the gateway and waits until it has left the entry host list. */
     void stop() throws IOException {
         gateway.stop(ended::countDown);
@@ -466,10 +474,7 @@
     }
 
     private String metrics() throws IOException {
-        try (TestCaller caller = new TestCaller(metrics)) {
-            return caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                    .readAll();
-        }
+        return admin("GET", "/metrics");
     }
 
     private void awaitMetric(String line) throws IOException {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -14,6 +14,8 @@
 import org.rattanplank.core.gateway.StreamStats;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.host.Location;
+import org.rattanplank.core.quarantine.CrashEvidence;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.gateway.store.StoreItem;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -23,9 +25,9 @@
 class PeerFrameCodecTest {
     /**
      * The encoded size of the fields that a state of an earlier version lacks: the newest revision, the time for which work
-     * is accepted, the known revision, the link bandwidth and the support of large prefill notices.
+     * is accepted, the known revision, the link bandwidth, and the support of large prefill and crash notices.
      */
-    private static final int NEWER_FIELDS_BYTES = 1 + 9 + 1 + 1 + 1;
+    private static final int NEWER_FIELDS_BYTES = 1 + 9 + 1 + 1 + 1 + 1;
 
     private static PeerFrame roundTrip(PeerFrame frame) {
         return PeerFrameCodec.decode(PeerFrameCodec.encode(frame)).get();
@@ -55,10 +57,14 @@
                         1_000,
                         10,
                         1_250,
+                        true,
                         true),
                 new PeerFrame.ResponseHead(4, 200, List.of("a", "b"), "t", "t2"),
                 new PeerFrame.LargePrefillNotice(new PeerFrame.TargetWork(
                         "t", new InFlightWork(2, new PrefillBacklog(1, 2, 3), 4), new StreamStats(2, 120.5, 1))),
+                new PeerFrame.CrashNotice(List.of(
+                        new CrashEvidence("t", new Fingerprint(-1, 2), false, 70_000),
+                        new CrashEvidence("t", new Fingerprint(3, Long.MIN_VALUE), true, 0))),
                 new PeerFrame.ResponseEnd(4),
                 new PeerFrame.CallFailed(4, "UNKNOWN", "why", "t"),
                 new PeerFrame.CallCancel(4),
@@ -111,6 +117,7 @@
                 PeerFrame.State.UNLIMITED_MILLIS,
                 PeerFrame.State.UNREPORTED,
                 0,
+                false,
                 false);
         byte[] bytes = PeerFrameCodec.encode(state);
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -23,6 +23,9 @@
 
 /** A simulated host that sends the frames that a test requests. Used by the test's thread only. */
 public final class TestPeer implements AutoCloseable {
+    /** The path of the requests that it forwards. */
+    public static final String URI = "/a/x";
+
     private static final int SOCKET_TIMEOUT_MILLIS = 20_000;
     private static final long LINK_BYTES_PER_MILLI = 1_250;
     private static final long LONG_PERIOD_MILLIS = 60_000;
@@ -111,7 +114,7 @@
                 "desk",
                 requestId,
                 "POST",
-                "/a/x",
+                URI,
                 "desk.example",
                 headers,
                 new byte[] {1},
@@ -235,7 +238,23 @@
      */
     public void reportEmptyCopy() throws IOException {
         send(new PeerFrame.State(
-                1, 0, 0, 500, false, 0, 0, true, false, List.of(), List.of(), 0, 0, 0, LINK_BYTES_PER_MILLI, false));
+                1,
+                0,
+                0,
+                500,
+                false,
+                0,
+                0,
+                true,
+                false,
+                List.of(),
+                List.of(),
+                0,
+                0,
+                0,
+                LINK_BYTES_PER_MILLI,
+                false,
+                false));
     }
 
     /**
@@ -267,6 +286,7 @@
                 1_000,
                 newestRevision,
                 linkBytesPerMilli,
+                false,
                 false));
     }
 
@@ -355,7 +375,23 @@
                 new PeerFrame.RegionLoad(service, Urgency.MIDDLE, 1, 0),
                 new PeerFrame.RegionLoad(service, Urgency.LAST, 1, 0));
         send(new PeerFrame.State(
-                1, 0, 0, 500, true, 1, 0, false, true, List.of(), loads, 0, 1_000, 0, LINK_BYTES_PER_MILLI, false));
+                1,
+                0,
+                0,
+                500,
+                true,
+                1,
+                0,
+                false,
+                true,
+                List.of(),
+                loads,
+                0,
+                1_000,
+                0,
+                LINK_BYTES_PER_MILLI,
+                false,
+                false));
     }
 
     /**
@@ -382,7 +418,8 @@
                 1_000,
                 1,
                 LINK_BYTES_PER_MILLI,
-                supportsLargePrefillNotices));
+                supportsLargePrefillNotices,
+                false));
     }
 
     /**
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
@@ -152,6 +152,7 @@
                         1,
                         copy.revision(),
                         linkBytesPerMilli,
+                        false,
                         false);
             }
             List<SimulatedLink> receivers = new ArrayList<>();
