Check a target a second time when its connection ended and it still accepts

The stand-in now ends its connections only when new ones are refused, as the end of a process does. A real process may end in the other order, so the detector checks again after 100 ms and records the crash late; shouldRecordACrashWhenTheTargetRefusesConnectionsALittleLater fails without.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -404,7 +404,7 @@
         links.tick();
         stateExchange.tick(now);
         stateUpdater.tick(now);
-        state.quarantine().tick(now);
+        state.tickQuarantine(now);
         if (ticks % IDLE_CHECK_TICKS == 0) {
             connections.tick();
             callers.closeTimedOutConnections();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.gateway.GatewayRequest;
@@ -15,16 +17,34 @@
  * connections, while a reset connection, a truncated response or an overloaded target leave it reachable.
  *
  * <p>Invariants: requests are suspected only if the target was not leaving and then refused a connection; each loss is
- * reported back once, after the check. Confined to the event loop.
+ * reported back once, after the first check. A process that ends may accept connections for a moment longer, so a second
+ * check follows. Confined to the event loop.
  */
 final class CrashDetector {
+    private static final long SECOND_CHECK_AFTER_MILLIS = 100;
+
     private final TargetConnections connections;
     private final RequestQuarantine quarantine;
+    private final LongSupplier clock;
     private final Map<GatewayTarget, List<Loss>> lossesByTarget = new HashMap<>();
+    private final List<SecondCheck> secondChecks = new ArrayList<>();
 
-    CrashDetector(TargetConnections connections, RequestQuarantine quarantine) {
+    CrashDetector(TargetConnections connections, RequestQuarantine quarantine, LongSupplier clock) {
         this.connections = connections;
         this.quarantine = quarantine;
+        this.clock = clock;
+    }
+
+    /** Starts the second checks that are due. */
+    void tick(long nowMillis) {
+        for (Iterator<SecondCheck> each = secondChecks.iterator(); each.hasNext(); ) {
+            SecondCheck due = each.next();
+            if (nowMillis < due.atMillis()) {
+                return;
+            }
+            each.remove();
+            connections.check(due.target(), result -> recordCrash(due.target(), due.requests(), result));
+        }
     }
 
     /** Checks a target at which the connection of a request has ended, and then runs an action. */
@@ -46,13 +66,22 @@
 
     private void checked(GatewayTarget target, ConnectResult result) {
         List<Loss> losses = lossesByTarget.remove(target);
-        if (result == ConnectResult.REFUSED) {
-            // Before the actions: other hosts must know of the crash before a caller can send the request again.
-            quarantine.crashed(
-                    target.incarnationText(), losses.stream().map(Loss::request).toList());
+        List<GatewayRequest> requests = losses.stream().map(Loss::request).toList();
+        // Before the actions: other hosts must know of the crash before a caller can send the request again.
+        recordCrash(target, requests, result);
+        if (result != ConnectResult.REFUSED) {
+            secondChecks.add(new SecondCheck(target, requests, clock.getAsLong() + SECOND_CHECK_AFTER_MILLIS));
         }
         losses.forEach(loss -> loss.onChecked().run());
     }
 
+    private void recordCrash(GatewayTarget target, List<GatewayRequest> requests, ConnectResult result) {
+        if (result == ConnectResult.REFUSED) {
+            quarantine.crashed(target.incarnationText(), requests);
+        }
+    }
+
     private record Loss(GatewayRequest request, Runnable onChecked) {}
+
+    private record SecondCheck(GatewayTarget target, List<GatewayRequest> requests, long atMillis) {}
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -125,7 +125,7 @@
         mechanisms = settings.mechanisms();
         chooser = TargetChooser.of(self.name(), pool, random, mechanisms);
         quarantine = new RequestQuarantine(self.name(), clock::nowMillis, log);
-        crashDetector = new CrashDetector(connections, quarantine);
+        crashDetector = new CrashDetector(connections, quarantine, clock::nowMillis);
     }
 
     /**
@@ -377,6 +377,16 @@
         return quarantine;
     }
 
+    /**
+     * Expires evidence of crashes and checks targets at which connections have ended.
+     *
+     * @param nowMillis the time
+     */
+    public void tickQuarantine(long nowMillis) {
+        quarantine.tick(nowMillis);
+        crashDetector.tick(nowMillis);
+    }
+
     CrashDetector crashDetector() {
         return crashDetector;
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -53,7 +53,7 @@
             self[0] = new TestTarget((request, out) -> {
                 if (request.startsWith("POST " + crashingPath + " ")) {
                     crashes.incrementAndGet();
-                    self[0].close();
+                    self[0].crash();
                     throw new IOException("crashed by the test");
                 }
                 TestTarget.write(out, TestTarget.answer(request, 200, "done"));
@@ -160,6 +160,23 @@
         }
     }
 
+    /** Guards against a crash that is missed, as the target accepts connections for a moment after the first has ended. */
+    @Test
+    void shouldRecordACrashWhenTheTargetRefusesConnectionsALittleLater() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        TestTarget target = new TestTarget((request, out) -> {
+            throw new IOException("connection closed by the test");
+        });
+        resources.add(target);
+        gateway.registerTarget(new TargetIncarnation("t", 0), target.port());
+        gateway.awaitTargets(1);
+        send(gateway, CRASHING_PATH);
+
+        target.crash();
+
+        gateway.awaitLogged("\"event\":\"target_crashed\"");
+    }
+
     /** Guards against a quarantine that nobody can end before it lapses. */
     @Test
     void shouldSendARequestAgainWhenAnOperatorLiftsItsQuarantine() throws Exception {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
@@ -49,6 +49,25 @@
         }
     }
 
+    /**
+     * Stops listening and waits until connections are refused, as when a process has ended: the kernel accepts
+     * connections until the thread that waits for them has noticed the close.
+     */
+    void crash() throws IOException {
+        server.close();
+        while (acceptsConnections()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private boolean acceptsConnections() {
+        try (Socket socket = new Socket(server.getInetAddress(), server.getLocalPort())) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     int unreadRequests() {
         return requests.size();
     }
