Quarantine requests that crash targets in rattanplankd too

Targets of rattanplankd keep their names when they restart, so their crashes are told apart by the time at which they were noticed, in steps of 2 s: a crash that two hosts notice in different steps counts twice.

RawServer takes no script for a connection without a byte, as the check opens one. NodeTest and TargetsTest guard it.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/route/Caller.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/route/Caller.java
@@ -1,6 +1,7 @@
 package org.rattanplank.bench.route;
 
 import io.vavr.control.Option;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.request.Request;
 
 /**
@@ -79,6 +80,7 @@
                 arrival.prefixes(),
                 arrival.service().hasModelEngines(),
                 java.util.List.of(),
-                false);
+                false,
+                Fingerprint.ofIdentifier(arrival.number() + "-" + sent++));
     }
 }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/route/DecisionMeasurement.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/route/DecisionMeasurement.java
@@ -30,6 +30,7 @@
 import org.rattanplank.core.intent.Account;
 import org.rattanplank.core.intent.Configuration;
 import org.rattanplank.core.intent.Service;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.request.Request;
 import org.rattanplank.core.request.WorkClass;
 import org.rattanplank.core.route.Eligibility;
@@ -175,6 +176,7 @@
                 prefixes,
                 true,
                 List.of(),
-                false);
+                false,
+                Fingerprint.ofIdentifier("r-" + number));
     }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
@@ -22,6 +22,7 @@
 import org.rattanplank.core.store.StoreOwner;
 import org.rattanplank.schema.message.ClaimMessage;
 import org.rattanplank.schema.message.ControlMessage;
+import org.rattanplank.schema.message.CrashNews;
 import org.rattanplank.schema.message.MemberMessage;
 import org.rattanplank.schema.message.PeerMessage;
 import org.rattanplank.schema.message.RegionSummary;
@@ -41,6 +42,7 @@
     private final Router router;
     private final Controller controller;
     private final Explanations explanations = new Explanations();
+    private final QuarantineExchange quarantine;
     private final RequestFlow requests;
     private volatile boolean leaveRequested;
     private volatile boolean stopped;
@@ -52,7 +54,8 @@
         claims = Claims.of(self, claimLimits);
         router = Router.of(self.location(), policy, seed);
         controller = Controller.of(self);
-        requests = new RequestFlow(self, membership, configurationManager, claims, router, explanations);
+        quarantine = QuarantineExchange.of(self.host(), membership);
+        requests = new RequestFlow(self, membership, configurationManager, claims, router, explanations, quarantine);
     }
 
     /**
@@ -219,6 +222,7 @@
             effects.addClaimActions(claims.connected(peer.host(), peer.incarnation(), nowMillis));
         }
         router.updateRegions(membership.remoteRegions(), nowMillis);
+        quarantine.connected(peer.host(), nowMillis, effects);
     }
 
     private void receive(String host, long incarnation, PeerMessage message, long nowMillis, Effects effects) {
@@ -228,7 +232,9 @@
             addConfigurationActions(configurationManager.receive(host, control, nowMillis), nowMillis, effects);
         } else if (message instanceof MemberMessage member) {
             addMemberActions(membership.receive(host, incarnation, member, nowMillis), nowMillis, effects);
-            if (member instanceof RegionSummary) {
+            if (member instanceof CrashNews news) {
+                quarantine.receive(host, news, nowMillis, effects);
+            } else if (member instanceof RegionSummary) {
                 router.updateRegions(membership.remoteRegions(), nowMillis);
             }
         }
@@ -269,6 +275,7 @@
 
     private void tick(long nowMillis, Effects effects) {
         requests.tick(nowMillis, effects);
+        quarantine.tick(nowMillis);
         effects.addClaimActions(claims.tick(nowMillis));
         configurationManager.updatePeers(membership.peerView(), nowMillis);
         addConfigurationActions(configurationManager.tick(nowMillis), nowMillis, effects);
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
@@ -0,0 +1,155 @@
+package org.rattanplank.core;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import io.vavr.control.Option;
+import org.rattanplank.core.member.Membership;
+import org.rattanplank.core.quarantine.CrashEvidence;
+import org.rattanplank.core.quarantine.CrashQuarantine;
+import org.rattanplank.core.quarantine.EvidenceChange;
+import org.rattanplank.core.quarantine.Fingerprint;
+import org.rattanplank.core.quarantine.QuarantinedRequest;
+import org.rattanplank.core.request.Failure;
+import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.Step;
+import org.rattanplank.schema.message.CrashNews;
+import org.rattanplank.schema.message.CrashNotice;
+
+/**
+ * Applies the quarantine of requests that crash targets, and exchanges its evidence with the connected hosts.
+ *
+ * <p>Invariants: evidence is relayed only by hosts to which it is new; while no request is suspected, no fingerprint is
+ * computed. Thread safe; one lock guards the evidence and is released before messages are sent.
+ */
+final class QuarantineExchange {
+    /** A target that has crashed runs no request again within this time. */
+    private static final long CRASH_DISTANCE_MILLIS = 2_000;
+
+    private final Lock lock = new ReentrantLock();
+    private final CrashQuarantine quarantine = CrashQuarantine.empty();
+    private final String self;
+    private final Membership membership;
+
+    private QuarantineExchange(String self, Membership membership) {
+        this.self = self;
+        this.membership = membership;
+    }
+
+    static QuarantineExchange of(String self, Membership membership) {
+        return new QuarantineExchange(self, membership);
+    }
+
+    /** Returns why a request must not be sent to any target, or none if it may be sent. */
+    Option<Failure> check(Request request, long nowMillis) {
+        return locked(() -> {
+            if (quarantine.isEmpty()
+                    || !quarantine.isQuarantined(request.fingerprint().get())) {
+                return Option.<Failure>none();
+            }
+            String crashes = Option.ofOptional(quarantine.quarantined(nowMillis).stream()
+                            .filter(each -> each.fingerprint()
+                                    .equals(request.fingerprint().get()))
+                            .findFirst())
+                    .map(QuarantineExchange::text)
+                    .getOrElse("");
+            return Option.some(Failure.of(
+                    Step.ROUTE, request.service(), "quarantined: these targets ran it and crashed: " + crashes));
+        });
+    }
+
+    /** Returns whether this host may retry a request on its own. */
+    boolean mayRetry(Request request) {
+        return locked(() -> quarantine.isEmpty()
+                || quarantine.mayRetry(request.fingerprint().get()));
+    }
+
+    /** Records that a target crashed while a request was in flight there, unless the target was leaving. */
+    void targetCrashed(String target, Request request, long nowMillis, Effects effects) {
+        if (membership.leaving().contains(target)) {
+            return;
+        }
+        Set<Fingerprint> inFlight = Set.of(request.fingerprint().get());
+        // A target keeps its name when it restarts, so that its crashes are told apart by when they were noticed.
+        String crash = target + '@' + nowMillis / CRASH_DISTANCE_MILLIS;
+        send(locked(() -> quarantine.recordCrash(crash, inFlight, self, nowMillis)), "", effects);
+    }
+
+    /** Records that a target has completed a request, which therefore is not the cause of earlier crashes. */
+    void completed(Request request, long nowMillis, Effects effects) {
+        Option<EvidenceChange> change = locked(() -> quarantine.isEmpty()
+                ? Option.<EvidenceChange>none()
+                : Option.some(quarantine.clear(request.fingerprint().get(), nowMillis)));
+        change.forEach(cleared -> send(cleared, "", effects));
+    }
+
+    /** Merges the evidence of another host. */
+    void receive(String host, CrashNews news, long nowMillis, Effects effects) {
+        List<CrashEvidence> evidence =
+                news.notices().stream().map(QuarantineExchange::evidence).toList();
+        send(locked(() -> quarantine.merge(evidence, host, nowMillis)), host, effects);
+    }
+
+    /** Sends all evidence to a host that has been connected. */
+    void connected(String host, long nowMillis, Effects effects) {
+        List<CrashEvidence> evidence = locked(() -> quarantine.evidence(nowMillis));
+        if (!evidence.isEmpty()) {
+            effects.add(new Action.SendMessage(host, message(evidence)));
+        }
+    }
+
+    void tick(long nowMillis) {
+        locked(() -> {
+            quarantine.tick(nowMillis);
+            return true;
+        });
+    }
+
+    private void send(EvidenceChange change, String source, Effects effects) {
+        if (change.news().isEmpty()) {
+            return;
+        }
+        CrashNews message = message(change.news());
+        for (String host : membership.connectedHosts()) {
+            if (!host.equals(source)) {
+                effects.add(new Action.SendMessage(host, message));
+            }
+        }
+    }
+
+    private <T> T locked(Supplier<T> action) {
+        lock.lock();
+        try {
+            return action.get();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private static String text(QuarantinedRequest request) {
+        return request.crashes().stream().map(QuarantinedRequest.Crash::text).collect(Collectors.joining(", "));
+    }
+
+    private static CrashNews message(List<CrashEvidence> evidence) {
+        return new CrashNews(evidence.stream()
+                .map(each -> new CrashNotice(
+                        each.target(),
+                        each.fingerprint().high(),
+                        each.fingerprint().low(),
+                        each.cleared(),
+                        each.ageMillis()))
+                .toList());
+    }
+
+    private static CrashEvidence evidence(CrashNotice notice) {
+        return new CrashEvidence(
+                notice.target(),
+                new Fingerprint(notice.fingerprintHigh(), notice.fingerprintLow()),
+                notice.cleared(),
+                Math.max(0, notice.ageMillis()));
+    }
+}
--- a/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
@@ -47,6 +47,7 @@
     private final Claims claims;
     private final Router router;
     private final Explanations explanations;
+    private final QuarantineExchange quarantine;
     private final Map<String, InFlightRequest> requestsInFlight = new ConcurrentHashMap<>();
     private final Lock[] locks = new Lock[LOCKS];
     private volatile boolean draining;
@@ -57,13 +58,15 @@
             ConfigurationManager configurationManager,
             Claims claims,
             Router router,
-            Explanations explanations) {
+            Explanations explanations,
+            QuarantineExchange quarantine) {
         this.self = self;
         this.membership = membership;
         this.configurationManager = configurationManager;
         this.claims = claims;
         this.router = router;
         this.explanations = explanations;
+        this.quarantine = quarantine;
         for (int i = 0; i < LOCKS; i++) {
             locks[i] = new ReentrantLock();
         }
@@ -262,6 +265,12 @@
     }
 
     private void chooseRoute(InFlightRequest request, long nowMillis, Effects effects) {
+        Option<Failure> quarantined = quarantine.check(request.request, nowMillis);
+        if (quarantined.isDefined()) {
+            explanations.recordDecision(request.request, new RoutingDecision.Reject(quarantined.get(), 0, List.of()));
+            endWithoutAnswer(request, quarantined.get(), 0, nowMillis, effects);
+            return;
+        }
         boolean mayLeaveRegion = !request.request.isForwarded();
         Eligibility eligibility = new Eligibility(request.allowedRegions, mayLeaveRegion, request.triedPeers);
         RoutingDecision routingDecision = router.choose(request.request, eligibility, nowMillis);
@@ -303,6 +312,7 @@
     }
 
     private void answered(InFlightRequest request, AttemptResult.Completed completed, long nowMillis, Effects effects) {
+        quarantine.completed(request.request, nowMillis, effects);
         settleClaim(request, new ClaimResult.Answered(completed.answer()), nowMillis, effects);
         List<String> path = io.vavr.collection.List.of(
                         self.host(), request.route.get().peer())
@@ -331,6 +341,9 @@
 
     private void attemptLost(InFlightRequest request, AttemptResult.Lost lost, long nowMillis, Effects effects) {
         request.mayHaveRun = true;
+        if (lost.targetCrashed()) {
+            quarantine.targetCrashed(request.route.get().peer(), request.request, nowMillis, effects);
+        }
         request.deliveredStreamEvents = Math.max(request.deliveredStreamEvents, lost.deliveredEvents());
         if (request.deliveredStreamEvents > 0) {
             resume(request, lost.failure(), nowMillis, effects);
@@ -345,7 +358,8 @@
 
     private void resume(InFlightRequest request, Failure failure, long nowMillis, Effects effects) {
         boolean isAtTarget = request.route.exists(route -> route instanceof Route.ToTarget);
-        if (request.resumed || request.finished || !isAtTarget || nowMillis >= request.request.deadlineMillis()) {
+        boolean maySendAgain = !request.resumed && !request.finished && quarantine.mayRetry(request.request);
+        if (!maySendAgain || !isAtTarget || nowMillis >= request.request.deadlineMillis()) {
             endWithoutAnswer(request, failure, 0, nowMillis, effects);
             return;
         }
@@ -356,6 +370,7 @@
     private boolean mayRetry(InFlightRequest request, long nowMillis) {
         return !request.finished
                 && nowMillis < request.request.deadlineMillis()
+                && quarantine.mayRetry(request.request)
                 && router.mayRetry(request.request, request.attempt, nowMillis);
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Membership.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Membership.java
@@ -507,6 +507,15 @@
         });
     }
 
+    /**
+     * Returns the hosts to which this host has a link.
+     *
+     * @return their names
+     */
+    public List<String> connectedHosts() {
+        return read(() -> peers.connected().stream().map(peer -> peer.host).toList());
+    }
+
     /**
      * Returns the region of a host.
      *
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/PeerTable.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/PeerTable.java
@@ -66,10 +66,12 @@
         return peers.values().stream().filter(this::isLocal).toList();
     }
 
+    List<Peer> connected() {
+        return peers.values().stream().filter(peer -> peer.connected).toList();
+    }
+
     List<Peer> remoteConnected() {
-        return peers.values().stream()
-                .filter(peer -> peer.connected && !isLocal(peer))
-                .toList();
+        return connected().stream().filter(peer -> !isLocal(peer)).toList();
     }
 
     /** Returns the other live hosts of the local data centre, ordered by name. */
--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
@@ -5,6 +5,8 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 
+import io.vavr.Lazy;
+
 /**
  * A digest by which a request that is sent again is recognized, whatever its identifier, deadline and connection are.
  *
@@ -36,6 +38,16 @@
         return new Fingerprint(bits.getLong(), bits.getLong());
     }
 
+    /**
+     * Returns the fingerprint of a request whose body is not known, which is therefore not recognized when it is sent again.
+     *
+     * @param requestId the identifier of the request
+     * @return the fingerprint, computed when it is first needed
+     */
+    public static Lazy<Fingerprint> ofIdentifier(String requestId) {
+        return Lazy.of(() -> of("", "", requestId, new byte[0]));
+    }
+
     /**
      * Returns the fingerprint as text, as in logs.
      *
--- a/rattanplank-core/src/main/java/org/rattanplank/core/request/AttemptResult.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/request/AttemptResult.java
@@ -37,10 +37,21 @@
      *
      * @param failure the failure that was observed
      * @param deliveredEvents number of stream events that were already delivered to the caller
+     * @param targetCrashed whether the target refused a connection right after
      */
-    record Lost(Failure failure, long deliveredEvents) implements AttemptResult {
+    record Lost(Failure failure, long deliveredEvents, boolean targetCrashed) implements AttemptResult {
         public Lost {
             Objects.requireNonNull(failure, "failure");
         }
+
+        /**
+         * Creates the result of an attempt whose target, as far as known, has not crashed.
+         *
+         * @param failure the failure that was observed
+         * @param deliveredEvents number of stream events that were already delivered to the caller
+         */
+        public Lost(Failure failure, long deliveredEvents) {
+            this(failure, deliveredEvents, false);
+        }
     }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/request/Request.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/request/Request.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Objects;
 
+import io.vavr.Lazy;
 import io.vavr.control.Option;
+import org.rattanplank.core.quarantine.Fingerprint;
 
 /**
  * A caller's request, without the body, which stays outside the core. Immutable and thread safe.
@@ -23,6 +25,7 @@
  * @param stream whether the answer is streamed
  * @param passedHosts the hosts that the request has passed, oldest first; empty at the first host
  * @param claimed whether an earlier host already holds the claim of the key
+ * @param fingerprint recognizes the request when it is sent again; computed when it is first needed
  */
 public record Request(
         String id,
@@ -39,7 +42,8 @@
         List<Long> prefixHashes,
         boolean stream,
         List<String> passedHosts,
-        boolean claimed) {
+        boolean claimed,
+        Lazy<Fingerprint> fingerprint) {
     public Request {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(account, "account");
@@ -48,6 +52,7 @@
         Objects.requireNonNull(homeRegion, "homeRegion");
         prefixHashes = List.copyOf(prefixHashes);
         passedHosts = List.copyOf(passedHosts);
+        Objects.requireNonNull(fingerprint, "fingerprint");
     }
 
     /**
@@ -84,6 +89,7 @@
                 prefixHashes,
                 stream,
                 passed,
-                claimHeld);
+                claimHeld,
+                fingerprint);
     }
 }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/NodeTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/NodeTest.java
@@ -1,25 +1,33 @@
 package org.rattanplank.core;
 
+import java.util.ArrayList;
 import java.util.List;
 
+import io.vavr.Lazy;
 import io.vavr.control.Option;
 import org.junit.jupiter.api.Test;
 import org.rattanplank.core.host.HostList;
 import org.rattanplank.core.host.HostRole;
 import org.rattanplank.core.host.ListedHost;
 import org.rattanplank.core.host.Location;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.request.Answer;
 import org.rattanplank.core.request.AttemptResult;
+import org.rattanplank.core.request.Failure;
 import org.rattanplank.core.request.Outcome;
 import org.rattanplank.core.request.Request;
+import org.rattanplank.core.request.Step;
 import org.rattanplank.core.request.WorkClass;
 import org.rattanplank.core.route.Policy;
 import org.rattanplank.core.store.StoreEntry;
 import org.rattanplank.core.store.StoreOwner;
 import org.rattanplank.core.store.StoreReply;
+import org.rattanplank.schema.message.CrashNews;
+import org.rattanplank.schema.message.CrashNotice;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class NodeTest {
     private static final Location SUVA = Location.of("suva", "suva-hall");
@@ -48,6 +56,101 @@
                 ended);
     }
 
+    /** Guards against a request that crashes one target after the other, as each arrival is judged as new. */
+    @Test
+    void shouldRejectARequestWithoutRetryAfterWhenThreeTargetsCrashedUnderIt() {
+        configure();
+        for (int i = 1; i <= 3; i++) {
+            crashAttempt("r" + i, 10_000L * i);
+        }
+
+        List<Action> actions = node.handle(new Event.CallerRequestReceived(crashing("r4", 40_000)), 40_000);
+
+        Action.Finish finish = assertInstanceOf(Action.Finish.class, actions.get(0));
+        Outcome.NotRun notRun = assertInstanceOf(Outcome.NotRun.class, finish.outcome());
+        assertEquals(0, notRun.retryAfterMillis());
+        assertTrue(notRun.failure().toString().contains("quarantined"), notRun::toString);
+        assertInstanceOf(
+                Action.StartAttempt.class,
+                node.handle(new Event.CallerRequestReceived(draft("r5")), 40_000)
+                        .get(0));
+    }
+
+    /** Guards against retries by a host of a request under which two targets have crashed. */
+    @Test
+    void shouldNotRetryARequestWhenTwoTargetsCrashedUnderIt() {
+        configure();
+        crashAttempt("r1", 10_000);
+
+        List<Action> actions = crashAttempt("r2", 20_000);
+
+        assertInstanceOf(Action.Finish.class, actions.get(0));
+    }
+
+    /** Guards against a host that is connected later and lets a quarantined request through. */
+    @Test
+    void shouldSendItsEvidenceWhenAHostIsConnected() {
+        configure();
+        crashAttempt("r1", 10_000);
+
+        List<Action> actions =
+                node.handle(new Event.PeerConnected("suva-2", 1, SUVA.region(), SUVA.dataCentre()), 20_000);
+
+        assertTrue(
+                actions.stream()
+                        .anyMatch(action ->
+                                action instanceof Action.SendMessage send && send.message() instanceof CrashNews),
+                actions::toString);
+    }
+
+    /** Guards against a host that lets a request through under which targets crashed at other hosts. */
+    @Test
+    void shouldRejectARequestWhenAnotherHostReportsTheCrashes() {
+        configure();
+        Fingerprint fingerprint = crashing("r1", 10_000).fingerprint().get();
+        node.handle(new Event.PeerConnected("suva-2", 1, SUVA.region(), SUVA.dataCentre()), 20_000);
+        List<CrashNotice> notices = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            notices.add(new CrashNotice("plank-" + i, fingerprint.high(), fingerprint.low(), false, 1_000 * i));
+        }
+        node.handle(new Event.MessageReceived("suva-2", 1, new CrashNews(notices)), 20_001);
+
+        List<Action> actions = node.handle(new Event.CallerRequestReceived(crashing("r1", 20_002)), 20_002);
+
+        assertInstanceOf(Action.Finish.class, actions.get(0));
+    }
+
+    /** Starts the crashing request, and ends its attempt as its target crashes. */
+    private List<Action> crashAttempt(String id, long nowMillis) {
+        List<Action> started = node.handle(new Event.CallerRequestReceived(crashing(id, nowMillis)), nowMillis);
+        Action.StartAttempt attempt = assertInstanceOf(Action.StartAttempt.class, started.get(0));
+        Failure failure = Failure.of(Step.RECEIVE, attempt.route().peer(), "the connection ended");
+        return node.handle(
+                new Event.AttemptEnded(id, attempt.attempt(), new AttemptResult.Lost(failure, 0, true)), nowMillis + 1);
+    }
+
+    /** Returns the request that crashes targets, as its caller sends it under a new identifier. */
+    private static Request crashing(String id, long nowMillis) {
+        Request request = draft(id);
+        return new Request(
+                id,
+                request.account(),
+                request.service(),
+                request.workClass(),
+                request.repeatable(),
+                request.idempotencyKey(),
+                request.homeRegion(),
+                request.residency(),
+                nowMillis + 10_000,
+                request.promptTokens(),
+                request.maxTokens(),
+                request.prefixHashes(),
+                request.stream(),
+                request.passedHosts(),
+                request.claimed(),
+                Lazy.of(() -> Fingerprint.of("floor", "POST", "/crash", new byte[] {1})));
+    }
+
     private void configure() {
         ListedHost target = new ListedHost("plank-1", HostRole.TARGET, SUVA, "127.0.0.1", 1, 0, "plank-serve", false);
         node.handle(new Event.HostsListed(new HostList(1, List.of(target))), 10);
@@ -69,12 +172,13 @@
                 Option.none(),
                 "suva",
                 Option.none(),
-                10_000,
+                100_000,
                 100,
                 100,
                 List.of(),
                 false,
                 List.of(),
-                false);
+                false,
+                Fingerprint.ofIdentifier(id));
     }
 }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/limit/AdmissionControlTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/limit/AdmissionControlTest.java
@@ -8,6 +8,7 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.request.Request;
 import org.rattanplank.core.request.WorkClass;
 
@@ -153,6 +154,7 @@
                 List.of(),
                 false,
                 List.of(),
-                false);
+                false,
+                Fingerprint.ofIdentifier("r"));
     }
 }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/route/Fixtures.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/Fixtures.java
@@ -10,6 +10,7 @@
 import org.rattanplank.core.host.ListedHost;
 import org.rattanplank.core.host.Location;
 import org.rattanplank.core.intent.Configuration;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.request.Answer;
 import org.rattanplank.core.request.AttemptResult;
 import org.rattanplank.core.request.Failure;
@@ -56,7 +57,8 @@
                 request.prefixHashes(),
                 false,
                 List.of(),
-                false);
+                false,
+                Fingerprint.ofIdentifier(request.id()));
     }
 
     static Router router(int targets) {
@@ -108,7 +110,8 @@
                 prefixes,
                 false,
                 List.of(),
-                false);
+                false,
+                Fingerprint.ofIdentifier(id));
     }
 
     /** Routes, starts and ends one request, and returns its route. */
--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/Koro.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/Koro.java
@@ -4,6 +4,7 @@
 import java.util.UUID;
 
 import io.vavr.control.Option;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.request.Answer;
 import org.rattanplank.core.request.AttemptResult;
 import org.rattanplank.core.request.Failure;
@@ -110,6 +111,7 @@
                 List.of(11L, 12L),
                 false,
                 List.of(),
-                false);
+                false,
+                Fingerprint.ofIdentifier(id));
     }
 }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/session/Transcript.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/session/Transcript.java
@@ -20,8 +20,8 @@
  * {@code -Dgolden.write=true} to regenerate the files, and review the difference before committing it.
  */
 final class Transcript {
-    private static final Pattern REQUEST =
-            Pattern.compile("Request\\[id=([^,]*), account=([^,]*), service=([^,]*), .*?claimed=\\w+\\]");
+    private static final Pattern REQUEST = Pattern.compile(
+            "Request\\[id=([^,]*), account=([^,]*), service=([^,]*), .*?claimed=\\w+, fingerprint=Lazy\\(.*?\\)\\]");
     private static final Pattern ARRAY = Pattern.compile("\\[B@[0-9a-f]+");
     private static final int TAIL_LENGTH = 2_000;
     private static final Path GOLDEN_DIRECTORY = Path.of("src/test/resources/golden");
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/RequestParser.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/RequestParser.java
@@ -7,12 +7,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.Lazy;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import io.vavr.control.Try;
 import org.rattanplank.core.intent.Account;
 import org.rattanplank.core.intent.Configuration;
 import org.rattanplank.core.intent.Service;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.request.Request;
 import org.rattanplank.core.request.WorkClass;
 import org.rattanplank.daemon.call.Envelope;
@@ -70,10 +72,12 @@
             chat.put("priority", options.workClass().enginePriority());
             RequestSubject subject =
                     new RequestSubject(service.get(), service.get().repeatable(), PromptEstimate.ofChat(chat), stream);
-            Request request = requestOf(callerRequest, account, subject, options, nowMillis);
+            String path = "/" + CHAT_PATH;
             byte[] body = chat.toString().getBytes(StandardCharsets.UTF_8);
-            return new ParsedRequest(
-                    request, envelopeOf(callerRequest, "/" + CHAT_PATH, "application/json", body, request));
+            Lazy<Fingerprint> fingerprint =
+                    Envelope.fingerprint(account.name(), model, callerRequest.method(), path, body);
+            Request request = requestOf(callerRequest, account, subject, options, fingerprint, nowMillis);
+            return new ParsedRequest(request, envelopeOf(callerRequest, path, "application/json", body, request));
         });
     }
 
@@ -93,7 +97,9 @@
         RequestSubject subject = new RequestSubject(
                 service.get(), repeatable, PromptEstimate.ofBytes(callerRequest.body().length), false);
         return parseOptions(callerRequest, service.get(), WorkClass.INTERACTIVE).map(options -> {
-            Request request = requestOf(callerRequest, account, subject, options, nowMillis);
+            Lazy<Fingerprint> fingerprint =
+                    Envelope.fingerprint(account.name(), name, callerRequest.method(), path, callerRequest.body());
+            Request request = requestOf(callerRequest, account, subject, options, fingerprint, nowMillis);
             String contentType = callerRequest.header("Content-Type").getOrElse("");
             return new ParsedRequest(
                     request, envelopeOf(callerRequest, path, contentType, callerRequest.body(), request));
@@ -132,6 +138,7 @@
             Account account,
             RequestSubject subject,
             RequestOptions options,
+            Lazy<Fingerprint> fingerprint,
             long nowMillis) {
         return new Request(
                 Uuids.version7(nowMillis),
@@ -148,7 +155,8 @@
                 subject.estimate().prefixHashes(),
                 subject.stream(),
                 List.of(),
-                false);
+                false,
+                fingerprint);
     }
 
     private static Envelope envelopeOf(
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeClient.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeClient.java
@@ -1,9 +1,14 @@
 package org.rattanplank.daemon.http;
 
+import java.util.concurrent.CompletableFuture;
+
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -18,6 +23,9 @@
  * safe.
  */
 public final class ExchangeClient {
+    /** How long a check may take: the request whose connection ended waits for it. */
+    private static final int CHECK_TIMEOUT_MILLIS = 200;
+
     private static final int MAX_STATUS_LINE_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -38,6 +46,29 @@
         return new ExchangeClient(Math.toIntExact(connectTimeoutMillis));
     }
 
+    /**
+     * Opens a connection and closes it again.
+     *
+     * @param loop the event loop that handles the connection
+     * @param address the address
+     * @param port the port
+     * @return whether the connection was refused; a timeout is no refusal
+     */
+    public CompletableFuture<Boolean> isRefused(EventLoop loop, String address, int port) {
+        CompletableFuture<Boolean> refused = new CompletableFuture<>();
+        new Bootstrap()
+                .group(loop)
+                .channel(TransportDetector.getSocketChannelImpl())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CHECK_TIMEOUT_MILLIS)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(address, port)
+                .addListener((ChannelFutureListener) done -> {
+                    done.channel().close();
+                    refused.complete(!done.isSuccess() && !(done.cause() instanceof ConnectTimeoutException));
+                });
+        return refused;
+    }
+
     /**
      * Connects and sends a request.
      *
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerConnection.java
@@ -226,7 +226,9 @@
                 message.prefixHashes(),
                 message.stream(),
                 message.passedHosts(),
-                message.claimed());
+                message.claimed(),
+                Envelope.fingerprint(
+                        message.account(), message.service(), message.method(), message.path(), message.body()));
     }
 
     private static Envelope envelopeOf(ForwardRequest message) {
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
@@ -52,6 +52,7 @@
     private boolean streaming;
     private boolean closingEventSeen;
     private long receivedCount;
+    private boolean checkingForCrash;
     private boolean finished;
 
     TargetAttempt(
@@ -162,7 +163,7 @@
         } else if (closingEventSeen) {
             end(new AttemptResult.Completed(Answer.ofStream(status, contentType), List.of()));
         } else {
-            endAsLost("the stream ended without its closing event");
+            checkForCrash("the stream ended without its closing event");
         }
     }
 
@@ -176,10 +177,25 @@
         } else if (closingEventSeen) {
             end(new AttemptResult.Completed(Answer.ofStream(status, contentType), List.of()));
         } else {
-            endAsLost(reason);
+            checkForCrash(reason);
         }
     }
 
+    /** Ends the attempt as lost once it is known whether the target has crashed: it may be because of this request. */
+    private void checkForCrash(String reason) {
+        if (checkingForCrash) {
+            return;
+        }
+        checkingForCrash = true;
+        check.refusesConnections(targetCall.target().name())
+                .exceptionally(cause -> false)
+                .thenAccept(refused -> loop.execute(() -> {
+                    if (!finished) {
+                        endAsLost(reason, refused);
+                    }
+                }));
+    }
+
     private void expire() {
         if (!finished) {
             endAsLost("no complete response within the deadline");
@@ -232,7 +248,7 @@
      * connection to the same target works while this one still receives nothing, the attempt ends as lost.
      */
     private void checkConnection(long previousCount) {
-        if (finished || receivedCount != previousCount) {
+        if (finished || checkingForCrash || receivedCount != previousCount) {
             return;
         }
         check.respondsOnNewConnection(targetCall.target().name())
@@ -251,7 +267,11 @@
     }
 
     private void endAsLost(String reason) {
-        end(new AttemptResult.Lost(failure(Step.RECEIVE, reason), call.streamEventsRelayed()));
+        endAsLost(reason, false);
+    }
+
+    private void endAsLost(String reason, boolean targetCrashed) {
+        end(new AttemptResult.Lost(failure(Step.RECEIVE, reason), call.streamEventsRelayed(), targetCrashed));
     }
 
     private void end(AttemptResult result) {
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetCheck.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetCheck.java
@@ -3,7 +3,6 @@
 import java.util.concurrent.CompletableFuture;
 
 /** Checks whether a target responds on a new connection. Implementations are thread safe and never block. */
-@FunctionalInterface
 interface TargetCheck {
 
     /**
@@ -13,4 +12,12 @@
      * @return whether the target responded
      */
     CompletableFuture<Boolean> respondsOnNewConnection(String target);
+
+    /**
+     * Opens a new connection to a target whose connection has ended during a request.
+     *
+     * @param target the target
+     * @return whether no connection could be established, so that the target has crashed
+     */
+    CompletableFuture<Boolean> refusesConnections(String target);
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/Targets.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/Targets.java
@@ -88,6 +88,15 @@
                 .getOrElse(() -> CompletableFuture.completedFuture(false));
     }
 
+    @Override
+    public CompletableFuture<Boolean> refusesConnections(String target) {
+        return directory
+                .find(target)
+                .map(host ->
+                        resources.exchangeClient().isRefused(resources.loops().next(), host.address(), host.port()))
+                .getOrElse(() -> CompletableFuture.completedFuture(false));
+    }
+
     /**
      * Returns the number of active attempts.
      *
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/RawServer.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/RawServer.java
@@ -1,7 +1,9 @@
 package org.rattanplank.daemon;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -10,10 +12,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * TCP server that runs a script for each connection, for example to close early, stay unresponsive or send an invalid
- * response. The last script handles all further connections.
+ * response. The last script handles all further connections. A connection that ends without a byte takes no script.
  */
 public final class RawServer implements AutoCloseable {
     private static final long REQUEST_TIMEOUT_SECONDS = 20;
@@ -21,6 +24,7 @@
     private final ServerSocket server;
     private final List<Script> scripts;
     private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+    private final AtomicInteger scriptsTaken = new AtomicInteger();
 
     private RawServer(List<Script> scripts) throws IOException {
         this.scripts = scripts;
@@ -60,6 +64,25 @@
         return request;
     }
 
+    /**
+     * Stops listening and waits until connections are refused, as when a process has ended: the kernel accepts
+     * connections until the thread that waits for them has noticed the close.
+     */
+    public void crash() throws IOException {
+        server.close();
+        while (acceptsConnections()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private boolean acceptsConnections() {
+        try (Socket socket = new Socket(server.getInetAddress(), server.getLocalPort())) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
@@ -67,19 +90,21 @@
 
     private void accept() {
         try {
-            for (int connectionNumber = 0; ; connectionNumber++) {
-                Script script = scripts.get(Math.min(connectionNumber, scripts.size() - 1));
+            while (true) {
                 Connection connection = new Connection(server.accept(), requests);
-                start(() -> serve(script, connection));
+                start(() -> serve(connection));
             }
         } catch (IOException e) {
             return;
         }
     }
 
-    private static void serve(Script script, Connection connection) {
+    private void serve(Connection connection) {
         try (connection) {
-            script.serve(connection);
+            if (connection.hasBytes()) {
+                scripts.get(Math.min(scriptsTaken.getAndIncrement(), scripts.size() - 1))
+                        .serve(connection);
+            }
         } catch (IOException | InterruptedException e) {
             return;
         }
@@ -100,13 +125,23 @@
     /** One accepted connection. */
     public static final class Connection implements AutoCloseable {
         private final Socket socket;
+        private final InputStream in;
         private final BlockingQueue<String> requests;
 
-        Connection(Socket socket, BlockingQueue<String> requests) {
+        Connection(Socket socket, BlockingQueue<String> requests) throws IOException {
             this.socket = socket;
+            in = new BufferedInputStream(socket.getInputStream());
             this.requests = requests;
         }
 
+        /** Waits for the first byte and returns whether there is one. */
+        private boolean hasBytes() throws IOException {
+            in.mark(1);
+            boolean hasBytes = in.read() >= 0;
+            in.reset();
+            return hasBytes;
+        }
+
         /**
          * Reads one request.
          *
@@ -146,7 +181,7 @@
 
         /** Waits until the client closes the connection. */
         public void awaitClose() throws IOException {
-            while (socket.getInputStream().read() >= 0) {
+            while (in.read() >= 0) {
                 continue;
             }
         }
@@ -161,7 +196,7 @@
         }
 
         private void readInto(ByteArrayOutputStream bytes) throws IOException {
-            int next = socket.getInputStream().read();
+            int next = in.read();
             if (next < 0) {
                 throw new IOException("closed");
             }
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/TestFixtures.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/TestFixtures.java
@@ -8,6 +8,7 @@
 import org.rattanplank.core.host.HostRole;
 import org.rattanplank.core.host.ListedHost;
 import org.rattanplank.core.host.Location;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.request.Outcome;
 import org.rattanplank.core.request.Request;
 import org.rattanplank.core.request.WorkClass;
@@ -63,7 +64,8 @@
                 List.of(),
                 stream,
                 List.of(),
-                false);
+                false,
+                Fingerprint.ofIdentifier(id));
     }
 
     public static Call call(String id, String path, RecordingRequester requester) {
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/TargetsTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/TargetsTest.java
@@ -18,6 +18,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -63,6 +64,30 @@
         }
     }
 
+    /** Guards against a request that crashes one target after the other, as the crashes are not noticed. */
+    @Test
+    void shouldReportACrashWhenTheTargetRefusesAConnectionAfterALoss() throws Exception {
+        RawServer[] target = new RawServer[1];
+        target[0] = RawServer.of(connection -> {
+            connection.request();
+            target[0].crash();
+        });
+
+        AttemptResult.Lost lost = assertInstanceOf(AttemptResult.Lost.class, run(target[0], "/book", 0));
+
+        assertTrue(lost.targetCrashed());
+    }
+
+    /** Guards against innocent requests that are blamed as only their connections end. */
+    @Test
+    void shouldReportNoCrashWhenTheTargetAcceptsAConnectionAfterALoss() throws Exception {
+        try (RawServer target = RawServer.of(RawServer.Connection::request)) {
+            AttemptResult.Lost lost = assertInstanceOf(AttemptResult.Lost.class, run(target, "/book", 0));
+
+            assertFalse(lost.targetCrashed());
+        }
+    }
+
     /*
      * Guards against a caller that receives another caller's data: the target, or a proxy in front of it, sends the
      * response of another request on this connection, and the echoed request identifier is not compared.
--- a/rattanplank-schema/src/main/java/org/rattanplank/schema/message/MemberMessage.java
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/MemberMessage.java
@@ -4,5 +4,5 @@
 /**
  * Messages about the membership of hosts and their state.
  */
-public sealed interface MemberMessage extends PeerMessage permits Hello, Ping, Pong, Heartbeat, CentreBeat, LeavingNews, RegionSummary {
+public sealed interface MemberMessage extends PeerMessage permits Hello, Ping, Pong, Heartbeat, CentreBeat, LeavingNews, CrashNews, RegionSummary {
 }
--- a/rattanplank-schema/src/main/java/org/rattanplank/schema/message/PeerMessage.java
+++ b/rattanplank-schema/src/main/java/org/rattanplank/schema/message/PeerMessage.java
@@ -38,6 +38,7 @@
         @JsonSubTypes.Type(value = Heartbeat.class, name = "Heartbeat"),
         @JsonSubTypes.Type(value = CentreBeat.class, name = "CentreBeat"),
         @JsonSubTypes.Type(value = LeavingNews.class, name = "LeavingNews"),
+        @JsonSubTypes.Type(value = CrashNews.class, name = "CrashNews"),
         @JsonSubTypes.Type(value = RegionSummary.class, name = "RegionSummary"),
         @JsonSubTypes.Type(value = ForwardRequest.class, name = "ForwardRequest"),
         @JsonSubTypes.Type(value = ForwardHead.class, name = "ForwardHead"),
