Keep the limit that a target names for all hosts together

A target in need got what it got before: 66 requests in 4 s at 1.4 a second.

Cause: its header was read nowhere (hypothesis 1; 3 is ruled out, as hosts that had passed it on went on sending). The class is that of cold targets and of retries: a bound over all hosts, kept by hosts that see only themselves.

Change: as for a cold target, the host that rendezvous hashing assigns uses the rate; the others check now and then whether it still holds. Weighed: equal parts for all hosts (at 30 hosts and 1 a second their bursts alone exceed the bound, or each gets nothing), tokens lent by one host (a message for each request).

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
+import io.vavr.control.Option;
 import org.rattanplank.core.host.RendezvousHashing;
 
 /**
@@ -38,6 +39,7 @@
     private final CachedPromptParts cachedParts = new CachedPromptParts();
     private final TargetStreams streams = new TargetStreams();
     private final SlidingWindowCounter coldSends = new SlidingWindowCounter(SECOND_MILLIS);
+    private final TargetRateLimit rateLimit = new TargetRateLimit();
     private final Map<String, InFlightWork> workByHost = new HashMap<>();
     private TargetEntry entry;
     private boolean leaving;
@@ -192,6 +194,30 @@
         return nowMillis < coldUntilMillis;
     }
 
+    /**
+     * Records the rate of requests that an answer of it has named, or that it has named none.
+     *
+     * @param perSecond the rate for all hosts together, or none
+     * @param nowMillis the time
+     * @return whether that changes its limit
+     */
+    public boolean updateRateLimit(Option<Double> perSecond, long nowMillis) {
+        return perSecond.map(named -> rateLimit.named(named, nowMillis)).getOrElse(rateLimit::ended);
+    }
+
+    /**
+     * Returns whether it has named a limit.
+     *
+     * @return whether its last answer named a rate of requests for all hosts together
+     */
+    public boolean isRateLimited() {
+        return rateLimit.isActive();
+    }
+
+    TargetRateLimit rateLimit() {
+        return rateLimit;
+    }
+
     boolean hasColdCapacity(int maxPerSecond, long nowMillis) {
         return coldSends.count(nowMillis) < maxPerSecond;
     }
@@ -263,6 +289,7 @@
         if (isCold(nowMillis)) {
             coldSends.add(nowMillis);
         }
+        rateLimit.recordSend(nowMillis);
         addOwnWork(sent);
         return sent;
     }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -43,6 +43,8 @@
      */
     private static final double DELAY_COST_FRACTION = 0.8;
 
+    private static final int PHASE_BITS = 32;
+
     private final String self;
     private final TargetPool pool;
     private final RandomGenerator random;
@@ -314,6 +316,9 @@
         long prefixHash = RendezvousHashing.hash(shared.get(shared.size() - 1).id());
         GatewayTarget affinityTarget = null;
         for (GatewayTarget target : eligible) {
+            if (target.isRateLimited()) {
+                continue;
+            }
             if (affinityTarget == null || target.affinityScore(prefixHash) > affinityTarget.affinityScore(prefixHash)) {
                 affinityTarget = target;
             }
@@ -388,20 +393,38 @@
                 && target.totalWork().requests() >= CONNECTION_FRACTION * service.maxConnections()) {
             return false;
         }
+        if (target.isRateLimited() && !isWithinRateLimit(target, regionView, nowMillis)) {
+            return false;
+        }
         return !target.isCold(nowMillis) || mayWarmUp(target, service, regionView, nowMillis);
     }
 
+    private boolean isWithinRateLimit(GatewayTarget target, RegionView regionView, long nowMillis) {
+        double phase = (RendezvousHashing.mix(RendezvousHashing.hash(self) ^ RendezvousHashing.hash(target.id()))
+                        >>> Long.SIZE - PHASE_BITS)
+                / (double) (1L << PHASE_BITS);
+        return target.rateLimit()
+                .maySend(isAssigned(target, regionView), regionView.hosts().size(), phase, nowMillis);
+    }
+
+    /**
+     * Whether this host is the one of the region that sends to a target whose bound holds for all hosts together. A
+     * host whose view of the region may be incomplete could wrongly consider itself assigned.
+     */
+    private boolean isAssigned(GatewayTarget target, RegionView regionView) {
+        return regionView.complete()
+                && RendezvousHashing.rank(regionView.hosts(), target.id())
+                        .get(0)
+                        .equals(self);
+    }
+
     /**
      * Whether this host may send to a cold target. If several hosts warmed it up, each would send as much as the target
-     * sustains in total and crash it again; symptom: it restarts in a loop. A host whose view of the region may be
-     * incomplete could wrongly consider itself assigned, so it sends nothing there: a warm target, or another region,
-     * has to serve the request.
+     * sustains in total and crash it again; symptom: it restarts in a loop. Where no host is assigned, a warm target or
+     * another region has to serve the request.
      */
     private boolean mayWarmUp(GatewayTarget target, ServiceRule service, RegionView regionView, long nowMillis) {
-        if (!regionView.complete()
-                || !RendezvousHashing.rank(regionView.hosts(), target.id())
-                        .get(0)
-                        .equals(self)) {
+        if (!isAssigned(target, regionView)) {
             return false;
         }
         int maxPerSecond = Math.max(1, (int) Math.floor(service.coldRequestsPerSecond()));
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -239,10 +239,25 @@
      *
      * @param target the target
      * @param nowMillis the time
-     * @return whether the target may be used and is warm
+     * @return whether the target may be used, is warm and has named no limit
      */
     public boolean mayContinue(GatewayTarget target, long nowMillis) {
-        return isUsable(target, nowMillis) && !target.isCold(nowMillis);
+        return isUsable(target, nowMillis) && !target.isCold(nowMillis) && !target.isRateLimited();
+    }
+
+    /**
+     * Returns the targets that have named a limit: what they take is no capacity that others should count on.
+     *
+     * @return the texts of their incarnations
+     */
+    public Set<String> rateLimited() {
+        Set<String> limited = new HashSet<>();
+        for (GatewayTarget target : targets.values()) {
+            if (target.isRateLimited()) {
+                limited.add(target.incarnationText());
+            }
+        }
+        return limited;
     }
 
     private void drop(String id, long nowMillis) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/HeaderNames.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/HeaderNames.java
@@ -11,6 +11,7 @@
  * @param lastEventId the last event of a stream that the caller has
  * @param expectedTarget the identifier of the only target that may run the request
  * @param notExecuted in a response: the target did not run the request
+ * @param rateLimit in a response: the requests a second that the target takes from all hosts together
  * @param transferSource the address of the target that has cached prompt parts which the receiving target lacks
  * @param backup the address of the target that receives the KV cache of a stream as it grows
  * @param continuedFrom the address of the receiving target and the identifier of the request whose backup it holds,
@@ -27,6 +28,7 @@
         String lastEventId,
         String expectedTarget,
         String notExecuted,
+        String rateLimit,
         String transferSource,
         String backup,
         String continuedFrom,
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -306,7 +306,12 @@
 
     private PeerFrame.RegionLoad load(ServiceRule service, Urgency urgency, RegionStreamStats streams) {
         Option<TargetChoice> best = state.chooser()
-                .choose(service, Work.PLAIN.withUrgency(urgency), Set.of(), state.regionView(), state.nowMillis());
+                .choose(
+                        service,
+                        Work.PLAIN.withUrgency(urgency),
+                        state.pool().rateLimited(),
+                        state.regionView(),
+                        state.nowMillis());
         LatencyModel model = state.chooser().latencyModel(service.name());
         // A region without capacity reports it explicitly. Otherwise others would use its last report for seconds, send
         // requests there and get each back after two crossings. Symptom: requests that end in this region because no
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -30,6 +30,10 @@
     TARGET_CHANGED,
     /** The entry of a target was removed. */
     TARGET_GONE,
+    /** A target has named a limit of its requests, another one than before, or none any more. */
+    TARGET_LIMIT,
+    /** A target has named a limit that is none. */
+    TARGET_LIMIT_INVALID,
     /** A target crashed while requests of this host were in flight there. */
     TARGET_CRASHED,
     /** A request is quarantined, as several targets crashed under it. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -169,6 +169,26 @@
         }
     }
 
+    @Override
+    public void rateLimitChanged(Option<Double> perSecond) {
+        state.log()
+                .writeImportant(LogLine.of(LogEvent.TARGET_LIMIT)
+                        .with("target", target.incarnationText())
+                        .with(
+                                "requestsPerSecond",
+                                perSecond.map(Object.class::cast).getOrNull()));
+    }
+
+    @Override
+    public void rateLimitInvalid(String text) {
+        if (state.recordInvalidRateLimit(target)) {
+            state.log()
+                    .writeOrdinary(LogLine.of(LogEvent.TARGET_LIMIT_INVALID)
+                            .with("target", target.incarnationText())
+                            .with("text", text));
+        }
+    }
+
     @Override
     public void contentReceived(ByteBuf bytes) {
         sentRequest.recordEvent(success, state.nowMillis());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.vavr.control.Option;
 
 /**
  * Receives the events of one attempt: at most one set of response headers, then content, then one completion or failure. Called on the event
@@ -23,6 +24,20 @@
      */
     void contentReceived(ByteBuf bytes);
 
+    /**
+     * Called when the target has named a limit, another one than before, or none any more.
+     *
+     * @param perSecond the requests a second that it takes from all hosts together, or none
+     */
+    default void rateLimitChanged(Option<Double> perSecond) {}
+
+    /**
+     * Called when the target has named a limit that is none; it counts as if it had named nothing new.
+     *
+     * @param text what it has named
+     */
+    default void rateLimitInvalid(String text) {}
+
     /** Called when the response is complete. */
     void completed();
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -1,5 +1,7 @@
 package org.rattanplank.gateway.target;
 
+import java.util.List;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -12,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Option;
+import io.vavr.control.Try;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.TargetChoice;
 import org.rattanplank.gateway.GatewayRequest;
@@ -30,6 +33,9 @@
     /** How long this host sends nothing to a target that has reported no capacity, while others may have some. */
     private static final long FULL_TARGET_PAUSE_MILLIS = 50;
 
+    /** Larger rates than this are no limit of any target. */
+    private static final double MAX_RATE_LIMIT_PER_SECOND = 1_000_000;
+
     private final GatewayTarget target;
     private final Option<GatewayTarget> transferSource;
     private final TargetCall call;
@@ -106,6 +112,9 @@
         if (finished) {
             return;
         }
+        if (status != MISDIRECTED) {
+            readRateLimit(headers.getAll(names.rateLimit()));
+        }
         if (status == MISDIRECTED || headers.contains(names.notExecuted())) {
             rejected = true;
             if (status == MISDIRECTED) {
@@ -123,6 +132,29 @@
         listener.headersReceived(status, headers);
     }
 
+    private void readRateLimit(List<String> values) {
+        if (values.isEmpty()) {
+            updateRateLimit(Option.none());
+            return;
+        }
+        Option<Double> perSecond = values.size() == 1
+                ? Try.of(() -> Double.parseDouble(values.get(0).trim()))
+                        .toOption()
+                        .filter(rate -> rate >= 0 && rate <= MAX_RATE_LIMIT_PER_SECOND)
+                : Option.none();
+        if (perSecond.isEmpty()) {
+            listener.rateLimitInvalid(String.join(", ", values));
+            return;
+        }
+        updateRateLimit(perSecond);
+    }
+
+    private void updateRateLimit(Option<Double> perSecond) {
+        if (target.updateRateLimit(perSecond, clock.nowMillis())) {
+            listener.rateLimitChanged(perSecond);
+        }
+    }
+
     void contentReceived(ByteBuf bytes) {
         if (!finished && !rejected) {
             listener.contentReceived(bytes);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -47,6 +47,7 @@
             "Last-Event-Id",
             "Expected",
             "Not-Run",
+            "Limit",
             "Copy-From",
             "Backup",
             "Continue-From",
