Let the soak crash replicas by one request and name limits

Two faults beside the others, drawn apart so that the sequence of a seed stays: a request that crashes each replica that runs it, up to three copies at once, and a replica that names a limit. The audit finds innocent requests that are quarantined; once nothing is harmed for 6 s, the crashing request is sent twelve times more and may crash three replicas. The bound of a limit is not checked here: too many hosts are frozen and restarted meanwhile.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -14,6 +14,7 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
+import io.vavr.control.Option;
 import io.vavr.control.Try;
 import org.rattanplank.bench.process.ChildProcess;
 import org.rattanplank.bench.process.Poll;
@@ -31,8 +32,25 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int STATUS_OK = 200;
 
+    /** One additional fault follows this many single ones on average. */
+    private static final int FAULTS_PER_ADDITIONAL = 3;
+
+    private static final int MAX_COPIES = 3;
+
+    /** A limit lasts longer than other faults, until all hosts have been told of it. */
+    private static final int LIMITED_PERIODS = 3;
+
+    /** The crashes under one request after which few more are allowed, and the time from which they count. */
+    private static final int ALLOWED_CRASHES = 3;
+
+    private static final long STABLE_MILLIS = 6_000;
+    private static final int ALLOWED_LATER_CRASHES = 3;
+    private static final int LATER_CRASHING_CALLS = 12;
+
     private final SoakSite site;
     private final SplittableRandom random;
+    private final SplittableRandom additionalRandom;
+    private final List<Thread> crashingCallers = new ArrayList<>();
     private final List<SoakCall> calls = Collections.synchronizedList(new ArrayList<>());
     private final Map<SoakFault, Integer> faultCounts = new EnumMap<>(SoakFault.class);
     private final AtomicBoolean callersActive = new AtomicBoolean(true);
@@ -43,6 +61,7 @@
     private Soak(SoakSite site, long seed) {
         this.site = site;
         random = new SplittableRandom(seed);
+        additionalRandom = new SplittableRandom(~seed);
     }
 
     /**
@@ -93,6 +112,7 @@
         try {
             injectFaultsFor(millis);
             Try.run(this::awaitRecovery).onFailure(error -> violations.add(error.getMessage()));
+            checkCrashingRequest(violations);
         } finally {
             // Callers left running after a failure of the soak test itself would keep the process alive and load the
             // host.
@@ -109,12 +129,55 @@
     private void injectFaultsFor(long millis) {
         long end = System.nanoTime() + millis * NANOS_PER_MILLI;
         while (System.nanoTime() < end) {
-            injectFault();
+            injectFault(SoakFault.SINGLE.get(random.nextInt(SoakFault.SINGLE.size())), random);
+            if (additionalRandom.nextInt(FAULTS_PER_ADDITIONAL) == 0) {
+                injectFault(
+                        SoakFault.ADDITIONAL.get(additionalRandom.nextInt(SoakFault.ADDITIONAL.size())),
+                        additionalRandom);
+            }
             Poll.pause(random.nextLong(200, 1_200));
             runDueRepairs();
+            replaceCrashedReplicas();
         }
         pendingRepairs.forEach(repair -> repair.action.run());
         pendingRepairs.clear();
+        crashingCallers.forEach(thread -> Try.run(thread::join));
+        replaceCrashedReplicas();
+    }
+
+    /** Writes to the store, which is not possible while it is down. */
+    private void replaceCrashedReplicas() {
+        if (activeStoreOutages == 0) {
+            site.replaceCrashedReplicas();
+        }
+    }
+
+    private void sendCrashingRequest(SplittableRandom copies) {
+        List<InetSocketAddress> hosts = site.callerAddresses();
+        for (int left = copies.nextInt(1, MAX_COPIES + 1); left > 0; left--) {
+            InetSocketAddress host = hosts.get(copies.nextInt(hosts.size()));
+            Thread thread = new Thread(() -> SoakCaller.callCrashing(host, "x" + lastCallNumber.incrementAndGet()));
+            thread.start();
+            crashingCallers.add(thread);
+        }
+    }
+
+    /** Checks that the crashing request reaches few replicas any more, through hosts that have been undisturbed. */
+    private void checkCrashingRequest(List<String> violations) {
+        int crashes = site.crashCount();
+        if (crashes < ALLOWED_CRASHES) {
+            return;
+        }
+        Poll.pause(STABLE_MILLIS);
+        for (int i = 0; i < LATER_CRASHING_CALLS; i++) {
+            List<InetSocketAddress> hosts = site.callerAddresses();
+            SoakCaller.callCrashing(hosts.get(i % hosts.size()), "y" + lastCallNumber.incrementAndGet());
+            site.replaceCrashedReplicas();
+        }
+        int later = site.crashCount() - crashes;
+        if (later > ALLOWED_LATER_CRASHES) {
+            violations.add("a request that had crashed " + crashes + " replicas crashed " + later + " more");
+        }
     }
 
     private void callUntilStopped(SplittableRandom callerRandom, List<InetSocketAddress> hosts) {
@@ -125,11 +188,10 @@
         }
     }
 
-    private void injectFault() {
-        SoakFault fault = SoakFault.values()[random.nextInt(SoakFault.values().length)];
-        String host = site.hostNames().get(random.nextInt(site.hostNames().size()));
-        String replica = site.replicaIds().get(random.nextInt(site.replicaIds().size()));
-        long millis = random.nextLong(300, 3_000);
+    private void injectFault(SoakFault fault, SplittableRandom draw) {
+        String host = site.hostNames().get(draw.nextInt(site.hostNames().size()));
+        String replica = site.replicaIds().get(draw.nextInt(site.replicaIds().size()));
+        long millis = draw.nextLong(300, 3_000);
         if (!site.hostProcess(host).isAlive() && affectsHostProcess(fault)
                 || activeStoreOutages > 0 && needsStoreWrite(fault)) {
             return;
@@ -159,9 +221,14 @@
             case STORE_FORGETS -> site.store().dropHistory();
             case REPLICA_SILENT -> site.replicaLink(replica).dropBytesOfOpenConnections();
             case REPLICA_CUT -> disruptReplicaLink(replica, LinkState.partitioned(), millis);
-            case REPLICA_LATE -> disruptReplicaLink(replica, LinkState.delayed(random.nextLong(50, 400)), millis);
+            case REPLICA_LATE -> disruptReplicaLink(replica, LinkState.delayed(draw.nextLong(50, 400)), millis);
             case REPLICA_REPLACED -> site.replaceReplica(replica);
             case CONFIGURATION_CHANGES -> site.applyNextConfiguration();
+            case REPLICA_LIMITED -> {
+                site.limitReplica(replica, Option.some("1"));
+                scheduleRepair(LIMITED_PERIODS * millis, () -> site.limitReplica(replica, Option.none()));
+            }
+            case CRASHING_REQUEST -> sendCrashingRequest(draw);
             default -> throw new IllegalStateException("unsupported fault " + fault);
         }
     }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakAudit.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakAudit.java
@@ -13,11 +13,12 @@
  *
  * <p>Guarantees checked: a booking is executed at most once; a request reported as not run was not executed; a complete
  * response is the entire response to its own request; the events of a stream are delivered in order, exactly once,
- * starting with the first. Stateless and thread safe.
+ * starting with the first; no request is quarantined because of another one's crashes. Stateless and thread safe.
  */
 final class SoakAudit {
     private static final int STATUS_OK = 200;
     private static final int STATUS_NOT_RUN = 503;
+    private static final String QUARANTINED = "quarantined";
     private static final Pattern EVENT_PATTERN =
             Pattern.compile("id: (\\d+)\ndata: line (\\d+) for (\\S+) by \\S+\n\n");
 
@@ -33,6 +34,9 @@
             if (!call.stream() && call.status() == STATUS_NOT_RUN && runCount > 0) {
                 violations.add(call.id() + " was reported as not run but was executed");
             }
+            if (call.status() == STATUS_NOT_RUN && call.body().contains(QUARANTINED)) {
+                violations.add(call.id() + " crashed no replica but was quarantined");
+            }
             if (call.status() == STATUS_OK) {
                 checkResponse(call, violations);
             }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
@@ -10,6 +10,7 @@
 import org.rattanplank.gateway.HeaderNames;
 import org.rattanplank.platform.PlatformHeaders;
 import org.rattanplank.standins.site.SiteConfigurations;
+import org.rattanplank.standins.site.SiteReplica;
 
 /**
  * Makes calls over plain sockets, so that the end of a connection can be distinguished from the end of a response.
@@ -26,11 +27,21 @@
     private SoakCaller() {}
 
     static SoakCall call(InetSocketAddress host, String id, boolean stream) {
+        String prefix = stream ? SiteConfigurations.DRAFTS_PREFIX : SiteConfigurations.BOOKINGS_PREFIX;
+        return call(host, id, stream, prefix + "1");
+    }
+
+    /** Sends the request that crashes each replica that runs it. */
+    static SoakCall callCrashing(InetSocketAddress host, String id) {
+        return call(host, id, true, SiteConfigurations.DRAFTS_PREFIX + SiteReplica.CRASHING_PATH_END);
+    }
+
+    private static SoakCall call(InetSocketAddress host, String id, boolean stream, String path) {
         ByteArrayOutputStream received = new ByteArrayOutputStream();
         try (Socket socket = new Socket()) {
             socket.setSoTimeout(READ_TIMEOUT_MILLIS);
             socket.connect(host, CONNECT_TIMEOUT_MILLIS);
-            socket.getOutputStream().write(request(id, stream).getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(request(id, path).getBytes(StandardCharsets.US_ASCII));
             InputStream in = socket.getInputStream();
             for (int octet = in.read(); octet >= 0; octet = in.read()) {
                 received.write(octet);
@@ -42,9 +53,8 @@
         return parse(id, stream, received.toString(StandardCharsets.UTF_8));
     }
 
-    private static String request(String id, boolean stream) {
-        String path = stream ? SiteConfigurations.DRAFTS_PREFIX : SiteConfigurations.BOOKINGS_PREFIX;
-        return "POST " + path + "1 HTTP/1.1\r\nHost: " + SiteConfigurations.HOST_NAME + "\r\nConnection: close\r\n"
+    private static String request(String id, String path) {
+        return "POST " + path + " HTTP/1.1\r\nHost: " + SiteConfigurations.HOST_NAME + "\r\nConnection: close\r\n"
                 + HEADER_NAMES.requestId() + ": " + id + "\r\n" + HEADER_NAMES.timeoutMillis() + ": "
                 + REQUEST_TIMEOUT_MILLIS
                 + "\r\nContent-Length: 2\r\n\r\n{}";
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
@@ -1,5 +1,7 @@
 package org.rattanplank.bench.soak;
 
+import java.util.List;
+
 /** Faults that the soak test injects into processes and links. Immutable and thread safe. */
 enum SoakFault {
     /** A gateway process is suspended temporarily. */
@@ -25,5 +27,15 @@
     /** A replica is removed and another one with a new identifier is added. */
     REPLICA_REPLACED,
     /** The configuration changes. */
-    CONFIGURATION_CHANGES
+    CONFIGURATION_CHANGES,
+    /** A replica names a limit of its requests temporarily. */
+    REPLICA_LIMITED,
+    /** A request that crashes each replica that runs it is sent to several hosts. */
+    CRASHING_REQUEST;
+
+    /** The faults that are drawn one at a time; the others are drawn beside them, so that the draw of a seed stays. */
+    static final List<SoakFault> SINGLE = List.of(values()).subList(0, REPLICA_LIMITED.ordinal());
+
+    /** The faults that are drawn beside the single ones. */
+    static final List<SoakFault> ADDITIONAL = List.of(values()).subList(REPLICA_LIMITED.ordinal(), values().length);
 }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -7,8 +7,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
+import io.vavr.control.Option;
 import org.rattanplank.bench.process.ChildProcess;
 import org.rattanplank.platform.PlatformMain;
 import org.rattanplank.standins.http.Addresses;
@@ -26,7 +30,7 @@
  * by links into which faults can be injected.
  *
  * <p>Invariant: closing it terminates every process that it started. Confined to the thread of the soak test, except for
- * the run counts, which are thread safe.
+ * what the replicas count, which is thread safe.
  */
 final class SoakSite implements AutoCloseable {
     static final List<String> REGIONS = List.of("suva", "labasa");
@@ -46,6 +50,10 @@
     private final Map<String, Link> storeLinks = new LinkedHashMap<>();
     private final Map<String, Link> replicaLinks = new LinkedHashMap<>();
     private final Map<String, Integer> runCounts = new ConcurrentHashMap<>();
+    private final Map<String, Link> linksToCrash = new ConcurrentHashMap<>();
+    private final Map<String, String> limitsByReplica = new ConcurrentHashMap<>();
+    private final Queue<String> crashedReplicas = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger crashCount = new AtomicInteger();
     private int lastReplicaNumber;
     private long configurationVersion;
 
@@ -128,6 +136,28 @@
         addReplica(id.split("-")[1], id.startsWith("w"));
     }
 
+    /** Makes a replica name a limit in its responses, or none any more. */
+    void limitReplica(String id, Option<String> perSecond) {
+        perSecond.forEach(limit -> limitsByReplica.put(id, limit));
+        if (perSecond.isEmpty()) {
+            limitsByReplica.remove(id);
+        }
+    }
+
+    /** Returns how many replicas have crashed under a request. */
+    int crashCount() {
+        return crashCount.get();
+    }
+
+    /** Starts a replica in place of each that has crashed, under a new identifier. */
+    void replaceCrashedReplicas() {
+        for (String id = crashedReplicas.poll(); id != null; id = crashedReplicas.poll()) {
+            if (replicaLinks.containsKey(id)) {
+                replaceReplica(id);
+            }
+        }
+    }
+
     /** Writes the next version of the configuration to the store. */
     void applyNextConfiguration() {
         configurationVersion++;
@@ -143,10 +173,10 @@
     private void addReplica(String region, boolean streams) {
         lastReplicaNumber++;
         String id = (streams ? "w-" : "d-") + region + "-" + lastReplicaNumber;
-        InetSocketAddress address =
-                SiteReplica.serve(loop, id, streams, request -> runCounts.merge(request, 1, Integer::sum));
+        InetSocketAddress address = SiteReplica.serve(loop, id, streams, new ReplicaListener(id));
         Link link = Link.open(loop, address);
         replicaLinks.put(id, link);
+        linksToCrash.put(id, link);
         String service = streams ? SiteConfigurations.WRITER_SERVICE : SiteConfigurations.DESK_SERVICE;
         operator.registerTarget(id, service, link.address(), region + "-hall");
     }
@@ -165,4 +195,35 @@
             throw new UncheckedIOException(e);
         }
     }
+
+    /** Counts what a replica executes, and lets it crash once. Called on the event loop. */
+    private final class ReplicaListener implements SiteReplica.Listener {
+        private final String id;
+        private boolean crashed;
+
+        private ReplicaListener(String id) {
+            this.id = id;
+        }
+
+        @Override
+        public void executed(String requestId) {
+            runCounts.merge(requestId, 1, Integer::sum);
+        }
+
+        @Override
+        public void crashed() {
+            if (crashed) {
+                return;
+            }
+            crashed = true;
+            crashCount.incrementAndGet();
+            linksToCrash.get(id).crash();
+            crashedReplicas.add(id);
+        }
+
+        @Override
+        public Option<String> rateLimit() {
+            return Option.of(limitsByReplica.get(id));
+        }
+    }
 }
--- a/rattanplank-bench/src/test/java/org/rattanplank/bench/soak/SoakAuditTest.java
+++ b/rattanplank-bench/src/test/java/org/rattanplank/bench/soak/SoakAuditTest.java
@@ -17,6 +17,15 @@
         return SoakAudit.violations(List.of(call), Map.of(call.id(), runCount));
     }
 
+    /** Guards against an innocent request that is refused because of another one's crashes. */
+    @Test
+    void shouldReportAViolationWhenAnInnocentRequestIsQuarantined() {
+        assertEquals(
+                1,
+                violations(new SoakCall("q1", true, 503, "quarantined: targets crashed", true), 0)
+                        .size());
+    }
+
     @Test
     void shouldReportBookingWhenItIsExecutedTwice() {
         assertEquals(1, violations(new SoakCall("q1", false, 502, "", true), 2).size());
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/link/Link.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/link/Link.java
@@ -33,6 +33,7 @@
     private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
     private volatile LinkState state = LinkState.up();
     private volatile InetSocketAddress address;
+    private volatile Channel server;
 
     private Link(EventLoop loop, InetSocketAddress target) {
         this.loop = loop;
@@ -48,7 +49,7 @@
      */
     public static Link open(EventLoop loop, InetSocketAddress target) {
         Link link = new Link(loop, target);
-        Channel server = new ServerBootstrap()
+        link.server = new ServerBootstrap()
                 .group(loop.group())
                 .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.AUTO_READ, false)
@@ -61,7 +62,7 @@
                 .bind("127.0.0.1", 0)
                 .syncUninterruptibly()
                 .channel();
-        link.address = (InetSocketAddress) server.localAddress();
+        link.address = (InetSocketAddress) link.server.localAddress();
         return link;
     }
 
@@ -92,6 +93,11 @@
                 channel -> channel.attr(ConnectionAttributes.DROPS_BYTES).set(Boolean.TRUE));
     }
 
+    /** Refuses connections from now on and resets the open ones, as when the process behind the link ends. */
+    public void crash() {
+        server.close().addListener(closed -> channels.forEach(Link::reset));
+    }
+
     private void accept(SocketChannel clientSide) {
         if (state.resetsConnections()) {
             reset(clientSide);
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
@@ -1,11 +1,12 @@
 package org.rattanplank.standins.site;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Consumer;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
+import io.vavr.control.Option;
 import org.rattanplank.gateway.HeaderNames;
 import org.rattanplank.platform.PlatformHeaders;
 import org.rattanplank.standins.http.Addresses;
@@ -23,19 +24,23 @@
     /** The number of events of a complete stream. */
     public static final int EVENT_COUNT = 5;
 
+    /** The end of the path of requests that crash each replica that runs them. */
+    public static final String CRASHING_PATH_END = "crash";
+
     private static final long EVENT_INTERVAL_MILLIS = 20;
+    private static final long CRASH_DELAY_MILLIS = 50;
 
     private final EventLoop loop;
     private final String id;
     private final boolean streams;
-    private final Consumer<String> executionListener;
+    private final Listener listener;
     private final HeaderNames headerNames = PlatformHeaders.names();
 
-    private SiteReplica(EventLoop loop, String id, boolean streams, Consumer<String> executionListener) {
+    private SiteReplica(EventLoop loop, String id, boolean streams, Listener listener) {
         this.loop = loop;
         this.id = id;
         this.streams = streams;
-        this.executionListener = executionListener;
+        this.listener = listener;
     }
 
     /**
@@ -44,12 +49,11 @@
      * @param loop the event loop that serves it
      * @param id the replica's identifier
      * @param streams whether it responds with streams
-     * @param executionListener called with the identifier of each request that it executes
+     * @param listener called with what it executes, and asked what it names
      * @return the address that is served
      */
-    public static InetSocketAddress serve(
-            EventLoop loop, String id, boolean streams, Consumer<String> executionListener) {
-        return loop.serve(0, new SiteReplica(loop, id, streams, executionListener)::handle);
+    public static InetSocketAddress serve(EventLoop loop, String id, boolean streams, Listener listener) {
+        return loop.serve(0, new SiteReplica(loop, id, streams, listener)::handle);
     }
 
     /**
@@ -69,12 +73,17 @@
     private void handle(Exchange exchange) {
         String expectedId = exchange.header(headerNames.expectedTarget()).getOrElse(id);
         String requestId = exchange.header(headerNames.requestId()).getOrElse("");
-        Map<String, String> echo = Map.of(headerNames.requestId(), requestId);
+        Map<String, String> echo = new HashMap<>(Map.of(headerNames.requestId(), requestId));
+        listener.rateLimit().forEach(limit -> echo.put(headerNames.rateLimit(), limit));
         if (!expectedId.equals(id)) {
             exchange.respond(STATUS_MISDIRECTED_REQUEST, echo, Json.object());
             return;
         }
-        executionListener.accept(requestId);
+        listener.executed(requestId);
+        if (exchange.path().endsWith(CRASHING_PATH_END)) {
+            loop.schedule(CRASH_DELAY_MILLIS, listener::crashed);
+            return;
+        }
         if (streams) {
             exchange.startStream("text/event-stream", echo);
             sendEvent(
@@ -101,6 +110,29 @@
         loop.schedule(EVENT_INTERVAL_MILLIS, () -> sendEvent(exchange, requestId, number + 1));
     }
 
+    /** Observes a replica and sets what it names. Called on its event loop. */
+    @FunctionalInterface
+    public interface Listener {
+        /**
+         * Called when the replica executes a request.
+         *
+         * @param requestId the identifier of the request
+         */
+        void executed(String requestId);
+
+        /** Called when the replica crashes under a request. */
+        default void crashed() {}
+
+        /**
+         * Returns the limit that the replica names in its responses.
+         *
+         * @return the requests a second that it takes from all hosts together, or none
+         */
+        default Option<String> rateLimit() {
+            return Option.none();
+        }
+    }
+
     /** The options. Written by JCommander before any thread reads them, constant afterwards. */
     private static final class Options {
         @Parameter(names = "--store", description = "the store's address", required = true)
