--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +23,9 @@
     /** The maximum number of pieces of evidence; sent to another host they take about 30 KB. */
     public static final int MAX_EVIDENCE = 1_024;
 
+    /** The number of pieces that are kept when there are too many. */
+    private static final int KEPT_EVIDENCE = MAX_EVIDENCE * 3 / 4;
+
     /**
      * The number of crashes from which on no host retries a request by itself: after a second one the request is more
      * likely to crash a third target than to be served.
@@ -71,7 +73,7 @@
      * @return whether so few targets crashed under it that it is probably not the cause
      */
     public boolean mayRetry(Fingerprint fingerprint) {
-        return crashTimes(entries.getOrDefault(fingerprint, Map.of())).size() < CRASHES_WITHOUT_RETRY;
+        return crashCount(entries.getOrDefault(fingerprint, Map.of())) < CRASHES_WITHOUT_RETRY;
     }
 
     /**
@@ -198,9 +200,10 @@
     }
 
     private EvidenceChange changed(List<CrashEvidence> news, long nowMillis) {
-        dropExcess();
         Set<Fingerprint> before = quarantined;
-        quarantined = blamed();
+        if (dropExcess() || mayChangeBlame(news)) {
+            quarantined = blamed();
+        }
         return new EvidenceChange(
                 news,
                 quarantined.stream()
@@ -209,10 +212,23 @@
                         .toList());
     }
 
-    private Set<Fingerprint> blamed() {
-        if (entries.values().stream().allMatch(crashes -> crashes.size() < CrashBlame.MIN_CRASHES)) {
-            return Set.of();
+    /**
+     * Returns whether new evidence may change which requests are to blame. Most evidence is of requests with one or two
+     * crashes, beside one that is quarantined already.
+     */
+    private boolean mayChangeBlame(List<CrashEvidence> news) {
+        if (news.stream().anyMatch(each -> quarantined.contains(each.fingerprint()))) {
+            return true;
+        }
+        for (Map.Entry<Fingerprint, Map<String, Entry>> each : entries.entrySet()) {
+            if (crashCount(each.getValue()) >= CrashBlame.MIN_CRASHES && !quarantined.contains(each.getKey())) {
+                return true;
+            }
         }
+        return false;
+    }
+
+    private Set<Fingerprint> blamed() {
         Map<Fingerprint, Map<String, Long>> crashTimes = new HashMap<>();
         entries.forEach((fingerprint, crashes) -> crashTimes.put(fingerprint, crashTimes(crashes)));
         return CrashBlame.of(crashTimes);
@@ -228,25 +244,35 @@
         return times;
     }
 
-    /** Drops the requests with the fewest crashes, of these the ones whose last crash was first. */
-    private void dropExcess() {
+    /**
+     * Drops the requests with the fewest crashes, of these the ones whose last crash was first. It makes more room than
+     * needed, as sorting takes far longer than adding a piece of evidence.
+     *
+     * @return whether there was too much
+     */
+    private boolean dropExcess() {
         if (size <= MAX_EVIDENCE) {
-            return;
+            return false;
         }
         List<Fingerprint> order = entries.keySet().stream()
-                .sorted(Comparator.comparingInt((Fingerprint each) ->
-                                crashTimes(entries.get(each)).size())
+                .sorted(Comparator.comparingInt((Fingerprint each) -> crashCount(entries.get(each)))
                         .thenComparingLong(each -> lastCrashMillis(entries.get(each))))
                 .toList();
-        Set<Fingerprint> dropped = new HashSet<>();
         for (Fingerprint each : order) {
-            if (size <= MAX_EVIDENCE) {
+            if (size <= KEPT_EVIDENCE) {
                 break;
             }
-            size -= entries.get(each).size();
-            dropped.add(each);
+            size -= entries.remove(each).size();
+        }
+        return true;
+    }
+
+    private static int crashCount(Map<String, Entry> crashes) {
+        int count = 0;
+        for (Entry entry : crashes.values()) {
+            count += entry.cleared ? 0 : 1;
         }
-        entries.keySet().removeAll(dropped);
+        return count;
     }
 
     private static long lastCrashMillis(Map<String, Entry> crashes) {
