Don't take a region for full because it rejects a quarantined request

Found on reading: a forwarded request that the other region rejects as quarantined was recorded as a refusal of that region, so that innocent requests were not forwarded there until its next report. shouldForwardOtherRequestsWhenARegionRejectsAQuarantinedOne times out without.

The age of a crash is not negative when a thread of rattanplankd comes with a slightly older time; shouldReportNoNegativeAgeWhenTheTimeIsSlightlyOlder.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
@@ -123,7 +123,7 @@
         List<CrashEvidence> cleared = new ArrayList<>();
         entries.getOrDefault(fingerprint, Map.of()).forEach((target, entry) -> {
             if (!entry.cleared) {
-                cleared.add(new CrashEvidence(target, fingerprint, true, nowMillis - entry.atMillis));
+                cleared.add(new CrashEvidence(target, fingerprint, true, entry.ageMillis(nowMillis)));
             }
         });
         return merge(cleared, "", nowMillis);
@@ -156,7 +156,7 @@
     public List<CrashEvidence> evidence(long nowMillis) {
         List<CrashEvidence> all = new ArrayList<>();
         entries.forEach((fingerprint, crashes) -> crashes.forEach((target, entry) ->
-                all.add(new CrashEvidence(target, fingerprint, entry.cleared, nowMillis - entry.atMillis))));
+                all.add(new CrashEvidence(target, fingerprint, entry.cleared, entry.ageMillis(nowMillis)))));
         return all;
     }
 
@@ -179,7 +179,9 @@
                         .filter(each -> !each.getValue().cleared)
                         .sorted(Comparator.comparingLong(each -> each.getValue().atMillis))
                         .map(each -> new QuarantinedRequest.Crash(
-                                each.getKey(), each.getValue().source, nowMillis - each.getValue().atMillis))
+                                each.getKey(),
+                                each.getValue().source,
+                                each.getValue().ageMillis(nowMillis)))
                         .toList());
     }
 
@@ -279,5 +281,10 @@
         return crashes.values().stream().mapToLong(Entry::atMillis).max().orElse(0);
     }
 
-    private record Entry(long atMillis, boolean cleared, String source) {}
+    private record Entry(long atMillis, boolean cleared, String source) {
+        /** Returns the time since the crash; threads of a host may come with slightly older times than others. */
+        private long ageMillis(long nowMillis) {
+            return Math.max(0, nowMillis - atMillis);
+        }
+    }
 }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/CrashQuarantineTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/CrashQuarantineTest.java
@@ -155,6 +155,15 @@
         assertFalse(other.isQuarantined(CRASHING));
     }
 
+    /** Guards against an exception when two threads of a host come with their times in the other order. */
+    @Test
+    void shouldReportNoNegativeAgeWhenTheTimeIsSlightlyOlder() {
+        crash("t1", CRASHING);
+
+        assertEquals(0, quarantine.evidence(4_990).get(0).ageMillis());
+        assertEquals(1, quarantine.clear(CRASHING, 4_990).news().size());
+    }
+
     /** Guards against a caller that fills the memory with different requests, and against losing the quarantine so. */
     @Test
     void shouldStayBoundedAndKeepTheQuarantineWhenThousandsOfRequestsAreSuspected() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -571,7 +571,7 @@
             excluded.add(destination);
             lastTarget = attempt == null ? destination : attempt.destination();
             String backup = attempt == null || localTarget != null ? "" : attempt.backup();
-            if (localTarget == null && !failure.mayHaveRun()) {
+            if (localTarget == null && !failure.mayHaveRun() && !failure.isFinal()) {
                 state.regionLoads().recordRejected(destination, service.name(), work.urgency());
             }
             attemptFailed(failure, reason, destination, backup);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -66,11 +66,14 @@
 
     /** Sends a request under a new identifier and returns the head of its response. */
     private String send(TestGateway gateway, String path) throws IOException {
+        return gateway.caller().send(request(path)).readUntil("\r\n\r\n");
+    }
+
+    /** Returns a request under a new identifier. */
+    private String request(String path) {
         requests++;
-        return gateway.caller()
-                .send("POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q" + requests
-                        + "\r\nTime-Left: 8000\r\nContent-Length: 1\r\n\r\nx")
-                .readUntil("\r\n\r\n");
+        return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q" + requests
+                + "\r\nTime-Left: 8000\r\nContent-Length: 1\r\n\r\nx";
     }
 
     /** Guards against a request that crashes one target after the other, as each arrival is judged as new. */
@@ -142,6 +145,26 @@
         assertEquals(MAX_CRASHES, crashes.get());
     }
 
+    /** Guards against innocent requests that are refused as a region that rejects a quarantined one counts as full. */
+    @Test
+    void shouldForwardOtherRequestsWhenARegionRejectsAQuarantinedOne() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        try (TestPeer peer = gateway.peer()) {
+            peer.reportRegionLoad("desk");
+            peer.reportIdle(false);
+            gateway.awaitLogged("\"event\":\"peer_connected\"");
+            TestCaller rejected = gateway.caller().send(request(CRASHING_PATH));
+            PeerFrame.CallRequest call = peer.await(PeerFrame.CallRequest.class);
+            peer.sendFailure(call.call(), AttemptFailure.QUARANTINED);
+            String response = rejected.readUntil("\r\n\r\n");
+
+            gateway.caller().send(request("/a/other"));
+
+            assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+            assertEquals("/a/other", peer.await(PeerFrame.CallRequest.class).uri());
+        }
+    }
+
     /** Guards against innocent requests that are refused as their connections end while their targets live. */
     @Test
     void shouldNotSuspectARequestWhenOnlyItsConnectionsEnd() throws Exception {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -20,6 +20,7 @@
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.host.Location;
 import org.rattanplank.gateway.store.StoreItem;
+import org.rattanplank.gateway.target.AttemptFailure;
 
 /** A simulated host that sends the frames that a test requests. Used by the test's thread only. */
 public final class TestPeer implements AutoCloseable {
@@ -221,6 +222,17 @@
         send(new PeerFrame.ResponseChunk(call, events.getBytes(StandardCharsets.ISO_8859_1)));
     }
 
+    /**
+     * Ends a call without a response.
+     *
+     * @param call the number of the call
+     * @param failure how it failed
+     * @throws IOException if the link was closed
+     */
+    public void sendFailure(long call, AttemptFailure failure) throws IOException {
+        send(new PeerFrame.CallFailed(call, failure.name(), "failed by the test", ""));
+    }
+
     /**
      * Ends a response.
      *
