Name the exchange of crash notices, and what a rejection says of a limit

Read as a newcomer: two classes were called QuarantineExchange; the reason of a 502 said that the request had not run. A rejection without the header of a limit no longer counts as the end of the limit.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/QuarantineExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/CrashNoticeExchange.java
@@ -16,12 +16,12 @@
  * <p>Invariant: evidence is sent only to hosts that accept it. A host is linked to some hosts of each other region only,
  * so evidence from another region is passed on inside the own one, once. Confined to the event loop.
  */
-final class QuarantineExchange {
+final class CrashNoticeExchange {
     private final RequestQuarantine quarantine;
     private final PeerLinks links;
     private final Set<PeerLink> informed = new HashSet<>();
 
-    QuarantineExchange(RequestQuarantine quarantine, PeerLinks links) {
+    CrashNoticeExchange(RequestQuarantine quarantine, PeerLinks links) {
         this.quarantine = quarantine;
         this.links = links;
         quarantine.onEvidence(evidence -> send(evidence, true));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -77,7 +77,7 @@
     private final CallerServer callers;
     private final PeerLinks links;
     private final PeerStateExchange stateExchange;
-    private final QuarantineExchange quarantineExchange;
+    private final CrashNoticeExchange crashNoticeExchange;
     private final ClusterStateUpdater stateUpdater;
     private final StoreFeed feed;
     private final HostLease lease;
@@ -120,7 +120,7 @@
                 store, formats.storeFormat(), self, loop, settings.limits().minLeaseMillis(), this::onLeaseAnswer);
         stateExchange = new PeerStateExchange(
                 state, links, feed, settings.linkBytesPerMilli(), this::acceptsCallers, this::acceptMillis);
-        quarantineExchange = new QuarantineExchange(state.quarantine(), links);
+        crashNoticeExchange = new CrashNoticeExchange(state.quarantine(), links);
         registerGauges(store.traffic());
     }
 
@@ -208,13 +208,13 @@
         Option.of(forwarded.remove(link))
                 .forEach(calls -> List.copyOf(calls.values()).forEach(ForwardedRequest::cancel));
         stateExchange.disconnected(link);
-        quarantineExchange.disconnected(link);
+        crashNoticeExchange.disconnected(link);
     }
 
     @Override
     public void stateReceived(PeerLink link, PeerFrame.State received) {
         stateExchange.receiveState(link, received);
-        quarantineExchange.stateReceived(link);
+        crashNoticeExchange.stateReceived(link);
     }
 
     @Override
@@ -224,7 +224,7 @@
 
     @Override
     public void crashNoticeReceived(PeerLink link, List<CrashEvidence> evidence) {
-        quarantineExchange.noticeReceived(link, evidence);
+        crashNoticeExchange.noticeReceived(link, evidence);
     }
 
     @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -60,8 +60,10 @@
 
     private static final String STOPPING_REASON = "this host is stopping";
 
-    private static final String QUARANTINED_REASON =
-            "quarantined: targets crashed whenever they ran this request; it has not run and will not be served";
+    private static final String QUARANTINED_REASON = "quarantined: targets crashed whenever they ran this request";
+
+    private static final String QUARANTINED_BODY =
+            QUARANTINED_REASON + "; this attempt has not run and the request will not be served\n";
 
     private final GatewayState state;
     private final GatewayRequest request;
@@ -463,7 +465,7 @@
         response.respond(
                 HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
                 Headers.unchecked().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN),
-                Unpooled.copiedBuffer(QUARANTINED_REASON + '\n', StandardCharsets.US_ASCII));
+                Unpooled.copiedBuffer(QUARANTINED_BODY, StandardCharsets.US_ASCII));
         state.metrics().ended("quarantined");
         complete("quarantined", QUARANTINED_REASON, false);
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -112,10 +112,11 @@
         if (finished) {
             return;
         }
+        boolean notExecuted = headers.contains(names.notExecuted());
         if (status != MISDIRECTED) {
-            readRateLimit(headers.getAll(names.rateLimit()));
+            readRateLimit(headers.getAll(names.rateLimit()), notExecuted);
         }
-        if (status == MISDIRECTED || headers.contains(names.notExecuted())) {
+        if (status == MISDIRECTED || notExecuted) {
             rejected = true;
             if (status == MISDIRECTED) {
                 target.markLeaving();
@@ -132,9 +133,12 @@
         listener.headersReceived(status, headers);
     }
 
-    private void readRateLimit(List<String> values) {
+    /** Reads the named limit; a rejection without one doesn't tell that the limit has ended. */
+    private void readRateLimit(List<String> values, boolean rejection) {
         if (values.isEmpty()) {
-            updateRateLimit(Option.none());
+            if (!rejection) {
+                updateRateLimit(Option.none());
+            }
             return;
         }
         Option<Double> perSecond = values.size() == 1
