--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -165,6 +165,21 @@
         }
     }
 
+    /** Guards against a request that is sent often, and is refused because it is in flight at the crashes of another. */
+    @Test
+    void shouldNotQuarantineARequestThatTargetsCompleteWhenTargetsCrashUnderIt() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", TARGETS);
+        send(gateway, "/a/often");
+        crashingPath = "/a/often";
+        while (crashes.get() < TARGETS) {
+            send(gateway, "/a/often");
+        }
+
+        assertEquals(0, gateway.countLogged("\"event\":\"quarantined\""));
+        assertEquals(0, gateway.metric("requests_quarantined"));
+    }
+
     /** Guards against innocent requests that are refused as their connections end while their targets live. */
     @Test
     void shouldNotSuspectARequestWhenOnlyItsConnectionsEnd() throws Exception {
