Don't eject a target whose check times out

The check after a lost connection waits 200 ms for a new one; one lost packet takes longer than that to be sent again, so that a target behind a lossy link was ejected for a second or more though it served.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -138,12 +138,14 @@
     public void check(GatewayTarget target, Consumer<ConnectResult> onResult) {
         TargetConnection connection = new TargetConnection(names.requestId(), this);
         connect(target, connection, CHECK_TIMEOUT_MILLIS, done -> {
+            if (done.cause() instanceof ConnectTimeoutException) {
+                // The check is too short to tell an unreachable target from one lost packet.
+                onResult.accept(ConnectResult.TIMED_OUT);
+                return;
+            }
             if (!done.isSuccess()) {
                 target.recordUnreachable(clock.nowMillis());
-                onResult.accept(
-                        done.cause() instanceof ConnectTimeoutException
-                                ? ConnectResult.TIMED_OUT
-                                : ConnectResult.REFUSED);
+                onResult.accept(ConnectResult.REFUSED);
                 return;
             }
             targetByConnection.put(connection, target);
