Remember completed requests in the core, for both programs

Read once more: the gateway's own class held the last completed requests, by which a request that is sent often is not blamed for the crashes of another; rattanplankd lacked them, though the decision is the core's.

CompletedRequests of the core now serves both; the gateway behaves as before. NodeTest.shouldNotQuarantineARequestThatATargetHasCompletedWhenTargetsCrashUnderIt guards it; it was written with the mend and not run without it.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
@@ -9,6 +9,7 @@
 
 import io.vavr.control.Option;
 import org.rattanplank.core.member.Membership;
+import org.rattanplank.core.quarantine.CompletedRequests;
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.core.quarantine.CrashQuarantine;
 import org.rattanplank.core.quarantine.EvidenceChange;
@@ -32,6 +33,7 @@
 
     private final Lock lock = new ReentrantLock();
     private final CrashQuarantine quarantine = CrashQuarantine.empty();
+    private final CompletedRequests completed = CompletedRequests.empty();
     private final String self;
     private final Membership membership;
 
@@ -73,17 +75,23 @@
         if (membership.leaving().contains(target)) {
             return;
         }
-        Set<Fingerprint> inFlight = Set.of(request.fingerprint().get());
         // A target keeps its name when it restarts, so that its crashes are told apart by when they were noticed.
         String crash = target + '@' + nowMillis / CRASH_DISTANCE_MILLIS;
-        send(locked(() -> quarantine.recordCrash(crash, inFlight, self, nowMillis)), "", effects);
+        Fingerprint inFlight = request.fingerprint().get();
+        Option<EvidenceChange> change = locked(() -> completed.fingerprints().contains(inFlight)
+                ? Option.<EvidenceChange>none()
+                : Option.some(quarantine.recordCrash(crash, Set.of(inFlight), self, nowMillis)));
+        change.forEach(recorded -> send(recorded, "", effects));
     }
 
     /** Records that a target has completed a request, which therefore is not the cause of earlier crashes. */
     void completed(Request request, long nowMillis, Effects effects) {
-        Option<EvidenceChange> change = locked(() -> quarantine.isEmpty()
-                ? Option.<EvidenceChange>none()
-                : Option.some(quarantine.clear(request.fingerprint().get(), nowMillis)));
+        Option<EvidenceChange> change = locked(() -> {
+            completed.add(request.fingerprint());
+            return quarantine.isEmpty()
+                    ? Option.<EvidenceChange>none()
+                    : Option.some(quarantine.clear(request.fingerprint().get(), nowMillis));
+        });
         change.forEach(cleared -> send(cleared, "", effects));
     }
 
@@ -91,7 +99,11 @@
     void receive(String host, CrashNews news, long nowMillis, Effects effects) {
         List<CrashEvidence> evidence =
                 news.notices().stream().map(QuarantineExchange::evidence).toList();
-        send(locked(() -> quarantine.merge(evidence, host, nowMillis)), host, effects);
+        EvidenceChange merged = locked(() -> quarantine.merge(evidence, host, nowMillis));
+        send(merged, host, effects);
+        for (Fingerprint innocent : locked(() -> completed.among(merged.news()))) {
+            send(locked(() -> quarantine.clear(innocent, nowMillis)), "", effects);
+        }
     }
 
     /** Sends all evidence to a host that has been connected. */
--- a/rattanplank-core/src/test/java/org/rattanplank/core/NodeTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/NodeTest.java
@@ -87,6 +87,26 @@
         assertInstanceOf(Action.Finish.class, actions.get(0));
     }
 
+    /** Guards against a request that is sent often, and is refused because it is in flight at the crashes of another. */
+    @Test
+    void shouldNotQuarantineARequestThatATargetHasCompletedWhenTargetsCrashUnderIt() {
+        configure();
+        Action.StartAttempt served = assertInstanceOf(
+                Action.StartAttempt.class,
+                node.handle(new Event.CallerRequestReceived(crashing("r0", 5_000)), 5_000)
+                        .get(0));
+        Answer answer = Answer.of(200, "application/json", new byte[] {1});
+        node.handle(
+                new Event.AttemptEnded("r0", served.attempt(), new AttemptResult.Completed(answer, List.of())), 5_001);
+        for (int i = 1; i <= 3; i++) {
+            crashAttempt("r" + i, 10_000L * i);
+        }
+
+        List<Action> actions = node.handle(new Event.CallerRequestReceived(crashing("r4", 40_000)), 40_000);
+
+        assertInstanceOf(Action.StartAttempt.class, actions.get(0));
+    }
+
     /** Guards against a host that is connected later and lets a quarantined request through. */
     @Test
     void shouldSendItsEvidenceWhenAHostIsConnected() {
--- a/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/CrashQuarantineTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/CrashQuarantineTest.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.Set;
 
+import io.vavr.Lazy;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -155,6 +156,20 @@
         assertFalse(other.isQuarantined(CRASHING));
     }
 
+    @Test
+    void shouldTellTheCompletedRequestsAmongSuspectsWhenTheyAreNotCleared() {
+        CompletedRequests completed = CompletedRequests.empty();
+        completed.add(Lazy.of(() -> INNOCENT));
+        completed.add(Lazy.of(() -> OTHER));
+
+        assertEquals(
+                Set.of(INNOCENT),
+                completed.among(List.of(
+                        new CrashEvidence("t1", CRASHING, false, 0),
+                        new CrashEvidence("t1", INNOCENT, false, 0),
+                        new CrashEvidence("t1", OTHER, true, 0))));
+    }
+
     /** Guards against an exception when two threads of a host come with their times in the other order. */
     @Test
     void shouldReportNoNegativeAgeWhenTheTimeIsSlightlyOlder() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
@@ -1,15 +1,14 @@
 package org.rattanplank.gateway.pass;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
+import org.rattanplank.core.quarantine.CompletedRequests;
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.core.quarantine.CrashQuarantine;
 import org.rattanplank.core.quarantine.EvidenceChange;
@@ -26,17 +25,11 @@
  * <p>Invariant: while no request is suspected, no fingerprint is computed. Confined to the event loop.
  */
 public final class RequestQuarantine {
-    /**
-     * The number of completed requests that are remembered. A request that is sent often, always with the same body, is in
-     * flight at every crash; those that targets complete are not the cause.
-     */
-    private static final int MAX_COMPLETED = 128;
-
     private final CrashQuarantine quarantine = CrashQuarantine.empty();
     private final String self;
     private final LongSupplier clock;
     private final EventLog log;
-    private final Deque<GatewayRequest> completed = new ArrayDeque<>();
+    private final CompletedRequests completed = CompletedRequests.empty();
     private Consumer<List<CrashEvidence>> publisher = evidence -> {};
 
     RequestQuarantine(String self, LongSupplier clock, EventLog log) {
@@ -67,10 +60,7 @@
 
     /** Records that a target has completed a request, which therefore is not the cause of earlier crashes. */
     void completed(GatewayRequest request) {
-        completed.addLast(request);
-        if (completed.size() > MAX_COMPLETED) {
-            completed.removeFirst();
-        }
+        completed.add(request.fingerprint());
         if (!quarantine.isEmpty()) {
             publish(quarantine.clear(request.fingerprint().get(), clock.getAsLong()));
         }
@@ -80,7 +70,7 @@
     void crashed(String target, Collection<GatewayRequest> inFlight) {
         Set<Fingerprint> fingerprints = new HashSet<>();
         inFlight.forEach(request -> fingerprints.add(request.fingerprint().get()));
-        fingerprints.removeAll(completedFingerprints());
+        fingerprints.removeAll(completed.fingerprints());
         log.writeImportant(
                 LogLine.of(LogEvent.TARGET_CRASHED).with("target", target).with("requests", fingerprints.size()));
         publish(quarantine.recordCrash(target, fingerprints, self, clock.getAsLong()));
@@ -95,20 +85,11 @@
      */
     public List<CrashEvidence> merge(String host, List<CrashEvidence> evidence) {
         EvidenceChange change = quarantine.merge(evidence, host, clock.getAsLong());
-        Set<Fingerprint> innocent = change.news().isEmpty() ? Set.of() : completedFingerprints();
-        change.news().stream()
-                .filter(each -> !each.cleared() && innocent.contains(each.fingerprint()))
-                .forEach(each -> publish(quarantine.clear(each.fingerprint(), clock.getAsLong())));
+        completed.among(change.news()).forEach(innocent -> publish(quarantine.clear(innocent, clock.getAsLong())));
         logQuarantined(change);
         return change.news();
     }
 
-    private Set<Fingerprint> completedFingerprints() {
-        Set<Fingerprint> fingerprints = new HashSet<>();
-        completed.forEach(request -> fingerprints.add(request.fingerprint().get()));
-        return fingerprints;
-    }
-
     /**
      * Lifts the quarantine of a request on all hosts, until more targets crash under it.
      *
