Keep with the target that it has named an invalid limit

Read once more: the host remembered in a bounded set of texts for which targets the line was written, though that belongs to the incarnation and ends with it. The limited targets, too, were collected again for each service and urgency of a report; now once a report.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -45,6 +45,7 @@
     private boolean leaving;
     private boolean terminated;
     private boolean entryUnreadable;
+    private boolean hasNamedInvalidRateLimit;
     private long coldUntilMillis;
     private long missingSinceMillis = -1;
     private long lastActivityMillis;
@@ -205,6 +206,17 @@
         return perSecond.map(named -> rateLimit.named(named, nowMillis)).getOrElse(rateLimit::ended);
     }
 
+    /**
+     * Records that an answer of it has named a limit that is none.
+     *
+     * @return whether it is the first such answer
+     */
+    public boolean recordInvalidRateLimit() {
+        boolean first = !hasNamedInvalidRateLimit;
+        hasNamedInvalidRateLimit = true;
+        return first;
+    }
+
     /**
      * Returns whether it has named a limit.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -287,31 +287,28 @@
 
     private List<PeerFrame.RegionLoad> computeRegionLoads() {
         state.pool().all().forEach(target -> knownServices.add(target.entry().service()));
+        Set<String> rateLimited = state.pool().rateLimited();
         List<PeerFrame.RegionLoad> loads = new ArrayList<>();
         for (String name : knownServices) {
             Option<ServiceRule> rule = state.configuration().flatMap(now -> now.service(name));
-            rule.forEach(service -> addLoads(service, loads));
+            rule.forEach(service -> addLoads(service, rateLimited, loads));
         }
         return loads;
     }
 
-    private void addLoads(ServiceRule service, List<PeerFrame.RegionLoad> loads) {
+    private void addLoads(ServiceRule service, Set<String> excluded, List<PeerFrame.RegionLoad> loads) {
         RegionStreamStats streams = service.isModel()
                 ? state.chooser().streamStats(service, state.regionView(), state.nowMillis())
                 : RegionStreamStats.NONE;
         for (Urgency urgency : Urgency.values()) {
-            loads.add(load(service, urgency, streams));
+            loads.add(load(service, urgency, excluded, streams));
         }
     }
 
-    private PeerFrame.RegionLoad load(ServiceRule service, Urgency urgency, RegionStreamStats streams) {
+    private PeerFrame.RegionLoad load(
+            ServiceRule service, Urgency urgency, Set<String> excluded, RegionStreamStats streams) {
         Option<TargetChoice> best = state.chooser()
-                .choose(
-                        service,
-                        Work.PLAIN.withUrgency(urgency),
-                        state.pool().rateLimited(),
-                        state.regionView(),
-                        state.nowMillis());
+                .choose(service, Work.PLAIN.withUrgency(urgency), excluded, state.regionView(), state.nowMillis());
         LatencyModel model = state.chooser().latencyModel(service.name());
         // A region without capacity reports it explicitly. Otherwise others would use its last report for seconds, send
         // requests there and get each back after two crossings. Symptom: requests that end in this region because no
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -63,9 +63,6 @@
      */
     private static final long PEERS_CACHE_MILLIS = 50;
 
-    /** The number of targets for which it is remembered that an invalid limit was logged. */
-    private static final int MAX_INVALID_RATE_LIMITS = 1_000;
-
     private final GatewayHost self;
     private final MonotonicClock clock;
     private final RandomGenerator random;
@@ -89,7 +86,6 @@
     private Predicate<Option<Long>> mayAccept = maxDurationMillis -> true;
     private BooleanSupplier isFeedComplete = () -> false;
     private Consumer<GatewayTarget> largePrefillListener = target -> {};
-    private final Set<String> invalidRateLimits = new HashSet<>();
     private final RequestQuarantine quarantine;
     private final CrashDetector crashDetector;
 
@@ -429,14 +425,6 @@
                 name, work.urgency(), prefillMillis, remainingMillis, nextRandom(), nowMillis());
     }
 
-    /** Records that a target has named an invalid limit, and returns whether that is to be logged: once a target. */
-    boolean recordInvalidRateLimit(GatewayTarget target) {
-        if (invalidRateLimits.size() >= MAX_INVALID_RATE_LIMITS) {
-            invalidRateLimits.clear();
-        }
-        return invalidRateLimits.add(target.incarnationText());
-    }
-
     /** Returns the prefill time of a request divided by this host's share of the region's engines. */
     private double prefillShareMillis(ServiceRule service, Work work) {
         long engines = pool.all().stream()
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -181,12 +181,10 @@
 
     @Override
     public void rateLimitInvalid(String text) {
-        if (state.recordInvalidRateLimit(target)) {
-            state.log()
-                    .writeOrdinary(LogLine.of(LogEvent.TARGET_LIMIT_INVALID)
-                            .with("target", target.incarnationText())
-                            .with("text", text));
-        }
+        state.log()
+                .writeOrdinary(LogLine.of(LogEvent.TARGET_LIMIT_INVALID)
+                        .with("target", target.incarnationText())
+                        .with("text", text));
     }
 
     @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
@@ -32,7 +32,7 @@
     default void rateLimitChanged(Option<Double> perSecond) {}
 
     /**
-     * Called when the target has named a limit that is none; it counts as if it had named nothing new.
+     * Called when the target has named a limit that is none, for the first time; it counts as if it had named nothing new.
      *
      * @param text what it has named
      */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -146,11 +146,11 @@
                         .toOption()
                         .filter(rate -> rate >= 0 && rate <= MAX_RATE_LIMIT_PER_SECOND)
                 : Option.none();
-        if (perSecond.isEmpty()) {
+        if (perSecond.isDefined()) {
+            updateRateLimit(perSecond);
+        } else if (target.recordInvalidRateLimit()) {
             listener.rateLimitInvalid(String.join(", ", values));
-            return;
         }
-        updateRateLimit(perSecond);
     }
 
     private void updateRateLimit(Option<Double> perSecond) {
