Keep one connection a host in the tests of named limits

Cause: the test opened a connection for every request and kept all of them until its end, and sends until the assigned host of the limited target has its first token (1.5 s and more): the faster the machine, the more descriptors. Nothing in the gateway was at fault.

Requests, limits and bounds are unchanged.

--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TargetLimitFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TargetLimitFlowTest.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.AfterEach;
@@ -26,6 +28,7 @@
     private final AtomicInteger arrivals = new AtomicInteger();
     private final List<AutoCloseable> resources = new ArrayList<>();
     private final List<TestGateway> gateways = new ArrayList<>();
+    private final Map<TestGateway, TestCaller> callers = new HashMap<>();
     private volatile String limitHeaders = "Limit: 1\r\n";
     private int requests;
 
@@ -48,6 +51,7 @@
             gateway.registerTarget(new TargetIncarnation("limited", 0), limited.port());
             gateway.registerTarget(new TargetIncarnation("other", 0), other.port());
             gateway.awaitTargets(2);
+            callers.put(gateway, gateway.caller());
         }
         gateways.get(0).connect(gateways.get(1));
     }
@@ -61,10 +65,10 @@
 
     private void send(TestGateway gateway) throws IOException {
         requests++;
-        String response = gateway.caller()
+        String response = callers.get(gateway)
                 .send("POST /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q" + requests
                         + "\r\nTime-Left: 8000\r\nContent-Length: 1\r\n\r\nx")
-                .readUntil("\r\n\r\n");
+                .readUntil("\r\n\r\ndone");
         assertTrue(response.startsWith("HTTP/1.1 200 "), response);
     }
 
