Record quarantines in the store

What callers would see: after a restart of all hosts (a power loss, say) a quarantined request crashes three engines more, with all streams beside it. Found by reading, not seen.

Cause: evidence lived in the hosts alone; each that starts learns it from the others, which works for any restart but that of all. What must last belongs in the platform's store.

A write that fails is repeated. A host reads the store before it takes requests, so it knows the quarantine before the first of them.

Also tested: the store is down when the quarantine begins; a lifted quarantine stays lifted; invalid items.

Left: rattanplankd keeps its evidence in its hosts alone; evidence of one or two crashes isn't written.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
@@ -155,11 +155,25 @@
      */
     public List<CrashEvidence> evidence(long nowMillis) {
         List<CrashEvidence> all = new ArrayList<>();
-        entries.forEach((fingerprint, crashes) -> crashes.forEach((target, entry) ->
-                all.add(new CrashEvidence(target, fingerprint, entry.cleared, entry.ageMillis(nowMillis)))));
+        entries.keySet().forEach(fingerprint -> all.addAll(evidence(fingerprint, nowMillis)));
         return all;
     }
 
+    /**
+     * Returns the evidence against one request.
+     *
+     * @param fingerprint the request
+     * @param nowMillis the time
+     * @return the evidence, also what was cleared
+     */
+    public List<CrashEvidence> evidence(Fingerprint fingerprint, long nowMillis) {
+        List<CrashEvidence> evidence = new ArrayList<>();
+        entries.getOrDefault(fingerprint, Map.of())
+                .forEach((target, entry) -> evidence.add(
+                        new CrashEvidence(target, fingerprint, entry.cleared, entry.ageMillis(nowMillis))));
+        return evidence;
+    }
+
     /**
      * Returns the requests that are quarantined.
      *
--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
@@ -18,6 +18,8 @@
  */
 public record Fingerprint(long high, long low) {
     private static final String ALGORITHM = "SHA-256";
+    private static final int TEXT_LENGTH = 32;
+    private static final int HEXADECIMAL = 16;
 
     /**
      * Computes the fingerprint of a request.
@@ -57,6 +59,23 @@
         return String.format("%016x%016x", high, low);
     }
 
+    /**
+     * Parses the text of a fingerprint.
+     *
+     * @param text 32 hexadecimal digits
+     * @return the fingerprint
+     * @throws IllegalArgumentException if the text is no fingerprint
+     */
+    public static Fingerprint parse(String text) {
+        if (text.length() != TEXT_LENGTH) {
+            throw new IllegalArgumentException("not a fingerprint: " + text);
+        }
+        int half = TEXT_LENGTH / 2;
+        return new Fingerprint(
+                Long.parseUnsignedLong(text, 0, half, HEXADECIMAL),
+                Long.parseUnsignedLong(text, half, TEXT_LENGTH, HEXADECIMAL));
+    }
+
     /** Adds a text with its length, so that characters can't move from one text to the next unnoticed. */
     private static void updateText(MessageDigest digest, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
@@ -29,12 +29,15 @@
 
     private final GatewayState state;
     private final PeerLinks links;
+    private final QuarantineRecorder quarantineRecorder;
     private final Runnable onOwnKeyLost;
     private final Set<String> reportedUnreadable = new HashSet<>();
 
-    ClusterStateUpdater(GatewayState state, PeerLinks links, Runnable onOwnKeyLost) {
+    ClusterStateUpdater(
+            GatewayState state, PeerLinks links, QuarantineRecorder quarantineRecorder, Runnable onOwnKeyLost) {
         this.state = state;
         this.links = links;
+        this.quarantineRecorder = quarantineRecorder;
         this.onOwnKeyLost = onOwnKeyLost;
     }
 
@@ -63,6 +66,8 @@
             if (host.name().equals(state.self().name())) {
                 onOwnKeyLost.run();
             }
+        } else if (event instanceof ClusterEvent.QuarantineChanged changed) {
+            quarantineRecorder.read(changed.fingerprint(), changed.evidence());
         } else if (event instanceof ClusterEvent.Unreadable unreadable) {
             reportUnreadable(item, unreadable);
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -78,6 +78,7 @@
     private final PeerLinks links;
     private final PeerStateExchange stateExchange;
     private final CrashNoticeExchange crashNoticeExchange;
+    private final QuarantineRecorder quarantineRecorder;
     private final ClusterStateUpdater stateUpdater;
     private final StoreFeed feed;
     private final HostLease lease;
@@ -112,7 +113,10 @@
         links = new PeerLinks(self, group, clock, readWatermark::millis, this);
 
         callers = new CallerServer(group, clock, this::bounds, this::onRequest, this::onRejectedRequest);
-        stateUpdater = new ClusterStateUpdater(state, links, this::onKeyLost);
+        quarantineRecorder =
+                new QuarantineRecorder(state.quarantine(), store, formats.storeFormat(), clock::nowMillis, random, log);
+        state.quarantine().onChange(quarantineRecorder);
+        stateUpdater = new ClusterStateUpdater(state, links, quarantineRecorder, this::onKeyLost);
         feed = StoreFeed.of(
                 store, formats.storeFormat(), stateUpdater, loop, clock, random, settings.linkBytesPerMilli());
         state.attach(links, feed::isComplete);
@@ -405,6 +409,7 @@
         stateExchange.tick(now);
         stateUpdater.tick(now);
         state.tickQuarantine(now);
+        quarantineRecorder.tick(now);
         if (ticks % IDLE_CHECK_TICKS == 0) {
             connections.tick();
             callers.closeTimedOutConnections();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -40,6 +40,8 @@
     QUARANTINED,
     /** An operator has lifted the quarantine of a request. */
     QUARANTINE_LIFTED,
+    /** A quarantine, or its end, could not be written to the store; it is tried again. */
+    QUARANTINE_NOT_RECORDED,
     /** The evacuation of a data centre began or ended. */
     EVACUATION,
     /** A request was rejected. */
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/QuarantineListener.java
@@ -0,0 +1,33 @@
+package org.rattanplank.gateway.pass;
+
+import org.rattanplank.core.quarantine.Fingerprint;
+
+/** Is told of requests whose quarantine has begun or ended. Called on the event loop. */
+public interface QuarantineListener {
+    /** Ignores all changes. */
+    QuarantineListener NONE = new QuarantineListener() {
+        @Override
+        public void decided(Fingerprint fingerprint) {
+            // Nothing depends on it.
+        }
+
+        @Override
+        public void learned(Fingerprint fingerprint) {
+            // Nothing depends on it.
+        }
+    };
+
+    /**
+     * This host has quarantined a request, or has ended its quarantine.
+     *
+     * @param fingerprint the request
+     */
+    void decided(Fingerprint fingerprint);
+
+    /**
+     * A request is quarantined with the evidence of another host.
+     *
+     * @param fingerprint the request
+     */
+    void learned(Fingerprint fingerprint);
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
@@ -31,6 +31,7 @@
     private final EventLog log;
     private final CompletedRequests completed = CompletedRequests.empty();
     private Consumer<List<CrashEvidence>> publisher = evidence -> {};
+    private QuarantineListener listener = QuarantineListener.NONE;
 
     RequestQuarantine(String self, LongSupplier clock, EventLog log) {
         this.self = self;
@@ -47,6 +48,15 @@
         publisher = newPublisher;
     }
 
+    /**
+     * Sets what is told of changes of the quarantine.
+     *
+     * @param newListener the listener
+     */
+    public void onChange(QuarantineListener newListener) {
+        listener = newListener;
+    }
+
     /** Returns whether a request must not be sent to any target. */
     boolean isQuarantined(GatewayRequest request) {
         return !quarantine.isEmpty()
@@ -62,7 +72,7 @@
     void completed(GatewayRequest request) {
         completed.add(request.fingerprint());
         if (!quarantine.isEmpty()) {
-            publish(quarantine.clear(request.fingerprint().get(), clock.getAsLong()));
+            clear(request.fingerprint().get());
         }
     }
 
@@ -85,8 +95,8 @@
      */
     public List<CrashEvidence> merge(String host, List<CrashEvidence> evidence) {
         EvidenceChange change = quarantine.merge(evidence, host, clock.getAsLong());
-        completed.among(change.news()).forEach(innocent -> publish(quarantine.clear(innocent, clock.getAsLong())));
-        logQuarantined(change);
+        completed.among(change.news()).forEach(this::clear);
+        quarantinedBy(change).forEach(each -> listener.learned(each.fingerprint()));
         return change.news();
     }
 
@@ -102,7 +112,7 @@
                 .toList();
         for (QuarantinedRequest each : lifted) {
             log.writeImportant(LogLine.of(LogEvent.QUARANTINE_LIFTED).with("fingerprint", fingerprint));
-            publish(quarantine.clear(each.fingerprint(), clock.getAsLong()));
+            clear(each.fingerprint());
         }
         return !lifted.isEmpty();
     }
@@ -134,23 +144,43 @@
         quarantine.tick(nowMillis);
     }
 
+    /**
+     * Returns the evidence against a request.
+     *
+     * @param fingerprint the request
+     * @return the evidence, also what was cleared
+     */
+    public List<CrashEvidence> evidence(Fingerprint fingerprint) {
+        return quarantine.evidence(fingerprint, clock.getAsLong());
+    }
+
+    private void clear(Fingerprint fingerprint) {
+        boolean wasQuarantined = quarantine.isQuarantined(fingerprint);
+        publish(quarantine.clear(fingerprint, clock.getAsLong()));
+        if (wasQuarantined) {
+            listener.decided(fingerprint);
+        }
+    }
+
     private void publish(EvidenceChange change) {
-        logQuarantined(change);
+        quarantinedBy(change).forEach(each -> listener.decided(each.fingerprint()));
         if (!change.news().isEmpty()) {
             publisher.accept(change.news());
         }
     }
 
-    private void logQuarantined(EvidenceChange change) {
-        for (QuarantinedRequest each : change.quarantined()) {
-            if (!quarantine.isQuarantined(each.fingerprint())) {
-                continue;
-            }
+    /** Logs and returns the requests that are quarantined since a change. */
+    private List<QuarantinedRequest> quarantinedBy(EvidenceChange change) {
+        List<QuarantinedRequest> requests = change.quarantined().stream()
+                .filter(each -> quarantine.isQuarantined(each.fingerprint()))
+                .toList();
+        for (QuarantinedRequest each : requests) {
             List<String> crashes = new ArrayList<>();
             each.crashes().forEach(crash -> crashes.add(crash.text()));
             log.writeImportant(LogLine.of(LogEvent.QUARANTINED)
                     .with("fingerprint", each.fingerprint().text())
                     .with("crashes", String.join(", ", crashes)));
         }
+        return requests;
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterEvent.java
@@ -1,5 +1,6 @@
 package org.rattanplank.gateway.store;
 
+import java.util.List;
 import java.util.Objects;
 
 import io.vavr.control.Option;
@@ -7,6 +8,8 @@
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.TargetEntry;
 import org.rattanplank.core.intent.Document;
+import org.rattanplank.core.quarantine.CrashEvidence;
+import org.rattanplank.core.quarantine.Fingerprint;
 
 /** A change to the cluster, decoded from an item of the store. Immutable and thread safe. */
 public sealed interface ClusterEvent {
@@ -76,6 +79,19 @@
      */
     record HostRemoved(String name) implements ClusterEvent {}
 
+    /**
+     * The evidence against a request that is or was quarantined has changed.
+     *
+     * @param fingerprint the request
+     * @param evidence the evidence
+     */
+    record QuarantineChanged(Fingerprint fingerprint, List<CrashEvidence> evidence) implements ClusterEvent {
+        public QuarantineChanged {
+            Objects.requireNonNull(fingerprint, "fingerprint");
+            evidence = List.copyOf(evidence);
+        }
+    }
+
     /** An item that does not concern this host. */
     record Unrelated() implements ClusterEvent {}
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFormat.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFormat.java
@@ -1,6 +1,10 @@
 package org.rattanplank.gateway.store;
 
+import java.util.List;
+
 import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.quarantine.CrashEvidence;
+import org.rattanplank.core.quarantine.Fingerprint;
 
 /** Defines the keys of the store and the encoding of their values. Stateless and thread safe. */
 public interface StoreFormat {
@@ -26,4 +30,13 @@
      * @return the item
      */
     StoreItem write(GatewayHost host);
+
+    /**
+     * Encodes the evidence against a request that is or was quarantined.
+     *
+     * @param fingerprint the request
+     * @param evidence the evidence
+     * @return the item
+     */
+    StoreItem write(Fingerprint fingerprint, List<CrashEvidence> evidence);
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -12,6 +12,7 @@
 import org.rattanplank.core.gateway.TargetIncarnation;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.TestPeer;
+import org.rattanplank.gateway.store.ClusterEvent;
 import org.rattanplank.gateway.target.AttemptFailure;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -115,11 +116,7 @@
     /** Guards against a host that starts or is connected again and lets a quarantined request through. */
     @Test
     void shouldRejectAQuarantinedRequestWhenAHostConnectsLater() throws Exception {
-        TestGateway one = gateway("h1", "suva");
-        addTargets(one, "t", TARGETS);
-        for (int i = 0; i < RETRIES; i++) {
-            send(one, CRASHING_PATH);
-        }
+        TestGateway one = gatewayWithQuarantine();
         TestGateway later = gateway("h2", "labasa");
         addTargets(later, "u", TARGETS);
         one.connect(later);
@@ -218,11 +215,7 @@
     /** Guards against a quarantine that nobody can end before it lapses. */
     @Test
     void shouldSendARequestAgainWhenAnOperatorLiftsItsQuarantine() throws Exception {
-        TestGateway gateway = gateway("h1", "suva");
-        addTargets(gateway, "t", TARGETS);
-        for (int i = 0; i < RETRIES; i++) {
-            send(gateway, CRASHING_PATH);
-        }
+        TestGateway gateway = gatewayWithQuarantine();
         crashingPath = "";
         String listed = gateway.admin("GET", "/quarantine");
         String fingerprint = listed.replaceAll("(?s).*\"fingerprint\":\"([0-9a-f]{32})\".*", "$1");
@@ -236,6 +229,62 @@
         assertTrue(send(gateway, CRASHING_PATH).startsWith("HTTP/1.1 200 "));
     }
 
+    private TestGateway gatewayWithQuarantine() throws IOException {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", TARGETS);
+        for (int i = 0; i < RETRIES; i++) {
+            send(gateway, CRASHING_PATH);
+        }
+        return gateway;
+    }
+
+    /** Guards against hosts that have all restarted, and let a quarantined request crash targets once more. */
+    @Test
+    void shouldRejectAQuarantinedRequestWhenAllHostsHaveRestarted() throws Exception {
+        ClusterEvent.QuarantineChanged stored = gatewayWithQuarantine().awaitStoredQuarantine();
+        TestGateway restarted = gateway("h2", "suva");
+        restarted.putQuarantine(stored);
+        addTargets(restarted, "u", TARGETS);
+
+        String response = send(restarted, CRASHING_PATH);
+
+        assertEquals(MAX_CRASHES, crashes.get());
+        assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+    }
+
+    /** Guards against a quarantine that is forgotten by a restart of all hosts, as the store was down when it began. */
+    @Test
+    void shouldRecordAQuarantineWhenTheStoreReturns() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", TARGETS);
+        gateway.makeStoreUnavailable();
+        for (int i = 0; i < RETRIES; i++) {
+            send(gateway, CRASHING_PATH);
+        }
+        gateway.awaitLogged("\"event\":\"quarantine_not_recorded\"");
+
+        gateway.makeStoreAvailable();
+
+        assertEquals(MAX_CRASHES, gateway.awaitStoredQuarantine().evidence().size());
+    }
+
+    /** Guards against a quarantine that comes back with a restart after an operator has lifted it. */
+    @Test
+    void shouldSendARequestWhenItsQuarantineWasLiftedBeforeAllHostsRestarted() throws Exception {
+        TestGateway gateway = gatewayWithQuarantine();
+        ClusterEvent.QuarantineChanged stored = gateway.awaitStoredQuarantine();
+        gateway.admin("DELETE", "/quarantine/" + stored.fingerprint().text());
+        while (gateway.awaitStoredQuarantine().equals(stored)) {
+            Thread.onSpinWait();
+        }
+        crashingPath = "";
+        TestGateway restarted = gateway("h2", "suva");
+        restarted.putQuarantine(gateway.awaitStoredQuarantine());
+        addTargets(restarted, "u", TARGETS);
+
+        assertTrue(send(restarted, CRASHING_PATH).startsWith("HTTP/1.1 200 "));
+    }
+
     /** Forwards a request as another region's host does, and returns how it failed. */
     private String forward(TestGateway gateway, String requestId) throws IOException {
         try (TestPeer peer = gateway.peer()) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -346,6 +346,32 @@
         store.put(key, incompressible, new ClusterEvent.Unreadable(Option.none(), "a test's bytes"), false);
     }
 
+    /** Returns the evidence against quarantined requests that the gateway has written to the store. */
+    List<ClusterEvent.QuarantineChanged> storedQuarantines() {
+        return store.quarantines();
+    }
+
+    /** Waits until the store has evidence against a quarantined request. */
+    ClusterEvent.QuarantineChanged awaitStoredQuarantine() {
+        for (int i = 0; i < MAX_POLLS; i++) {
+            if (!storedQuarantines().isEmpty()) {
+                return storedQuarantines().get(0);
+            }
+            LockSupport.parkNanos(POLL_INTERVAL_NANOS);
+        }
+        throw new AssertionError("no quarantine was written to the store");
+    }
+
+    /** Puts evidence into the store that other gateways have written before this one started. */
+    void putQuarantine(ClusterEvent.QuarantineChanged quarantine) {
+        store.put("quarantine/" + quarantine.fingerprint().text(), quarantine, false);
+    }
+
+    /** Makes the store answer again. */
+    void makeStoreAvailable() {
+        store.down(false);
+    }
+
     /** Returns how often all items of the store were listed. */
     long storeLists() {
         return store.lists();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
@@ -1,7 +1,9 @@
 package org.rattanplank.gateway;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -11,6 +13,8 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.quarantine.CrashEvidence;
+import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.gateway.http.HttpClientTraffic;
 import org.rattanplank.gateway.store.ClusterEvent;
 import org.rattanplank.gateway.store.ClusterStore;
@@ -26,6 +30,7 @@
     private final TreeMap<Long, StoreItem> history = new TreeMap<>();
     private final TreeMap<Long, ClusterEvent> events = new TreeMap<>();
     private final List<Runnable> waiting = new ArrayList<>();
+    private final Map<String, ClusterEvent> writtenQuarantines = new HashMap<>();
     private final AtomicLong lists = new AtomicLong();
     private long revision = 1;
     private boolean down;
@@ -40,19 +45,34 @@
     }
 
     void put(String key, byte[] value, ClusterEvent event, boolean removed) {
+        loop.submit(() -> putInLoop(key, value, event, removed)).syncUninterruptibly();
+    }
+
+    private void putInLoop(String key, byte[] value, ClusterEvent event, boolean removed) {
+        revision++;
+        StoreItem item = new StoreItem(key, value, revision, removed);
+        events.put(revision, event);
+        history.put(revision, item);
+        if (removed) {
+            items.remove(key);
+        } else {
+            items.put(key, item);
+        }
+        List.copyOf(waiting).forEach(Runnable::run);
+    }
+
+    /** Returns the items of quarantines that the gateway has written. */
+    List<ClusterEvent.QuarantineChanged> quarantines() {
+        List<ClusterEvent.QuarantineChanged> quarantines = new ArrayList<>();
         loop.submit(() -> {
-                    revision++;
-                    StoreItem item = new StoreItem(key, value, revision, removed);
-                    events.put(revision, event);
-                    history.put(revision, item);
-                    if (removed) {
-                        items.remove(key);
-                    } else {
-                        items.put(key, item);
+                    for (StoreItem item : items.values()) {
+                        if (events.get(item.revision()) instanceof ClusterEvent.QuarantineChanged quarantine) {
+                            quarantines.add(quarantine);
+                        }
                     }
-                    List.copyOf(waiting).forEach(Runnable::run);
                 })
                 .syncUninterruptibly();
+        return quarantines;
     }
 
     /** Returns how often all items were listed. */
@@ -126,6 +146,10 @@
             long lease,
             Option<Long> expectedRevision,
             Consumer<Either<StoreFailure, Long>> reply) {
+        ClusterEvent quarantine = writtenQuarantines.remove(key);
+        if (quarantine != null && !down) {
+            putInLoop(key, value, quarantine, false);
+        }
         reply(reply, () -> revision);
     }
 
@@ -144,6 +168,13 @@
         return new StoreItem("hosts/" + host.name(), new byte[0], 0, false);
     }
 
+    @Override
+    public StoreItem write(Fingerprint fingerprint, List<CrashEvidence> evidence) {
+        String key = "quarantine/" + fingerprint.text();
+        writtenQuarantines.put(key, new ClusterEvent.QuarantineChanged(fingerprint, evidence));
+        return new StoreItem(key, new byte[0], 0, false);
+    }
+
     private <T> void reply(Consumer<Either<StoreFailure, T>> reply, java.util.function.Supplier<T> answer) {
         Either<StoreFailure, T> result = down ? Either.left(StoreFailure.NO_ANSWER) : Either.right(answer.get());
         loop.execute(() -> reply.accept(result));
