Clear a request only if a target has served it

What callers would see: a request that crashes engines is never quarantined while a failing target answers it with an error now and then.

A failing target answers 500 to what it has not run.

Evidence: CrashQuarantineFlowTest. shouldQuarantineARequestWhenATargetAnsweredItWithAnErrorInBetween: 5 targets crashed instead of 3; NodeTest. shouldQuarantineARequestWhenATargetAnsweredItWithAnError: rattanplankd sent the request to a fourth target.

A request that targets answer with a 4xx isn't cleared either: 408, 421 and 429 come from targets that have not run it.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
@@ -312,7 +312,10 @@
     }
 
     private void answered(InFlightRequest request, AttemptResult.Completed completed, long nowMillis, Effects effects) {
-        quarantine.completed(request.request, nowMillis, effects);
+        // A failing target may answer a request that it has not run.
+        if (completed.answer().isSuccess()) {
+            quarantine.completed(request.request, nowMillis, effects);
+        }
         settleClaim(request, new ClaimResult.Answered(completed.answer()), nowMillis, effects);
         List<String> path = io.vavr.collection.List.of(
                         self.host(), request.route.get().peer())
--- a/rattanplank-core/src/main/java/org/rattanplank/core/request/Answer.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/request/Answer.java
@@ -12,6 +12,8 @@
  * @param streamed whether the answer was streamed to the caller
  */
 public record Answer(int status, String contentType, byte[] body, boolean streamed) {
+    private static final int FIRST_ERROR_STATUS = 400;
+
     public Answer {
         contentType = Objects.requireNonNullElse(contentType, "");
         body = body == null ? new byte[0] : body;
@@ -40,6 +42,15 @@
         return new Answer(status, contentType, new byte[0], true);
     }
 
+    /**
+     * Returns whether the target served the request, rather than failed or rejected it.
+     *
+     * @return whether the status is below 400
+     */
+    public boolean isSuccess() {
+        return status < FIRST_ERROR_STATUS;
+    }
+
     @Override
     public boolean equals(Object other) {
         return other instanceof Answer that
--- a/rattanplank-core/src/test/java/org/rattanplank/core/NodeTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/NodeTest.java
@@ -91,13 +91,7 @@
     @Test
     void shouldNotQuarantineARequestThatATargetHasCompletedWhenTargetsCrashUnderIt() {
         configure();
-        Action.StartAttempt served = assertInstanceOf(
-                Action.StartAttempt.class,
-                node.handle(new Event.CallerRequestReceived(crashing("r0", 5_000)), 5_000)
-                        .get(0));
-        Answer answer = Answer.of(200, "application/json", new byte[] {1});
-        node.handle(
-                new Event.AttemptEnded("r0", served.attempt(), new AttemptResult.Completed(answer, List.of())), 5_001);
+        answerCrashingRequest(200);
         for (int i = 1; i <= 3; i++) {
             crashAttempt("r" + i, 10_000L * i);
         }
@@ -107,6 +101,30 @@
         assertInstanceOf(Action.StartAttempt.class, actions.get(0));
     }
 
+    /** Guards against a crashing request that is cleared by a failing target, which answered before it ran the request. */
+    @Test
+    void shouldQuarantineARequestWhenATargetAnsweredItWithAnError() {
+        configure();
+        answerCrashingRequest(500);
+        for (int i = 1; i <= 3; i++) {
+            crashAttempt("r" + i, 10_000L * i);
+        }
+
+        List<Action> actions = node.handle(new Event.CallerRequestReceived(crashing("r4", 40_000)), 40_000);
+
+        assertInstanceOf(Action.Finish.class, actions.get(0));
+    }
+
+    private void answerCrashingRequest(int status) {
+        Action.StartAttempt attempt = assertInstanceOf(
+                Action.StartAttempt.class,
+                node.handle(new Event.CallerRequestReceived(crashing("r0", 5_000)), 5_000)
+                        .get(0));
+        Answer answer = Answer.of(status, "application/json", new byte[] {1});
+        node.handle(
+                new Event.AttemptEnded("r0", attempt.attempt(), new AttemptResult.Completed(answer, List.of())), 5_001);
+    }
+
     /** Guards against a host that is connected later and lets a quarantined request through. */
     @Test
     void shouldSendItsEvidenceWhenAHostIsConnected() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -203,7 +203,10 @@
         sentRequest.recordEnd(success, state.nowMillis());
         release();
         events.forEach(each -> deliver(each.takeRemainder()));
-        state.quarantine().completed(call.request());
+        // A failing target may answer a request that it has not run.
+        if (success) {
+            state.quarantine().completed(call.request());
+        }
         listener.completed();
     }
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -32,6 +32,7 @@
     private final AtomicInteger crashes = new AtomicInteger();
     private final List<AutoCloseable> resources = new ArrayList<>();
     private volatile String crashingPath = CRASHING_PATH;
+    private volatile int answerStatus = 200;
     private int requests;
 
     @AfterEach
@@ -57,7 +58,7 @@
                     self[0].crash();
                     throw new IOException("crashed by the test");
                 }
-                TestTarget.write(out, TestTarget.answer(request, 200, "done"));
+                TestTarget.write(out, TestTarget.answer(request, answerStatus, "done"));
             });
             resources.add(self[0]);
             gateway.registerTarget(new TargetIncarnation(prefix + i, 0), self[0].port());
@@ -177,6 +178,26 @@
         assertEquals(0, gateway.metric("requests_quarantined"));
     }
 
+    /** Guards against a crashing request that is cleared by a failing target, which answered before it ran the request. */
+    @Test
+    void shouldQuarantineARequestWhenATargetAnsweredItWithAnErrorInBetween() throws Exception {
+        TestGateway gateway = gateway("h1", "suva").configure(RouteKind.UNSAFE, false, 1);
+        addTargets(gateway, "t", 2 * MAX_CRASHES);
+        send(gateway, CRASHING_PATH);
+        send(gateway, CRASHING_PATH);
+        crashingPath = "";
+        answerStatus = 500;
+        String failure = send(gateway, CRASHING_PATH);
+        crashingPath = CRASHING_PATH;
+
+        for (int i = 0; i < MAX_CRASHES; i++) {
+            send(gateway, CRASHING_PATH);
+        }
+
+        assertTrue(failure.startsWith("HTTP/1.1 500 "), failure);
+        assertEquals(MAX_CRASHES, crashes.get());
+    }
+
     /** Guards against innocent requests that are refused as their connections end while their targets live. */
     @Test
     void shouldNotSuspectARequestWhenOnlyItsConnectionsEnd() throws Exception {
