Pass a target's failure on if its request may not be retried

What callers would see: a 502 without a body instead of the answer of the target (500 with its body), once two targets have crashed under the request.

Cause: the answer was abandoned for a retry, which the quarantine's rule for suspects then forbade.

Evidence: CrashQuarantineFlowTest. shouldForwardAFailureWhenTwoTargetsCrashedUnderTheRequest: 502 before, 500 now; its other 13 tests pass.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -583,6 +583,7 @@
         private boolean mayRetryFailure() {
             if (!state.uses(Mechanism.REPEAT)
                     || attemptsSent >= route.maxAttempts()
+                    || !state.quarantine().mayRetry(request)
                     || state.retryBudget().remaining(service.name(), state.nowMillis()) < 1) {
                 return false;
             }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -198,6 +198,20 @@
         assertEquals(MAX_CRASHES, crashes.get());
     }
 
+    /** Guards against an answer of a target that is withheld, as if the request could still be retried elsewhere. */
+    @Test
+    void shouldForwardAFailureWhenTwoTargetsCrashedUnderTheRequest() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", TARGETS);
+        send(gateway, CRASHING_PATH);
+        crashingPath = "";
+        answerStatus = 500;
+
+        String failure = send(gateway, CRASHING_PATH);
+
+        assertTrue(failure.startsWith("HTTP/1.1 500 "), failure);
+    }
+
     /** Guards against innocent requests that are refused as their connections end while their targets live. */
     @Test
     void shouldNotSuspectARequestWhenOnlyItsConnectionsEnd() throws Exception {
