--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.regex.Pattern;
 
 import io.vavr.Lazy;
 
@@ -18,7 +19,7 @@
  */
 public record Fingerprint(long high, long low) {
     private static final String ALGORITHM = "SHA-256";
-    private static final int TEXT_LENGTH = 32;
+    private static final Pattern TEXT = Pattern.compile("[0-9a-f]{32}");
     private static final int HEXADECIMAL = 16;
 
     /**
@@ -67,13 +68,13 @@
      * @throws IllegalArgumentException if the text is no fingerprint
      */
     public static Fingerprint parse(String text) {
-        if (text.length() != TEXT_LENGTH) {
+        if (!TEXT.matcher(text).matches()) {
             throw new IllegalArgumentException("not a fingerprint: " + text);
         }
-        int half = TEXT_LENGTH / 2;
+        int half = text.length() / 2;
         return new Fingerprint(
                 Long.parseUnsignedLong(text, 0, half, HEXADECIMAL),
-                Long.parseUnsignedLong(text, half, TEXT_LENGTH, HEXADECIMAL));
+                Long.parseUnsignedLong(text, half, text.length(), HEXADECIMAL));
     }
 
     /** Adds a text with its length, so that characters can't move from one text to the next unnoticed. */
--- a/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/FingerprintTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/FingerprintTest.java
@@ -1,11 +1,14 @@
 package org.rattanplank.core.quarantine;
 
+import java.util.List;
+
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests the recognition of requests that are sent again. */
@@ -19,6 +22,19 @@
                 .equals(Fingerprint.of(new String(caller), method, uri, body.clone()));
     }
 
+    @Property(tries = 100)
+    boolean shouldParseItsText(@ForAll long high, @ForAll long low) {
+        Fingerprint fingerprint = new Fingerprint(high, low);
+        return Fingerprint.parse(fingerprint.text()).equals(fingerprint);
+    }
+
+    @Test
+    void shouldRejectATextWhenItIsNoFingerprint() {
+        for (String text : List.of("", "0".repeat(31), "0".repeat(33), "+" + "0".repeat(31), "A".repeat(32))) {
+            assertThrows(IllegalArgumentException.class, () -> Fingerprint.parse(text));
+        }
+    }
+
     @Test
     void shouldDifferWhenOnePartDiffers() {
         Fingerprint one = Fingerprint.of("desk", "POST", "/a", BODY);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
@@ -67,7 +67,7 @@
                 onOwnKeyLost.run();
             }
         } else if (event instanceof ClusterEvent.QuarantineChanged changed) {
-            quarantineRecorder.read(changed.fingerprint(), changed.evidence());
+            quarantineRecorder.mergeStored(changed.fingerprint(), changed.evidence());
         } else if (event instanceof ClusterEvent.Unreadable unreadable) {
             reportUnreadable(item, unreadable);
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/QuarantineRecorder.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/QuarantineRecorder.java
@@ -72,7 +72,7 @@
     }
 
     /** Merges evidence that was read from the store. */
-    void read(Fingerprint fingerprint, List<CrashEvidence> evidence) {
+    void mergeStored(Fingerprint fingerprint, List<CrashEvidence> evidence) {
         quarantine.merge("store", evidence);
         pending.computeIfPresent(fingerprint, (key, each) -> each.learned() ? null : each);
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
@@ -33,7 +33,14 @@
     private Consumer<List<CrashEvidence>> publisher = evidence -> {};
     private QuarantineListener listener = QuarantineListener.NONE;
 
-    RequestQuarantine(String self, LongSupplier clock, EventLog log) {
+    /**
+     * Creates a quarantine without evidence.
+     *
+     * @param self this host's name
+     * @param clock the time in milliseconds
+     * @param log the log
+     */
+    public RequestQuarantine(String self, LongSupplier clock, EventLog log) {
         this.self = self;
         this.clock = clock;
         this.log = log;
