Wait for a silent target if its request may not be retried

What callers would see: a 502 after 1.5 s of silence for a request under which two targets have crashed, though its target answers later and no other attempt follows.

Cause: as with a failure's answer: the attempt was given up for a retry that the quarantine's rule for suspects then forbade.

Evidence: CrashQuarantineFlowTest. shouldAwaitASilentTargetWhenTwoTargetsCrashedUnderTheRequest: 502 before, 200 now; its other 14 tests pass.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -229,6 +229,7 @@
                 && route.isIdempotent()
                 && attemptsSent < route.maxAttempts()
                 && localTarget.isStalled(attemptAtMillis, nowMillis)
+                && state.quarantine().mayRetry(request)
                 && state.retryBudget().remaining(service.name(), nowMillis) > 0
                 && routingOptions().placement().localChoice().isDefined();
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -29,10 +31,14 @@
     private static final String CRASHING_PATH = "/a/crash";
     private static final int RETRIES = 4;
 
+    /** Longer than a target may be silent before its attempt is given up. */
+    private static final long LONG_SILENCE_MILLIS = 3_000;
+
     private final AtomicInteger crashes = new AtomicInteger();
     private final List<AutoCloseable> resources = new ArrayList<>();
     private volatile String crashingPath = CRASHING_PATH;
     private volatile int answerStatus = 200;
+    private volatile long answerDelayMillis;
     private int requests;
 
     @AfterEach
@@ -58,6 +64,7 @@
                     self[0].crash();
                     throw new IOException("crashed by the test");
                 }
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(answerDelayMillis));
                 TestTarget.write(out, TestTarget.answer(request, answerStatus, "done"));
             });
             resources.add(self[0]);
@@ -212,6 +219,20 @@
         assertTrue(failure.startsWith("HTTP/1.1 500 "), failure);
     }
 
+    /** Guards against an attempt that is given up as its target is silent, though the request may not be retried. */
+    @Test
+    void shouldAwaitASilentTargetWhenTwoTargetsCrashedUnderTheRequest() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", TARGETS);
+        send(gateway, CRASHING_PATH);
+        crashingPath = "";
+        answerDelayMillis = LONG_SILENCE_MILLIS;
+
+        String response = send(gateway, CRASHING_PATH);
+
+        assertTrue(response.startsWith("HTTP/1.1 200 "), response);
+    }
+
     /** Guards against innocent requests that are refused as their connections end while their targets live. */
     @Test
     void shouldNotSuspectARequestWhenOnlyItsConnectionsEnd() throws Exception {
