--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -28,6 +28,7 @@
  */
 public final class Soak {
     private static final int CALLER_COUNT = 6;
+    private static final int DEFAULT_HOSTS_PER_REGION = 2;
     private static final long RECOVERY_TIMEOUT_MILLIS = 60_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int STATUS_OK = 200;
@@ -65,7 +66,7 @@
     }
 
     /**
-     * Runs the soak test with one seed.
+     * Runs the soak test with one seed and two hosts in each region.
      *
      * @param seed the seed of the faults
      * @param millis how long faults are injected
@@ -73,9 +74,13 @@
      * @return the result of the run
      */
     public static SoakResult run(long seed, long millis, Path template) {
+        return run(seed, millis, template, DEFAULT_HOSTS_PER_REGION);
+    }
+
+    private static SoakResult run(long seed, long millis, Path template, int hostsPerRegion) {
         Path folder =
                 Try.of(() -> Files.createTempDirectory("rattanplank-soak")).get();
-        try (SoakSite site = new SoakSite(folder, template)) {
+        try (SoakSite site = new SoakSite(folder, template, hostsPerRegion)) {
             Soak soak = new Soak(site, seed);
             return soak.run(millis);
         }
@@ -91,7 +96,7 @@
         JCommander.newBuilder().addObject(options).build().parse(args);
         boolean violated = false;
         for (long seed = options.seed; seed < options.seed + options.seeds; seed++) {
-            SoakResult result = run(seed, options.seconds * 1_000L, Path.of("deploy/gateway.yaml"));
+            SoakResult result = run(seed, options.seconds * 1_000L, Path.of("deploy/gateway.yaml"), options.hosts);
             System.out.println("seed " + seed + ": " + result.summary());
             result.violations().forEach(line -> System.out.println("  broken: " + line));
             violated |= !result.violations().isEmpty();
@@ -307,5 +312,8 @@
 
         @Parameter(names = "--seconds", description = "how long faults are injected for each seed")
         private int seconds = 20;
+
+        @Parameter(names = "--hosts", description = "the number of gateway processes of each of the two regions")
+        private int hosts = DEFAULT_HOSTS_PER_REGION;
     }
 }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -34,10 +34,13 @@
  */
 final class SoakSite implements AutoCloseable {
     static final List<String> REGIONS = List.of("suva", "labasa");
-    private static final int HOSTS_PER_REGION = 2;
     private static final int REPLICAS_PER_REGION = 2;
     private static final int CALLER_PORT = 17_400;
     private static final int OCTET_VALUES = 250;
+    private static final int FIRST_HOST_OCTET = 100;
+
+    /** The loopback addresses of all hosts differ in one octet. */
+    private static final int MAX_HOSTS_PER_REGION = (OCTET_VALUES - FIRST_HOST_OCTET) / REGIONS.size();
 
     private final EventLoop loop = EventLoop.of();
     private final SiteStore store = SiteStore.of(loop);
@@ -57,7 +60,18 @@
     private int lastReplicaNumber;
     private long configurationVersion;
 
-    SoakSite(Path folder, Path template) {
+    /**
+     * Starts an installation.
+     *
+     * @param folder where the settings are written
+     * @param template the template for the gateway settings
+     * @param hostsPerRegion the number of gateway processes of each region
+     */
+    SoakSite(Path folder, Path template, int hostsPerRegion) {
+        if (hostsPerRegion < 1 || hostsPerRegion > MAX_HOSTS_PER_REGION) {
+            throw new IllegalArgumentException(
+                    "a region has 1 to " + MAX_HOSTS_PER_REGION + " hosts, not " + hostsPerRegion);
+        }
         this.folder = folder;
         this.template = template;
         storeAddress = store.serve(0);
@@ -71,7 +85,7 @@
         applyNextConfiguration();
         int number = 0;
         for (String region : REGIONS) {
-            for (int i = 0; i < HOSTS_PER_REGION; i++) {
+            for (int i = 0; i < hostsPerRegion; i++) {
                 number++;
                 String name = region + "-" + (i + 1);
                 storeLinks.put(name, Link.open(loop, storeAddress));
@@ -185,7 +199,7 @@
         long pid = ProcessHandle.current().pid();
         // The loopback address is derived from the process id, so that two runs on one host do not compete for ports.
         String ip = "127." + (1 + pid / OCTET_VALUES % OCTET_VALUES) + "." + (1 + pid % OCTET_VALUES) + "."
-                + (100 + number);
+                + (FIRST_HOST_OCTET + number);
         callerAddresses.put(name, new InetSocketAddress(ip, CALLER_PORT));
         SiteHost host = new SiteHost(
                 name, region, REGIONS, ip, CALLER_PORT, storeLinks.get(name).address());
