Ask the quarantine the same question in both programs

On reading the change once more: RequestQuarantine and QuarantineExchange each wrapped the same guard around the core's answers (no fingerprint is computed while nothing is suspected) and joined the text of a request's crashes alike. CrashQuarantine takes the fingerprint lazily and guards it itself, and QuarantinedRequest returns its crashes as text.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.locks.Lock;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import io.vavr.control.Option;
 import org.rattanplank.core.member.Membership;
@@ -49,15 +48,14 @@
     /** Returns why a request must not be sent to any target, or none if it may be sent. */
     Option<Failure> check(Request request, long nowMillis) {
         return locked(() -> {
-            if (quarantine.isEmpty()
-                    || !quarantine.isQuarantined(request.fingerprint().get())) {
+            if (!quarantine.isQuarantined(request.fingerprint())) {
                 return Option.<Failure>none();
             }
             String crashes = Option.ofOptional(quarantine.quarantined(nowMillis).stream()
                             .filter(each -> each.fingerprint()
                                     .equals(request.fingerprint().get()))
                             .findFirst())
-                    .map(QuarantineExchange::text)
+                    .map(QuarantinedRequest::crashesText)
                     .getOrElse("");
             return Option.some(Failure.of(
                     Step.ROUTE, request.service(), "quarantined: these targets ran it and crashed: " + crashes));
@@ -66,8 +64,7 @@
 
     /** Returns whether this host may retry a request on its own. */
     boolean mayRetry(Request request) {
-        return locked(() -> quarantine.isEmpty()
-                || quarantine.mayRetry(request.fingerprint().get()));
+        return locked(() -> quarantine.mayRetry(request.fingerprint()));
     }
 
     /** Records that a target crashed while a request was in flight there, unless the target was leaving. */
@@ -142,10 +139,6 @@
         }
     }
 
-    private static String text(QuarantinedRequest request) {
-        return request.crashes().stream().map(QuarantinedRequest.Crash::text).collect(Collectors.joining(", "));
-    }
-
     private static CrashNews message(List<CrashEvidence> evidence) {
         return new CrashNews(evidence.stream()
                 .map(each -> new CrashNotice(
--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.vavr.Lazy;
+
 /**
  * Quarantines requests that crash the targets that run them, from evidence that all hosts exchange.
  *
@@ -67,12 +69,27 @@
     }
 
     /**
-     * Returns whether a host may retry a request, or continue it elsewhere, on its own.
+     * Returns whether a request must not be sent to any target; its fingerprint is computed only if there is evidence.
+     *
+     * @param fingerprint the request
+     * @return whether it is quarantined
+     */
+    public boolean isQuarantined(Lazy<Fingerprint> fingerprint) {
+        return !isEmpty() && isQuarantined(fingerprint.get());
+    }
+
+    /**
+     * Returns whether a host may retry a request, or continue it elsewhere, on its own; its fingerprint is computed only
+     * if there is evidence.
      *
      * @param fingerprint the request
      * @return whether so few targets crashed under it that it is probably not the cause
      */
-    public boolean mayRetry(Fingerprint fingerprint) {
+    public boolean mayRetry(Lazy<Fingerprint> fingerprint) {
+        return isEmpty() || mayRetry(fingerprint.get());
+    }
+
+    boolean mayRetry(Fingerprint fingerprint) {
         return crashCount(entries.getOrDefault(fingerprint, Map.of())) < CRASHES_WITHOUT_RETRY;
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/QuarantinedRequest.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/QuarantinedRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.stream.Collectors;
 
 /**
  * A request that is not sent to any target, and why. Immutable and thread safe.
@@ -15,6 +16,15 @@
         crashes = List.copyOf(crashes);
     }
 
+    /**
+     * Returns the crashes as text, as in logs.
+     *
+     * @return the text of each crash, separated by commas
+     */
+    public String crashesText() {
+        return crashes.stream().map(Crash::text).collect(Collectors.joining(", "));
+    }
+
     /**
      * A crash of a target.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
@@ -1,6 +1,5 @@
 package org.rattanplank.gateway.pass;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -66,13 +65,12 @@
 
     /** Returns whether a request must not be sent to any target. */
     boolean isQuarantined(GatewayRequest request) {
-        return !quarantine.isEmpty()
-                && quarantine.isQuarantined(request.fingerprint().get());
+        return quarantine.isQuarantined(request.fingerprint());
     }
 
     /** Returns whether this host may retry a request on its own. */
     boolean mayRetry(GatewayRequest request) {
-        return quarantine.isEmpty() || quarantine.mayRetry(request.fingerprint().get());
+        return quarantine.mayRetry(request.fingerprint());
     }
 
     /** Records that a target has completed a request, which therefore is not the cause of earlier crashes. */
@@ -182,11 +180,9 @@
                 .filter(each -> quarantine.isQuarantined(each.fingerprint()))
                 .toList();
         for (QuarantinedRequest each : requests) {
-            List<String> crashes = new ArrayList<>();
-            each.crashes().forEach(crash -> crashes.add(crash.text()));
             log.writeImportant(LogLine.of(LogEvent.QUARANTINED)
                     .with("fingerprint", each.fingerprint().text())
-                    .with("crashes", String.join(", ", crashes)));
+                    .with("crashes", each.crashesText()));
         }
         return requests;
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -78,6 +78,13 @@
         return gateway.caller().send(request(path)).readUntil("\r\n\r\n");
     }
 
+    /** Sends the crashing request more often than targets may crash. */
+    private void sendOften(TestGateway gateway) throws IOException {
+        for (int i = 0; i < RETRIES; i++) {
+            send(gateway, CRASHING_PATH);
+        }
+    }
+
     /** Returns a request under a new identifier. */
     private String request(String path) {
         requests++;
@@ -288,9 +295,7 @@
     private TestGateway gatewayWithQuarantine() throws IOException {
         TestGateway gateway = gateway("h1", "suva");
         addTargets(gateway, "t", TARGETS);
-        for (int i = 0; i < RETRIES; i++) {
-            send(gateway, CRASHING_PATH);
-        }
+        sendOften(gateway);
         return gateway;
     }
 
@@ -314,9 +319,7 @@
         TestGateway gateway = gateway("h1", "suva");
         addTargets(gateway, "t", TARGETS);
         gateway.makeStoreUnavailable();
-        for (int i = 0; i < RETRIES; i++) {
-            send(gateway, CRASHING_PATH);
-        }
+        sendOften(gateway);
         gateway.awaitLogged("\"event\":\"quarantine_not_recorded\"");
 
         gateway.makeStoreAvailable();
