Count and log answers that end with their connection

The lines of the incident can't tell an answer that its target ended from one that was broken off: both are 'answered'. An answer with neither a length nor chunks is now counted by what its end says (close_delimited_responses_total), and one that ends inside an event leaves a line response_truncated. What happens to the answer is decided as before.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
@@ -8,6 +8,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.HdrHistogram.ConcurrentHistogram;
+import org.rattanplank.core.response.Completeness;
 import org.rattanplank.gateway.target.AttemptFailure;
 
 /** The metrics of one gateway process, based on Dropwizard Metrics. Thread safe. */
@@ -78,6 +79,15 @@
         registry.counter(PREFIX + "streams_failed_over_total").inc();
     }
 
+    /**
+     * Counts a response that ended with its connection, as it has neither a length nor chunks.
+     *
+     * @param completeness whether it is complete
+     */
+    public void closeDelimited(Completeness completeness) {
+        count("close_delimited_responses_total", "completeness=\"" + completeness.label() + "\"");
+    }
+
     /** Counts a request that was answered by a target. */
     public void answered() {
         count("requests_total", "outcome=\"answered\"");
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -12,6 +12,7 @@
 import org.rattanplank.core.gateway.StreamBackup;
 import org.rattanplank.core.gateway.TargetChoice;
 import org.rattanplank.core.gateway.Work;
+import org.rattanplank.core.response.Completeness;
 import org.rattanplank.gateway.caller.EventSplitter;
 import org.rattanplank.gateway.log.LogEvent;
 import org.rattanplank.gateway.log.LogLine;
@@ -198,6 +199,14 @@
         deliver(events.get().append(bytes));
     }
 
+    @Override
+    public void connectionEnded(Completeness completeness) {
+        state.metrics().closeDelimited(completeness);
+        if (completeness == Completeness.TRUNCATED) {
+            log.addNotable(LogLine.of(LogEvent.RESPONSE_TRUNCATED).with("target", target.incarnationText()));
+        }
+    }
+
     @Override
     public void completed() {
         sentRequest.recordEnd(success, state.nowMillis());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Option;
+import org.rattanplank.core.response.Completeness;
 
 /**
  * Receives the events of one attempt: at most one set of response headers, then content, then one completion or failure. Called on the event
@@ -38,6 +39,13 @@
      */
     default void rateLimitInvalid(String text) {}
 
+    /**
+     * Called when the connection ended with the response, which has neither a length nor chunks.
+     *
+     * @param completeness whether the response is complete
+     */
+    default void connectionEnded(Completeness completeness) {}
+
     /** Called when the response is complete. */
     void completed();
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -1,6 +1,7 @@
 package org.rattanplank.gateway.target;
 
 import java.util.List;
+import java.util.Locale;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -17,6 +19,9 @@
 import io.vavr.control.Try;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.TargetChoice;
+import org.rattanplank.core.response.BodyFraming;
+import org.rattanplank.core.response.Completeness;
+import org.rattanplank.core.response.ResponseBody;
 import org.rattanplank.gateway.GatewayRequest;
 import org.rattanplank.gateway.HeaderNames;
 import org.rattanplank.gateway.MonotonicClock;
@@ -28,6 +33,8 @@
  * <p>Invariant: the request counts as not sent only until it is handed to a connection. Confined to the event loop.
  */
 final class TargetAttempt implements Attempt {
+    private static final String EVENT_STREAM = HttpHeaderValues.TEXT_EVENT_STREAM.toString();
+
     private static final int MISDIRECTED = HttpResponseStatus.MISDIRECTED_REQUEST.code();
 
     /** How long this host sends nothing to a target that has reported no capacity, while others may have some. */
@@ -44,6 +51,7 @@
     private final MonotonicClock clock;
     private Channel connectingChannel;
     private TargetConnection connection;
+    private ResponseBody body;
     private boolean rejected;
     private boolean finished;
 
@@ -108,10 +116,12 @@
         target.recordActivity(clock.nowMillis());
     }
 
-    void headersReceived(int status, HttpHeaders headers) {
+    void headersReceived(int status, HttpHeaders headers, BodyFraming framing) {
         if (finished) {
             return;
         }
+        String contentType = headers.get(HttpHeaderNames.CONTENT_TYPE, "").toLowerCase(Locale.ROOT);
+        body = ResponseBody.of(framing, contentType.startsWith(EVENT_STREAM));
         boolean notExecuted = headers.contains(names.notExecuted());
         if (status != MISDIRECTED) {
             readRateLimit(headers.getAll(names.rateLimit()), notExecuted);
@@ -160,12 +170,19 @@
     }
 
     void contentReceived(ByteBuf bytes) {
-        if (!finished && !rejected) {
-            listener.contentReceived(bytes);
+        if (finished || rejected) {
+            return;
         }
+        if (body.dependsOnBytes()) {
+            bytes.forEachByte(each -> {
+                body.append(each);
+                return true;
+            });
+        }
+        listener.contentReceived(bytes);
     }
 
-    void completed() {
+    void ended() {
         if (finished) {
             return;
         }
@@ -176,6 +193,10 @@
             return;
         }
         finished = true;
+        Completeness completeness = body.atEnd();
+        if (completeness != Completeness.COMPLETE) {
+            listener.connectionEnded(completeness);
+        }
         listener.completed();
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
@@ -11,9 +11,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.rattanplank.core.response.BodyFraming;
 
 /**
  * One connection to a target, which carries one request at a time.
@@ -158,11 +160,12 @@
             return;
         }
         responding = true;
-        readKeepAlive(response);
+        BodyFraming framing = framingOf(response);
+        readKeepAlive(response, framing);
         headers.remove(HttpHeaderNames.CONNECTION);
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
         headers.remove("Keep-Alive");
-        attempt.headersReceived(status, headers);
+        attempt.headersReceived(status, headers, framing);
     }
 
     private boolean isOwnResponse(int status, String echoed) {
@@ -172,9 +175,18 @@
         return echoed.equals(attempt.requestId());
     }
 
-    private void readKeepAlive(HttpResponse response) {
-        if (!HttpUtil.isKeepAlive(response)
-                || !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) {
+    private BodyFraming framingOf(HttpResponse response) {
+        HttpResponseStatus status = response.status();
+        boolean bodiless = isHeadRequest()
+                || status.code() == HttpResponseStatus.NO_CONTENT.code()
+                || status.code() == HttpResponseStatus.NOT_MODIFIED.code();
+        return bodiless || HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+                ? BodyFraming.DELIMITED
+                : BodyFraming.CLOSE_DELIMITED;
+    }
+
+    private void readKeepAlive(HttpResponse response, BodyFraming framing) {
+        if (!HttpUtil.isKeepAlive(response) || framing == BodyFraming.CLOSE_DELIMITED) {
             notReusable = true;
         }
         String keepAlive = response.headers().get("Keep-Alive");
@@ -202,7 +214,7 @@
             discarding = false;
             return;
         }
-        TargetAttempt completed = attempt;
+        TargetAttempt ended = attempt;
         attempt = null;
         idleSinceMillis = owner.nowMillis();
         if (notReusable || !written) {
@@ -210,7 +222,7 @@
         } else {
             owner.release(this);
         }
-        completed.completed();
+        ended.ended();
     }
 
     private void fail(String reason) {
