--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
@@ -15,6 +15,8 @@
 
 /** A target that answers each request by a script. */
 final class TestTarget implements AutoCloseable {
+    static final String EVENT_STREAM = "text/event-stream";
+
     private static final long TIMEOUT_SECONDS = 20;
     private static final String CONTENT_LENGTH = "content-length: ";
 
@@ -86,8 +88,14 @@
 
     /** Returns the headers of a stream that echoes the identifier of its request. */
     static String streamHead(String request) {
-        return "HTTP/1.1 200 OK\r\nRequest-Id: " + header(request, "request-id")
-                + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + header(request, "request-id") + "\r\nContent-Type: " + EVENT_STREAM
+                + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
+    /** Returns the headers of an answer that ends with its connection. */
+    static String closeDelimitedHead(String request, String contentType) {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + header(request, "request-id") + "\r\nContent-Type: " + contentType
+                + "\r\nConnection: close\r\n\r\n";
     }
 
     static String chunk(String text) {
