Don't complete an answer that its target broke off

Cause: an answer with neither a length nor chunks ends with its connection, and Netty's decoder reports that end like one that the target marked. Nothing asked whether the bytes before it ended an event, nor whether the target's process was still there.

Inside an event it is truncated, and the attempt fails as one that may have run: it is resumed, continued at its backup or cut visibly, and evidence of a crash is recorded. Where it may be complete (between events, or a body that is no stream) the target is asked for a connection: if its process has ended the attempt fails, else the answer is complete and the connection is kept for the next request, which would need a new one anyway. A check that times out tells nothing, and the answer counts as complete.

New: ResponseCutFlowTest cuts streams and plain bodies at each byte under each framing, by an end and a reset, local, forwarded and resumable: never complete unless whole, never resumed twice, whole answers byte for byte.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -54,8 +54,6 @@
     FORWARD_TAKEN,
     /** An attempt at a target failed. */
     ATTEMPT_FAILED,
-    /** A response without a length and chunks ended with its connection inside an event. */
-    RESPONSE_TRUNCATED,
     /** A request was retried. */
     REPEATED,
     /** A stream was resumed at another target. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import org.rattanplank.core.gateway.GatewayTarget;
@@ -13,8 +14,9 @@
 import org.rattanplank.gateway.target.TargetConnections;
 
 /**
- * Finds out whether a target has crashed when a connection to it ended during a request. A crashed process refuses new
- * connections, while a reset connection, a truncated response or an overloaded target leave it reachable.
+ * Finds out whether a target has crashed when a connection to it ended during a request or with its response. A crashed
+ * process refuses new connections, while a reset connection, a truncated response or an overloaded target leave it
+ * reachable.
  *
  * <p>Invariants: requests are suspected only if the target was not leaving and then refused a connection; each loss is
  * reported back once, after the first check. A process that ends may accept connections for a moment longer, so a second
@@ -53,35 +55,58 @@
             onChecked.run();
             return;
         }
+        check(target, new Loss(request, true, terminated -> onChecked.run()));
+    }
+
+    /**
+     * Checks a target whose response has ended with its connection, also one that is leaving, and then runs an action with
+     * whether its process has terminated.
+     */
+    void responseEnded(GatewayTarget target, GatewayRequest request, Consumer<Boolean> onChecked) {
+        check(target, new Loss(request, false, onChecked));
+    }
+
+    private void check(GatewayTarget target, Loss loss) {
         List<Loss> checking = lossesByTarget.get(target);
         if (checking != null) {
-            checking.add(new Loss(request, onChecked));
+            checking.add(loss);
             return;
         }
         List<Loss> losses = new ArrayList<>();
-        losses.add(new Loss(request, onChecked));
+        losses.add(loss);
         lossesByTarget.put(target, losses);
         connections.check(target, result -> checked(target, result));
     }
 
     private void checked(GatewayTarget target, ConnectResult result) {
         List<Loss> losses = lossesByTarget.remove(target);
-        List<GatewayRequest> requests = losses.stream().map(Loss::request).toList();
+        boolean terminated = result == ConnectResult.REFUSED;
+        List<GatewayRequest> suspects = losses.stream()
+                .filter(loss -> loss.truncated() || terminated && !target.isLeaving())
+                .map(Loss::request)
+                .toList();
         // Before the actions: other hosts must know of the crash before a caller can send the request again.
-        recordCrash(target, requests, result);
-        if (result != ConnectResult.REFUSED) {
-            secondChecks.add(new SecondCheck(target, requests, clock.getAsLong() + SECOND_CHECK_AFTER_MILLIS));
+        recordCrash(target, suspects, result);
+        if (!terminated && !suspects.isEmpty()) {
+            secondChecks.add(new SecondCheck(target, suspects, clock.getAsLong() + SECOND_CHECK_AFTER_MILLIS));
         }
-        losses.forEach(loss -> loss.onChecked().run());
+        losses.forEach(loss -> loss.onChecked().accept(terminated));
     }
 
     private void recordCrash(GatewayTarget target, List<GatewayRequest> requests, ConnectResult result) {
-        if (result == ConnectResult.REFUSED) {
+        if (result == ConnectResult.REFUSED && !requests.isEmpty()) {
             quarantine.crashed(target.incarnationText(), requests);
         }
     }
 
-    private record Loss(GatewayRequest request, Runnable onChecked) {}
+    /**
+     * A request whose connection has ended.
+     *
+     * @param request the request
+     * @param truncated whether its response is known to be incomplete
+     * @param onChecked receives whether the process of the target has terminated
+     */
+    private record Loss(GatewayRequest request, boolean truncated, Consumer<Boolean> onChecked) {}
 
     private record SecondCheck(GatewayTarget target, List<GatewayRequest> requests, long atMillis) {}
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -200,11 +200,25 @@
     }
 
     @Override
-    public void connectionEnded(Completeness completeness) {
+    public void endedByConnection(Completeness completeness) {
         state.metrics().closeDelimited(completeness);
         if (completeness == Completeness.TRUNCATED) {
-            log.addNotable(LogLine.of(LogEvent.RESPONSE_TRUNCATED).with("target", target.incarnationText()));
+            target.recordFailure(state.nowMillis());
+            failed(AttemptFailure.UNKNOWN, "the connection ended inside an event");
+            return;
         }
+        checkingTarget = true;
+        state.crashDetector().responseEnded(target, call.request(), terminated -> {
+            checkingTarget = false;
+            if (cancelled) {
+                return;
+            }
+            if (terminated) {
+                conclude(AttemptFailure.UNKNOWN, "the target terminated when its response ended with its connection");
+            } else {
+                completed();
+            }
+        });
     }
 
     @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
@@ -40,11 +40,14 @@
     default void rateLimitInvalid(String text) {}
 
     /**
-     * Called when the connection ended with the response, which has neither a length nor chunks.
+     * Called when the response ended with its connection, as it has neither a length nor chunks. A listener that can't find
+     * out whether the target's process ended with it takes it for incomplete.
      *
      * @param completeness whether the response is complete
      */
-    default void connectionEnded(Completeness completeness) {}
+    default void endedByConnection(Completeness completeness) {
+        failed(AttemptFailure.UNKNOWN, "the response ended with its connection");
+    }
 
     /** Called when the response is complete. */
     void completed();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -194,10 +194,11 @@
         }
         finished = true;
         Completeness completeness = body.atEnd();
-        if (completeness != Completeness.COMPLETE) {
-            listener.connectionEnded(completeness);
+        if (completeness == Completeness.COMPLETE) {
+            listener.completed();
+        } else {
+            listener.endedByConnection(completeness);
         }
-        listener.completed();
     }
 
     void failed(AttemptFailure failure, String reason) {
--- /dev/null
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/ResponseCutFlowTest.java
@@ -0,0 +1,265 @@
+package org.rattanplank.gateway;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.rattanplank.core.gateway.RouteKind;
+import org.rattanplank.core.gateway.TargetIncarnation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Cuts answers of a target that goes on running at each byte of their bodies. Guards against an answer that is framed as
+ * complete and isn't, and against a whole one that isn't passed on byte for byte.
+ */
+@Timeout(120)
+class ResponseCutFlowTest {
+    private static final String FIRST = "id: 1\ndata: a\n\n";
+    private static final String SECOND = "id: 2\ndata: b\n\n";
+    private static final String STREAM = FIRST + SECOND;
+    private static final Set<Integer> BOUNDARIES = Set.of(0, FIRST.length(), STREAM.length());
+    private static final int REQUESTS_PER_RETRY = 7;
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+
+    private final Map<String, Answer> answers = new ConcurrentHashMap<>();
+    private final Map<String, Integer> arrivals = new ConcurrentHashMap<>();
+    private final List<AutoCloseable> resources = new ArrayList<>();
+    private int requests;
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable each : resources) {
+            each.close();
+        }
+    }
+
+    /** How a target marks the end of an answer. */
+    private enum Framing {
+        LENGTH {
+            @Override
+            String head(String body) {
+                return "Content-Length: " + body.length() + "\r\n";
+            }
+        },
+        CHUNKS {
+            @Override
+            String head(String body) {
+                return "Transfer-Encoding: chunked\r\n";
+            }
+
+            @Override
+            String encode(String body) {
+                int half = body.length() / 2;
+                return TestTarget.chunk(body.substring(0, half)) + TestTarget.chunk(body.substring(half)) + LAST_CHUNK;
+            }
+        },
+        CONNECTION {
+            @Override
+            String head(String body) {
+                return "";
+            }
+
+            @Override
+            boolean isComplete(String contentType, int cut, int length, boolean reset) {
+                return !reset && (!contentType.equals(TestTarget.EVENT_STREAM) || BOUNDARIES.contains(cut));
+            }
+        };
+
+        abstract String head(String body);
+
+        String encode(String body) {
+            return body;
+        }
+
+        /** Returns whether an answer is complete whose encoded body was cut after that many bytes. */
+        boolean isComplete(String contentType, int cut, int length, boolean reset) {
+            return cut == length;
+        }
+    }
+
+    /**
+     * An answer of a target.
+     *
+     * @param framing how its end is marked
+     * @param contentType its type
+     * @param cut the number of bytes of the encoded body that are sent
+     * @param reset whether the connection is reset after them, not ended
+     */
+    private record Answer(Framing framing, String contentType, int cut, boolean reset) {
+        private String encoded() {
+            return framing.encode(STREAM);
+        }
+
+        private boolean isComplete() {
+            return framing.isComplete(contentType, cut, encoded().length(), reset);
+        }
+
+        private String bytes(String request) {
+            return "HTTP/1.1 200 OK\r\nRequest-Id: " + TestTarget.header(request, "request-id") + "\r\nContent-Type: "
+                    + contentType + "\r\n" + framing.head(STREAM) + "\r\n"
+                    + encoded().substring(0, cut);
+        }
+    }
+
+    private TestGateway gateway(String name, String region, RouteKind kind, boolean resumable) throws IOException {
+        TestGateway gateway = new TestGateway(name, region);
+        resources.add(gateway);
+        return gateway.configure(kind, resumable, resumable ? 2 : 1);
+    }
+
+    /** Adds a target that cuts the first answer to each request, and then answers what comes after the last event. */
+    private void addTarget(TestGateway gateway, String id) throws IOException {
+        TestTarget target = new TestTarget((request, out) -> {
+            String requestId = TestTarget.header(request, "request-id");
+            if (arrivals.merge(requestId, 1, Integer::sum) > 1) {
+                String lastEventId = TestTarget.header(request, "last-event-id");
+                String rest =
+                        STREAM.substring(lastEventId.isEmpty() ? 0 : Integer.parseInt(lastEventId) * FIRST.length());
+                TestTarget.write(out, TestTarget.closeDelimitedHead(request, TestTarget.EVENT_STREAM) + rest);
+                throw new IOException("connection closed by the test");
+            }
+            Answer answer = answers.get(requestId);
+            TestTarget.write(out, answer.bytes(request));
+            throw answer.reset() ? new TestTarget.ResetException() : new IOException("connection closed by the test");
+        });
+        resources.add(target);
+        gateway.registerTarget(new TargetIncarnation(id, 0), target.port());
+    }
+
+    private List<Answer> allAnswers(String contentType) {
+        List<Answer> all = new ArrayList<>();
+        for (Framing framing : Framing.values()) {
+            for (int cut = 0; cut <= framing.encode(STREAM).length(); cut++) {
+                all.add(new Answer(framing, contentType, cut, false));
+                all.add(new Answer(framing, contentType, cut, true));
+            }
+        }
+        return all;
+    }
+
+    private Received send(TestGateway gateway, Answer answer) throws IOException {
+        String id = "q" + ++requests;
+        answers.put(id, answer);
+        try (TestCaller caller = gateway.caller()) {
+            caller.send("POST /a/x HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\nRequest-Id: " + id
+                    + "\r\nTime-Left: 8000\r\nContent-Length: 1\r\n\r\nx");
+            return Received.parse(caller.readAll());
+        }
+    }
+
+    /** Sends as many whole answers as a gateway must have sent before it may retry once more. */
+    private void earnRetry(TestGateway gateway) throws IOException {
+        for (int i = 0; i < REQUESTS_PER_RETRY; i++) {
+            send(gateway, new Answer(Framing.LENGTH, TestTarget.EVENT_STREAM, STREAM.length(), false));
+        }
+    }
+
+    /**
+     * What a caller has received.
+     *
+     * @param status the status
+     * @param complete whether it is framed as complete
+     * @param body the body without its framing
+     */
+    private record Received(String status, boolean complete, String body) {
+        private static Received parse(String raw) {
+            int bodyStart = raw.indexOf("\r\n\r\n") + 4;
+            String head = raw.substring(0, bodyStart).toLowerCase(java.util.Locale.ROOT);
+            String body = raw.substring(bodyStart);
+            String status = head.split(" ")[1];
+            if (!head.contains("transfer-encoding: chunked")) {
+                int length = Integer.parseInt(head.replaceAll("(?s).*content-length: (\\d+).*", "$1"));
+                return new Received(status, body.length() == length, body);
+            }
+            StringBuilder content = new StringBuilder();
+            int at = 0;
+            while (at < body.length()) {
+                int lineEnd = body.indexOf("\r\n", at);
+                int size = Integer.parseInt(body.substring(at, lineEnd), 16);
+                if (size == 0) {
+                    return new Received(status, true, content.toString());
+                }
+                content.append(body, lineEnd + 2, lineEnd + 2 + size);
+                at = lineEnd + 2 + size + 2;
+            }
+            return new Received(status, false, content.toString());
+        }
+    }
+
+    private void check(TestGateway gateway, Answer answer) throws IOException {
+        Received received = send(gateway, answer);
+        if (answer.isComplete()) {
+            String whole = answer.framing() == Framing.CONNECTION ? STREAM.substring(0, answer.cut()) : STREAM;
+            assertEquals(new Received("200", true, whole), received, answer.toString());
+        } else {
+            assertTrue(received.status().equals("502") || !received.complete(), () -> answer + ": " + received);
+            assertTrue(received.status().equals("502") || STREAM.startsWith(received.body()), answer.toString());
+        }
+    }
+
+    @Test
+    void shouldFrameAStreamAsCompleteOnlyWhenItIs() throws Exception {
+        TestGateway gateway = gateway("h1", "suva", RouteKind.STREAM, false);
+        addTarget(gateway, "t");
+        gateway.awaitTargets(1);
+
+        for (Answer answer : allAnswers(TestTarget.EVENT_STREAM)) {
+            check(gateway, answer);
+        }
+    }
+
+    @Test
+    void shouldFrameABodyAsCompleteOnlyWhenItIs() throws Exception {
+        TestGateway gateway = gateway("h1", "suva", RouteKind.UNSAFE, false);
+        addTarget(gateway, "t");
+        gateway.awaitTargets(1);
+
+        for (Answer answer : allAnswers("text/plain")) {
+            check(gateway, answer);
+        }
+    }
+
+    @Test
+    void shouldFrameAForwardedAnswerAsCompleteOnlyWhenItIs() throws Exception {
+        TestGateway entry = gateway("h1", "suva", RouteKind.STREAM, false);
+        TestGateway serving = gateway("h2", "labasa", RouteKind.STREAM, false);
+        entry.connect(serving);
+        addTarget(serving, "t");
+        serving.awaitTargets(1);
+        entry.awaitServed(() -> send(entry, new Answer(Framing.LENGTH, "text/plain", STREAM.length(), false))
+                .status()
+                .equals("200"));
+
+        for (Answer answer : allAnswers(TestTarget.EVENT_STREAM)) {
+            check(entry, answer);
+        }
+    }
+
+    /** Guards against a stream that is resumed twice, joined badly, or not resumed where it was cut. */
+    @Test
+    void shouldResumeAStreamOnceWhenItWasCut() throws Exception {
+        TestGateway gateway = gateway("h1", "suva", RouteKind.STREAM, true);
+        addTarget(gateway, "t1");
+        addTarget(gateway, "t2");
+        gateway.awaitTargets(2);
+
+        for (int cut = 0; cut <= STREAM.length(); cut++) {
+            for (boolean reset : new boolean[] {false, true}) {
+                earnRetry(gateway);
+                Answer answer = new Answer(Framing.CONNECTION, TestTarget.EVENT_STREAM, cut, reset);
+                Received received = send(gateway, answer);
+                String expected = answer.isComplete() ? STREAM.substring(0, cut) : STREAM;
+                assertEquals(new Received("200", true, expected), received, answer.toString());
+                assertEquals(answer.isComplete() ? 1 : 2, arrivals.get("q" + requests), answer.toString());
+            }
+        }
+    }
+}
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -270,6 +271,17 @@
         awaitLogged("\"event\":\"store_lost\"");
     }
 
+    /** Repeats an attempt until it is served. */
+    void awaitServed(Callable<Boolean> attempt) throws Exception {
+        for (int i = 0; i < MAX_POLLS; i++) {
+            if (attempt.call()) {
+                return;
+            }
+            LockSupport.parkNanos(POLL_INTERVAL_NANOS);
+        }
+        throw new AssertionError("never served");
+    }
+
     /** Waits until the log contains a text. */
     void awaitLogged(String text) {
         for (int i = 0; i < MAX_POLLS; i++) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
@@ -128,13 +128,23 @@
         try (socket) {
             for (String request = read(in); !request.isEmpty(); request = read(in)) {
                 requests.add(request);
-                script.serve(request, socket.getOutputStream());
+                serve(request, socket);
             }
         } finally {
             closedConnections.add("closed");
         }
     }
 
+    private void serve(String request, Socket socket) throws IOException {
+        try {
+            script.serve(request, socket.getOutputStream());
+        } catch (ResetException e) {
+            // Without lingering, a close resets the connection.
+            socket.setSoLinger(true, 0);
+            throw e;
+        }
+    }
+
     private static String read(InputStream in) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         int length = -1;
@@ -167,6 +177,11 @@
         thread.start();
     }
 
+    /** Resets the connection. */
+    static final class ResetException extends IOException {
+        private static final long serialVersionUID = 1;
+    }
+
     /** Answers a request; an exception closes the connection. */
     interface Script {
         void serve(String request, OutputStream out) throws IOException;
