End a connection through a stand-in link as its other side ended

The link turned a reset into an orderly end, and ended a connection before the bytes that it still delayed: an answer without a length looked whole though its replica had reset it. Resets are passed on, ends follow the last delayed byte, and a connection that dropped bytes is reset.

--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/link/Link.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/link/Link.java
@@ -103,19 +103,21 @@
             reset(clientSide);
             return;
         }
+        Forwarder fromTarget = new Forwarder(clientSide, false);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop.group())
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.AUTO_READ, false)
-                .handler(new Forwarder(clientSide, false));
+                .handler(fromTarget);
         Channel targetSide = bootstrap.connect(target).channel();
+        Forwarder fromClient = new Forwarder(targetSide, true);
         channels.add(clientSide);
         channels.add(targetSide);
         clientSide.closeFuture().addListener(closed -> channels.remove(clientSide));
         targetSide.closeFuture().addListener(closed -> channels.remove(targetSide));
-        clientSide.pipeline().addLast(new Forwarder(targetSide, true));
-        targetSide.closeFuture().addListener(closed -> clientSide.close());
-        clientSide.closeFuture().addListener(closed -> targetSide.close());
+        clientSide.pipeline().addLast(fromClient);
+        targetSide.closeFuture().addListener(closed -> fromTarget.endOther());
+        clientSide.closeFuture().addListener(closed -> fromClient.endOther());
     }
 
     /** Resets a connection, which may have closed already. */
@@ -136,6 +138,8 @@
         private final boolean fromClient;
         private final Queue<Object> delayed = new ArrayDeque<>();
         private long lastWriteAtNanos;
+        private boolean incomplete;
+        private boolean ended;
 
         private Forwarder(Channel other, boolean fromClient) {
             this.other = other;
@@ -155,6 +159,7 @@
             boolean dropsBytes = Boolean.TRUE.equals(
                     context.channel().attr(ConnectionAttributes.DROPS_BYTES).get());
             if (dropsBytes || (fromClient ? state.dropsForward() : state.dropsBackward())) {
+                incomplete = true;
                 ReferenceCountUtil.release(bytes);
             } else if (state.delayMillis() > 0 || !delayed.isEmpty()) {
                 writeLater(bytes);
@@ -170,12 +175,34 @@
             long delayNanos = Math.max(TimeUnit.MILLISECONDS.toNanos(state.delayMillis()), untilLastWriteNanos);
             lastWriteAtNanos = now + delayNanos;
             delayed.add(bytes);
-            loop.group().schedule(() -> other.writeAndFlush(delayed.remove()), delayNanos, TimeUnit.NANOSECONDS);
+            loop.group().schedule(this::writeDelayed, delayNanos, TimeUnit.NANOSECONDS);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            incomplete = true;
             reset(context.channel());
         }
+
+        /**
+         * Ends the other side as this one has ended: after its last byte, or by a reset if that was reset or bytes were
+         * dropped. An orderly end would tell that nothing is missing.
+         */
+        private void endOther() {
+            if (incomplete) {
+                reset(other);
+            } else if (delayed.isEmpty()) {
+                other.close();
+            } else {
+                ended = true;
+            }
+        }
+
+        private void writeDelayed() {
+            other.writeAndFlush(delayed.remove());
+            if (ended && delayed.isEmpty()) {
+                other.close();
+            }
+        }
     }
 }
