Let replicas of the soak end answers with their connections

Temporarily a replica's answers have neither a length nor chunks: whole, cut inside an event, or reset. The faults that earlier seeds draw stay as they were.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -19,6 +19,7 @@
 import org.rattanplank.bench.process.ChildProcess;
 import org.rattanplank.bench.process.Poll;
 import org.rattanplank.standins.link.LinkState;
+import org.rattanplank.standins.site.BodyEnd;
 
 /**
  * Injects faults into a small installation of real gateway processes under load and checks its guarantees.
@@ -33,7 +34,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int STATUS_OK = 200;
 
-    /** One additional fault follows this many single ones on average. */
+    /** One additional and one further fault follow this many single ones on average. */
     private static final int FAULTS_PER_ADDITIONAL = 3;
 
     private static final int MAX_COPIES = 3;
@@ -51,6 +52,7 @@
     private final SoakSite site;
     private final SplittableRandom random;
     private final SplittableRandom additionalRandom;
+    private final SplittableRandom furtherRandom;
     private final List<Thread> crashingCallers = new ArrayList<>();
     private final List<SoakCall> calls = Collections.synchronizedList(new ArrayList<>());
     private final Map<SoakFault, Integer> faultCounts = new EnumMap<>(SoakFault.class);
@@ -63,6 +65,7 @@
         this.site = site;
         random = new SplittableRandom(seed);
         additionalRandom = new SplittableRandom(~seed);
+        furtherRandom = new SplittableRandom(Long.reverse(seed));
     }
 
     /**
@@ -135,11 +138,8 @@
         long end = System.nanoTime() + millis * NANOS_PER_MILLI;
         while (System.nanoTime() < end) {
             injectFault(SoakFault.SINGLE.get(random.nextInt(SoakFault.SINGLE.size())), random);
-            if (additionalRandom.nextInt(FAULTS_PER_ADDITIONAL) == 0) {
-                injectFault(
-                        SoakFault.ADDITIONAL.get(additionalRandom.nextInt(SoakFault.ADDITIONAL.size())),
-                        additionalRandom);
-            }
+            injectSometimes(SoakFault.ADDITIONAL, additionalRandom);
+            injectSometimes(SoakFault.FURTHER, furtherRandom);
             Poll.pause(random.nextLong(200, 1_200));
             runDueRepairs();
             replaceCrashedReplicas();
@@ -150,6 +150,12 @@
         replaceCrashedReplicas();
     }
 
+    private void injectSometimes(List<SoakFault> faults, SplittableRandom draw) {
+        if (draw.nextInt(FAULTS_PER_ADDITIONAL) == 0) {
+            injectFault(faults.get(draw.nextInt(faults.size())), draw);
+        }
+    }
+
     /** Writes to the store, which is not possible while it is down. */
     private void replaceCrashedReplicas() {
         if (activeStoreOutages == 0) {
@@ -234,6 +240,11 @@
                 scheduleRepair(LIMITED_PERIODS * millis, () -> site.limitReplica(replica, Option.none()));
             }
             case CRASHING_REQUEST -> sendCrashingRequest(draw);
+            case REPLICA_CLOSE_DELIMITED -> {
+                BodyEnd end = BodyEnd.values()[draw.nextInt(1, BodyEnd.values().length)];
+                site.endBodies(replica, end);
+                scheduleRepair(millis, () -> site.endBodies(replica, BodyEnd.MARKED));
+            }
             default -> throw new IllegalStateException("unsupported fault " + fault);
         }
     }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
@@ -31,11 +31,16 @@
     /** A replica names a limit of its requests temporarily. */
     REPLICA_LIMITED,
     /** A request that crashes each replica that runs it is sent to several hosts. */
-    CRASHING_REQUEST;
+    CRASHING_REQUEST,
+    /** The responses of a replica end with their connections temporarily, whole, cut or reset. */
+    REPLICA_CLOSE_DELIMITED;
 
     /** The faults that are drawn one at a time; the others are drawn beside them, so that the draw of a seed stays. */
     static final List<SoakFault> SINGLE = List.of(values()).subList(0, REPLICA_LIMITED.ordinal());
 
     /** The faults that are drawn beside the single ones. */
-    static final List<SoakFault> ADDITIONAL = List.of(values()).subList(REPLICA_LIMITED.ordinal(), values().length);
+    static final List<SoakFault> ADDITIONAL = List.of(REPLICA_LIMITED, CRASHING_REQUEST);
+
+    /** The faults that are drawn beside both, for the same reason. */
+    static final List<SoakFault> FURTHER = List.of(REPLICA_CLOSE_DELIMITED);
 }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -19,6 +19,7 @@
 import org.rattanplank.standins.http.EventLoop;
 import org.rattanplank.standins.link.Link;
 import org.rattanplank.standins.platform.SiteStore;
+import org.rattanplank.standins.site.BodyEnd;
 import org.rattanplank.standins.site.SiteConfigurations;
 import org.rattanplank.standins.site.SiteHost;
 import org.rattanplank.standins.site.SiteReplica;
@@ -55,6 +56,7 @@
     private final Map<String, Integer> runCounts = new ConcurrentHashMap<>();
     private final Map<String, Link> linksToCrash = new ConcurrentHashMap<>();
     private final Map<String, String> limitsByReplica = new ConcurrentHashMap<>();
+    private final Map<String, BodyEnd> bodyEnds = new ConcurrentHashMap<>();
     private final Queue<String> crashedReplicas = new ConcurrentLinkedQueue<>();
     private final AtomicInteger crashCount = new AtomicInteger();
     private int lastReplicaNumber;
@@ -158,6 +160,11 @@
         }
     }
 
+    /** Sets how a replica ends the bodies of its responses. */
+    void endBodies(String id, BodyEnd end) {
+        bodyEnds.put(id, end);
+    }
+
     /** Returns how many replicas have crashed under a request. */
     int crashCount() {
         return crashCount.get();
@@ -235,6 +242,11 @@
             crashedReplicas.add(id);
         }
 
+        @Override
+        public BodyEnd bodyEnd() {
+            return bodyEnds.getOrDefault(id, BodyEnd.MARKED);
+        }
+
         @Override
         public Option<String> rateLimit() {
             return Option.of(limitsByReplica.get(id));
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/http/Exchange.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/http/Exchange.java
@@ -168,6 +168,29 @@
         channel.writeAndFlush(response);
     }
 
+    /**
+     * Starts a response with neither a length nor chunks, which ends with its connection.
+     *
+     * @param contentType the content type
+     * @param additionalHeaders additional headers
+     */
+    public void startCloseDelimited(String contentType, Map<String, String> additionalHeaders) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        addHeaders(response, contentType, additionalHeaders);
+        HttpUtil.setKeepAlive(response, false);
+        channel.writeAndFlush(response);
+    }
+
+    /** Closes the connection in an orderly way after everything that was sent. */
+    public void closeAfterWrites() {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /** Resets the connection after everything that was sent. */
+    public void resetAfterWrites() {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> reset());
+    }
+
     /**
      * Sends a chunk of a started response.
      *
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
@@ -6,6 +6,7 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Option;
 import org.rattanplank.gateway.HeaderNames;
 import org.rattanplank.platform.PlatformHeaders;
@@ -84,30 +85,45 @@
             loop.schedule(CRASH_DELAY_MILLIS, listener::crashed);
             return;
         }
+        BodyEnd end = listener.bodyEnd();
         if (streams) {
-            exchange.startStream("text/event-stream", echo);
-            sendEvent(
-                    exchange,
-                    requestId,
-                    exchange.header(headerNames.lastEventId())
-                                    .map(Integer::parseInt)
-                                    .getOrElse(0)
-                            + 1);
+            end.start(exchange, "text/event-stream", echo);
+            int lastEventId = exchange.header(headerNames.lastEventId())
+                    .map(Integer::parseInt)
+                    .getOrElse(0);
+            sendEvent(exchange, end, requestId, lastEventId + 1);
         } else {
-            exchange.respond(STATUS_OK, echo, Json.object().put("by", id).put("for", requestId));
+            respond(exchange, end, echo, Json.object().put("by", id).put("for", requestId));
         }
     }
 
-    private void sendEvent(Exchange exchange, String requestId, int number) {
+    private static void respond(Exchange exchange, BodyEnd end, Map<String, String> echo, JsonNode value) {
+        if (end == BodyEnd.MARKED) {
+            exchange.respond(STATUS_OK, echo, value);
+            return;
+        }
+        String body = Json.write(value);
+        end.start(exchange, "application/json", echo);
+        exchange.sendChunk(end.breaksOff(false) ? body.substring(0, body.length() / 2) : body);
+        end.end(exchange);
+    }
+
+    private void sendEvent(Exchange exchange, BodyEnd end, String requestId, int number) {
         if (!exchange.isOpen()) {
             return;
         }
         if (number > EVENT_COUNT) {
-            exchange.endStream();
+            end.end(exchange);
+            return;
+        }
+        String event = "id: " + number + "\ndata: line " + number + " for " + requestId + " by " + id + "\n\n";
+        if (number == EVENT_COUNT && end.breaksOff(true)) {
+            exchange.sendChunk(event.substring(0, event.length() - 1));
+            end.end(exchange);
             return;
         }
-        exchange.sendChunk("id: " + number + "\ndata: line " + number + " for " + requestId + " by " + id + "\n\n");
-        loop.schedule(EVENT_INTERVAL_MILLIS, () -> sendEvent(exchange, requestId, number + 1));
+        exchange.sendChunk(event);
+        loop.schedule(EVENT_INTERVAL_MILLIS, () -> sendEvent(exchange, end, requestId, number + 1));
     }
 
     /** Observes a replica and sets what it names. Called on its event loop. */
@@ -123,6 +139,15 @@
         /** Called when the replica crashes under a request. */
         default void crashed() {}
 
+        /**
+         * Returns how the replica ends the body of its next response.
+         *
+         * @return the end
+         */
+        default BodyEnd bodyEnd() {
+            return BodyEnd.MARKED;
+        }
+
         /**
          * Returns the limit that the replica names in its responses.
          *
