Relay streams in rattanplankd that end with their connections

An engine that streams until it closes had its stream refused after it had run it. Whether a stream is whole is told by its closing event in any case, so that its framing needn't tell it. Bodies that are no streams stay refused.

TargetsTest: a whole stream failed before; cut at each other byte it is lost, and so is a body without a length (both held before).

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -18,10 +19,12 @@
 /**
  * Writes one request and reads its response.
  *
- * <p>Invariants: the listener is notified of one end at most; a response of unknown length never counts as complete, since
- * a truncated one would look the same. Confined to the channel's event loop except for {@link #detach}.
+ * <p>Invariants: the listener is notified of one end at most; a body that is no event stream and has neither a length nor
+ * chunks never counts as complete, since a truncated one would look the same. Confined to the channel's event loop except for {@link #detach}.
  */
 final class ExchangeHandler extends SimpleChannelInboundHandler<HttpObject> {
+    private static final String EVENT_STREAM = HttpHeaderValues.TEXT_EVENT_STREAM.toString();
+
     private final ExchangeRequest request;
     private final ExchangeListener listener;
     private boolean maybeSent;
@@ -101,7 +104,13 @@
         boolean bodiless = request.method().equals("HEAD")
                 || status == HttpResponseStatus.NO_CONTENT.code()
                 || status == HttpResponseStatus.NOT_MODIFIED.code();
-        if (!bodiless && !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) {
+        // The closing event of a stream tells its listener whether it is complete.
+        boolean eventStream = status == HttpResponseStatus.OK.code()
+                && response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
+        if (!bodiless
+                && !eventStream
+                && !HttpUtil.isContentLengthSet(response)
+                && !HttpUtil.isTransferEncodingChunked(response)) {
             fail("the response has neither a content length nor chunked encoding");
             return false;
         }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeListener.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeListener.java
@@ -23,7 +23,10 @@
      */
     void contentReceived(byte[] bytes);
 
-    /** Called when the body was received completely according to its content length or chunked encoding. */
+    /**
+     * Called when the body was received completely according to its content length or chunked encoding. An event stream
+     * with neither has ended with its connection, and may be truncated.
+     */
     void ended();
 
     /**
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/TargetsTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/TargetsTest.java
@@ -158,6 +158,40 @@
         }
     }
 
+    /** Guards against a stream that is refused after its engine has run it, as its end is marked by its last event alone. */
+    @Test
+    void shouldRelayAStreamWhenItEndsWithItsConnectionAfterTheClosingEvent() throws Exception {
+        String whole = STREAM.replace("Transfer-Encoding: chunked\r\n", "") + "id: 0\ndata: p0\n\ndata: [DONE]\n\n";
+        try (RawServer target = RawServer.of(respond(whole))) {
+            AttemptResult result = run(target, TestFixtures.CHAT, 0);
+
+            assertInstanceOf(AttemptResult.Completed.class, result);
+            assertEquals(List.of("id: 0\ndata: p0\n\n"), requester.streamEvents());
+        }
+    }
+
+    /** Guards against a stream that counts as complete though its connection ended before its closing event. */
+    @Test
+    void shouldEndAsLostWhenAStreamEndsWithItsConnectionAnywhereElse() throws Exception {
+        String body = "id: 0\ndata: p0\n\ndata: [DONE]\n\n";
+        for (int length = 0; length < body.length(); length++) {
+            String cut = STREAM.replace("Transfer-Encoding: chunked\r\n", "") + body.substring(0, length);
+            try (RawServer target = RawServer.of(respond(cut))) {
+                AttemptResult result = run(target, TestFixtures.CHAT, 0);
+
+                assertInstanceOf(AttemptResult.Lost.class, result, "after " + length + " bytes");
+            }
+        }
+    }
+
+    /** Guards against a body without a length that counts as complete though it may be truncated. */
+    @Test
+    void shouldEndAsLostWhenABodyThatIsNoStreamEndsWithItsConnection() throws Exception {
+        try (RawServer target = RawServer.of(respond(OK + "\r\nhalf"))) {
+            assertInstanceOf(AttemptResult.Lost.class, run(target, "/book", 0));
+        }
+    }
+
     /*
      * Guards against a request that is executed twice because its caller retries after a wrong "not run": the
      * connection is refused, or it ends after the request was written, or the target rejects the request. Happens when
