Test answers without a body, and requests whose bodies are cut

Neighbours of the truncated answers: 204, 304 and HEAD end with nothing that marks their end and stay complete; a request whose caller left before its body was whole never runs. Both held before.

--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TruncatedResponseFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TruncatedResponseFlowTest.java
@@ -234,6 +234,48 @@
         assertTrue(answer.contains("id: 2\ndata: b\n\n"), answer);
     }
 
+    /** Guards against answers that have no body and count as truncated, as nothing marks their end. */
+    @Test
+    void shouldCompleteAnAnswerWhenItHasNoBody() throws Exception {
+        gateway.configure(RouteKind.UNSAFE, false, 1);
+        addTarget("t", (request, out) -> {
+            String status = request.startsWith("HEAD") ? "200 OK" : TestTarget.header(request, "request-id") + " X";
+            TestTarget.write(
+                    out,
+                    "HTTP/1.1 " + status + "\r\nRequest-Id: " + TestTarget.header(request, "request-id") + "\r\n\r\n");
+        });
+        gateway.awaitTargets(1);
+
+        for (String status : List.of("204", "304")) {
+            String answer = gateway.caller().send(request(status)).readUntil("\r\n\r\n");
+            assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+        }
+        String head = gateway.caller()
+                .send("HEAD /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q\r\nTime-Left: 8000\r\n\r\n")
+                .readUntil("\r\n\r\n");
+        assertTrue(head.startsWith("HTTP/1.1 200"), head);
+    }
+
+    /** Guards against a request that is run though its caller left before its body was whole. */
+    @Test
+    void shouldNotRunARequestWhenItsBodyIsCut() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        TestTarget target =
+                addTarget("t", (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "")));
+        gateway.awaitTargets(1);
+        String head = "POST /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: cut\r\nTime-Left: 8000\r\n";
+
+        for (String cut : List.of("Content-Length: 5\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")) {
+            try (TestCaller caller = gateway.caller()) {
+                caller.send(head + cut);
+            }
+        }
+        gateway.caller().send(request("whole")).readUntil("\r\n\r\n");
+
+        assertEquals("whole", TestTarget.header(target.nextRequest(), "request-id"));
+        assertEquals(0, target.unreadRequests());
+    }
+
     /** Forwards a request as another region's host does, and returns how it failed. */
     private String forward() throws IOException {
         try (TestPeer peer = gateway.peer()) {
