Add failing tests of a prompt part that crashes targets

Requests that differ, but share one part of their prompts, crash 19 and 20 of 20 targets through one host, and in two regions until sound requests are refused. Nothing is quarantined, listed or recorded.

--- /dev/null
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PromptPartQuarantineFlowTest.java
@@ -0,0 +1,202 @@
+package org.rattanplank.gateway;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.rattanplank.core.gateway.RouteKind;
+import org.rattanplank.core.gateway.TargetIncarnation;
+import org.rattanplank.gateway.store.ClusterEvent;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests requests that differ but share a prompt part which crashes each target that begins to answer them. */
+@Timeout(60)
+class PromptPartQuarantineFlowTest {
+    /** The maximum number of targets that one part may crash before requests with it are rejected. */
+    private static final int MAX_CRASHES = 5;
+
+    private static final int CRASHING_REQUESTS = 10;
+    private static final int TARGETS = 2 * CRASHING_REQUESTS;
+    private static final String CRASHING_PART = "bad";
+
+    private final AtomicInteger crashes = new AtomicInteger();
+    private final List<AutoCloseable> resources = new ArrayList<>();
+    private volatile String crashingPart = CRASHING_PART;
+    private int requests;
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable each : resources) {
+            each.close();
+        }
+    }
+
+    private TestGateway gateway(String name, String region) throws IOException {
+        TestGateway gateway = new TestGateway(name, region);
+        resources.add(gateway);
+        return gateway.configure(RouteKind.SAFE, false, 2);
+    }
+
+    /** Adds targets that crash when a request with the crashing part arrives. */
+    private void addTargets(TestGateway gateway, String prefix, int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            TestTarget[] self = new TestTarget[1];
+            self[0] = new TestTarget((request, out) -> {
+                if (TestTarget.header(request, "parts").contains(crashingPart + ":")) {
+                    crashes.incrementAndGet();
+                    self[0].crash();
+                    throw new IOException("crashed by the test");
+                }
+                TestTarget.write(out, TestTarget.answer(request, 200, "done"));
+            });
+            resources.add(self[0]);
+            gateway.registerTarget(new TargetIncarnation(prefix + i, 0), self[0].port());
+        }
+        gateway.awaitTargets(count);
+    }
+
+    /** Sends a request that no other is like, and returns the head of its response. */
+    private String send(TestGateway gateway, String sharedParts) throws IOException {
+        requests++;
+        return gateway.caller()
+                .send("POST /a/" + requests + " HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q" + requests
+                        + "\r\nTokens: 100,10\r\nParts: " + sharedParts + ",own" + requests + ":30"
+                        + "\r\nTime-Left: 8000\r\nContent-Length: 1\r\n\r\nx")
+                .readUntil("\r\n\r\n");
+    }
+
+    private String sendCrashing(TestGateway gateway) throws IOException {
+        return send(gateway, "first:50," + CRASHING_PART + ":20");
+    }
+
+    private String sendSound(TestGateway gateway) throws IOException {
+        return send(gateway, "first:50,good:20");
+    }
+
+    private TestGateway gatewayWithQuarantine() throws IOException {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", TARGETS);
+        for (int i = 0; i < CRASHING_REQUESTS; i++) {
+            sendCrashing(gateway);
+            sendSound(gateway);
+        }
+        return gateway;
+    }
+
+    /** Guards against requests that crash one target after the other, as they share nothing but a part of their prompts. */
+    @Test
+    void shouldRejectRequestsWithAPartWhenTargetsCrashedUnderIt() throws Exception {
+        TestGateway gateway = gatewayWithQuarantine();
+
+        String rejected = sendCrashing(gateway);
+
+        assertTrue(crashes.get() <= MAX_CRASHES, () -> crashes + " targets crashed");
+        assertTrue(rejected.startsWith("HTTP/1.1 503 "), rejected);
+        assertFalse(rejected.toLowerCase(java.util.Locale.ROOT).contains("retry-after"), rejected);
+        assertTrue(sendSound(gateway).startsWith("HTTP/1.1 200 "));
+    }
+
+    /** Guards against a part that crashes targets through one host after the other, also of other regions. */
+    @Test
+    void shouldRejectRequestsWithAPartWhenTargetsCrashedUnderItAtSeveralHosts() throws Exception {
+        TestGateway one = gateway("h1", "suva");
+        TestGateway other = gateway("h2", "labasa");
+        one.connect(other);
+        addTargets(one, "t", TARGETS);
+        addTargets(other, "u", TARGETS);
+
+        for (int i = 0; i < CRASHING_REQUESTS; i++) {
+            sendCrashing(one);
+            assertTrue(sendSound(one).startsWith("HTTP/1.1 200 "));
+            sendCrashing(other);
+            assertTrue(sendSound(other).startsWith("HTTP/1.1 200 "));
+        }
+
+        assertTrue(crashes.get() <= MAX_CRASHES, () -> crashes + " targets crashed");
+    }
+
+    /** Guards against the part that nearly all requests begin with being blamed for the one that crashes targets. */
+    @Test
+    void shouldServeRequestsWithTheOtherPartsWhenNoneWasServedInBetween() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", TARGETS);
+        for (int i = 0; i < CRASHING_REQUESTS; i++) {
+            sendCrashing(gateway);
+        }
+
+        assertTrue(crashes.get() <= MAX_CRASHES, () -> crashes + " targets crashed");
+        assertTrue(sendSound(gateway).startsWith("HTTP/1.1 200 "));
+        assertTrue(send(gateway, "first:50").startsWith("HTTP/1.1 200 "));
+    }
+
+    /** Guards against a host that starts or is connected again and lets requests with a quarantined part through. */
+    @Test
+    void shouldRejectRequestsWithAQuarantinedPartWhenAHostConnectsLater() throws Exception {
+        TestGateway one = gatewayWithQuarantine();
+        TestGateway later = gateway("h2", "labasa");
+        addTargets(later, "u", TARGETS);
+        int before = crashes.get();
+        one.connect(later);
+        later.awaitLogged("\"event\":\"quarantined\"");
+
+        String rejected = sendCrashing(later);
+
+        assertEquals(before, crashes.get());
+        assertTrue(rejected.startsWith("HTTP/1.1 503 "), rejected);
+        assertTrue(sendSound(later).startsWith("HTTP/1.1 200 "));
+    }
+
+    /** Guards against hosts that have all restarted, and let a quarantined part crash targets once more. */
+    @Test
+    void shouldRejectRequestsWithAQuarantinedPartWhenAllHostsHaveRestarted() throws Exception {
+        TestGateway gateway = gatewayWithQuarantine();
+        gateway.awaitStoredQuarantine();
+        TestGateway restarted = gateway("h2", "suva");
+        for (ClusterEvent.QuarantineChanged stored : gateway.storedQuarantines()) {
+            restarted.putQuarantine(stored);
+        }
+        addTargets(restarted, "u", TARGETS);
+        int before = crashes.get();
+
+        String rejected = sendCrashing(restarted);
+
+        assertEquals(before, crashes.get());
+        assertTrue(rejected.startsWith("HTTP/1.1 503 "), rejected);
+    }
+
+    /** Guards against a quarantine of a part that nobody can find or end before it lapses. */
+    @Test
+    void shouldServeRequestsAgainWhenAnOperatorLiftsTheQuarantineOfAPart() throws Exception {
+        TestGateway gateway = gatewayWithQuarantine();
+        crashingPart = "none";
+        String listed = gateway.admin("GET", "/quarantine");
+        String fingerprint = listed.replaceAll("(?s).*\"fingerprint\":\"([0-9a-f]{32})\".*", "$1");
+        assertTrue(listed.contains("\"promptParts\":[\"" + CRASHING_PART + "\"]"), listed);
+
+        String lifted = gateway.admin("DELETE", "/quarantine/" + fingerprint);
+
+        assertTrue(lifted.startsWith("HTTP/1.1 200 "), lifted);
+        assertTrue(sendCrashing(gateway).startsWith("HTTP/1.1 200 "));
+    }
+
+    /** Guards against a sound part that is refused, as targets crashed by themselves under requests with it. */
+    @Test
+    void shouldServeRequestsWithAPartWhenTargetsCrashedUnderOneOfThemOnly() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", TARGETS);
+        for (int i = 0; i < CRASHING_REQUESTS; i++) {
+            sendCrashing(gateway);
+            assertTrue(send(gateway, "first:50,rare:20").startsWith("HTTP/1.1 200 "));
+        }
+
+        assertEquals(0, gateway.countLogged("\"promptParts\":[\"first\"]"));
+        assertEquals(0, gateway.countLogged("rare"));
+    }
+}
