--- a/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
@@ -13,6 +13,7 @@
 import org.rattanplank.core.quarantine.CrashQuarantine;
 import org.rattanplank.core.quarantine.EvidenceChange;
 import org.rattanplank.core.quarantine.Fingerprint;
+import org.rattanplank.core.quarantine.LostRequest;
 import org.rattanplank.core.quarantine.QuarantinedRequest;
 import org.rattanplank.core.request.Failure;
 import org.rattanplank.core.request.Request;
@@ -77,7 +78,7 @@
         Fingerprint inFlight = request.fingerprint().get();
         Option<EvidenceChange> change = locked(() -> completed.fingerprints().contains(inFlight)
                 ? Option.<EvidenceChange>none()
-                : Option.some(quarantine.recordCrash(crash, Set.of(inFlight), self, nowMillis)));
+                : Option.some(quarantine.recordCrash(crash, Set.of(LostRequest.of(inFlight)), self, nowMillis)));
         change.forEach(recorded -> send(recorded, "", effects));
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
@@ -10,9 +10,11 @@
 import java.util.Set;
 
 import io.vavr.Lazy;
+import io.vavr.control.Option;
 
 /**
- * Quarantines requests that crash the targets that run them, from evidence that all hosts exchange.
+ * Quarantines requests that crash the targets that run them, and prompt parts that crash the targets that answer requests
+ * with them, from evidence that all hosts exchange.
  *
  * <p>Invariants: merging evidence in any order, late or several times gives the same result; evidence expires, and the
  * oldest of requests with few crashes is dropped first when there is too much of it; a request that a target has
@@ -36,7 +38,7 @@
 
     private final Map<Fingerprint, Map<String, Entry>> entries = new LinkedHashMap<>();
     private int size;
-    private Set<Fingerprint> quarantined = Set.of();
+    private Blame blame = Blame.NONE;
 
     private CrashQuarantine() {}
 
@@ -65,7 +67,38 @@
      * @return whether it is quarantined
      */
     public boolean isQuarantined(Fingerprint fingerprint) {
-        return quarantined.contains(fingerprint);
+        return blame.requests().contains(fingerprint);
+    }
+
+    /**
+     * Returns the prompt parts for which a request must not be sent to any target.
+     *
+     * @param promptParts the identifiers of the parts of the request that others may share
+     * @return the identifiers of those that are quarantined together, or none if it may be sent
+     */
+    public List<String> quarantinedParts(List<String> promptParts) {
+        if (blame.partGroups().isEmpty() || promptParts.isEmpty()) {
+            return List.of();
+        }
+        Map<Fingerprint, String> parts = new HashMap<>();
+        promptParts.forEach(id -> parts.put(Fingerprint.ofPromptPart(id), id));
+        for (Set<Fingerprint> group : blame.partGroups()) {
+            if (parts.keySet().containsAll(group)) {
+                return group.stream().map(parts::get).sorted().toList();
+            }
+        }
+        return List.of();
+    }
+
+    /**
+     * Returns whether a request must not be sent to any target.
+     *
+     * @param request the request
+     * @return whether it or one of its prompt parts is quarantined
+     */
+    public boolean isQuarantined(RequestIdentity request) {
+        return isQuarantined(request.fingerprint())
+                || !quarantinedParts(request.promptParts()).isEmpty();
     }
 
     /**
@@ -89,6 +122,30 @@
         return isEmpty() || mayRetry(fingerprint.get());
     }
 
+    /**
+     * Returns whether a host may retry a request, or continue it elsewhere, on its own.
+     *
+     * @param request the request
+     * @return whether so few targets crashed under it, and under different requests with one of its prompt parts, that it
+     *     is probably not the cause
+     */
+    public boolean mayRetry(RequestIdentity request) {
+        if (!mayRetry(request.fingerprint())) {
+            return false;
+        }
+        for (String id : request.promptParts()) {
+            Map<String, Entry> crashes = entries.getOrDefault(Fingerprint.ofPromptPart(id), Map.of());
+            long requests = usesOf(crashes).values().stream()
+                    .map(PromptPartUse::request)
+                    .distinct()
+                    .count();
+            if (requests >= CRASHES_WITHOUT_RETRY) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     boolean mayRetry(Fingerprint fingerprint) {
         return crashCount(entries.getOrDefault(fingerprint, Map.of())) < CRASHES_WITHOUT_RETRY;
     }
@@ -97,18 +154,23 @@
      * Records a crash that this host has noticed.
      *
      * @param target the text of the target's incarnation
-     * @param inFlight the requests of this host that were in flight there
+     * @param lost the requests of this host that were in flight there
      * @param source the name of this host
      * @param nowMillis the time
      * @return the change
      */
-    public EvidenceChange recordCrash(String target, Collection<Fingerprint> inFlight, String source, long nowMillis) {
-        return merge(
-                inFlight.stream()
-                        .map(fingerprint -> new CrashEvidence(target, fingerprint, false, 0))
-                        .toList(),
-                source,
-                nowMillis);
+    public EvidenceChange recordCrash(String target, Collection<LostRequest> lost, String source, long nowMillis) {
+        List<CrashEvidence> evidence = new ArrayList<>();
+        Map<String, PromptPartUse> usesByPart = new HashMap<>();
+        for (LostRequest each : lost) {
+            Fingerprint request = each.identity().fingerprint();
+            evidence.add(new CrashEvidence(target, request, false, 0));
+            for (String id : each.identity().promptParts()) {
+                usesByPart.merge(id, new PromptPartUse(id, request, each.inFlightMillis()), PromptPartUse::merge);
+            }
+        }
+        usesByPart.values().forEach(use -> evidence.add(CrashEvidence.ofPromptPart(target, use, false, 0)));
+        return merge(evidence, source, nowMillis);
     }
 
     /**
@@ -130,22 +192,46 @@
     }
 
     /**
-     * Clears a request of all crashes known so far, as a target has completed it or an operator lifts its quarantine.
+     * Clears a request or a prompt part of all crashes known so far, as a target has completed it or an operator lifts its
+     * quarantine.
      *
-     * @param fingerprint the request
+     * @param fingerprint the request or the part
      * @param nowMillis the time
      * @return the change
      */
     public EvidenceChange clear(Fingerprint fingerprint, long nowMillis) {
+        return clear(fingerprint, nowMillis, nowMillis);
+    }
+
+    /**
+     * Clears a request or a prompt part of the crashes until a time.
+     *
+     * @param fingerprint the request or the part
+     * @param untilMillis the time until which crashes are not its fault
+     * @param nowMillis the time
+     * @return the change
+     */
+    public EvidenceChange clear(Fingerprint fingerprint, long untilMillis, long nowMillis) {
         List<CrashEvidence> cleared = new ArrayList<>();
         entries.getOrDefault(fingerprint, Map.of()).forEach((target, entry) -> {
-            if (!entry.cleared) {
-                cleared.add(new CrashEvidence(target, fingerprint, true, entry.ageMillis(nowMillis)));
+            // Threads of a host may come with slightly older times than others.
+            if (!entry.cleared && (untilMillis >= nowMillis || entry.atMillis <= untilMillis)) {
+                cleared.add(new CrashEvidence(target, fingerprint, entry.partUse, true, entry.ageMillis(nowMillis)));
             }
         });
         return merge(cleared, "", nowMillis);
     }
 
+    /**
+     * Returns what is quarantined together with a request or a prompt part.
+     *
+     * @param fingerprint the request or the part
+     * @return it and the parts that no crash tells from it; empty if it is not quarantined
+     */
+    public Set<Fingerprint> quarantinedWith(Fingerprint fingerprint) {
+        return isQuarantined(fingerprint) ? Set.of(fingerprint) : blame.groupOf(fingerprint);
+    }
+
     /**
      * Drops expired evidence.
      *
@@ -160,7 +246,7 @@
         }
         if (size < before) {
             entries.values().removeIf(Map::isEmpty);
-            quarantined = blamed();
+            blame = decide();
         }
     }
 
@@ -177,35 +263,38 @@
     }
 
     /**
-     * Returns the evidence against one request.
+     * Returns the evidence against one request or prompt part.
      *
-     * @param fingerprint the request
+     * @param fingerprint the request or the part
      * @param nowMillis the time
      * @return the evidence, also what was cleared
      */
     public List<CrashEvidence> evidence(Fingerprint fingerprint, long nowMillis) {
         List<CrashEvidence> evidence = new ArrayList<>();
         entries.getOrDefault(fingerprint, Map.of())
-                .forEach((target, entry) -> evidence.add(
-                        new CrashEvidence(target, fingerprint, entry.cleared, entry.ageMillis(nowMillis))));
+                .forEach((target, entry) -> evidence.add(new CrashEvidence(
+                        target, fingerprint, entry.partUse, entry.cleared, entry.ageMillis(nowMillis))));
         return evidence;
     }
 
     /**
-     * Returns the requests that are quarantined.
+     * Returns the requests and prompt parts that are quarantined.
      *
      * @param nowMillis the time
-     * @return the requests with the crashes of each
+     * @return the requests and parts with the crashes of each
      */
     public List<QuarantinedRequest> quarantined(long nowMillis) {
-        return quarantined.stream()
+        return blame.suspects().stream()
                 .map(fingerprint -> quarantinedRequest(fingerprint, nowMillis))
                 .toList();
     }
 
     private QuarantinedRequest quarantinedRequest(Fingerprint fingerprint, long nowMillis) {
+        List<String> promptParts =
+                blame.groupOf(fingerprint).stream().map(this::partId).sorted().toList();
         return new QuarantinedRequest(
                 fingerprint,
+                promptParts,
                 entries.get(fingerprint).entrySet().stream()
                         .filter(each -> !each.getValue().cleared)
                         .sorted(Comparator.comparingLong(each -> each.getValue().atMillis))
@@ -216,40 +305,48 @@
                         .toList());
     }
 
+    private String partId(Fingerprint part) {
+        return entries.get(part).values().stream()
+                .flatMap(entry -> entry.partUse.toJavaStream())
+                .map(PromptPartUse::id)
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Adds evidence and returns whether it tells anything new. */
     private boolean add(CrashEvidence evidence, String source, long nowMillis) {
         Map<String, Entry> crashes = entries.computeIfAbsent(evidence.fingerprint(), each -> new HashMap<>());
         Entry known = crashes.get(evidence.target());
-        if (known != null && (known.cleared || !evidence.cleared())) {
-            return false;
-        }
         if (known == null) {
             size++;
-            crashes.put(evidence.target(), new Entry(nowMillis - evidence.ageMillis(), evidence.cleared(), source));
-        } else {
-            crashes.put(evidence.target(), new Entry(known.atMillis, true, known.source));
+            long atMillis = nowMillis - evidence.ageMillis();
+            crashes.put(evidence.target(), new Entry(atMillis, evidence.cleared(), evidence.partUse(), source));
+            return true;
         }
-        return true;
+        Entry merged = known.merge(evidence);
+        crashes.put(evidence.target(), merged);
+        return !merged.equals(known);
     }
 
     private EvidenceChange changed(List<CrashEvidence> news, long nowMillis) {
-        Set<Fingerprint> before = quarantined;
+        Set<Fingerprint> before = blame.suspects();
         if (dropExcess() || mayChangeBlame(news)) {
-            quarantined = blamed();
+            blame = decide();
         }
         return new EvidenceChange(
                 news,
-                quarantined.stream()
+                blame.suspects().stream()
                         .filter(fingerprint -> !before.contains(fingerprint))
                         .map(fingerprint -> quarantinedRequest(fingerprint, nowMillis))
                         .toList());
     }
 
     /**
-     * Returns whether new evidence may change which requests are to blame. Most evidence is of requests with one or two
+     * Returns whether new evidence may change what is to blame. Most evidence is of requests and parts with one or two
      * crashes, beside one that is quarantined already.
      */
     private boolean mayChangeBlame(List<CrashEvidence> news) {
+        Set<Fingerprint> quarantined = blame.suspects();
         if (news.stream().anyMatch(each -> quarantined.contains(each.fingerprint()))) {
             return true;
         }
@@ -261,10 +358,28 @@
         return false;
     }
 
-    private Set<Fingerprint> blamed() {
+    private Blame decide() {
         Map<Fingerprint, Map<String, Long>> crashTimes = new HashMap<>();
-        entries.forEach((fingerprint, crashes) -> crashTimes.put(fingerprint, crashTimes(crashes)));
-        return CrashBlame.of(crashTimes);
+        Map<Fingerprint, Map<String, PromptPartUse>> usesByPart = new HashMap<>();
+        entries.forEach((fingerprint, crashes) -> {
+            crashTimes.put(fingerprint, crashTimes(crashes));
+            Map<String, PromptPartUse> uses = usesOf(crashes);
+            if (!uses.isEmpty()) {
+                usesByPart.put(fingerprint, uses);
+            }
+        });
+        return CrashBlame.of(crashTimes, usesByPart);
+    }
+
+    /** Returns the uses of a part at the crashes of which it is not cleared; empty if the suspect is a request. */
+    private static Map<String, PromptPartUse> usesOf(Map<String, Entry> crashes) {
+        Map<String, PromptPartUse> uses = new HashMap<>();
+        crashes.forEach((target, entry) -> {
+            if (!entry.cleared) {
+                entry.partUse.forEach(use -> uses.put(target, use));
+            }
+        });
+        return uses;
     }
 
     private static Map<String, Long> crashTimes(Map<String, Entry> crashes) {
@@ -312,10 +427,16 @@
         return crashes.values().stream().mapToLong(Entry::atMillis).max().orElse(0);
     }
 
-    private record Entry(long atMillis, boolean cleared, String source) {
+    private record Entry(long atMillis, boolean cleared, Option<PromptPartUse> partUse, String source) {
         /** Returns the time since the crash; threads of a host may come with slightly older times than others. */
         private long ageMillis(long nowMillis) {
             return Math.max(0, nowMillis - atMillis);
         }
+
+        private Entry merge(CrashEvidence evidence) {
+            Option<PromptPartUse> use =
+                    partUse.flatMap(own -> evidence.partUse().map(own::merge));
+            return new Entry(atMillis, cleared || evidence.cleared(), use.orElse(partUse), source);
+        }
     }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.Comparator;
 import java.util.regex.Pattern;
 
 import io.vavr.Lazy;
@@ -22,6 +23,13 @@
     private static final Pattern TEXT = Pattern.compile("[0-9a-f]{32}");
     private static final int HEXADECIMAL = 16;
 
+    /** Separates the digests of prompt parts from those of requests. */
+    private static final String PROMPT_PART = "prompt part";
+
+    /** Orders fingerprints by value. */
+    static final Comparator<Fingerprint> BY_VALUE =
+            Comparator.comparingLong(Fingerprint::high).thenComparingLong(Fingerprint::low);
+
     /**
      * Computes the fingerprint of a request.
      *
@@ -37,10 +45,27 @@
         updateText(digest, method);
         updateText(digest, uri);
         digest.update(body);
+        return of(digest);
+    }
+
+    private static Fingerprint of(MessageDigest digest) {
         ByteBuffer bits = ByteBuffer.wrap(digest.digest());
         return new Fingerprint(bits.getLong(), bits.getLong());
     }
 
+    /**
+     * Computes the fingerprint of a prompt part, which no request has.
+     *
+     * @param id the identifier of the part
+     * @return the fingerprint
+     */
+    public static Fingerprint ofPromptPart(String id) {
+        MessageDigest digest = newDigest();
+        updateText(digest, PROMPT_PART);
+        updateText(digest, id);
+        return of(digest);
+    }
+
     /**
      * Returns the fingerprint of a request whose body is not known, which is therefore not recognized when it is sent again.
      *
--- a/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/CrashQuarantineTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/CrashQuarantineTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import io.vavr.Lazy;
 import net.jqwik.api.ForAll;
@@ -27,7 +28,7 @@
     private long nowMillis = 5_000;
 
     private void crash(String target, Fingerprint... inFlight) {
-        quarantine.recordCrash(target, Set.of(inFlight), "h1", nowMillis);
+        quarantine.recordCrash(target, Stream.of(inFlight).map(LostRequest::of).toList(), "h1", nowMillis);
         nowMillis += INTERVAL_MILLIS;
     }
 
@@ -187,7 +188,7 @@
         crash("t3", CRASHING);
 
         for (int i = 0; i < 5 * CrashQuarantine.MAX_EVIDENCE; i++) {
-            quarantine.recordCrash("u" + i, List.of(new Fingerprint(i, 100 + i)), "h1", nowMillis);
+            quarantine.recordCrash("u" + i, List.of(LostRequest.of(new Fingerprint(i, 100 + i))), "h1", nowMillis);
         }
 
         assertTrue(quarantine.evidence(nowMillis).size() <= CrashQuarantine.MAX_EVIDENCE);
--- a/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/CrashSimulation.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/CrashSimulation.java
@@ -18,6 +18,10 @@
  * <p>Confined to one thread; a seed gives the same run.
  */
 final class CrashSimulation {
+    /** The part that all requests with prompt parts begin with. */
+    static final String FIRST_PART = "first";
+
+    private static final String CRASHING_PART = "crashing";
     private static final int REGIONS = 3;
     private static final int HOSTS_PER_REGION = 3;
     private static final int ENGINES_PER_REGION = 3;
@@ -44,14 +48,20 @@
     private long eventCount;
     private int incarnations;
     private int requests;
+    private final List<Long> partCrashesAtMillis = new ArrayList<>();
+    private final List<Long> partSendsAtMillis = new ArrayList<>();
     private int innocentRejected;
     private int innocentServed;
     private int innocentFailed;
 
     CrashSimulation(long seed) {
+        this(seed, HOSTS_PER_REGION);
+    }
+
+    CrashSimulation(long seed, int hostsPerRegion) {
         random = new Random(seed);
         for (int region = 0; region < REGIONS; region++) {
-            for (int i = 0; i < HOSTS_PER_REGION; i++) {
+            for (int i = 0; i < hostsPerRegion; i++) {
                 hosts.add(new Host("h" + region + i, region));
             }
             for (int i = 0; i < ENGINES_PER_REGION; i++) {
@@ -66,6 +76,33 @@
         return this;
     }
 
+    /**
+     * Sends innocent requests with prompt parts to any host: the first, and one of several documents, of which each is asked
+     * for half as often as the one before.
+     */
+    CrashSimulation promptTraffic(int meanIntervalMillis, int documents) {
+        repeat(meanIntervalMillis, () -> {
+            int document = 0;
+            while (document < documents - 1 && random.nextBoolean()) {
+                document++;
+            }
+            arrive(new Request(newFingerprint(), false, List.of(FIRST_PART, "document" + document)), randomHost());
+        });
+        return this;
+    }
+
+    /** Sends requests that share a crashing part and are otherwise different to any host. */
+    CrashSimulation crashingPart(int firstMillis, int meanIntervalMillis) {
+        at(
+                firstMillis,
+                () -> repeat(
+                        meanIntervalMillis,
+                        () -> arrive(
+                                new Request(newFingerprint(), true, List.of(FIRST_PART, CRASHING_PART)),
+                                randomHost())));
+        return this;
+    }
+
     /** Sends a crashing request again and again to any host, up to three copies at once. */
     CrashSimulation crashingRequest(int firstMillis, int meanIntervalMillis) {
         Fingerprint fingerprint = newFingerprint();
@@ -150,6 +187,23 @@
                 .toList();
     }
 
+    /** Returns how many engines crashed under requests with the crashing part. */
+    int crashesUnderPart() {
+        return partCrashesAtMillis.size();
+    }
+
+    /**
+     * Returns how often requests with the crashing part were sent later than the given time after its fifth crash, by hosts
+     * that were neither cut off nor restarted within that time.
+     */
+    long partSendsAfterFifthCrash() {
+        return partCrashesAtMillis.size() < 5
+                ? 0
+                : partSendsAtMillis.stream()
+                        .filter(at -> at > partCrashesAtMillis.get(4) + STABLE_MILLIS)
+                        .count();
+    }
+
     private void at(long atMillis, Runnable action) {
         events.add(new Event(atMillis, eventCount++, action));
     }
@@ -175,7 +229,7 @@
     }
 
     private void send(Request request, Host host) {
-        if (host.quarantine.isQuarantined(request.fingerprint)) {
+        if (host.quarantine.isQuarantined(request.identity)) {
             innocentRejected += request.crashing ? 0 : 1;
             return;
         }
@@ -187,12 +241,13 @@
         }
         Engine engine = usable.get(random.nextInt(usable.size()));
         request.attempts++;
+        request.sentAtMillis = nowMillis;
         request.excluded.add(engine.name);
         engine.start(request, host);
     }
 
     private void lost(Request request, Host host) {
-        if (request.attempts < MAX_ATTEMPTS && host.quarantine.mayRetry(request.fingerprint)) {
+        if (request.attempts < MAX_ATTEMPTS && host.quarantine.mayRetry(request.identity)) {
             send(request, host);
         } else if (request.callerRetries++ < CALLER_RETRIES) {
             at(nowMillis + CALLER_RETRY_MILLIS, () -> arrive(request, randomHost()));
@@ -205,14 +260,25 @@
 
     private static final class Request {
         private final Fingerprint fingerprint;
+        private final RequestIdentity identity;
         private final boolean crashing;
         private final Set<String> excluded = new HashSet<>();
         private int attempts;
         private int callerRetries;
+        private long sentAtMillis;
 
         private Request(Fingerprint fingerprint, boolean crashing) {
+            this(fingerprint, crashing, List.of());
+        }
+
+        private Request(Fingerprint fingerprint, boolean crashing, List<String> promptParts) {
             this.fingerprint = fingerprint;
             this.crashing = crashing;
+            identity = new RequestIdentity(fingerprint, promptParts);
+        }
+
+        private boolean hasCrashingPart() {
+            return identity.promptParts().contains(CRASHING_PART);
         }
     }
 
@@ -230,12 +296,16 @@
             running.put(request, host);
             String incarnation = name;
             if (request.crashing) {
+                List<Long> sends =
+                        request.hasCrashingPart() ? partSendsAtMillis : sendsByRequest.get(request.fingerprint);
+                List<Long> crashes =
+                        request.hasCrashingPart() ? partCrashesAtMillis : crashesByRequest.get(request.fingerprint);
                 if (nowMillis - host.disturbedAtMillis > STABLE_MILLIS) {
-                    sendsByRequest.get(request.fingerprint).add(nowMillis);
+                    sends.add(nowMillis);
                 }
                 at(nowMillis + 50 + random.nextInt(250), () -> {
                     if (up && name.equals(incarnation)) {
-                        crashesByRequest.get(request.fingerprint).add(nowMillis);
+                        crashes.add(nowMillis);
                         crash();
                     }
                 });
@@ -245,6 +315,7 @@
                 if (running.remove(request) != null) {
                     innocentServed++;
                     host.publish(host.quarantine.clear(request.fingerprint, nowMillis));
+                    host.answered(request.identity.promptParts());
                 }
             });
         }
@@ -264,10 +335,7 @@
                     .forEach(host -> at(nowMillis + CHECK_MILLIS, () -> {
                         List<Request> lost = byHost.get(host);
                         host.publish(host.quarantine.recordCrash(
-                                crashed,
-                                lost.stream().map(each -> each.fingerprint).toList(),
-                                host.name,
-                                nowMillis));
+                                crashed, lost.stream().map(host::suspect).toList(), host.name, nowMillis));
                         lost.forEach(each -> lost(each, host));
                     }));
             at(nowMillis + RESTART_MILLIS, () -> {
@@ -281,6 +349,7 @@
         private final String name;
         private final int region;
         private CrashQuarantine quarantine = CrashQuarantine.empty();
+        private SoundPromptParts soundParts = SoundPromptParts.empty();
         private boolean cut;
         private long disturbedAtMillis = -STABLE_MILLIS;
 
@@ -289,6 +358,29 @@
             this.region = region;
         }
 
+        private void answered(List<String> promptParts) {
+            soundParts.answered(promptParts, nowMillis);
+            promptParts.forEach(id -> publish(quarantine.clear(Fingerprint.ofPromptPart(id), nowMillis)));
+        }
+
+        private LostRequest suspect(Request request) {
+            List<String> parts = request.identity.promptParts().stream()
+                    .filter(id -> soundParts.soundUntilMillis(id).forAll(until -> until < nowMillis))
+                    .toList();
+            return new LostRequest(new RequestIdentity(request.fingerprint, parts), nowMillis - request.sentAtMillis);
+        }
+
+        private void merge(List<CrashEvidence> evidence, String source) {
+            for (CrashEvidence each :
+                    quarantine.merge(evidence, source, nowMillis).news()) {
+                if (!each.cleared() && each.partUse().isDefined()) {
+                    soundParts
+                            .soundUntilMillis(each.partUse().get().id())
+                            .forEach(until -> publish(quarantine.clear(each.fingerprint(), until, nowMillis)));
+                }
+            }
+        }
+
         private void publish(EvidenceChange change) {
             if (!change.news().isEmpty()) {
                 hosts.forEach(other -> send(change.news(), other));
@@ -300,11 +392,12 @@
                 return;
             }
             int delay = other.region == region ? OWN_REGION_DELAY_MILLIS : OTHER_REGION_DELAY_MILLIS;
-            at(nowMillis + delay, () -> other.quarantine.merge(evidence, name, nowMillis));
+            at(nowMillis + delay, () -> other.merge(evidence, name));
         }
 
         private void restart() {
             quarantine = CrashQuarantine.empty();
+            soundParts = SoundPromptParts.empty();
             disturbedAtMillis = nowMillis;
             exchangeAll();
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/CrashNoticeExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/CrashNoticeExchange.java
@@ -1,8 +1,11 @@
 package org.rattanplank.gateway;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.gateway.pass.RequestQuarantine;
@@ -31,9 +34,10 @@
         if (!link.state().supportsCrashNotices() || !informed.add(link)) {
             return;
         }
-        List<CrashEvidence> evidence = quarantine.evidence();
-        if (!evidence.isEmpty()) {
-            link.send(new PeerFrame.CrashNotice(evidence));
+        for (PeerFrame notice : notices(quarantine.evidence())) {
+            if (isAccepted(link, notice)) {
+                link.send(notice);
+            }
         }
     }
 
@@ -49,12 +53,31 @@
     }
 
     private void send(List<CrashEvidence> evidence, boolean toOtherRegions) {
-        PeerFrame.CrashNotice notice = new PeerFrame.CrashNotice(evidence);
-        byte[] bytes = PeerLink.encode(notice);
-        for (PeerLink link : links.aliveLinks()) {
-            if (informed.contains(link) && (toOtherRegions || link.isInOwnRegion())) {
-                link.send(notice, bytes);
+        for (PeerFrame notice : notices(evidence)) {
+            byte[] bytes = PeerLink.encode(notice);
+            for (PeerLink link : links.aliveLinks()) {
+                if (informed.contains(link) && isAccepted(link, notice) && (toOtherRegions || link.isInOwnRegion())) {
+                    link.send(notice, bytes);
+                }
             }
         }
     }
+
+    /** Returns the notices of evidence against requests and against prompt parts, if there is any. */
+    private static List<PeerFrame> notices(List<CrashEvidence> evidence) {
+        Map<Boolean, List<CrashEvidence>> byPart = evidence.stream()
+                .collect(Collectors.partitioningBy(each -> each.partUse().isDefined()));
+        List<PeerFrame> notices = new ArrayList<>();
+        if (!byPart.get(false).isEmpty()) {
+            notices.add(new PeerFrame.CrashNotice(byPart.get(false)));
+        }
+        if (!byPart.get(true).isEmpty()) {
+            notices.add(new PeerFrame.PromptPartCrashNotice(byPart.get(true)));
+        }
+        return notices;
+    }
+
+    private static boolean isAccepted(PeerLink link, PeerFrame notice) {
+        return notice instanceof PeerFrame.CrashNotice || link.state().supportsPromptPartNotices();
+    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayRequest.java
@@ -1,5 +1,6 @@
 package org.rattanplank.gateway;
 
+import java.util.List;
 import java.util.Objects;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -7,6 +8,7 @@
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.Work;
 import org.rattanplank.core.quarantine.Fingerprint;
+import org.rattanplank.core.quarantine.RequestIdentity;
 
 /**
  * A request to be proxied. Immutable by convention: its headers and body are not modified.
@@ -33,12 +35,38 @@
         Option<String> lastEventId,
         Work work,
         Lazy<Fingerprint> fingerprint) {
+    private static final int MAX_PARTS = 32;
+    private static final int MAX_PART_ID_CHARS = 64;
+
     public GatewayRequest {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(method, "method");
         Objects.requireNonNull(uri, "uri");
     }
 
+    /**
+     * Returns what of it may be blamed for a crash.
+     *
+     * @return its fingerprint and its shared prompt parts
+     */
+    public RequestIdentity identity() {
+        return new RequestIdentity(fingerprint.get(), promptParts());
+    }
+
+    /**
+     * Returns the first prompt parts that other requests may share.
+     *
+     * @return their identifiers, of long ones a digest
+     */
+    public List<String> promptParts() {
+        return work.sharedParts().stream()
+                .limit(MAX_PARTS)
+                .map(part -> part.id().length() <= MAX_PART_ID_CHARS
+                        ? part.id()
+                        : Fingerprint.ofPromptPart(part.id()).text())
+                .toList();
+    }
+
     /**
      * Returns the path that routes are matched with.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -163,6 +163,7 @@
                 feed.copy().revision(),
                 linkBytesPerMilli,
                 true,
+                true,
                 true));
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/QuarantineAdmin.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/QuarantineAdmin.java
@@ -10,7 +10,7 @@
 import org.rattanplank.core.quarantine.QuarantinedRequest;
 import org.rattanplank.gateway.pass.RequestQuarantine;
 
-/** Lists quarantined requests for operators and lifts a quarantine. Stateless; confined to the event loop. */
+/** Lists quarantined requests and prompt parts for operators and lifts a quarantine. Stateless; confined to the event loop. */
 final class QuarantineAdmin {
     /** The path of the list; the path of one request has its fingerprint appended. */
     static final String PATH = "/quarantine";
@@ -37,6 +37,11 @@
             for (QuarantinedRequest each : requests) {
                 json.writeStartObject();
                 json.writeStringField("fingerprint", each.fingerprint().text());
+                json.writeArrayFieldStart("promptParts");
+                for (String part : each.promptParts()) {
+                    json.writeString(part);
+                }
+                json.writeEndArray();
                 json.writeArrayFieldStart("crashes");
                 for (QuarantinedRequest.Crash crash : each.crashes()) {
                     json.writeStartObject();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
@@ -9,7 +9,6 @@
 import java.util.function.LongSupplier;
 
 import org.rattanplank.core.gateway.GatewayTarget;
-import org.rattanplank.gateway.GatewayRequest;
 import org.rattanplank.gateway.target.ConnectResult;
 import org.rattanplank.gateway.target.TargetConnections;
 
@@ -50,7 +49,7 @@
     }
 
     /** Checks a target at which the connection of a request has ended, and then runs an action. */
-    void connectionLost(GatewayTarget target, GatewayRequest request, Runnable onChecked) {
+    void connectionLost(GatewayTarget target, InterruptedRequest request, Runnable onChecked) {
         if (target.isLeaving()) {
             onChecked.run();
             return;
@@ -62,7 +61,7 @@
      * Checks a target whose response has ended with its connection, also one that is leaving, and then runs an action with
      * whether its process has terminated.
      */
-    void responseEnded(GatewayTarget target, GatewayRequest request, Consumer<Boolean> onChecked) {
+    void responseEnded(GatewayTarget target, InterruptedRequest request, Consumer<Boolean> onChecked) {
         check(target, new Loss(request, false, onChecked));
     }
 
@@ -81,7 +80,7 @@
     private void checked(GatewayTarget target, ConnectResult result) {
         List<Loss> losses = lossesByTarget.remove(target);
         boolean terminated = result == ConnectResult.REFUSED;
-        List<GatewayRequest> suspects = losses.stream()
+        List<InterruptedRequest> suspects = losses.stream()
                 .filter(loss -> loss.truncated() || terminated && !target.isLeaving())
                 .map(Loss::request)
                 .toList();
@@ -93,7 +92,7 @@
         losses.forEach(loss -> loss.onChecked().accept(terminated));
     }
 
-    private void recordCrash(GatewayTarget target, List<GatewayRequest> requests, ConnectResult result) {
+    private void recordCrash(GatewayTarget target, List<InterruptedRequest> requests, ConnectResult result) {
         if (result == ConnectResult.REFUSED && !requests.isEmpty()) {
             quarantine.crashed(target.incarnationText(), requests);
         }
@@ -106,7 +105,7 @@
      * @param truncated whether its response is known to be incomplete
      * @param onChecked receives whether the process of the target has terminated
      */
-    private record Loss(GatewayRequest request, boolean truncated, Consumer<Boolean> onChecked) {}
+    private record Loss(InterruptedRequest request, boolean truncated, Consumer<Boolean> onChecked) {}
 
-    private record SecondCheck(GatewayTarget target, List<GatewayRequest> requests, long atMillis) {}
+    private record SecondCheck(GatewayTarget target, List<InterruptedRequest> requests, long atMillis) {}
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -31,6 +31,9 @@
  * Confined to the event loop.
  */
 final class LocalAttempt implements Attempt, AttemptListener {
+    /** A prompt that crashes targets does so when they begin to answer it. */
+    private static final long SOUND_AFTER_MILLIS = 1_000;
+
     private final GatewayState state;
     private final ServiceRule service;
     private final TargetCall call;
@@ -44,7 +47,10 @@
     private final long deadlineMillis;
     private GatewayTarget target;
     private InFlightRequest sentRequest;
+    private long sentAtMillis;
     private Option<Long> lastEventAtMillis = Option.none();
+    private Option<Long> firstContentAtMillis = Option.none();
+    private boolean soundRecorded;
     private boolean headersDelivered;
     private boolean success;
     private Option<Attempt> attempt = Option.none();
@@ -191,6 +197,7 @@
     @Override
     public void contentReceived(ByteBuf bytes) {
         sentRequest.recordEvent(success, state.nowMillis());
+        recordAnswering();
         if (events.isEmpty()) {
             listener.contentReceived(bytes);
             return;
@@ -199,6 +206,16 @@
         deliver(events.get().append(bytes));
     }
 
+    /** Records once that the target has been answering for long enough that the prompt crashes none. */
+    private void recordAnswering() {
+        if (firstContentAtMillis.isEmpty()) {
+            firstContentAtMillis = Option.some(state.nowMillis());
+        } else if (success && !soundRecorded && state.nowMillis() - firstContentAtMillis.get() >= SOUND_AFTER_MILLIS) {
+            soundRecorded = true;
+            state.quarantine().answered(call.request());
+        }
+    }
+
     @Override
     public void endedByConnection(Completeness completeness) {
         state.metrics().closeDelimited(completeness);
@@ -208,7 +225,7 @@
             return;
         }
         checkingTarget = true;
-        state.crashDetector().responseEnded(target, call.request(), terminated -> {
+        state.crashDetector().responseEnded(target, interruptedRequest(), terminated -> {
             checkingTarget = false;
             if (cancelled) {
                 return;
@@ -240,7 +257,7 @@
             return;
         }
         checkingTarget = true;
-        state.crashDetector().connectionLost(target, call.request(), () -> {
+        state.crashDetector().connectionLost(target, interruptedRequest(), () -> {
             checkingTarget = false;
             if (!cancelled) {
                 conclude(failure, reason);
@@ -264,12 +281,17 @@
     /** Sends the request to a target; every way to a target leads through here. */
     private void connect(TargetChoice choice, TargetCall sentCall) {
         if (state.quarantine().isQuarantined(call.request())) {
-            failed(AttemptFailure.QUARANTINED, "targets crashed whenever they ran the request");
+            failed(AttemptFailure.QUARANTINED, state.quarantine().reason(call.request()));
             return;
         }
+        sentAtMillis = state.nowMillis();
         attempt = Option.some(state.connections().send(choice, sentCall, this));
     }
 
+    private InterruptedRequest interruptedRequest() {
+        return new InterruptedRequest(call.request(), state.nowMillis() - sentAtMillis);
+    }
+
     /**
      * Returns whether the stream may continue at its backup. It is the same run, but another arrival at a target, so
      * that it takes from the retry budget. A request whose engine ended before it sent an event has no copy, and may be
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -60,10 +60,8 @@
 
     private static final String STOPPING_REASON = "this host is stopping";
 
-    private static final String QUARANTINED_REASON = "quarantined: targets crashed whenever they ran this request";
-
-    private static final String QUARANTINED_BODY =
-            QUARANTINED_REASON + "; this attempt has not run and the request will not be served\n";
+    private static final String QUARANTINED_BODY_END =
+            "; this attempt has not run and the request will not be served\n";
 
     private final GatewayState state;
     private final GatewayRequest request;
@@ -459,16 +457,17 @@
 
     /** Ends it as no target may run it; without {@code Retry-After}, as it would be rejected again. */
     private void endQuarantined() {
+        String reason = state.quarantine().reason(request);
         if (response.isStarted() || mayHaveRun) {
-            fail(QUARANTINED_REASON);
+            fail(reason);
             return;
         }
         response.respond(
                 HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
                 Headers.unchecked().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN),
-                Unpooled.copiedBuffer(QUARANTINED_BODY, StandardCharsets.US_ASCII));
+                Unpooled.copiedBuffer(reason + QUARANTINED_BODY_END, StandardCharsets.UTF_8));
         state.metrics().ended("quarantined");
-        complete("quarantined", QUARANTINED_REASON, false);
+        complete("quarantined", reason, false);
     }
 
     private void respond(HttpResponseStatus status, String reason) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
@@ -1,34 +1,42 @@
 package org.rattanplank.gateway.pass;
 
 import java.util.Collection;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 
 import org.rattanplank.core.quarantine.CompletedRequests;
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.core.quarantine.CrashQuarantine;
 import org.rattanplank.core.quarantine.EvidenceChange;
 import org.rattanplank.core.quarantine.Fingerprint;
+import org.rattanplank.core.quarantine.LostRequest;
 import org.rattanplank.core.quarantine.QuarantinedRequest;
+import org.rattanplank.core.quarantine.RequestIdentity;
+import org.rattanplank.core.quarantine.SoundPromptParts;
 import org.rattanplank.gateway.GatewayRequest;
 import org.rattanplank.gateway.log.EventLog;
 import org.rattanplank.gateway.log.LogEvent;
 import org.rattanplank.gateway.log.LogLine;
 
 /**
- * This host's quarantine of requests that crash targets: applies it to requests, logs it and publishes new evidence.
+ * This host's quarantine of requests and prompt parts that crash targets: applies it to requests, logs it and publishes new evidence.
  *
  * <p>Invariant: while no request is suspected, no fingerprint is computed. Confined to the event loop.
  */
 public final class RequestQuarantine {
+    private static final int MAX_LOGGED_PARTS = 16;
+
     private final CrashQuarantine quarantine = CrashQuarantine.empty();
     private final String self;
     private final LongSupplier clock;
     private final EventLog log;
     private final CompletedRequests completed = CompletedRequests.empty();
+    private final SoundPromptParts soundParts = SoundPromptParts.empty();
     private Consumer<List<CrashEvidence>> publisher = evidence -> {};
     private QuarantineListener listener = QuarantineListener.NONE;
 
@@ -65,12 +73,21 @@
 
     /** Returns whether a request must not be sent to any target. */
     boolean isQuarantined(GatewayRequest request) {
-        return quarantine.isQuarantined(request.fingerprint());
+        return !quarantine.isEmpty() && quarantine.isQuarantined(request.identity());
+    }
+
+    /** Returns why a quarantined request is rejected. */
+    String reason(GatewayRequest request) {
+        List<String> parts = quarantine.quarantinedParts(request.promptParts());
+        return parts.isEmpty()
+                ? "quarantined: targets crashed whenever they ran this request"
+                : "quarantined: targets crashed whenever they ran a request with prompt part "
+                        + String.join(" and ", parts);
     }
 
     /** Returns whether this host may retry a request on its own. */
     boolean mayRetry(GatewayRequest request) {
-        return quarantine.mayRetry(request.fingerprint());
+        return quarantine.isEmpty() || quarantine.mayRetry(request.identity());
     }
 
     /** Records that a target has completed a request, which therefore is not the cause of earlier crashes. */
@@ -79,16 +96,51 @@
         if (!quarantine.isEmpty()) {
             clear(request.fingerprint().get());
         }
+        answered(request);
+    }
+
+    /** Records that a target has answered a request for a while, so that its prompt parts crash no target. */
+    void answered(GatewayRequest request) {
+        List<String> parts = request.promptParts();
+        soundParts.answered(parts, clock.getAsLong());
+        if (!quarantine.isEmpty()) {
+            parts.forEach(id -> clear(Fingerprint.ofPromptPart(id)));
+        }
     }
 
     /** Records that a target crashed while requests of this host were in flight there. */
-    void crashed(String target, Collection<GatewayRequest> inFlight) {
-        Set<Fingerprint> fingerprints = new HashSet<>();
-        inFlight.forEach(request -> fingerprints.add(request.fingerprint().get()));
-        fingerprints.removeAll(completed.fingerprints());
-        log.writeImportant(
-                LogLine.of(LogEvent.TARGET_CRASHED).with("target", target).with("requests", fingerprints.size()));
-        publish(quarantine.recordCrash(target, fingerprints, self, clock.getAsLong()));
+    void crashed(String target, Collection<InterruptedRequest> inFlight) {
+        Set<Fingerprint> completedOnes = completed.fingerprints();
+        Map<Fingerprint, LostRequest> suspects = new HashMap<>();
+        for (InterruptedRequest each : inFlight) {
+            Fingerprint fingerprint = each.request().fingerprint().get();
+            if (!completedOnes.contains(fingerprint)) {
+                suspects.put(fingerprint, new LostRequest(suspect(each.request()), each.inFlightMillis()));
+            }
+        }
+        log.writeImportant(LogLine.of(LogEvent.TARGET_CRASHED)
+                .with("target", target)
+                .with("requests", suspects.size())
+                .with("promptParts", promptParts(suspects.values())));
+        publish(quarantine.recordCrash(target, suspects.values(), self, clock.getAsLong()));
+    }
+
+    /** Returns what of a request may be to blame: not the parts that targets have answered of late. */
+    private RequestIdentity suspect(GatewayRequest request) {
+        long now = clock.getAsLong();
+        List<String> parts = request.promptParts().stream()
+                .filter(id -> soundParts.soundUntilMillis(id).forAll(until -> until < now))
+                .toList();
+        return new RequestIdentity(request.fingerprint().get(), parts);
+    }
+
+    /** Returns the prompt parts of suspects, as many as a log line needs. */
+    private static String promptParts(Collection<LostRequest> suspects) {
+        return suspects.stream()
+                .flatMap(each -> each.identity().promptParts().stream())
+                .distinct()
+                .limit(MAX_LOGGED_PARTS)
+                .collect(Collectors.joining(","));
     }
 
     /**
@@ -101,25 +153,41 @@
     public List<CrashEvidence> merge(String host, List<CrashEvidence> evidence) {
         EvidenceChange change = quarantine.merge(evidence, host, clock.getAsLong());
         completed.among(change.news()).forEach(this::clear);
+        clearSoundParts(change.news());
         quarantinedBy(change).forEach(each -> listener.learned(each.fingerprint()));
         return change.news();
     }
 
+    /** Clears the prompt parts of which this host knows that targets have answered them of late. */
+    private void clearSoundParts(List<CrashEvidence> news) {
+        for (CrashEvidence each : news) {
+            if (!each.cleared() && each.partUse().isDefined()) {
+                soundParts
+                        .soundUntilMillis(each.partUse().get().id())
+                        .forEach(until -> clear(each.fingerprint(), until));
+            }
+        }
+    }
+
     /**
-     * Lifts the quarantine of a request on all hosts, until more targets crash under it.
+     * Lifts the quarantine of a request, or of a prompt part and those that no crash tells from it, on all hosts, until more
+     * targets crash under it.
      *
      * @param fingerprint the text of the fingerprint
-     * @return whether the request was quarantined
+     * @return whether the request or the part was quarantined
      */
     public boolean lift(String fingerprint) {
-        List<QuarantinedRequest> lifted = quarantined().stream()
-                .filter(each -> each.fingerprint().text().equals(fingerprint))
-                .toList();
-        for (QuarantinedRequest each : lifted) {
-            log.writeImportant(LogLine.of(LogEvent.QUARANTINE_LIFTED).with("fingerprint", fingerprint));
-            clear(each.fingerprint());
+        Set<Fingerprint> lifted = quarantined().stream()
+                .map(QuarantinedRequest::fingerprint)
+                .filter(each -> each.text().equals(fingerprint))
+                .flatMap(each -> quarantine.quarantinedWith(each).stream())
+                .collect(Collectors.toSet());
+        if (lifted.isEmpty()) {
+            return false;
         }
-        return !lifted.isEmpty();
+        log.writeImportant(LogLine.of(LogEvent.QUARANTINE_LIFTED).with("fingerprint", fingerprint));
+        lifted.forEach(this::clear);
+        return true;
     }
 
     /**
@@ -132,9 +200,9 @@
     }
 
     /**
-     * Returns the requests that are quarantined.
+     * Returns the requests and prompt parts that are quarantined.
      *
-     * @return the requests with the crashes of each
+     * @return the requests and parts with the crashes of each
      */
     public List<QuarantinedRequest> quarantined() {
         return quarantine.quarantined(clock.getAsLong());
@@ -150,9 +218,9 @@
     }
 
     /**
-     * Returns the evidence against a request.
+     * Returns the evidence against a request or a prompt part.
      *
-     * @param fingerprint the request
+     * @param fingerprint the request or the part
      * @return the evidence, also what was cleared
      */
     public List<CrashEvidence> evidence(Fingerprint fingerprint) {
@@ -160,8 +228,12 @@
     }
 
     private void clear(Fingerprint fingerprint) {
-        boolean wasQuarantined = quarantine.isQuarantined(fingerprint);
-        publish(quarantine.clear(fingerprint, clock.getAsLong()));
+        clear(fingerprint, clock.getAsLong());
+    }
+
+    private void clear(Fingerprint fingerprint, long untilMillis) {
+        boolean wasQuarantined = !quarantine.quarantinedWith(fingerprint).isEmpty();
+        publish(quarantine.clear(fingerprint, untilMillis, clock.getAsLong()));
         if (wasQuarantined) {
             listener.decided(fingerprint);
         }
@@ -174,16 +246,17 @@
         }
     }
 
-    /** Logs and returns the requests that are quarantined since a change. */
+    /** Logs and returns what is quarantined since a change. */
     private List<QuarantinedRequest> quarantinedBy(EvidenceChange change) {
-        List<QuarantinedRequest> requests = change.quarantined().stream()
-                .filter(each -> quarantine.isQuarantined(each.fingerprint()))
+        List<QuarantinedRequest> added = change.quarantined().stream()
+                .filter(each -> !quarantine.quarantinedWith(each.fingerprint()).isEmpty())
                 .toList();
-        for (QuarantinedRequest each : requests) {
+        for (QuarantinedRequest each : added) {
             log.writeImportant(LogLine.of(LogEvent.QUARANTINED)
                     .with("fingerprint", each.fingerprint().text())
+                    .with("promptParts", String.join(",", each.promptParts()))
                     .with("crashes", each.crashesText()));
         }
-        return requests;
+        return added;
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -48,6 +48,7 @@
      *     receiving one
      * @param supportsCrashNotices whether the sender accepts {@link CrashNotice}; a host of an earlier version closes the
      *     link on receiving one
+     * @param supportsPromptPartNotices whether the sender accepts {@link PromptPartCrashNotice}, likewise
      */
     record State(
             long sentAtMillis,
@@ -66,7 +67,8 @@
             long knownRevision,
             long linkBytesPerMilli,
             boolean supportsLargePrefillNotices,
-            boolean supportsCrashNotices)
+            boolean supportsCrashNotices,
+            boolean supportsPromptPartNotices)
             implements PeerFrame {
         /** The {@link #acceptMillis} of a host that accepts callers. */
         public static final long UNLIMITED_MILLIS = Long.MAX_VALUE;
@@ -76,7 +78,7 @@
 
         /** The state of a host that has not reported one yet. */
         static final State NONE = new State(
-                0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0, 0, UNREPORTED, 0, false, false);
+                0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0, 0, UNREPORTED, 0, false, false, false);
 
         /** The newest revision of a host whose local copy is empty; revisions of the store are above it. */
         public static final long EMPTY_REVISION = 1;
@@ -113,7 +115,7 @@
     record LargePrefillNotice(TargetWork work) implements PeerFrame {}
 
     /**
-     * Evidence of crashes that the receiver may not have.
+     * Evidence of crashes against requests that the receiver may not have.
      *
      * @param evidence the evidence
      */
@@ -123,6 +125,17 @@
         }
     }
 
+    /**
+     * Evidence of crashes against prompt parts that the receiver may not have.
+     *
+     * @param evidence the evidence
+     */
+    record PromptPartCrashNotice(List<CrashEvidence> evidence) implements PeerFrame {
+        public PromptPartCrashNotice {
+            evidence = List.copyOf(evidence);
+        }
+    }
+
     /**
      * How soon a region is expected to respond for a service.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -22,6 +22,7 @@
 import org.rattanplank.core.host.Location;
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.core.quarantine.Fingerprint;
+import org.rattanplank.core.quarantine.PromptPartUse;
 import org.rattanplank.gateway.store.StoreItem;
 
 /**
@@ -47,6 +48,7 @@
     private static final int LARGE_PREFILL_NOTICE = 14;
     private static final int FAILOVER_REQUEST = 15;
     private static final int CRASH_NOTICE = 16;
+    private static final int PROMPT_PART_CRASH_NOTICE = 17;
 
     /** Smaller frames gain too little from compression. */
     private static final int MIN_COMPRESSIBLE_BYTES = 2_048;
@@ -178,7 +180,11 @@
             write(notice.work(), out);
             write(notice.work().streamStats(), out);
         } else if (frame instanceof PeerFrame.CrashNotice notice) {
-            write(notice, out);
+            out.packInt(CRASH_NOTICE);
+            write(notice.evidence(), PeerFrameCodec::writeRequest, out);
+        } else if (frame instanceof PeerFrame.PromptPartCrashNotice notice) {
+            out.packInt(PROMPT_PART_CRASH_NOTICE);
+            write(notice.evidence(), PeerFrameCodec::writePromptPart, out);
         } else if (frame instanceof PeerFrame.Leaving leaving) {
             out.packInt(LEAVING).packLong(leaving.lastCall());
         }
@@ -211,33 +217,71 @@
             out.packFloat((float) streams.interTokenMillis()).packFloat((float) streams.delayCostMillisPerToken());
         }
         out.packBoolean(state.supportsLargePrefillNotices()).packBoolean(state.supportsCrashNotices());
+        out.packBoolean(state.supportsPromptPartNotices());
     }
 
     /** Writes the evidence by target, as the text of a target takes more bytes than the rest. */
-    private static void write(PeerFrame.CrashNotice notice, MessageBufferPacker out) throws IOException {
+    private static void write(List<CrashEvidence> evidence, SuspectWriter suspectWriter, MessageBufferPacker out)
+            throws IOException {
         Map<String, List<CrashEvidence>> byTarget =
-                notice.evidence().stream().collect(Collectors.groupingBy(CrashEvidence::target));
-        out.packInt(CRASH_NOTICE).packMapHeader(byTarget.size());
+                evidence.stream().collect(Collectors.groupingBy(CrashEvidence::target));
+        out.packMapHeader(byTarget.size());
         for (Map.Entry<String, List<CrashEvidence>> each : byTarget.entrySet()) {
             out.packString(each.getKey()).packArrayHeader(each.getValue().size());
-            for (CrashEvidence evidence : each.getValue()) {
-                Fingerprint fingerprint = evidence.fingerprint();
-                out.packLong(fingerprint.high()).packLong(fingerprint.low());
-                out.packBoolean(evidence.cleared()).packLong(evidence.ageMillis());
+            for (CrashEvidence piece : each.getValue()) {
+                suspectWriter.write(piece, out);
+                out.packBoolean(piece.cleared()).packLong(piece.ageMillis());
             }
         }
     }
 
-    private static PeerFrame.CrashNotice readCrashNotice(MessageUnpacker in) throws IOException {
+    private static void writeRequest(CrashEvidence evidence, MessageBufferPacker out) throws IOException {
+        write(evidence.fingerprint(), out);
+    }
+
+    private static void writePromptPart(CrashEvidence evidence, MessageBufferPacker out) throws IOException {
+        PromptPartUse use = evidence.partUse().get();
+        out.packString(use.id());
+        write(use.request(), out);
+        out.packLong(use.inFlightMillis());
+    }
+
+    private static void write(Fingerprint fingerprint, MessageBufferPacker out) throws IOException {
+        out.packLong(fingerprint.high()).packLong(fingerprint.low());
+    }
+
+    private static List<CrashEvidence> readEvidence(MessageUnpacker in, EvidenceReader reader) throws IOException {
         List<CrashEvidence> evidence = new ArrayList<>();
         for (int targets = in.unpackMapHeader(); targets > 0; targets--) {
             String target = in.unpackString();
             for (int left = in.unpackArrayHeader(); left > 0; left--) {
-                Fingerprint fingerprint = new Fingerprint(in.unpackLong(), in.unpackLong());
-                evidence.add(new CrashEvidence(target, fingerprint, in.unpackBoolean(), in.unpackLong()));
+                evidence.add(reader.read(target, in));
             }
         }
-        return new PeerFrame.CrashNotice(evidence);
+        return evidence;
+    }
+
+    private static CrashEvidence readRequest(String target, MessageUnpacker in) throws IOException {
+        return new CrashEvidence(target, readFingerprint(in), in.unpackBoolean(), in.unpackLong());
+    }
+
+    private static CrashEvidence readPromptPart(String target, MessageUnpacker in) throws IOException {
+        PromptPartUse use = new PromptPartUse(in.unpackString(), readFingerprint(in), in.unpackLong());
+        return CrashEvidence.ofPromptPart(target, use, in.unpackBoolean(), in.unpackLong());
+    }
+
+    private static Fingerprint readFingerprint(MessageUnpacker in) throws IOException {
+        return new Fingerprint(in.unpackLong(), in.unpackLong());
+    }
+
+    /** Writes what a piece of evidence suspects. */
+    private interface SuspectWriter {
+        void write(CrashEvidence evidence, MessageBufferPacker out) throws IOException;
+    }
+
+    /** Reads a piece of evidence about a target. */
+    private interface EvidenceReader {
+        CrashEvidence read(String target, MessageUnpacker in) throws IOException;
     }
 
     private static void write(PeerFrame.TargetWork work, MessageBufferPacker out) throws IOException {
@@ -300,7 +344,9 @@
             case COMPRESSED -> decompress(in);
             case CALL_CANCEL -> new PeerFrame.CallCancel(in.unpackLong());
             case LARGE_PREFILL_NOTICE -> new PeerFrame.LargePrefillNotice(withStreamLatency(readTargetWork(in), in));
-            case CRASH_NOTICE -> readCrashNotice(in);
+            case CRASH_NOTICE -> new PeerFrame.CrashNotice(readEvidence(in, PeerFrameCodec::readRequest));
+            case PROMPT_PART_CRASH_NOTICE -> new PeerFrame.PromptPartCrashNotice(
+                    readEvidence(in, PeerFrameCodec::readPromptPart));
             case LEAVING -> new PeerFrame.Leaving(in.unpackLong());
             default -> throw new IOException("unknown frame kind " + kind);
         };
@@ -338,6 +384,7 @@
         }
         boolean supportsLargePrefillNotices = in.hasNext() && in.unpackBoolean();
         boolean supportsCrashNotices = in.hasNext() && in.unpackBoolean();
+        boolean supportsPromptPartNotices = in.hasNext() && in.unpackBoolean();
         return new PeerFrame.State(
                 sentAtMillis,
                 echoedMillis,
@@ -355,7 +402,8 @@
                 knownRevision,
                 linkBytesPerMilli,
                 supportsLargePrefillNotices,
-                supportsCrashNotices);
+                supportsCrashNotices,
+                supportsPromptPartNotices);
     }
 
     private static PeerFrame.TargetWork readTargetWork(MessageUnpacker in) throws IOException {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -362,6 +362,8 @@
             owner.listener().largePrefillNoticeReceived(this, notice.work());
         } else if (frame instanceof PeerFrame.CrashNotice notice) {
             owner.listener().crashNoticeReceived(this, notice.evidence());
+        } else if (frame instanceof PeerFrame.PromptPartCrashNotice notice) {
+            owner.listener().crashNoticeReceived(this, notice.evidence());
         } else if (frame instanceof PeerFrame.StoreItems items) {
             owner.listener().storeItemsReceived(items);
         } else if (frame instanceof PeerFrame.Fragment fragment) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerTraffic.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerTraffic.java
@@ -69,6 +69,7 @@
             boolean isState = frame instanceof PeerFrame.State
                     || frame instanceof PeerFrame.LargePrefillNotice
                     || frame instanceof PeerFrame.CrashNotice
+                    || frame instanceof PeerFrame.PromptPartCrashNotice
                     || frame instanceof PeerFrame.Hello;
             return isState ? STATES : REQUESTS;
         }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PromptPartQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PromptPartQuarantineFlowTest.java
@@ -196,7 +196,8 @@
             assertTrue(send(gateway, "first:50,rare:20").startsWith("HTTP/1.1 200 "));
         }
 
-        assertEquals(0, gateway.countLogged("\"promptParts\":[\"first\"]"));
-        assertEquals(0, gateway.countLogged("rare"));
+        String listed = gateway.admin("GET", "/quarantine");
+        assertTrue(listed.contains("\"promptParts\":[\"" + CRASHING_PART + "\"]"), listed);
+        assertFalse(listed.contains("first") || listed.contains("rare"), listed);
     }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -16,6 +16,7 @@
 import org.rattanplank.core.host.Location;
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.core.quarantine.Fingerprint;
+import org.rattanplank.core.quarantine.PromptPartUse;
 import org.rattanplank.gateway.store.StoreItem;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -25,9 +26,9 @@
 class PeerFrameCodecTest {
     /**
      * The encoded size of the fields that a state of an earlier version lacks: the newest revision, the time for which work
-     * is accepted, the known revision, the link bandwidth, and the support of large prefill and crash notices.
+     * is accepted, the known revision, the link bandwidth, and the support of large prefill, crash and prompt part notices.
      */
-    private static final int NEWER_FIELDS_BYTES = 1 + 9 + 1 + 1 + 1 + 1;
+    private static final int NEWER_FIELDS_BYTES = 1 + 9 + 1 + 1 + 1 + 1 + 1;
 
     private static PeerFrame roundTrip(PeerFrame frame) {
         return PeerFrameCodec.decode(PeerFrameCodec.encode(frame)).get();
@@ -58,6 +59,7 @@
                         10,
                         1_250,
                         true,
+                        true,
                         true),
                 new PeerFrame.ResponseHead(4, 200, List.of("a", "b"), "t", "t2"),
                 new PeerFrame.LargePrefillNotice(new PeerFrame.TargetWork(
@@ -65,6 +67,10 @@
                 new PeerFrame.CrashNotice(List.of(
                         new CrashEvidence("t", new Fingerprint(-1, 2), false, 70_000),
                         new CrashEvidence("t", new Fingerprint(3, Long.MIN_VALUE), true, 0))),
+                new PeerFrame.PromptPartCrashNotice(List.of(
+                        CrashEvidence.ofPromptPart(
+                                "t", new PromptPartUse("5c1e", new Fingerprint(-1, 2), 250), false, 70_000),
+                        CrashEvidence.ofPromptPart("u", new PromptPartUse("5c1e", new Fingerprint(3, 4), 0), true, 0))),
                 new PeerFrame.ResponseEnd(4),
                 new PeerFrame.CallFailed(4, "UNKNOWN", "why", "t"),
                 new PeerFrame.CallCancel(4),
@@ -118,6 +124,7 @@
                 PeerFrame.State.UNREPORTED,
                 0,
                 false,
+                false,
                 false);
         byte[] bytes = PeerFrameCodec.encode(state);
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -266,6 +266,7 @@
                 0,
                 LINK_BYTES_PER_MILLI,
                 false,
+                false,
                 false));
     }
 
@@ -299,6 +300,7 @@
                 newestRevision,
                 linkBytesPerMilli,
                 false,
+                false,
                 false));
     }
 
@@ -403,6 +405,7 @@
                 0,
                 LINK_BYTES_PER_MILLI,
                 false,
+                false,
                 false));
     }
 
@@ -431,6 +434,7 @@
                 1,
                 LINK_BYTES_PER_MILLI,
                 supportsLargePrefillNotices,
+                false,
                 false));
     }
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
@@ -153,6 +153,7 @@
                         copy.revision(),
                         linkBytesPerMilli,
                         false,
+                        false,
                         false);
             }
             List<SimulatedLink> receivers = new ArrayList<>();
