Let a prompt part crash replicas of the soak

Different requests with a part that crashes each replica are sent to several hosts, beside sound ones that begin with the same part; at the end at most three more replicas may crash under it. Crashes are counted by cause.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -20,6 +20,7 @@
 import org.rattanplank.bench.process.Poll;
 import org.rattanplank.standins.link.LinkState;
 import org.rattanplank.standins.site.BodyEnd;
+import org.rattanplank.standins.site.CrashCause;
 
 /**
  * Injects faults into a small installation of real gateway processes under load and checks its guarantees.
@@ -42,8 +43,11 @@
     /** A limit lasts longer than other faults, until all hosts have been told of it. */
     private static final int LIMITED_PERIODS = 3;
 
-    /** The crashes under one request after which few more are allowed, and the time from which they count. */
-    private static final int ALLOWED_CRASHES = 3;
+    private static final int MAX_CRASHING_PROMPTS = 7;
+
+    /** The crashes by one cause after which few more are allowed, and the time from which they count. */
+    private static final Map<CrashCause, Integer> ALLOWED_CRASHES =
+            Map.of(CrashCause.REQUEST, 3, CrashCause.PROMPT_PART, 5);
 
     private static final long STABLE_MILLIS = 6_000;
     private static final int ALLOWED_LATER_CRASHES = 3;
@@ -120,7 +124,7 @@
         try {
             injectFaultsFor(millis);
             Try.run(this::awaitRecovery).onFailure(error -> violations.add(error.getMessage()));
-            checkCrashingRequest(violations);
+            checkCrashes(violations);
         } finally {
             // Callers left running after a failure of the soak test itself would keep the process alive and load the
             // host.
@@ -173,22 +177,52 @@
         }
     }
 
-    /** Checks that the crashing request reaches few replicas any more, through hosts that have been undisturbed. */
-    private void checkCrashingRequest(List<String> violations) {
-        int crashes = site.crashCount();
-        if (crashes < ALLOWED_CRASHES) {
+    /** Sends different requests with the crashing part, one after the other. */
+    private void sendCrashingPrompts(SplittableRandom draw) {
+        List<InetSocketAddress> hosts = site.callerAddresses();
+        List<InetSocketAddress> receivers = new ArrayList<>();
+        for (int left = draw.nextInt(1, MAX_CRASHING_PROMPTS + 1); left > 0; left--) {
+            receivers.add(hosts.get(draw.nextInt(hosts.size())));
+        }
+        Thread thread = new Thread(() -> receivers.forEach(
+                host -> SoakCaller.callWithCrashingPart(host, "p" + lastCallNumber.incrementAndGet())));
+        thread.start();
+        crashingCallers.add(thread);
+    }
+
+    /** Checks that what crashes replicas reaches few of them any more, through hosts that have been undisturbed. */
+    private void checkCrashes(List<String> violations) {
+        Map<CrashCause, Integer> crashes = new EnumMap<>(CrashCause.class);
+        ALLOWED_CRASHES.forEach((cause, allowed) -> {
+            if (site.crashCount(cause) >= allowed) {
+                crashes.put(cause, site.crashCount(cause));
+            }
+        });
+        if (crashes.isEmpty()) {
             return;
         }
         Poll.pause(STABLE_MILLIS);
+        crashes.forEach((cause, before) -> {
+            int later = laterCrashes(cause, before);
+            if (later > ALLOWED_LATER_CRASHES) {
+                violations.add("the " + cause + " that had crashed " + before + " replicas crashed " + later + " more");
+            }
+        });
+    }
+
+    private int laterCrashes(CrashCause cause, int before) {
         for (int i = 0; i < LATER_CRASHING_CALLS; i++) {
             List<InetSocketAddress> hosts = site.callerAddresses();
-            SoakCaller.callCrashing(hosts.get(i % hosts.size()), "y" + lastCallNumber.incrementAndGet());
+            InetSocketAddress host = hosts.get(i % hosts.size());
+            String id = "y" + lastCallNumber.incrementAndGet();
+            if (cause == CrashCause.REQUEST) {
+                SoakCaller.callCrashing(host, id);
+            } else {
+                SoakCaller.callWithCrashingPart(host, id);
+            }
             site.replaceCrashedReplicas();
         }
-        int later = site.crashCount() - crashes;
-        if (later > ALLOWED_LATER_CRASHES) {
-            violations.add("a request that had crashed " + crashes + " replicas crashed " + later + " more");
-        }
+        return site.crashCount(cause) - before;
     }
 
     private void callUntilStopped(SplittableRandom callerRandom, List<InetSocketAddress> hosts) {
@@ -240,6 +274,7 @@
                 scheduleRepair(LIMITED_PERIODS * millis, () -> site.limitReplica(replica, Option.none()));
             }
             case CRASHING_REQUEST -> sendCrashingRequest(draw);
+            case CRASHING_PROMPT_PART -> sendCrashingPrompts(draw);
             case REPLICA_CLOSE_DELIMITED -> {
                 BodyEnd end = BodyEnd.values()[draw.nextInt(1, BodyEnd.values().length)];
                 site.endBodies(replica, end);
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
@@ -22,26 +22,39 @@
 
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int REQUEST_TIMEOUT_MILLIS = 4_000;
+    private static final String SOUND_PART = "5a";
     private static final HeaderNames HEADER_NAMES = PlatformHeaders.names();
 
     private SoakCaller() {}
 
     static SoakCall call(InetSocketAddress host, String id, boolean stream) {
         String prefix = stream ? SiteConfigurations.DRAFTS_PREFIX : SiteConfigurations.BOOKINGS_PREFIX;
-        return call(host, id, stream, prefix + "1");
+        return call(host, id, stream, prefix + "1", stream ? promptParts(SOUND_PART) : "");
+    }
+
+    /** Sends a new request with the prompt part that crashes each replica which runs it. */
+    static SoakCall callWithCrashingPart(InetSocketAddress host, String id) {
+        return call(host, id, true, SiteConfigurations.DRAFTS_PREFIX + id, promptParts(SiteReplica.CRASHING_PART));
+    }
+
+    /** Returns the headers of a prompt that begins as all others do. */
+    private static String promptParts(String second) {
+        return HEADER_NAMES.tokens() + ": 100,50\r\n" + HEADER_NAMES.promptParts() + ": f1:40," + second
+                + ":40,0b:20\r\n";
     }
 
     /** Sends the request that crashes each replica that runs it. */
     static SoakCall callCrashing(InetSocketAddress host, String id) {
-        return call(host, id, true, SiteConfigurations.DRAFTS_PREFIX + SiteReplica.CRASHING_PATH_END);
+        return call(host, id, true, SiteConfigurations.DRAFTS_PREFIX + SiteReplica.CRASHING_PATH_END, "");
     }
 
-    private static SoakCall call(InetSocketAddress host, String id, boolean stream, String path) {
+    private static SoakCall call(
+            InetSocketAddress host, String id, boolean stream, String path, String additionalHeaders) {
         ByteArrayOutputStream received = new ByteArrayOutputStream();
         try (Socket socket = new Socket()) {
             socket.setSoTimeout(READ_TIMEOUT_MILLIS);
             socket.connect(host, CONNECT_TIMEOUT_MILLIS);
-            socket.getOutputStream().write(request(id, path).getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(request(id, path, additionalHeaders).getBytes(StandardCharsets.US_ASCII));
             InputStream in = socket.getInputStream();
             for (int octet = in.read(); octet >= 0; octet = in.read()) {
                 received.write(octet);
@@ -53,11 +66,11 @@
         return parse(id, stream, received.toString(StandardCharsets.UTF_8));
     }
 
-    private static String request(String id, String path) {
+    private static String request(String id, String path, String additionalHeaders) {
         return "POST " + path + " HTTP/1.1\r\nHost: " + SiteConfigurations.HOST_NAME + "\r\nConnection: close\r\n"
                 + HEADER_NAMES.requestId() + ": " + id + "\r\n" + HEADER_NAMES.timeoutMillis() + ": "
-                + REQUEST_TIMEOUT_MILLIS
-                + "\r\nContent-Length: 2\r\n\r\n{}";
+                + REQUEST_TIMEOUT_MILLIS + "\r\n" + additionalHeaders
+                + "Content-Length: 2\r\n\r\n{}";
     }
 
     private static SoakCall parse(String id, boolean stream, String response) {
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
@@ -33,7 +33,9 @@
     /** A request that crashes each replica that runs it is sent to several hosts. */
     CRASHING_REQUEST,
     /** The responses of a replica end with their connections temporarily, whole, cut or reset. */
-    REPLICA_CLOSE_DELIMITED;
+    REPLICA_CLOSE_DELIMITED,
+    /** Different requests with a prompt part that crashes each replica which runs them are sent to several hosts. */
+    CRASHING_PROMPT_PART;
 
     /** The faults that are drawn one at a time; the others are drawn beside them, so that the draw of a seed stays. */
     static final List<SoakFault> SINGLE = List.of(values()).subList(0, REPLICA_LIMITED.ordinal());
@@ -42,5 +44,5 @@
     static final List<SoakFault> ADDITIONAL = List.of(REPLICA_LIMITED, CRASHING_REQUEST);
 
     /** The faults that are drawn beside both, for the same reason. */
-    static final List<SoakFault> FURTHER = List.of(REPLICA_CLOSE_DELIMITED);
+    static final List<SoakFault> FURTHER = List.of(REPLICA_CLOSE_DELIMITED, CRASHING_PROMPT_PART);
 }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -10,7 +10,6 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vavr.control.Option;
 import org.rattanplank.bench.process.ChildProcess;
@@ -20,6 +19,7 @@
 import org.rattanplank.standins.link.Link;
 import org.rattanplank.standins.platform.SiteStore;
 import org.rattanplank.standins.site.BodyEnd;
+import org.rattanplank.standins.site.CrashCause;
 import org.rattanplank.standins.site.SiteConfigurations;
 import org.rattanplank.standins.site.SiteHost;
 import org.rattanplank.standins.site.SiteReplica;
@@ -58,7 +58,7 @@
     private final Map<String, String> limitsByReplica = new ConcurrentHashMap<>();
     private final Map<String, BodyEnd> bodyEnds = new ConcurrentHashMap<>();
     private final Queue<String> crashedReplicas = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger crashCount = new AtomicInteger();
+    private final Map<CrashCause, Integer> crashCounts = new ConcurrentHashMap<>();
     private int lastReplicaNumber;
     private long configurationVersion;
 
@@ -165,9 +165,9 @@
         bodyEnds.put(id, end);
     }
 
-    /** Returns how many replicas have crashed under a request. */
-    int crashCount() {
-        return crashCount.get();
+    /** Returns how many replicas a cause has crashed. */
+    int crashCount(CrashCause cause) {
+        return crashCounts.getOrDefault(cause, 0);
     }
 
     /** Starts a replica in place of each that has crashed, under a new identifier. */
@@ -232,12 +232,12 @@
         }
 
         @Override
-        public void crashed() {
+        public void crashed(CrashCause cause) {
             if (crashed) {
                 return;
             }
             crashed = true;
-            crashCount.incrementAndGet();
+            crashCounts.merge(cause, 1, Integer::sum);
             linksToCrash.get(id).crash();
             crashedReplicas.add(id);
         }
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
@@ -28,6 +28,9 @@
     /** The end of the path of requests that crash each replica that runs them. */
     public static final String CRASHING_PATH_END = "crash";
 
+    /** The identifier of the prompt part that crashes each replica which runs a request with it. */
+    public static final String CRASHING_PART = "dead";
+
     private static final long EVENT_INTERVAL_MILLIS = 20;
     private static final long CRASH_DELAY_MILLIS = 50;
 
@@ -81,8 +84,9 @@
             return;
         }
         listener.executed(requestId);
-        if (exchange.path().endsWith(CRASHING_PATH_END)) {
-            loop.schedule(CRASH_DELAY_MILLIS, listener::crashed);
+        Option<CrashCause> crashCause = crashCause(exchange);
+        if (crashCause.isDefined()) {
+            loop.schedule(CRASH_DELAY_MILLIS, () -> listener.crashed(crashCause.get()));
             return;
         }
         BodyEnd end = listener.bodyEnd();
@@ -97,6 +101,14 @@
         }
     }
 
+    private Option<CrashCause> crashCause(Exchange exchange) {
+        if (exchange.path().endsWith(CRASHING_PATH_END)) {
+            return Option.some(CrashCause.REQUEST);
+        }
+        String parts = exchange.header(headerNames.promptParts()).getOrElse("");
+        return parts.contains(CRASHING_PART + ":") ? Option.some(CrashCause.PROMPT_PART) : Option.none();
+    }
+
     private static void respond(Exchange exchange, BodyEnd end, Map<String, String> echo, JsonNode value) {
         if (end == BodyEnd.MARKED) {
             exchange.respond(STATUS_OK, echo, value);
@@ -136,8 +148,12 @@
          */
         void executed(String requestId);
 
-        /** Called when the replica crashes under a request. */
-        default void crashed() {}
+        /**
+         * Called when the replica crashes under a request.
+         *
+         * @param cause what crashes it
+         */
+        default void crashed(CrashCause cause) {}
 
         /**
          * Returns how the replica ends the body of its next response.
