--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
@@ -24,7 +24,7 @@
     /** How long evidence counts, so that a quarantine lapses by itself. */
     public static final long EXPIRY_MILLIS = 600_000;
 
-    /** The maximum number of pieces of evidence; sent to another host they take about 30 KB. */
+    /** The maximum number of pieces of evidence; sent to another host they take about 50 KB. */
     public static final int MAX_EVIDENCE = 1_024;
 
     /** The number of pieces that are kept when there are too many. */
