--- a/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
@@ -14,7 +14,7 @@
 import org.rattanplank.core.quarantine.EvidenceChange;
 import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.quarantine.LostRequest;
-import org.rattanplank.core.quarantine.QuarantinedRequest;
+import org.rattanplank.core.quarantine.QuarantineEntry;
 import org.rattanplank.core.request.Failure;
 import org.rattanplank.core.request.Request;
 import org.rattanplank.core.request.Step;
@@ -56,7 +56,7 @@
                             .filter(each -> each.fingerprint()
                                     .equals(request.fingerprint().get()))
                             .findFirst())
-                    .map(QuarantinedRequest::crashesText)
+                    .map(QuarantineEntry::crashesText)
                     .getOrElse("");
             return Option.some(Failure.of(
                     Step.ROUTE, request.service(), "quarantined: these targets ran it and crashed: " + crashes));
--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
@@ -283,22 +283,22 @@
      * @param nowMillis the time
      * @return the requests and parts with the crashes of each
      */
-    public List<QuarantinedRequest> quarantined(long nowMillis) {
+    public List<QuarantineEntry> quarantined(long nowMillis) {
         return blame.suspects().stream()
-                .map(fingerprint -> quarantinedRequest(fingerprint, nowMillis))
+                .map(fingerprint -> quarantineEntry(fingerprint, nowMillis))
                 .toList();
     }
 
-    private QuarantinedRequest quarantinedRequest(Fingerprint fingerprint, long nowMillis) {
+    private QuarantineEntry quarantineEntry(Fingerprint fingerprint, long nowMillis) {
         List<String> promptParts =
                 blame.groupOf(fingerprint).stream().map(this::partId).sorted().toList();
-        return new QuarantinedRequest(
+        return new QuarantineEntry(
                 fingerprint,
                 promptParts,
                 entries.get(fingerprint).entrySet().stream()
                         .filter(each -> !each.getValue().cleared)
                         .sorted(Comparator.comparingLong(each -> each.getValue().atMillis))
-                        .map(each -> new QuarantinedRequest.Crash(
+                        .map(each -> new QuarantineEntry.Crash(
                                 each.getKey(),
                                 each.getValue().source,
                                 each.getValue().ageMillis(nowMillis)))
@@ -337,7 +337,7 @@
                 news,
                 blame.suspects().stream()
                         .filter(fingerprint -> !before.contains(fingerprint))
-                        .map(fingerprint -> quarantinedRequest(fingerprint, nowMillis))
+                        .map(fingerprint -> quarantineEntry(fingerprint, nowMillis))
                         .toList());
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/QuarantinedRequest.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/QuarantineEntry.java
@@ -5,14 +5,15 @@
 import java.util.stream.Collectors;
 
 /**
- * A request that is not sent to any target, or a prompt part whose requests are not, and why. Immutable and thread safe.
+ * An entry of the quarantine: a request that is not sent to any target, or a prompt part whose requests are not, and why.
+ * Immutable and thread safe.
  *
  * @param fingerprint the request or the part
  * @param promptParts the identifiers of the parts that a request must have to be rejected, empty for a single request
  * @param crashes the crashes that it is blamed for, oldest first
  */
-public record QuarantinedRequest(Fingerprint fingerprint, List<String> promptParts, List<Crash> crashes) {
-    public QuarantinedRequest {
+public record QuarantineEntry(Fingerprint fingerprint, List<String> promptParts, List<Crash> crashes) {
+    public QuarantineEntry {
         Objects.requireNonNull(fingerprint, "fingerprint");
         promptParts = List.copyOf(promptParts);
         crashes = List.copyOf(crashes);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/QuarantineAdmin.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/QuarantineAdmin.java
@@ -7,7 +7,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import org.rattanplank.core.quarantine.QuarantinedRequest;
+import org.rattanplank.core.quarantine.QuarantineEntry;
 import org.rattanplank.gateway.pass.RequestQuarantine;
 
 /** Lists quarantined requests and prompt parts for operators and lifts a quarantine. Stateless; confined to the event loop. */
@@ -30,11 +30,11 @@
         return quarantine.lift(fingerprint) ? AdminResponse.text("lifted\n") : AdminResponse.notFound();
     }
 
-    private static String toJson(List<QuarantinedRequest> requests) {
+    private static String toJson(List<QuarantineEntry> entries) {
         StringWriter text = new StringWriter();
         try (JsonGenerator json = JSON.createGenerator(text)) {
             json.writeStartArray();
-            for (QuarantinedRequest each : requests) {
+            for (QuarantineEntry each : entries) {
                 json.writeStartObject();
                 json.writeStringField("fingerprint", each.fingerprint().text());
                 json.writeArrayFieldStart("promptParts");
@@ -43,7 +43,7 @@
                 }
                 json.writeEndArray();
                 json.writeArrayFieldStart("crashes");
-                for (QuarantinedRequest.Crash crash : each.crashes()) {
+                for (QuarantineEntry.Crash crash : each.crashes()) {
                     json.writeStartObject();
                     json.writeStringField("target", crash.target());
                     json.writeStringField("source", crash.source());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
@@ -15,7 +15,7 @@
 import org.rattanplank.core.quarantine.EvidenceChange;
 import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.quarantine.LostRequest;
-import org.rattanplank.core.quarantine.QuarantinedRequest;
+import org.rattanplank.core.quarantine.QuarantineEntry;
 import org.rattanplank.core.quarantine.RequestIdentity;
 import org.rattanplank.core.quarantine.SoundPromptParts;
 import org.rattanplank.gateway.GatewayRequest;
@@ -178,7 +178,7 @@
      */
     public boolean lift(String fingerprint) {
         Set<Fingerprint> lifted = quarantined().stream()
-                .map(QuarantinedRequest::fingerprint)
+                .map(QuarantineEntry::fingerprint)
                 .filter(each -> each.text().equals(fingerprint))
                 .flatMap(each -> quarantine.quarantinedWith(each).stream())
                 .collect(Collectors.toSet());
@@ -204,7 +204,7 @@
      *
      * @return the requests and parts with the crashes of each
      */
-    public List<QuarantinedRequest> quarantined() {
+    public List<QuarantineEntry> quarantined() {
         return quarantine.quarantined(clock.getAsLong());
     }
 
@@ -247,11 +247,11 @@
     }
 
     /** Logs and returns what is quarantined since a change. */
-    private List<QuarantinedRequest> quarantinedBy(EvidenceChange change) {
-        List<QuarantinedRequest> added = change.quarantined().stream()
+    private List<QuarantineEntry> quarantinedBy(EvidenceChange change) {
+        List<QuarantineEntry> added = change.quarantined().stream()
                 .filter(each -> !quarantine.quarantinedWith(each.fingerprint()).isEmpty())
                 .toList();
-        for (QuarantinedRequest each : added) {
+        for (QuarantineEntry each : added) {
             log.writeImportant(LogLine.of(LogEvent.QUARANTINED)
                     .with("fingerprint", each.fingerprint().text())
                     .with("promptParts", String.join(",", each.promptParts()))
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -130,7 +130,7 @@
 
     /** Guards against a host that starts or is connected again and lets a quarantined request through. */
     @Test
-    void shouldRejectAQuarantinedRequestWhenAHostConnectsLater() throws Exception {
+    void shouldRejectAQuarantineEntryWhenAHostConnectsLater() throws Exception {
         TestGateway one = gatewayWithQuarantine();
         TestGateway later = gateway("h2", "labasa");
         addTargets(later, "u", TARGETS);
@@ -301,7 +301,7 @@
 
     /** Guards against hosts that have all restarted, and let a quarantined request crash targets once more. */
     @Test
-    void shouldRejectAQuarantinedRequestWhenAllHostsHaveRestarted() throws Exception {
+    void shouldRejectAQuarantineEntryWhenAllHostsHaveRestarted() throws Exception {
         ClusterEvent.QuarantineChanged stored = gatewayWithQuarantine().awaitStoredQuarantine();
         TestGateway restarted = gateway("h2", "suva");
         restarted.putQuarantine(stored);
