Add failing tests of a prompt prefix that crashes targets in rattanplankd

Different requests with one prefix are sent to a fourth target after three have crashed under it, at one host and where another host told of the crashes.

--- a/rattanplank-core/src/test/java/org/rattanplank/core/NodeTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/NodeTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.LongStream;
 
 import io.vavr.Lazy;
 import io.vavr.control.Option;
@@ -38,6 +39,9 @@
               "20": {"kind": "account", "name": "floor", "homeRegion": "suva", "homeDataCentre": "suva-hall"}}}
             """;
 
+    private static final long FIRST_PREFIX = 1;
+    private static final long CRASHING_PREFIX = 2;
+
     private final Node node = Node.of(new NodeIdentity("suva-1", 1, SUVA), Policy.COST, 1);
 
     @Test
@@ -158,9 +162,66 @@
         assertInstanceOf(Action.Finish.class, actions.get(0));
     }
 
+    /** Guards against requests that crash one target after the other, as they share nothing but how they begin. */
+    @Test
+    void shouldRejectRequestsWithAPrefixWhenTargetsCrashedUnderIt() {
+        configure();
+        for (int i = 1; i <= 3; i++) {
+            crashAttempt(withPrefixes("r" + i, 10_000L * i, FIRST_PREFIX, CRASHING_PREFIX, 100 + i), 10_000L * i);
+        }
+
+        List<Action> rejected = node.handle(
+                new Event.CallerRequestReceived(withPrefixes("r4", 40_000, FIRST_PREFIX, CRASHING_PREFIX, 104)),
+                40_000);
+        List<Action> sent =
+                node.handle(new Event.CallerRequestReceived(withPrefixes("r5", 40_000, FIRST_PREFIX, 9, 105)), 40_000);
+
+        Action.Finish finish = assertInstanceOf(Action.Finish.class, rejected.get(0));
+        Outcome.NotRun notRun = assertInstanceOf(Outcome.NotRun.class, finish.outcome());
+        assertTrue(notRun.failure().toString().contains("prompt part"), notRun::toString);
+        assertInstanceOf(Action.StartAttempt.class, sent.get(0));
+    }
+
+    /** Guards against a host that lets requests through with a prefix under which targets crashed at other hosts. */
+    @Test
+    void shouldRejectRequestsWithAPrefixWhenAnotherHostReportsTheCrashes() {
+        configure();
+        for (int i = 1; i <= 3; i++) {
+            crashAttempt(withPrefixes("r" + i, 10_000L * i, FIRST_PREFIX, CRASHING_PREFIX, 100 + i), 10_000L * i);
+        }
+        CrashNews news =
+                node.handle(new Event.PeerConnected("suva-2", 1, SUVA.region(), SUVA.dataCentre()), 40_000).stream()
+                        .filter(action ->
+                                action instanceof Action.SendMessage send && send.message() instanceof CrashNews)
+                        .map(action -> (CrashNews) ((Action.SendMessage) action).message())
+                        .findFirst()
+                        .orElseThrow();
+        Node other = Node.of(new NodeIdentity("suva-3", 1, SUVA), Policy.COST, 1);
+        configure(other);
+        other.handle(new Event.PeerConnected("suva-2", 1, SUVA.region(), SUVA.dataCentre()), 40_000);
+        other.handle(new Event.MessageReceived("suva-2", 1, news), 40_001);
+
+        List<Action> rejected = other.handle(
+                new Event.CallerRequestReceived(withPrefixes("r4", 40_002, FIRST_PREFIX, CRASHING_PREFIX, 104)),
+                40_002);
+
+        assertInstanceOf(Action.Finish.class, rejected.get(0));
+    }
+
+    /** Returns a request that no other is like but for the prefixes of its prompt. */
+    private static Request withPrefixes(String id, long nowMillis, long... prefixHashes) {
+        return request(id, nowMillis, LongStream.of(prefixHashes).boxed().toList(), Fingerprint.ofIdentifier(id));
+    }
+
     /** Starts the crashing request, and ends its attempt as its target crashes. */
     private List<Action> crashAttempt(String id, long nowMillis) {
-        List<Action> started = node.handle(new Event.CallerRequestReceived(crashing(id, nowMillis)), nowMillis);
+        return crashAttempt(crashing(id, nowMillis), nowMillis);
+    }
+
+    /** Starts a request, and ends its attempt as its target crashes. */
+    private List<Action> crashAttempt(Request request, long nowMillis) {
+        String id = request.id();
+        List<Action> started = node.handle(new Event.CallerRequestReceived(request), nowMillis);
         Action.StartAttempt attempt = assertInstanceOf(Action.StartAttempt.class, started.get(0));
         Failure failure = Failure.of(Step.RECEIVE, attempt.route().peer(), "the connection ended");
         return node.handle(
@@ -169,6 +230,11 @@
 
     /** Returns the request that crashes targets, as its caller sends it under a new identifier. */
     private static Request crashing(String id, long nowMillis) {
+        return request(
+                id, nowMillis, List.of(), Lazy.of(() -> Fingerprint.of("floor", "POST", "/crash", new byte[] {1})));
+    }
+
+    private static Request request(String id, long nowMillis, List<Long> prefixHashes, Lazy<Fingerprint> fingerprint) {
         Request request = draft(id);
         return new Request(
                 id,
@@ -182,14 +248,18 @@
                 nowMillis + 10_000,
                 request.promptTokens(),
                 request.maxTokens(),
-                request.prefixHashes(),
+                prefixHashes,
                 request.stream(),
                 request.passedHosts(),
                 request.claimed(),
-                Lazy.of(() -> Fingerprint.of("floor", "POST", "/crash", new byte[] {1})));
+                fingerprint);
     }
 
     private void configure() {
+        configure(node);
+    }
+
+    private static void configure(Node node) {
         ListedHost target = new ListedHost("plank-1", HostRole.TARGET, SUVA, "127.0.0.1", 1, 0, "plank-serve", false);
         node.handle(new Event.HostsListed(new HostList(1, List.of(target))), 10);
         node.handle(
