Quarantine prompt prefixes that crash targets in rattanplankd

The same fault as in the gateway: requests that begin alike and are otherwise different crash one target after the other. What a host knows to be innocent stands in one class for both programs (AnsweredRequests).

--- a/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/RequestFlow.java
@@ -345,7 +345,8 @@
     private void attemptLost(InFlightRequest request, AttemptResult.Lost lost, long nowMillis, Effects effects) {
         request.mayHaveRun = true;
         if (lost.targetCrashed()) {
-            quarantine.targetCrashed(request.route.get().peer(), request.request, nowMillis, effects);
+            long inFlightMillis = Math.max(0, nowMillis - request.attemptStartedMillis);
+            quarantine.targetCrashed(request.route.get().peer(), request.request, inFlightMillis, nowMillis, effects);
         }
         request.deliveredStreamEvents = Math.max(request.deliveredStreamEvents, lost.deliveredEvents());
         if (request.deliveredStreamEvents > 0) {
--- a/rattanplank-core/src/test/java/org/rattanplank/core/NodeTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/NodeTest.java
@@ -153,7 +153,8 @@
         node.handle(new Event.PeerConnected("suva-2", 1, SUVA.region(), SUVA.dataCentre()), 20_000);
         List<CrashNotice> notices = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            notices.add(new CrashNotice("plank-" + i, fingerprint.high(), fingerprint.low(), false, 1_000 * i));
+            notices.add(new CrashNotice(
+                    "plank-" + i, fingerprint.high(), fingerprint.low(), false, 1_000 * i, "", 0, 0, 0));
         }
         node.handle(new Event.MessageReceived("suva-2", 1, new CrashNews(notices)), 20_001);
 
--- a/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/CrashSimulation.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/quarantine/CrashSimulation.java
@@ -277,6 +277,10 @@
             identity = new RequestIdentity(fingerprint, promptParts);
         }
 
+        private LostRequest lost(long atMillis) {
+            return new LostRequest(identity, atMillis - sentAtMillis);
+        }
+
         private boolean hasCrashingPart() {
             return identity.promptParts().contains(CRASHING_PART);
         }
@@ -335,7 +339,14 @@
                     .forEach(host -> at(nowMillis + CHECK_MILLIS, () -> {
                         List<Request> lost = byHost.get(host);
                         host.publish(host.quarantine.recordCrash(
-                                crashed, lost.stream().map(host::suspect).toList(), host.name, nowMillis));
+                                crashed,
+                                host.answered.suspects(
+                                        lost.stream()
+                                                .map(each -> each.lost(nowMillis))
+                                                .toList(),
+                                        nowMillis),
+                                host.name,
+                                nowMillis));
                         lost.forEach(each -> lost(each, host));
                     }));
             at(nowMillis + RESTART_MILLIS, () -> {
@@ -349,7 +360,7 @@
         private final String name;
         private final int region;
         private CrashQuarantine quarantine = CrashQuarantine.empty();
-        private SoundPromptParts soundParts = SoundPromptParts.empty();
+        private AnsweredRequests answered = AnsweredRequests.empty();
         private boolean cut;
         private long disturbedAtMillis = -STABLE_MILLIS;
 
@@ -359,26 +370,14 @@
         }
 
         private void answered(List<String> promptParts) {
-            soundParts.answered(promptParts, nowMillis);
+            answered.answered(promptParts, nowMillis);
             promptParts.forEach(id -> publish(quarantine.clear(Fingerprint.ofPromptPart(id), nowMillis)));
         }
 
-        private LostRequest suspect(Request request) {
-            List<String> parts = request.identity.promptParts().stream()
-                    .filter(id -> soundParts.soundUntilMillis(id).forAll(until -> until < nowMillis))
-                    .toList();
-            return new LostRequest(new RequestIdentity(request.fingerprint, parts), nowMillis - request.sentAtMillis);
-        }
-
         private void merge(List<CrashEvidence> evidence, String source) {
-            for (CrashEvidence each :
-                    quarantine.merge(evidence, source, nowMillis).news()) {
-                if (!each.cleared() && each.partUse().isDefined()) {
-                    soundParts
-                            .soundUntilMillis(each.partUse().get().id())
-                            .forEach(until -> publish(quarantine.clear(each.fingerprint(), until, nowMillis)));
-                }
-            }
+            EvidenceChange change = quarantine.merge(evidence, source, nowMillis);
+            answered.innocents(change.news(), nowMillis)
+                    .forEach((innocent, until) -> publish(quarantine.clear(innocent, until, nowMillis)));
         }
 
         private void publish(EvidenceChange change) {
@@ -397,7 +396,7 @@
 
         private void restart() {
             quarantine = CrashQuarantine.empty();
-            soundParts = SoundPromptParts.empty();
+            answered = AnsweredRequests.empty();
             disturbedAtMillis = nowMillis;
             exchangeAll();
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
@@ -9,15 +9,13 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
-import org.rattanplank.core.quarantine.CompletedRequests;
+import org.rattanplank.core.quarantine.AnsweredRequests;
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.core.quarantine.CrashQuarantine;
 import org.rattanplank.core.quarantine.EvidenceChange;
 import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.quarantine.LostRequest;
 import org.rattanplank.core.quarantine.QuarantineEntry;
-import org.rattanplank.core.quarantine.RequestIdentity;
-import org.rattanplank.core.quarantine.SoundPromptParts;
 import org.rattanplank.gateway.GatewayRequest;
 import org.rattanplank.gateway.log.EventLog;
 import org.rattanplank.gateway.log.LogEvent;
@@ -35,8 +33,7 @@
     private final String self;
     private final LongSupplier clock;
     private final EventLog log;
-    private final CompletedRequests completed = CompletedRequests.empty();
-    private final SoundPromptParts soundParts = SoundPromptParts.empty();
+    private final AnsweredRequests answered = AnsweredRequests.empty();
     private Consumer<List<CrashEvidence>> publisher = evidence -> {};
     private QuarantineListener listener = QuarantineListener.NONE;
 
@@ -92,50 +89,44 @@
 
     /** Records that a target has completed a request, which therefore is not the cause of earlier crashes. */
     void completed(GatewayRequest request) {
-        completed.add(request.fingerprint());
+        answered.completed(request.fingerprint(), request.promptParts(), clock.getAsLong());
         if (!quarantine.isEmpty()) {
             clear(request.fingerprint().get());
+            clearParts(request);
         }
-        answered(request);
     }
 
     /** Records that a target has answered a request for a while, so that its prompt parts crash no target. */
     void answered(GatewayRequest request) {
-        List<String> parts = request.promptParts();
-        soundParts.answered(parts, clock.getAsLong());
+        answered.answered(request.promptParts(), clock.getAsLong());
         if (!quarantine.isEmpty()) {
-            parts.forEach(id -> clear(Fingerprint.ofPromptPart(id)));
+            clearParts(request);
         }
     }
 
+    private void clearParts(GatewayRequest request) {
+        request.promptParts().forEach(id -> clear(Fingerprint.ofPromptPart(id)));
+    }
+
     /** Records that a target crashed while requests of this host were in flight there. */
     void crashed(String target, Collection<InterruptedRequest> inFlight) {
-        Set<Fingerprint> completedOnes = completed.fingerprints();
-        Map<Fingerprint, LostRequest> suspects = new HashMap<>();
+        long now = clock.getAsLong();
+        Map<Fingerprint, LostRequest> lost = new HashMap<>();
         for (InterruptedRequest each : inFlight) {
-            Fingerprint fingerprint = each.request().fingerprint().get();
-            if (!completedOnes.contains(fingerprint)) {
-                suspects.put(fingerprint, new LostRequest(suspect(each.request()), each.inFlightMillis()));
-            }
+            lost.put(
+                    each.request().fingerprint().get(),
+                    new LostRequest(each.request().identity(), each.inFlightMillis()));
         }
+        List<LostRequest> suspects = answered.suspects(lost.values(), now);
         log.writeImportant(LogLine.of(LogEvent.TARGET_CRASHED)
                 .with("target", target)
                 .with("requests", suspects.size())
-                .with("promptParts", promptParts(suspects.values())));
-        publish(quarantine.recordCrash(target, suspects.values(), self, clock.getAsLong()));
-    }
-
-    /** Returns what of a request may be to blame: not the parts that targets have answered of late. */
-    private RequestIdentity suspect(GatewayRequest request) {
-        long now = clock.getAsLong();
-        List<String> parts = request.promptParts().stream()
-                .filter(id -> soundParts.soundUntilMillis(id).forAll(until -> until < now))
-                .toList();
-        return new RequestIdentity(request.fingerprint().get(), parts);
+                .with("promptParts", promptParts(suspects)));
+        publish(quarantine.recordCrash(target, suspects, self, now));
     }
 
     /** Returns the prompt parts of suspects, as many as a log line needs. */
-    private static String promptParts(Collection<LostRequest> suspects) {
+    private static String promptParts(List<LostRequest> suspects) {
         return suspects.stream()
                 .flatMap(each -> each.identity().promptParts().stream())
                 .distinct()
@@ -152,23 +143,11 @@
      */
     public List<CrashEvidence> merge(String host, List<CrashEvidence> evidence) {
         EvidenceChange change = quarantine.merge(evidence, host, clock.getAsLong());
-        completed.among(change.news()).forEach(this::clear);
-        clearSoundParts(change.news());
+        answered.innocents(change.news(), clock.getAsLong()).forEach(this::clear);
         quarantinedBy(change).forEach(each -> listener.learned(each.fingerprint()));
         return change.news();
     }
 
-    /** Clears the prompt parts of which this host knows that targets have answered them of late. */
-    private void clearSoundParts(List<CrashEvidence> news) {
-        for (CrashEvidence each : news) {
-            if (!each.cleared() && each.partUse().isDefined()) {
-                soundParts
-                        .soundUntilMillis(each.partUse().get().id())
-                        .forEach(until -> clear(each.fingerprint(), until));
-            }
-        }
-    }
-
     /**
      * Lifts the quarantine of a request, or of a prompt part and those that no crash tells from it, on all hosts, until more
      * targets crash under it.
