Begin anew to count how long a stream is answered when it continues at its backup

A prompt counts as sound when one target has been answering it for a second. A stream that failed over counted the time at its first target as well. Found by reading; no test.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -285,6 +285,7 @@
             return;
         }
         sentAtMillis = state.nowMillis();
+        firstContentAtMillis = Option.none();
         attempt = Option.some(state.connections().send(choice, sentCall, this));
     }
 
