--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PromptPartQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PromptPartQuarantineFlowTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.Timeout;
 import org.rattanplank.core.gateway.RouteKind;
 import org.rattanplank.core.gateway.TargetIncarnation;
+import org.rattanplank.gateway.peer.PeerFrame;
+import org.rattanplank.gateway.peer.TestPeer;
 import org.rattanplank.gateway.store.ClusterEvent;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -186,6 +188,28 @@
         assertTrue(sendCrashing(gateway).startsWith("HTTP/1.1 200 "));
     }
 
+    /** Guards against hosts of an earlier version that close their links on a notice that they don't know. */
+    @Test
+    void shouldSendEvidenceOfPartsOnlyToHostsThatAcceptIt() throws Exception {
+        TestGateway gateway = gateway("h1", "suva");
+        addTargets(gateway, "t", 1);
+        try (TestPeer earlier = gateway.peer("h8");
+                TestPeer current = gateway.peer("h9")) {
+            earlier.reportIdleWithCrashNotices(false);
+            earlier.framesUntilEchoed();
+            current.reportIdleWithCrashNotices(true);
+            current.framesUntilEchoed();
+
+            sendCrashing(gateway);
+            current.await(PeerFrame.PromptPartCrashNotice.class);
+            earlier.reportIdleWithCrashNotices(false);
+            List<PeerFrame> frames = earlier.framesUntilEchoed();
+
+            assertTrue(frames.stream().anyMatch(PeerFrame.CrashNotice.class::isInstance), frames::toString);
+            assertFalse(frames.stream().anyMatch(PeerFrame.PromptPartCrashNotice.class::isInstance), frames::toString);
+        }
+    }
+
     /** Guards against a sound part that is refused, as targets crashed by themselves under requests with it. */
     @Test
     void shouldServeRequestsWithAPartWhenTargetsCrashedUnderOneOfThemOnly() throws Exception {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -416,6 +416,22 @@
      * @throws IOException if the link was closed
      */
     public void reportIdle(boolean supportsLargePrefillNotices) throws IOException {
+        reportIdle(supportsLargePrefillNotices, false, false);
+    }
+
+    /**
+     * Reports likewise that it accepts evidence of crashes.
+     *
+     * @param promptParts whether it also accepts evidence against prompt parts
+     * @throws IOException if the link was closed
+     */
+    public void reportIdleWithCrashNotices(boolean promptParts) throws IOException {
+        reportIdle(true, true, promptParts);
+    }
+
+    private void reportIdle(
+            boolean supportsLargePrefillNotices, boolean supportsCrashNotices, boolean supportsPromptPartNotices)
+            throws IOException {
         lastStateAtMillis++;
         send(new PeerFrame.State(
                 lastStateAtMillis,
@@ -434,8 +450,8 @@
                 1,
                 LINK_BYTES_PER_MILLI,
                 supportsLargePrefillNotices,
-                false,
-                false));
+                supportsCrashNotices,
+                supportsPromptPartNotices));
     }
 
     /**
