Bound the prompt prefixes that rattanplankd may blame for a crash

A prompt has up to 256 prefixes, of which each was a piece of evidence: one crash with a few long prompts filled the table of 1,024 and sent some 25 KB for each request to each host. Now prefixes of 1, 2, 4 ... blocks are looked at, eight at most.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
@@ -24,7 +24,8 @@
 import org.rattanplank.schema.message.CrashNotice;
 
 /**
- * Applies the quarantine of requests and prompt prefixes that crash targets, and exchanges its evidence with the connected hosts.
+ * Applies the quarantine of requests and prompt prefixes that crash targets, and exchanges its evidence with the connected
+ * hosts.
  *
  * <p>Invariants: evidence is relayed only by hosts to which it is new; while no request is suspected, no fingerprint is
  * computed. Thread safe; one lock guards the evidence and is released before messages are sent.
@@ -88,13 +89,17 @@
         return new RequestIdentity(request.fingerprint().get(), promptParts(request));
     }
 
-    /** Returns the prefixes of a prompt that other requests may share: all but the last. */
+    /**
+     * Returns prefixes of a prompt that other requests may share, each twice as long as the one before: a prompt has
+     * hundreds of them, and each would be a piece of evidence.
+     */
     private static List<String> promptParts(Request request) {
         List<Long> prefixes = request.prefixHashes();
-        return prefixes.stream()
-                .limit(Math.max(0, prefixes.size() - 1))
-                .map(Long::toHexString)
-                .toList();
+        List<String> parts = new ArrayList<>();
+        for (int blocks = 1; blocks < prefixes.size(); blocks *= 2) {
+            parts.add(Long.toHexString(prefixes.get(blocks - 1)));
+        }
+        return parts;
     }
 
     /** Records that a target crashed after a request had been in flight there for a time, unless it was leaving. */
