--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 
 import org.rattanplank.core.gateway.EntryChange;
 import org.rattanplank.core.gateway.GatewayConfiguration;
@@ -15,6 +16,7 @@
 import org.rattanplank.gateway.peer.PeerLinks;
 import org.rattanplank.gateway.store.ClusterEvent;
 import org.rattanplank.gateway.store.FeedListener;
+import org.rattanplank.gateway.store.StoreChange;
 import org.rattanplank.gateway.store.StoreFailure;
 import org.rattanplank.gateway.store.StoreItem;
 import org.rattanplank.gateway.store.StoreReadKind;
@@ -42,23 +44,23 @@
     }
 
     @Override
-    public void itemChanged(StoreItem item, ClusterEvent event) {
+    public void itemChanged(StoreChange change, ClusterEvent event) {
         if (event instanceof ClusterEvent.ConfigurationChanged configured) {
             applyConfiguration(configured.configuration());
         } else if (event instanceof ClusterEvent.IntentsChanged applied) {
             applyIntents(applied.document());
         } else if (event instanceof ClusterEvent.TargetRegistered registered) {
-            applyTargetEntry(registered.entry());
+            applyTargetEntry(registered.entry(), change);
         } else if (event instanceof ClusterEvent.TargetRemoved removed) {
+            long graceMillis = state.pool().removalGraceMillis(state.nowMillis());
             state.pool().remove(removed.id(), state.nowMillis());
-            logTargetRemoved(removed.id(), "its entry was removed");
+            logChange(LogEvent.TARGET_GONE, change, line -> line.with("target", removed.id())
+                    .with("reason", "its entry was removed")
+                    .with("graceMillis", graceMillis));
         } else if (event instanceof ClusterEvent.EvacuationChanged evacuation) {
             state.pool().evacuate(evacuation.dataCentre(), evacuation.active(), state.nowMillis());
-            state.log()
-                    .writeImportant(LogLine.of(LogEvent.EVACUATION)
-                            .with("dataCentre", evacuation.dataCentre())
-                            .with("active", evacuation.active())
-                            .with("revision", item.revision()));
+            logChange(LogEvent.EVACUATION, change, line -> line.with("dataCentre", evacuation.dataCentre())
+                    .with("active", evacuation.active()));
         } else if (event instanceof ClusterEvent.HostRegistered host) {
             links.hostRegistered(host.host());
         } else if (event instanceof ClusterEvent.HostRemoved host) {
@@ -69,7 +71,7 @@
         } else if (event instanceof ClusterEvent.QuarantineChanged changed) {
             quarantineRecorder.mergeStored(changed.fingerprint(), changed.evidence());
         } else if (event instanceof ClusterEvent.Unreadable unreadable) {
-            reportUnreadable(item, unreadable);
+            reportUnreadable(change.item(), unreadable);
         }
     }
 
@@ -129,19 +131,29 @@
                                 .with("retiring", String.join(",", intents.retiring()))));
     }
 
-    private void applyTargetEntry(TargetEntry entry) {
-        EntryChange change = state.pool().register(entry, state.nowMillis());
+    private void applyTargetEntry(TargetEntry entry, StoreChange change) {
+        EntryChange entryChange = state.pool().register(entry, state.nowMillis());
         state.markRetiringTargets();
-        change.terminated().forEach(previous -> {
+        entryChange.terminated().forEach(previous -> {
             state.connections().closeAll(previous);
             logTargetRemoved(previous.incarnationText(), "the target has restarted");
         });
-        change.changed().forEach(target -> state.log()
-                .writeImportant(LogLine.of(LogEvent.TARGET_CHANGED)
-                        .with("target", target.incarnationText())
-                        .with("service", entry.service())
-                        .with("leaving", entry.leaving())
-                        .with("coldMillis", entry.coldMillis())));
+        entryChange
+                .changed()
+                .forEach(target ->
+                        logChange(LogEvent.TARGET_CHANGED, change, line -> line.with("target", target.incarnationText())
+                                .with("service", entry.service())
+                                .with("leaving", entry.leaving())
+                                .with("coldMillis", entry.coldMillis())));
+    }
+
+    /** Logs a change of what this host believes, with where it was learnt and how far the local copy was before. */
+    private void logChange(LogEvent event, StoreChange change, UnaryOperator<LogLine> details) {
+        state.log()
+                .writeImportant(details.apply(LogLine.of(event))
+                        .with("revision", change.item().revision())
+                        .with("source", change.source())
+                        .with("copyRevision", change.copyRevision()));
     }
 
     /** Logs an unreadable entry once per key and reason, as it may be rewritten every second. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -232,9 +232,9 @@
     }
 
     @Override
-    public void storeItemsReceived(PeerFrame.StoreItems storeItems) {
+    public void storeItemsReceived(PeerLink link, PeerFrame.StoreItems storeItems) {
         state.pool().extendRemovalGrace(storeItems.removalGraceMillis(), clock.nowMillis());
-        feed.mergeFromPeer(storeItems.baseRevision(), storeItems.revision(), storeItems.items());
+        feed.mergeFromPeer(link.name(), storeItems.baseRevision(), storeItems.revision(), storeItems.items());
     }
 
     @Override
@@ -448,6 +448,8 @@
         metrics.gauge("configuration_version", state::configurationVersion);
         metrics.gauge("intents_generation", () -> state.intents().generation());
         metrics.gauge("store_age_millis", () -> feed.lastResponseAgeMillis());
+        metrics.gauge("store_copy_revision", () -> feed.copy().revision());
+        metrics.gauge("store_copy_lag_millis", () -> feed.lagMillis());
         metrics.gauge("requests_in_progress", () -> requests.size());
         metrics.gauge("targets", () -> state.pool().all().size());
         metrics.gauge("peers", () -> links.aliveLinks().size());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -199,6 +199,7 @@
     void receiveState(PeerLink link, PeerFrame.State received) {
         GatewayHost host = link.host().get();
         state.metrics().record(Latency.PEER_ROUND_TRIP, link.roundTripMillis());
+        feed.peerRevisionReported(received.knownRevision());
         if (link.isInOwnRegion() && !state.uses(Mechanism.OTHERS_WORK)) {
             return;
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RegionReplication.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RegionReplication.java
@@ -6,6 +6,8 @@
 import org.rattanplank.core.gateway.CatchUpOrder;
 import org.rattanplank.core.gateway.StoreWatchers;
 import org.rattanplank.core.host.RendezvousHashing;
+import org.rattanplank.gateway.log.LogEvent;
+import org.rattanplank.gateway.log.LogLine;
 import org.rattanplank.gateway.pass.GatewayState;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.PeerLink;
@@ -36,6 +38,9 @@
     /** The time between the turns of two catch-up senders, in which the receiver reports that it has caught up. */
     private static final long CATCH_UP_TURN_MILLIS = 600;
 
+    /** A change reaches a host that is in touch sooner than this. */
+    private static final long LOGGED_LAG_MILLIS = 2_000;
+
     private final GatewayState state;
     private final StoreFeed feed;
     private final StoreReplicator replicator;
@@ -43,6 +48,7 @@
     private StoreWatchers watchers = StoreWatchers.of(List.of());
     private long watchersChecksum = Long.MIN_VALUE;
     private long watchersUpdatedAtMillis;
+    private boolean lagLogged;
 
     RegionReplication(GatewayState state, StoreFeed feed, long linkBytesPerMilli) {
         this.state = state;
@@ -59,6 +65,20 @@
             feed.setWatching(shouldWatch(alive));
         }
         replicator.tick(alive, this, nowMillis);
+        logLag();
+    }
+
+    private void logLag() {
+        long lagMillis = feed.lagMillis();
+        if (lagMillis >= LOGGED_LAG_MILLIS && !lagLogged) {
+            state.log()
+                    .writeImportant(LogLine.of(LogEvent.STORE_BEHIND)
+                            .with("lagMillis", lagMillis)
+                            .with("copyRevision", feed.copy().revision())
+                            .with("newestRevision", feed.newestReportedRevision())
+                            .with("watching", feed.isWatching()));
+        }
+        lagLogged = lagMillis >= LOGGED_LAG_MILLIS;
     }
 
     void disconnected(PeerLink link) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -66,6 +66,8 @@
     ENDED,
     /** The complete local copy of the store was sent to another host. */
     STORE_TOLD,
+    /** This host has lacked changes of the store for some time that another host has. */
+    STORE_BEHIND,
     /** A large response of the store was read. */
     STORE_READ,
     /** Many bytes for another host are still queued in this process. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -365,7 +365,7 @@
         } else if (frame instanceof PeerFrame.PromptPartCrashNotice notice) {
             owner.listener().crashNoticeReceived(this, notice.evidence());
         } else if (frame instanceof PeerFrame.StoreItems items) {
-            owner.listener().storeItemsReceived(items);
+            owner.listener().storeItemsReceived(this, items);
         } else if (frame instanceof PeerFrame.Fragment fragment) {
             handleFragment(fragment);
         } else if (frame instanceof PeerFrame.CallRequest request) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerListener.java
@@ -48,9 +48,10 @@
     /**
      * Called when a host has sent contents of the store.
      *
+     * @param link the link to it
      * @param items the items
      */
-    void storeItemsReceived(PeerFrame.StoreItems items);
+    void storeItemsReceived(PeerLink link, PeerFrame.StoreItems items);
 
     /**
      * Called when a host forwards a request to this one.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
@@ -5,10 +5,10 @@
     /**
      * Called when an item has changed.
      *
-     * @param item the item, or its removal
+     * @param change the item, or its removal, and where it comes from
      * @param event the change that the item describes
      */
-    void itemChanged(StoreItem item, ClusterEvent event);
+    void itemChanged(StoreChange change, ClusterEvent event);
 
     /**
      * Called when the store has responded to a call that it does not hold.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -58,6 +58,7 @@
     private final LinkRateLimiter readLimiter;
     private final WatchPacer watchPacer = new WatchPacer();
     private final StoreCopy copy = new StoreCopy();
+    private final CopyLag lag = new CopyLag();
     private final Set<String> listedKeys = new HashSet<>();
     private Backoff backoff = Backoff.of(0, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS);
     private long listRevision;
@@ -184,6 +185,33 @@
         return clock.nowMillis() - lastResponseMillis;
     }
 
+    /**
+     * Records the revision up to which another host's copy is complete.
+     *
+     * @param revision the revision
+     */
+    public void peerRevisionReported(long revision) {
+        lag.heard(revision, clock.nowMillis());
+    }
+
+    /**
+     * Returns for how long this host's copy has lacked changes that another host has.
+     *
+     * @return milliseconds
+     */
+    public long lagMillis() {
+        return lag.millis(copy.revision(), clock.nowMillis());
+    }
+
+    /**
+     * Returns the highest revision up to which another host's copy is complete.
+     *
+     * @return the revision, zero if none was reported
+     */
+    public long newestReportedRevision() {
+        return lag.newestRevision();
+    }
+
     /**
      * Returns the local copy of the store.
      *
@@ -196,22 +224,26 @@
     /**
      * Merges the contents that another host has sent.
      *
+     * @param peer the name of the host
      * @param baseRevision the revision since which the items are all changes; zero if they are all items of the store
      * @param revision the revision up to which they are complete; zero if they are only some of the changes
      * @param received the items and removals
      */
-    public void mergeFromPeer(long baseRevision, long revision, List<StoreItem> received) {
-        copy.merge(baseRevision, revision, received).forEach(this::notifyListener);
+    public void mergeFromPeer(String peer, long baseRevision, long revision, List<StoreItem> received) {
+        long copyRevision = copy.revision();
+        for (StoreItem item : copy.merge(baseRevision, revision, received)) {
+            notifyListener(item, peer, copyRevision);
+        }
     }
 
-    private void apply(StoreItem item) {
+    private void apply(StoreItem item, StoreReadKind source) {
         if (copy.apply(item)) {
-            notifyListener(item);
+            notifyListener(item, source.name(), copy.revision());
         }
     }
 
-    private void notifyListener(StoreItem item) {
-        listener.itemChanged(item, format.read(item));
+    private void notifyListener(StoreItem item, String source, long copyRevision) {
+        listener.itemChanged(new StoreChange(item, source, copyRevision), format.read(item));
     }
 
     private void list(String after) {
@@ -240,13 +272,13 @@
         listRevision = Math.min(listRevision, page.revision());
         page.items().forEach(item -> {
             listedKeys.add(item.key());
-            apply(item);
+            apply(item, StoreReadKind.LIST);
         });
         if (page.hasMore() && !page.items().isEmpty()) {
             list(page.items().get(page.items().size() - 1).key());
             return;
         }
-        copy.removalsMissingFrom(listedKeys, listRevision).forEach(this::apply);
+        copy.removalsMissingFrom(listedKeys, listRevision).forEach(item -> apply(item, StoreReadKind.LIST));
         copy.completeUpTo(listRevision);
         backoff = backoff.succeeded();
         watch();
@@ -269,7 +301,7 @@
         backoff = backoff.succeeded();
         StorePage page = reply.get();
         recordPage(StoreReadKind.WATCH, page);
-        page.items().forEach(this::apply);
+        page.items().forEach(item -> apply(item, StoreReadKind.WATCH));
         copy.completeUpTo(page.revision());
         if (page.items().isEmpty()) {
             watch();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayLogTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayLogTest.java
@@ -259,4 +259,15 @@
             assertLine(lines, "\"event\":\"ended\"", "\"outcome\":\"answered\"", "\"status\":500");
         }
     }
+
+    /** Guards against a record from which it can't be told how a host learnt, or failed to learn, that a target has left. */
+    @Test
+    void shouldLogRevisionAndSourceWhenATargetIsAddedAndRemoved() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1).target("t1", 1);
+        gateway.removeTarget("t1");
+        gateway.awaitTargets(0);
+
+        gateway.awaitLogged("\"coldMillis\":0,\"revision\":3,\"source\":\"WATCH\",\"copyRevision\":2");
+        gateway.awaitLogged("\"graceMillis\":0,\"revision\":4,\"source\":\"WATCH\",\"copyRevision\":3");
+    }
 }
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
@@ -19,9 +19,9 @@
 import org.rattanplank.gateway.store.ClusterEvent;
 import org.rattanplank.gateway.store.FeedListener;
 import org.rattanplank.gateway.store.HostLease;
+import org.rattanplank.gateway.store.StoreChange;
 import org.rattanplank.gateway.store.StoreFailure;
 import org.rattanplank.gateway.store.StoreFeed;
-import org.rattanplank.gateway.store.StoreItem;
 import org.rattanplank.gateway.store.StoreReadKind;
 import org.rattanplank.platform.PlatformItems;
 import org.rattanplank.platform.PlatformStore;
@@ -212,7 +212,7 @@
 
     private final class Listener implements FeedListener {
         @Override
-        public void itemChanged(StoreItem item, ClusterEvent fact) {
+        public void itemChanged(StoreChange change, ClusterEvent fact) {
             facts.add(fact);
         }
 
