Add failing tests of removals that a relay has never known

A host that has listed the store knows what is there, not what has gone. It tells "all changes since 950" to a host that is complete up to 950; a target that was removed before its list at 1,000 is not among them, and the receiver counts itself complete. TestRegion now lists the store as the feed does, without removals, and reads the history from there on; a host that starts knows nothing.

--- /dev/null
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
@@ -0,0 +1,66 @@
+package org.rattanplank.gateway;
+
+import java.io.IOException;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.rattanplank.core.gateway.RouteKind;
+import org.rattanplank.gateway.peer.TestPeer;
+import org.rattanplank.gateway.store.StoreCopy;
+import org.rattanplank.gateway.store.StoreItem;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests that no request is sent to a target that has left, however a host learns of the store. */
+@Timeout(60)
+class DepartedTargetFlowTest {
+    private static final long REPORT_MILLIS = 100;
+
+    private TestGateway gateway;
+
+    @BeforeEach
+    void startGateway() throws IOException {
+        gateway = new TestGateway();
+    }
+
+    @AfterEach
+    void closeGateway() {
+        gateway.close();
+    }
+
+    /**
+     * Guards against a target that stays in use at a host because its relay has listed the store after the target had left,
+     * and tells only what it has itself seen to change.
+     */
+    @Test
+    void shouldTellAHostThatATargetHasLeftWhenItHasNeverKnownTheTargetItself() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        StoreItem entry = gateway.departedTarget("t1", 1);
+        StoreCopy follower = new StoreCopy();
+        follower.merge(0, entry.revision(), List.of(entry));
+        try (TestPeer peer = gateway.sameRegionPeer("follower")) {
+            Thread reports = new Thread(() -> reportUntilInterrupted(peer, entry.revision()));
+            reports.start();
+
+            peer.mergeUntilComplete(follower, entry.revision() + 1);
+            reports.interrupt();
+            reports.join();
+        }
+
+        assertTrue(follower.items().stream().noneMatch(item -> item.key().equals(entry.key())));
+    }
+
+    private static void reportUntilInterrupted(TestPeer peer, long revision) {
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                peer.reportState(1, revision);
+                Thread.sleep(REPORT_MILLIS);
+            }
+        } catch (IOException | InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -39,6 +39,7 @@
 import org.rattanplank.gateway.log.EventLog;
 import org.rattanplank.gateway.peer.TestPeer;
 import org.rattanplank.gateway.store.ClusterEvent;
+import org.rattanplank.gateway.store.StoreItem;
 
 /** A gateway of one region with an in-memory store. */
 final class TestGateway implements AutoCloseable {
@@ -176,6 +177,30 @@
         return this;
     }
 
+    /**
+     * Adds a target and removes it before the gateway observes it, and waits until the gateway has listed the store since.
+     *
+     * @return the entry of the target
+     */
+    StoreItem departedTarget(String id, int port) {
+        long lists = store.lists();
+        String key = "targets/" + id;
+        long revision = store.putAndRemoveUnobserved(key, registration(new TargetIncarnation(id, 0), port));
+        awaitListed(lists + 1);
+        return new StoreItem(key, new byte[0], revision, false);
+    }
+
+    /** Waits until the store was listed that often. */
+    void awaitListed(long lists) {
+        for (int i = 0; i < MAX_POLLS; i++) {
+            if (store.lists() >= lists) {
+                return;
+            }
+            LockSupport.parkNanos(POLL_INTERVAL_NANOS);
+        }
+        throw new AssertionError("the store was listed " + store.lists() + " times, not " + lists);
+    }
+
     /** Removes the entry of a target. */
     void removeTarget(String id) {
         store.put("targets/" + id, new ClusterEvent.TargetRemoved(id), true);
@@ -206,8 +231,12 @@
 
     /** Adds an incarnation of a target. */
     void registerTarget(TargetIncarnation incarnation, int port) {
-        TargetEntry entry = new TargetEntry(incarnation, "desk", "127.0.0.1", port, DATA_CENTRE, 4, false, 0);
-        store.put("targets/" + incarnation.id(), new ClusterEvent.TargetRegistered(entry), false);
+        store.put("targets/" + incarnation.id(), registration(incarnation, port), false);
+    }
+
+    private static ClusterEvent registration(TargetIncarnation incarnation, int port) {
+        return new ClusterEvent.TargetRegistered(
+                new TargetEntry(incarnation, "desk", "127.0.0.1", port, DATA_CENTRE, 4, false, 0));
     }
 
     /** Waits for the final log line of a request, and returns all its lines. */
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
@@ -33,6 +33,7 @@
     private final Map<String, ClusterEvent> writtenQuarantines = new HashMap<>();
     private final AtomicLong lists = new AtomicLong();
     private long revision = 1;
+    private long compactedRevision;
     private boolean down;
 
     TestStore(EventLoop loop) {
@@ -61,6 +62,24 @@
         List.copyOf(waiting).forEach(Runnable::run);
     }
 
+    /**
+     * Puts an item, removes it and forgets the history before the gateway observes either, so that it lists the store.
+     *
+     * @return the revision at which the item was put
+     */
+    long putAndRemoveUnobserved(String key, ClusterEvent event) {
+        AtomicLong putRevision = new AtomicLong();
+        loop.submit(() -> {
+                    putRevision.set(revision + 1);
+                    events.put(revision + 1, event);
+                    revision += 2;
+                    compactedRevision = revision;
+                    List.copyOf(waiting).forEach(Runnable::run);
+                })
+                .syncUninterruptibly();
+        return putRevision.get();
+    }
+
     /** Returns the items of quarantines that the gateway has written. */
     List<ClusterEvent.QuarantineChanged> quarantines() {
         List<ClusterEvent.QuarantineChanged> quarantines = new ArrayList<>();
@@ -106,6 +125,10 @@
         Runnable answer = () -> {
             if (!done[0]) {
                 done[0] = true;
+                if (afterRevision < compactedRevision) {
+                    loop.execute(() -> reply.accept(Either.left(StoreFailure.HISTORY_GONE)));
+                    return;
+                }
                 reply(
                         reply,
                         () -> new StorePage(
@@ -116,7 +139,7 @@
             }
         };
         waiting.removeIf(each -> done[0]);
-        if (history.isEmpty() || history.lastKey() <= afterRevision) {
+        if (afterRevision >= revision) {
             waiting.add(answer);
             loop.schedule(answer, waitMillis, TimeUnit.MILLISECONDS);
         } else {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -19,6 +19,7 @@
 import org.rattanplank.core.gateway.StreamStats;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.host.Location;
+import org.rattanplank.gateway.store.StoreCopy;
 import org.rattanplank.gateway.store.StoreItem;
 import org.rattanplank.gateway.target.AttemptFailure;
 
@@ -314,6 +315,32 @@
         reportState(0, newestRevision, true, LINK_BYTES_PER_MILLI);
     }
 
+    /**
+     * Sends items of the store.
+     *
+     * @param baseRevision the revision since which they are all changes; zero if they are all items
+     * @param revision the revision up to which they are complete; zero if they are only some of the changes
+     * @param items the items
+     * @throws IOException if the link was closed
+     */
+    public void sendStoreItems(long baseRevision, long revision, List<StoreItem> items) throws IOException {
+        send(new PeerFrame.StoreItems(baseRevision, revision, 0, items));
+    }
+
+    /**
+     * Merges the store items that the other host sends into a copy until the copy is complete up to a revision.
+     *
+     * @param copy the copy
+     * @param revision the revision
+     * @throws IOException if the link was closed
+     */
+    public void mergeUntilComplete(StoreCopy copy, long revision) throws IOException {
+        while (copy.revision() < revision) {
+            PeerFrame.StoreItems items = await(PeerFrame.StoreItems.class);
+            copy.merge(items.baseRevision(), items.revision(), items.items());
+        }
+    }
+
     /**
      * Sends the bytes of a frame in chunks with pauses, as a congested link does.
      *
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
@@ -4,9 +4,13 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
 
 import org.rattanplank.core.gateway.StoreWatchers;
 import org.rattanplank.gateway.store.StoreCopy;
@@ -26,9 +30,11 @@
     private static final long CATCH_UP_TURN_MILLIS = 600;
 
     private final List<Host> hosts = new ArrayList<>();
+    private final NavigableMap<Long, StoreItem> history = new TreeMap<>();
     private final Map<String, StoreItem> store = new HashMap<>();
     private final Random random;
     private long revision = 1;
+    private long compactedRevision;
     private long nowMillis;
 
     TestRegion(long seed) {
@@ -53,11 +59,28 @@
     void put(String key, int bytes) {
         byte[] value = new byte[bytes];
         random.nextBytes(value);
-        store.put(key, new StoreItem(key, value, ++revision, false));
+        write(new StoreItem(key, value, ++revision, false));
     }
 
     void remove(String key) {
-        store.put(key, new StoreItem(key, new byte[0], ++revision, true));
+        write(new StoreItem(key, new byte[0], ++revision, true));
+    }
+
+    private void write(StoreItem item) {
+        store.put(item.key(), item);
+        history.put(item.revision(), item);
+    }
+
+    /** Makes the store forget its history, so that all watchers list it anew. */
+    void compactStore() {
+        compactedRevision = revision;
+    }
+
+    /** Returns the keys of the store's present items. */
+    Set<String> presentKeys() {
+        Set<String> keys = new HashSet<>();
+        store.values().stream().filter(item -> !item.removed()).forEach(item -> keys.add(item.key()));
+        return keys;
     }
 
     void run(long millis) {
@@ -70,32 +93,37 @@
     boolean isConverged() {
         return hosts.stream()
                 .filter(host -> host.alive)
-                .allMatch(host ->
-                        host.copy.revision() >= revision && host.copy.items().size() == presentItems());
-    }
-
-    private long presentItems() {
-        return store.values().stream().filter(item -> !item.removed()).count();
+                .allMatch(
+                        host -> host.copy.revision() >= revision && host.keys().equals(presentKeys()));
     }
 
     final class Host implements ReplicationPolicy {
         private final String name;
         private final long linkBytesPerMilli;
-        private final StoreCopy copy = new StoreCopy();
-        private final StoreReplicator replicator;
+        private StoreCopy copy = new StoreCopy();
+        private StoreReplicator replicator;
         private final Map<Host, SimulatedLink> links = new HashMap<>();
         private final List<long[]> sent = new ArrayList<>();
         private StoreWatchers watchers = StoreWatchers.of(List.of());
         private PeerFrame.State lastState = PeerFrame.State.NONE;
         private boolean alive = true;
         private boolean rejectedByStore;
+        private long listsAtMillis;
         private long terminatedAtMillis;
         private double linkFreeAtMillis;
 
         private Host(String name, long linkBytesPerMilli) {
             this.name = name;
             this.linkBytesPerMilli = linkBytesPerMilli;
-            replicator = new StoreReplicator(copy, linkBytesPerMilli, now -> 0, line -> {});
+            replicator = replicator();
+        }
+
+        private StoreReplicator replicator() {
+            return new StoreReplicator(copy, linkBytesPerMilli, now -> 0, line -> {});
+        }
+
+        String name() {
+            return name;
         }
 
         long linkBytesPerMilli() {
@@ -115,11 +143,42 @@
             return copy.items().stream().anyMatch(item -> item.key().equals(key));
         }
 
+        /** Returns the keys of the items that the host takes for present. */
+        Set<String> keys() {
+            Set<String> keys = new HashSet<>();
+            copy.items().forEach(item -> keys.add(item.key()));
+            return keys;
+        }
+
+        boolean isAlive() {
+            return alive;
+        }
+
+        boolean isRejectedByStore() {
+            return rejectedByStore;
+        }
+
         void terminate() {
             alive = false;
             terminatedAtMillis = nowMillis;
         }
 
+        /** Starts the host again, which knows nothing until it has listed the store or is sent its items. */
+        void restart(long listDelayMillis) {
+            alive = true;
+            listsAtMillis = nowMillis + listDelayMillis;
+            copy = new StoreCopy();
+            replicator = replicator();
+            lastState = PeerFrame.State.NONE;
+            links.clear();
+            for (Host host : hosts) {
+                SimulatedLink link = host.links.remove(this);
+                if (link != null) {
+                    host.replicator.disconnected(link);
+                }
+            }
+        }
+
         void setRejectedByStore(boolean newRejectedByStore) {
             rejectedByStore = newRejectedByStore;
         }
@@ -132,7 +191,8 @@
             if (nowMillis % WATCHER_SELECTION_MILLIS == 0) {
                 watchers = chooseWatchers();
             }
-            if (isHealthyWatcher()) {
+            boolean mustList = copy.revision() == 0 && !rejectedByStore && nowMillis >= listsAtMillis;
+            if (mustList || isHealthyWatcher()) {
                 readStore();
             }
             if (nowMillis % STATE_MILLIS == 0) {
@@ -181,7 +241,21 @@
         }
 
         private void readStore() {
-            store.values().forEach(copy::apply);
+            if (nowMillis < listsAtMillis) {
+                return;
+            }
+            if (copy.revision() == 0 || copy.revision() < compactedRevision) {
+                listStore();
+                return;
+            }
+            history.tailMap(copy.revision(), false).values().forEach(copy::apply);
+            copy.completeUpTo(revision);
+        }
+
+        /** Lists the store as {@link org.rattanplank.gateway.store.StoreFeed} does, which shows no removals. */
+        private void listStore() {
+            store.values().stream().filter(item -> !item.removed()).forEach(copy::apply);
+            copy.removalsMissingFrom(presentKeys(), revision).forEach(copy::apply);
             copy.completeUpTo(revision);
         }
 
