Add failing tests of older items that a complete copy takes for new

A host that is complete up to 1,000 takes an item of revision 500 that it doesn't have for a new one, although it must have been removed since. A request is sent to such a target and answered 200.

--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
@@ -8,10 +8,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.rattanplank.core.gateway.RouteKind;
+import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.TestPeer;
 import org.rattanplank.gateway.store.StoreCopy;
 import org.rattanplank.gateway.store.StoreItem;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests that no request is sent to a target that has left, however a host learns of the store. */
@@ -31,6 +33,31 @@
         gateway.close();
     }
 
+    /**
+     * Guards against a removed target that comes back from a host whose listing is older. Symptom: one host sends requests to
+     * a target that left before the host listed the store, and nothing removes it there any more.
+     */
+    @Test
+    void shouldSendNothingToADepartedTargetWhenAnotherHostStillHasIt() throws Exception {
+        try (TestTarget target = new TestTarget(
+                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "done")));
+                TestPeer stale = gateway.sameRegionPeer("stale")) {
+            gateway.configure(RouteKind.SAFE, false, 1);
+            StoreItem entry = gateway.departedTarget("t1", target.port());
+            stale.await(PeerFrame.State.class);
+            long receivedBytes = gateway.metric("peer_bytes_received");
+
+            stale.sendStoreItems(0, entry.revision(), List.of(entry));
+            gateway.awaitReceived((int) receivedBytes + 1);
+
+            String answer = gateway.caller()
+                    .send("GET /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q1\r\nTime-Left: 5000\r\n\r\n")
+                    .readUntil("\r\n\r\n");
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+            assertEquals(0, target.unreadRequests());
+        }
+    }
+
     /**
      * Guards against a target that stays in use at a host because its relay has listed the store after the target had left,
      * and tells only what it has itself seen to change.
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreRemovalTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreRemovalTest.java
@@ -53,6 +53,20 @@
         assertTrue(region.hosts().stream().noneMatch(host -> host.hasItem("target-1")));
     }
 
+    /** Guards against a removed item that comes back from a host whose listing is older than this host's. */
+    @Test
+    void shouldTakeNoOlderItemThatItDoesNotHaveWhenACopyIsComplete() {
+        for (long upTo : new long[] {0, 900, 1_000}) {
+            StoreCopy copy = new StoreCopy();
+            copy.completeUpTo(1_000);
+
+            List<StoreItem> newer = copy.merge(0, upTo, List.of(entry("target-1", 500)));
+
+            assertEquals(List.of(), newer, "up to " + upTo);
+            assertTrue(copy.items().isEmpty(), "up to " + upTo);
+        }
+    }
+
     /** Guards against a copy that lists the store and then loses what it lists. */
     @Test
     void shouldTakeNewerItemsWhenACopyIsComplete() {
