Add a failing test of a removal that is kept back without end

Each recovery of the store, a host's own or one that another host tells, moves the end of the grace for all removed targets, whenever they were removed.

--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetPoolTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetPoolTest.java
@@ -169,4 +169,19 @@
         assertFalse(usable("a", 30));
         assertTrue(usable("b", 30));
     }
+
+    /** Guards against a target that left and stays in use for as long as the store keeps failing and recovering. */
+    @Test
+    void shouldDropARemovedTargetInTimeWhenTheStoreRecoversAgainMeanwhile() {
+        pool.register(Samples.target("a", DATA_CENTRE, false, 0), 0);
+        pool.recordStoreRecovery(0);
+        pool.remove("a", 100);
+
+        for (long now = 500; now < TargetPool.REMOVAL_GRACE_MILLIS; now += 500) {
+            pool.recordStoreRecovery(now);
+            pool.extendRemovalGrace(TargetPool.REMOVAL_GRACE_MILLIS, now);
+        }
+
+        assertEquals(List.of("a"), pool.tick(TargetPool.REMOVAL_GRACE_MILLIS));
+    }
 }
