Add no item again that a complete copy of the store lacks

Callers' requests reached targets that had left: a host that had listed the store was sent the older contents of another one (whole sets to hosts without a configuration, in fragments, may be seconds old) and took an entry that it had never known for a new one. Nothing removed it later. What a copy that is complete up to R lacks was removed before R, so items up to R that it lacks are now left out, whoever sends them. Pages of an own listing that is not older than the copy are still taken: the store itself is the authority.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
@@ -16,8 +16,9 @@
 /**
  * A host's local copy of the store's items, with the revision up to which it is complete.
  *
- * <p>Invariants: an older revision of an item never replaces a newer one; the revision up to which the copy is complete
- * never decreases. Confined to the event loop.
+ * <p>Invariants: an older revision of an item never replaces a newer one; an item that a complete copy lacks was removed
+ * before the revision up to which it is complete, and isn't added again by older contents; that revision never decreases.
+ * Confined to the event loop.
  */
 public final class StoreCopy {
     private static final Comparator<StoreItem> BY_REVISION =
@@ -58,6 +59,22 @@
         return true;
     }
 
+    /**
+     * Applies an item of a listing of the store.
+     *
+     * @param item the item
+     * @param listRevision the store's revision when the item was read
+     * @return whether it is newer than what is known
+     */
+    public boolean applyListed(StoreItem item, long listRevision) {
+        return (listRevision >= revision || !isKnownRemoved(item)) && apply(item);
+    }
+
+    /** Returns whether an item that the copy lacks is so old that it must have been removed. */
+    private boolean isKnownRemoved(StoreItem item) {
+        return item.revision() <= revision && !items.containsKey(item.key());
+    }
+
     /**
      * Merges the contents that another host has sent.
      *
@@ -71,7 +88,7 @@
         Set<String> present = new HashSet<>();
         for (StoreItem item : received) {
             present.add(item.key());
-            if (apply(item)) {
+            if (!isKnownRemoved(item) && apply(item)) {
                 newer.add(item);
             }
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -272,7 +272,9 @@
         listRevision = Math.min(listRevision, page.revision());
         page.items().forEach(item -> {
             listedKeys.add(item.key());
-            apply(item, StoreReadKind.LIST);
+            if (copy.applyListed(item, page.revision())) {
+                notifyListener(item, StoreReadKind.LIST.name(), copy.revision());
+            }
         });
         if (page.hasMore() && !page.items().isEmpty()) {
             list(page.items().get(page.items().size() - 1).key());
