Tell a host all items when removals since its revision may be unknown

Callers' requests reached targets that had left, sent by one host of a region that never learnt of it. A host that lists the store doesn't see what has gone. After it had started, or listed anew, it told "all changes since 950" to a host complete up to 950, without the targets that were added and removed before its list, or had left before it started; the receiver counted itself complete and kept them until it happened to list the store itself. In the field's terms: a lost tombstone, and a stale replica that believes itself fresh.

A copy now knows since which revisions it has seen every removal (RemovalHistory: a start, and the newest gap between its revision and a listing). Changes since a revision are told only if that is covered, else all items, which remove what is absent. What a host was told says since when its removals are complete, in a field that earlier versions ignore; from an earlier version none before its revision are taken for complete, so that the gap isn't relayed further.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -234,7 +234,7 @@
     @Override
     public void storeItemsReceived(PeerLink link, PeerFrame.StoreItems storeItems) {
         state.pool().extendRemovalGrace(storeItems.removalGraceMillis(), clock.nowMillis());
-        feed.mergeFromPeer(link.name(), storeItems.baseRevision(), storeItems.revision(), storeItems.items());
+        feed.mergeFromPeer(link.name(), storeItems.contents());
     }
 
     @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -9,7 +9,7 @@
 import org.rattanplank.core.gateway.StreamStats;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.quarantine.CrashEvidence;
-import org.rattanplank.gateway.store.StoreItem;
+import org.rattanplank.gateway.store.StoreContents;
 
 /** A message between hosts. Immutable and thread safe. */
 public sealed interface PeerFrame {
@@ -163,15 +163,12 @@
     /**
      * Contents of the store, for a host that doesn't watch it.
      *
-     * @param baseRevision the revision since which the items are all changes; zero if they are all items of the store
-     * @param revision the revision up to which the items are complete; zero if they are only some of the changes
+     * @param contents the contents
      * @param removalGraceMillis how much longer removed entries may be registered again after an outage of the store
-     * @param items the items
      */
-    record StoreItems(long baseRevision, long revision, long removalGraceMillis, List<StoreItem> items)
-            implements PeerFrame {
+    record StoreItems(StoreContents contents, long removalGraceMillis) implements PeerFrame {
         public StoreItems {
-            items = List.copyOf(items);
+            Objects.requireNonNull(contents, "contents");
         }
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -23,6 +23,7 @@
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.quarantine.PromptPartUse;
+import org.rattanplank.gateway.store.StoreContents;
 import org.rattanplank.gateway.store.StoreItem;
 
 /**
@@ -142,17 +143,7 @@
         } else if (frame instanceof PeerFrame.State state) {
             write(state, out);
         } else if (frame instanceof PeerFrame.StoreItems items) {
-            if (items.baseRevision() == 0) {
-                out.packInt(STORE_ITEMS);
-            } else {
-                out.packInt(STORE_CHANGES).packLong(items.baseRevision());
-            }
-            out.packLong(items.revision()).packLong(items.removalGraceMillis());
-            out.packArrayHeader(items.items().size());
-            for (StoreItem item : items.items()) {
-                out.packString(item.key()).packLong(item.revision()).packBoolean(item.removed());
-                write(item.value(), out);
-            }
+            write(items, out);
         } else if (frame instanceof PeerFrame.CallRequest request) {
             write(request, out);
         } else if (frame instanceof PeerFrame.FailoverRequest failover) {
@@ -190,6 +181,22 @@
         }
     }
 
+    private static void write(PeerFrame.StoreItems frame, MessageBufferPacker out) throws IOException {
+        StoreContents contents = frame.contents();
+        if (contents.baseRevision() == 0) {
+            out.packInt(STORE_ITEMS);
+        } else {
+            out.packInt(STORE_CHANGES).packLong(contents.baseRevision());
+        }
+        out.packLong(contents.revision()).packLong(frame.removalGraceMillis());
+        out.packArrayHeader(contents.items().size());
+        for (StoreItem item : contents.items()) {
+            out.packString(item.key()).packLong(item.revision()).packBoolean(item.removed());
+            write(item.value(), out);
+        }
+        out.packLong(contents.removalsSinceRevision());
+    }
+
     private static void write(PeerFrame.State state, MessageBufferPacker out) throws IOException {
         out.packInt(STATE).packLong(state.sentAtMillis());
         out.packLong(state.echoedMillis()).packLong(state.echoAgeMillis()).packLong(state.periodMillis());
@@ -439,7 +446,10 @@
             boolean removed = in.unpackBoolean();
             items.add(new StoreItem(key, readBytes(in), itemRevision, removed));
         }
-        return new PeerFrame.StoreItems(baseRevision, revision, graceMillis, items);
+        // A host of an earlier version sends changes since a revision whether or not it knows all removals since.
+        long removalsSinceRevision = in.hasNext() ? in.unpackLong() : revision;
+        return new PeerFrame.StoreItems(
+                new StoreContents(baseRevision, revision, removalsSinceRevision, items), graceMillis);
     }
 
     private static PeerFrame.CallRequest readCallRequest(MessageUnpacker in) throws IOException {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
@@ -13,13 +13,15 @@
 import org.rattanplank.core.gateway.LinkRateLimiter;
 import org.rattanplank.gateway.log.LogEvent;
 import org.rattanplank.gateway.log.LogLine;
+import org.rattanplank.gateway.store.StoreContents;
 import org.rattanplank.gateway.store.StoreCopy;
 import org.rattanplank.gateway.store.StoreItem;
 
 /**
  * Replicates the store's items to other hosts.
  *
- * <p>A host is sent the newest change of each key since the revision up to which it is complete. Small items go first, in
+ * <p>A host is sent the newest change of each key since the revision up to which it is complete, or all items if this host
+ * may not know all removals since. Small items go first, in
  * a frame of their own; larger ones are sent in fragments, between which other frames may be sent.
  * Invariants: relayed changes use at most {@link #RELAY_SHARE} of this host's link and catch-up at most
  * {@link #CATCH_UP_SHARE}, for any number of hosts, item size and rate of changes; nothing is queued for a host while
@@ -116,7 +118,7 @@
             return;
         }
         boolean complete = host.transfer().isEmpty()
-                && host.sentRevision() > 0
+                && baseRevision(host) > 0
                 && changesSince(host.sentRevision()).stream().allMatch(StoreReplicator::isSmall);
         List<StoreItem> small = changesSince(host.sentSmallItemsRevision()).stream()
                 .filter(StoreReplicator::isSmall)
@@ -125,7 +127,7 @@
             return;
         }
         EncodedFrame frame = encode(
-                host, complete ? host.sentRevision() : 0, host.sentSmallItemsRevision(), complete, small, nowMillis);
+                host, complete ? baseRevision(host) : 0, host.sentSmallItemsRevision(), complete, small, nowMillis);
         if (frame.bytes().length > StoreTransfer.FRAGMENT_BYTES) {
             return;
         }
@@ -153,8 +155,17 @@
         }
     }
 
+    /**
+     * Returns the revision since which a host is sent all changes. It is zero, so that it is sent all items, if this host
+     * may not know what was removed since: the other one would go on using targets that have left.
+     */
+    private long baseRevision(ReceiverProgress host) {
+        long sentRevision = host.sentRevision();
+        return copy.knowsRemovalsSince(sentRevision, host.receiver().state().newestRevision()) ? sentRevision : 0;
+    }
+
     private void startTransfer(ReceiverProgress host, LinkRateLimiter limiter, long nowMillis) {
-        long baseRevision = host.sentRevision();
+        long baseRevision = baseRevision(host);
         List<StoreItem> items = new ArrayList<>();
         for (StoreItem item : baseRevision == 0 ? copy.items() : changesSince(baseRevision)) {
             if (baseRevision == 0 || !isSmall(item) || item.revision() > host.sentSmallItemsRevision()) {
@@ -225,7 +236,8 @@
                 host.supportsFragments());
         if (lastEncoded.isEmpty() || !lastEncoded.get().key().matches(key)) {
             PeerFrame.StoreItems frame = new PeerFrame.StoreItems(
-                    baseRevision, complete ? copy.revision() : 0, graceMillis.applyAsLong(nowMillis), items);
+                    complete ? copy.contents(baseRevision, items) : StoreContents.some(items),
+                    graceMillis.applyAsLong(nowMillis));
             byte[] bytes = PeerFrameCodec.encode(frame, host.supportsCompression());
             lastEncoded = Option.some(new EncodedFrame(key, frame, bytes));
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
@@ -27,6 +27,7 @@
     private final Map<String, StoreItem> items = new HashMap<>();
     private final Map<String, StoreItem> removed = new HashMap<>();
     private final NavigableSet<StoreItem> changes = new TreeSet<>(BY_REVISION);
+    private RemovalHistory removalHistory = RemovalHistory.NONE;
     private long revision;
     private long newestRevision;
     private long digest;
@@ -78,34 +79,32 @@
     /**
      * Merges the contents that another host has sent.
      *
-     * @param baseRevision the revision since which the items are all changes; zero if they are all items of the store
-     * @param upTo the revision up to which they are complete; zero if they are only some of the changes
-     * @param received the items and removals
+     * @param contents the contents
      * @return the items and removals that are newer than the known ones
      */
-    public List<StoreItem> merge(long baseRevision, long upTo, List<StoreItem> received) {
+    public List<StoreItem> merge(StoreContents contents) {
         List<StoreItem> newer = new ArrayList<>();
         Set<String> present = new HashSet<>();
-        for (StoreItem item : received) {
+        for (StoreItem item : contents.items()) {
             present.add(item.key());
             if (!isKnownRemoved(item) && apply(item)) {
                 newer.add(item);
             }
         }
-        if (upTo == 0 || baseRevision > revision) {
+        boolean partial = contents.revision() == 0;
+        if (partial || contents.revision() < revision || contents.baseRevision() > revision) {
             return newer;
         }
-        if (baseRevision == 0 && upTo >= revision) {
-            List<StoreItem> removals = removalsMissingFrom(present, upTo);
-            removals.forEach(this::apply);
-            newer.addAll(removals);
+        if (contents.baseRevision() == 0) {
+            newer.addAll(applyRemovalsMissingFrom(present, contents.revision()));
         }
-        completeUpTo(upTo);
+        removalHistory = removalHistory.withGap(revision, contents.removalsSinceRevision());
+        completeUpTo(contents.revision());
         return newer;
     }
 
     /**
-     * Marks the copy as complete up to a revision.
+     * Marks the copy as complete up to a revision, all changes up to which were applied.
      *
      * @param upTo the revision
      */
@@ -114,22 +113,54 @@
     }
 
     /**
-     * Returns removals for the known items that are missing from a full listing.
+     * Removes the known items that are missing from a full listing, and marks the copy as complete up to its revision.
      *
-     * @param present the keys of the listing
+     * @param present the keys of the listing, whose items were applied
      * @param listRevision the revision of the listing
      * @return the removals
      */
-    public List<StoreItem> removalsMissingFrom(Set<String> present, long listRevision) {
+    public List<StoreItem> completeListing(Set<String> present, long listRevision) {
+        List<StoreItem> removals = applyRemovalsMissingFrom(present, listRevision);
+        removalHistory = removalHistory.withGap(revision, listRevision);
+        completeUpTo(listRevision);
+        return removals;
+    }
+
+    private List<StoreItem> applyRemovalsMissingFrom(Set<String> present, long listRevision) {
         List<StoreItem> removals = new ArrayList<>();
         for (StoreItem item : items.values()) {
             if (!present.contains(item.key()) && item.revision() <= listRevision) {
                 removals.add(new StoreItem(item.key(), new byte[0], listRevision, true));
             }
         }
+        removals.removeIf(removal -> !apply(removal));
         return removals;
     }
 
+    /**
+     * Returns whether another copy learns all that it lacks from the changes since a revision.
+     *
+     * @param baseRevision the revision, up to which the other copy is complete
+     * @param itsNewestRevision the revision of the newest item in the other copy
+     * @return whether this copy knows all removals since; if not, the other one needs all items
+     */
+    public boolean knowsRemovalsSince(long baseRevision, long itsNewestRevision) {
+        return removalHistory.coversSince(baseRevision, itsNewestRevision);
+    }
+
+    /**
+     * Returns the contents for another copy that is complete up to a revision.
+     *
+     * @param baseRevision the revision, or zero if all items are needed
+     * @param changed the changes since, or all items
+     * @return the contents
+     */
+    public StoreContents contents(long baseRevision, List<StoreItem> changed) {
+        return baseRevision == 0
+                ? StoreContents.all(revision, changed)
+                : new StoreContents(baseRevision, revision, removalHistory.completeSince(baseRevision), changed);
+    }
+
     /**
      * Returns the changes since a revision, including removals.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -1,7 +1,6 @@
 package org.rattanplank.gateway.store;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -225,23 +224,15 @@
      * Merges the contents that another host has sent.
      *
      * @param peer the name of the host
-     * @param baseRevision the revision since which the items are all changes; zero if they are all items of the store
-     * @param revision the revision up to which they are complete; zero if they are only some of the changes
-     * @param received the items and removals
+     * @param contents the contents
      */
-    public void mergeFromPeer(String peer, long baseRevision, long revision, List<StoreItem> received) {
+    public void mergeFromPeer(String peer, StoreContents contents) {
         long copyRevision = copy.revision();
-        for (StoreItem item : copy.merge(baseRevision, revision, received)) {
+        for (StoreItem item : copy.merge(contents)) {
             notifyListener(item, peer, copyRevision);
         }
     }
 
-    private void apply(StoreItem item, StoreReadKind source) {
-        if (copy.apply(item)) {
-            notifyListener(item, source.name(), copy.revision());
-        }
-    }
-
     private void notifyListener(StoreItem item, String source, long copyRevision) {
         listener.itemChanged(new StoreChange(item, source, copyRevision), format.read(item));
     }
@@ -280,8 +271,10 @@
             list(page.items().get(page.items().size() - 1).key());
             return;
         }
-        copy.removalsMissingFrom(listedKeys, listRevision).forEach(item -> apply(item, StoreReadKind.LIST));
-        copy.completeUpTo(listRevision);
+        long copyRevision = copy.revision();
+        for (StoreItem removal : copy.completeListing(listedKeys, listRevision)) {
+            notifyListener(removal, StoreReadKind.LIST.name(), copyRevision);
+        }
         backoff = backoff.succeeded();
         watch();
     }
@@ -303,7 +296,11 @@
         backoff = backoff.succeeded();
         StorePage page = reply.get();
         recordPage(StoreReadKind.WATCH, page);
-        page.items().forEach(item -> apply(item, StoreReadKind.WATCH));
+        for (StoreItem item : page.items()) {
+            if (copy.apply(item)) {
+                notifyListener(item, StoreReadKind.WATCH.name(), copy.revision());
+            }
+        }
         copy.completeUpTo(page.revision());
         if (page.items().isEmpty()) {
             watch();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
@@ -10,6 +10,7 @@
 import org.rattanplank.core.gateway.RouteKind;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.TestPeer;
+import org.rattanplank.gateway.store.StoreContents;
 import org.rattanplank.gateway.store.StoreCopy;
 import org.rattanplank.gateway.store.StoreItem;
 
@@ -67,7 +68,7 @@
         gateway.configure(RouteKind.SAFE, false, 1);
         StoreItem entry = gateway.departedTarget("t1", 1);
         StoreCopy follower = new StoreCopy();
-        follower.merge(0, entry.revision(), List.of(entry));
+        follower.merge(StoreContents.all(entry.revision(), List.of(entry)));
         try (TestPeer peer = gateway.sameRegionPeer("follower")) {
             Thread reports = new Thread(() -> reportUntilInterrupted(peer, entry.revision()));
             reports.start();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
@@ -254,7 +254,8 @@
         try (TestPeer peer = gateway.peer()) {
             peer.reportEmptyCopy();
 
-            assertEquals(1, peer.await(PeerFrame.StoreItems.class).items().size());
+            assertEquals(
+                    1, peer.await(PeerFrame.StoreItems.class).contents().items().size());
         }
     }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -17,6 +17,7 @@
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.quarantine.PromptPartUse;
+import org.rattanplank.gateway.store.StoreContents;
 import org.rattanplank.gateway.store.StoreItem;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -82,24 +83,26 @@
     @Test
     void shouldCompressStoreItemsWhenTheReceiverSupportsIt() {
         byte[] value = "route ".repeat(20_000).getBytes(StandardCharsets.UTF_8);
-        PeerFrame.StoreItems items =
-                new PeerFrame.StoreItems(0, 7, 30, List.of(new StoreItem("configuration", value, 5, false)));
+        PeerFrame.StoreItems items = new PeerFrame.StoreItems(
+                StoreContents.all(7, List.of(new StoreItem("configuration", value, 5, false))), 30);
 
         byte[] compressed = PeerFrameCodec.encode(items, true);
         PeerFrame.StoreItems decoded =
                 (PeerFrame.StoreItems) PeerFrameCodec.decode(compressed).get();
 
         assertTrue(compressed.length * 10 < PeerFrameCodec.encode(items, false).length, "bytes: " + compressed.length);
-        assertEquals(7, decoded.revision());
+        assertEquals(7, decoded.contents().revision());
         assertEquals(30, decoded.removalGraceMillis());
-        assertArrayEquals(value, decoded.items().get(0).value());
+        assertArrayEquals(value, decoded.contents().items().get(0).value());
     }
 
     @Test
     void shouldReturnAFailureWhenACompressedFrameIsTruncated() {
         byte[] value = new byte[10_000];
         byte[] compressed = PeerFrameCodec.encode(
-                new PeerFrame.StoreItems(0, 7, 30, List.of(new StoreItem("configuration", value, 5, false))), true);
+                new PeerFrame.StoreItems(
+                        StoreContents.all(7, List.of(new StoreItem("configuration", value, 5, false))), 30),
+                true);
 
         assertTrue(PeerFrameCodec.decode(Arrays.copyOf(compressed, compressed.length - 4))
                 .isFailure());
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreRemovalTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreRemovalTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
+import org.rattanplank.gateway.store.StoreContents;
 import org.rattanplank.gateway.store.StoreCopy;
 import org.rattanplank.gateway.store.StoreItem;
 
@@ -60,7 +61,7 @@
             StoreCopy copy = new StoreCopy();
             copy.completeUpTo(1_000);
 
-            List<StoreItem> newer = copy.merge(0, upTo, List.of(entry("target-1", 500)));
+            List<StoreItem> newer = copy.merge(StoreContents.all(upTo, List.of(entry("target-1", 500))));
 
             assertEquals(List.of(), newer, "up to " + upTo);
             assertTrue(copy.items().isEmpty(), "up to " + upTo);
@@ -73,9 +74,14 @@
         StoreCopy copy = new StoreCopy();
         copy.completeUpTo(1_000);
 
-        assertEquals(1, copy.merge(0, 0, List.of(entry("target-1", 1_001))).size());
         assertEquals(
-                1, copy.merge(1_000, 1_002, List.of(entry("target-2", 1_002))).size());
+                1,
+                copy.merge(StoreContents.some(List.of(entry("target-1", 1_001))))
+                        .size());
+        assertEquals(
+                1,
+                copy.merge(new StoreContents(1_000, 1_002, 1_000, List.of(entry("target-2", 1_002))))
+                        .size());
         assertEquals(1_002, copy.revision());
     }
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -19,6 +19,7 @@
 import org.rattanplank.core.gateway.StreamStats;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.host.Location;
+import org.rattanplank.gateway.store.StoreContents;
 import org.rattanplank.gateway.store.StoreCopy;
 import org.rattanplank.gateway.store.StoreItem;
 import org.rattanplank.gateway.target.AttemptFailure;
@@ -179,8 +180,8 @@
      * @throws IOException if the link was closed
      */
     public void sendFirstFragmentOfItem() throws IOException {
-        byte[] frame = PeerFrameCodec.encode(
-                new PeerFrame.StoreItems(0, 0, 0, List.of(new StoreItem("parts", new byte[100], 1, false))));
+        byte[] frame = PeerFrameCodec.encode(new PeerFrame.StoreItems(
+                StoreContents.some(List.of(new StoreItem("parts", new byte[100], 1, false))), 0));
         byte[] bytes = CallSplit.BETWEEN_FRAGMENTS.wireBytes(frame);
         sendPart(bytes, CallSplit.BETWEEN_FRAGMENTS.partBytes(bytes));
     }
@@ -324,7 +325,7 @@
      * @throws IOException if the link was closed
      */
     public void sendStoreItems(long baseRevision, long revision, List<StoreItem> items) throws IOException {
-        send(new PeerFrame.StoreItems(baseRevision, revision, 0, items));
+        send(new PeerFrame.StoreItems(new StoreContents(baseRevision, revision, revision, items), 0));
     }
 
     /**
@@ -336,8 +337,7 @@
      */
     public void mergeUntilComplete(StoreCopy copy, long revision) throws IOException {
         while (copy.revision() < revision) {
-            PeerFrame.StoreItems items = await(PeerFrame.StoreItems.class);
-            copy.merge(items.baseRevision(), items.revision(), items.items());
+            copy.merge(await(PeerFrame.StoreItems.class).contents());
         }
     }
 
@@ -351,8 +351,8 @@
      * @throws InterruptedException if the test is interrupted
      */
     public void sendSlowly(int bytes, int chunks, long pauseMillis) throws IOException, InterruptedException {
-        byte[] frame = PeerFrameCodec.encode(
-                new PeerFrame.StoreItems(0, 0, 0, List.of(new StoreItem("slow", new byte[bytes], 1, false))));
+        byte[] frame = PeerFrameCodec.encode(new PeerFrame.StoreItems(
+                StoreContents.some(List.of(new StoreItem("slow", new byte[bytes], 1, false))), 0));
         out.writeInt(frame.length);
         int chunkBytes = frame.length / chunks + 1;
         for (int offset = 0; offset < frame.length; offset += chunkBytes) {
@@ -371,8 +371,8 @@
      * @throws IOException if the link was closed
      */
     public void sendInFragments(long revision, int bytes, int fragmentBytes) throws IOException {
-        byte[] frame = PeerFrameCodec.encode(
-                new PeerFrame.StoreItems(0, 0, 0, List.of(new StoreItem("parts", new byte[bytes], revision, false))));
+        byte[] frame = PeerFrameCodec.encode(new PeerFrame.StoreItems(
+                StoreContents.some(List.of(new StoreItem("parts", new byte[bytes], revision, false))), 0));
         for (int offset = 0; offset < frame.length; offset += fragmentBytes) {
             int end = Math.min(frame.length, offset + fragmentBytes);
             send(new PeerFrame.Fragment(end == frame.length, Arrays.copyOfRange(frame, offset, end)));
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
@@ -254,9 +254,8 @@
 
         /** Lists the store as {@link org.rattanplank.gateway.store.StoreFeed} does, which shows no removals. */
         private void listStore() {
-            store.values().stream().filter(item -> !item.removed()).forEach(copy::apply);
-            copy.removalsMissingFrom(presentKeys(), revision).forEach(copy::apply);
-            copy.completeUpTo(revision);
+            store.values().stream().filter(item -> !item.removed()).forEach(item -> copy.applyListed(item, revision));
+            copy.completeListing(presentKeys(), revision);
         }
 
         @Override
@@ -326,7 +325,7 @@
 
         private void receive(PeerFrame frame) {
             if (frame instanceof PeerFrame.StoreItems items) {
-                to.copy.merge(items.baseRevision(), items.revision(), items.items());
+                to.copy.merge(items.contents());
             } else if (frame instanceof PeerFrame.Fragment fragment) {
                 fragments.add(fragment.bytes());
                 if (fragment.last()) {
