Tell the keys of all items where removals may be unknown, not all values

A search over 3,000 random regions found one more host that kept a removed item for over 5 s (30 hosts, link of 1,312 bytes/ms): its relay had listed the store, and had to send all items, some 70 KB, to each of 13 hosts in 0.4 of its link. What finds removals are the keys alone: hosts that say so are now sent the changes since their revision and the keys of all items, about 28 bytes each; hosts of an earlier version are sent all items as before.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -164,6 +164,7 @@
                 linkBytesPerMilli,
                 true,
                 true,
+                true,
                 true));
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -49,6 +49,8 @@
      * @param supportsCrashNotices whether the sender accepts {@link CrashNotice}; a host of an earlier version closes the
      *     link on receiving one
      * @param supportsPromptPartNotices whether the sender accepts {@link PromptPartCrashNotice}, likewise
+     * @param supportsKeyLists whether the sender applies the present keys of {@link StoreItems}; a host of an earlier version
+     *     ignores them
      */
     record State(
             long sentAtMillis,
@@ -68,7 +70,8 @@
             long linkBytesPerMilli,
             boolean supportsLargePrefillNotices,
             boolean supportsCrashNotices,
-            boolean supportsPromptPartNotices)
+            boolean supportsPromptPartNotices,
+            boolean supportsKeyLists)
             implements PeerFrame {
         /** The {@link #acceptMillis} of a host that accepts callers. */
         public static final long UNLIMITED_MILLIS = Long.MAX_VALUE;
@@ -78,7 +81,25 @@
 
         /** The state of a host that has not reported one yet. */
         static final State NONE = new State(
-                0, 0, 0, 0, false, 0, 0, false, true, List.of(), List.of(), 0, 0, UNREPORTED, 0, false, false, false);
+                0,
+                0,
+                0,
+                0,
+                false,
+                0,
+                0,
+                false,
+                true,
+                List.of(),
+                List.of(),
+                0,
+                0,
+                UNREPORTED,
+                0,
+                false,
+                false,
+                false,
+                false);
 
         /** The newest revision of a host whose local copy is empty; revisions of the store are above it. */
         public static final long EMPTY_REVISION = 1;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -4,11 +4,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
 
+import io.vavr.control.Option;
 import io.vavr.control.Try;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -195,6 +197,9 @@
             write(item.value(), out);
         }
         out.packLong(contents.removalsSinceRevision());
+        if (contents.presentKeys().isDefined()) {
+            write(List.copyOf(contents.presentKeys().get()), out);
+        }
     }
 
     private static void write(PeerFrame.State state, MessageBufferPacker out) throws IOException {
@@ -224,7 +229,7 @@
             out.packFloat((float) streams.interTokenMillis()).packFloat((float) streams.delayCostMillisPerToken());
         }
         out.packBoolean(state.supportsLargePrefillNotices()).packBoolean(state.supportsCrashNotices());
-        out.packBoolean(state.supportsPromptPartNotices());
+        out.packBoolean(state.supportsPromptPartNotices()).packBoolean(state.supportsKeyLists());
     }
 
     /** Writes the evidence by target, as the text of a target takes more bytes than the rest. */
@@ -392,6 +397,7 @@
         boolean supportsLargePrefillNotices = in.hasNext() && in.unpackBoolean();
         boolean supportsCrashNotices = in.hasNext() && in.unpackBoolean();
         boolean supportsPromptPartNotices = in.hasNext() && in.unpackBoolean();
+        boolean supportsKeyLists = in.hasNext() && in.unpackBoolean();
         return new PeerFrame.State(
                 sentAtMillis,
                 echoedMillis,
@@ -410,7 +416,8 @@
                 linkBytesPerMilli,
                 supportsLargePrefillNotices,
                 supportsCrashNotices,
-                supportsPromptPartNotices);
+                supportsPromptPartNotices,
+                supportsKeyLists);
     }
 
     private static PeerFrame.TargetWork readTargetWork(MessageUnpacker in) throws IOException {
@@ -448,8 +455,9 @@
         }
         // A host of an earlier version sends changes since a revision whether or not it knows all removals since.
         long removalsSinceRevision = in.hasNext() ? in.unpackLong() : revision;
+        Option<Set<String>> presentKeys = in.hasNext() ? Option.some(Set.copyOf(readStrings(in))) : Option.none();
         return new PeerFrame.StoreItems(
-                new StoreContents(baseRevision, revision, removalsSinceRevision, items), graceMillis);
+                new StoreContents(baseRevision, revision, removalsSinceRevision, items, presentKeys), graceMillis);
     }
 
     private static PeerFrame.CallRequest readCallRequest(MessageUnpacker in) throws IOException {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/ReceiverProgress.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/ReceiverProgress.java
@@ -1,6 +1,7 @@
 package org.rattanplank.gateway.peer;
 
 import io.vavr.control.Option;
+import org.rattanplank.gateway.store.StoreCopy;
 
 /**
  * Tracks how far the store is replicated to one other host.
@@ -52,6 +53,19 @@
         return receiver.state().newestRevision() > 0;
     }
 
+    /**
+     * Returns since which revision the host is sent all changes. It is zero, so that it is sent all items, if removals since
+     * may be unknown here and the host can't find them by the keys of all items: it would go on using targets that have left.
+     */
+    long baseRevision(StoreCopy copy) {
+        return needsKeys(copy) && !receiver.state().supportsKeyLists() ? 0 : sentRevision;
+    }
+
+    /** Returns whether the host needs the keys of all items, as removals since its revision may be unknown here. */
+    boolean needsKeys(StoreCopy copy) {
+        return !copy.knowsRemovalsSince(sentRevision, receiver.state().newestRevision());
+    }
+
     /** Returns when something was last sent to the host. */
     long sentAtMillis() {
         return sentAtMillis;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
@@ -20,8 +20,8 @@
 /**
  * Replicates the store's items to other hosts.
  *
- * <p>A host is sent the newest change of each key since the revision up to which it is complete, or all items if this host
- * may not know all removals since. Small items go first, in
+ * <p>A host is sent the newest change of each key since the revision up to which it is complete, with the keys of all
+ * items if this host may not know all removals since. Small items go first, in
  * a frame of their own; larger ones are sent in fragments, between which other frames may be sent.
  * Invariants: relayed changes use at most {@link #RELAY_SHARE} of this host's link and catch-up at most
  * {@link #CATCH_UP_SHARE}, for any number of hosts, item size and rate of changes; nothing is queued for a host while
@@ -118,7 +118,7 @@
             return;
         }
         boolean complete = host.transfer().isEmpty()
-                && baseRevision(host) > 0
+                && host.baseRevision(copy) > 0
                 && changesSince(host.sentRevision()).stream().allMatch(StoreReplicator::isSmall);
         List<StoreItem> small = changesSince(host.sentSmallItemsRevision()).stream()
                 .filter(StoreReplicator::isSmall)
@@ -127,7 +127,12 @@
             return;
         }
         EncodedFrame frame = encode(
-                host, complete ? baseRevision(host) : 0, host.sentSmallItemsRevision(), complete, small, nowMillis);
+                host,
+                complete ? host.baseRevision(copy) : 0,
+                host.sentSmallItemsRevision(),
+                complete,
+                small,
+                nowMillis);
         if (frame.bytes().length > StoreTransfer.FRAGMENT_BYTES) {
             return;
         }
@@ -155,17 +160,8 @@
         }
     }
 
-    /**
-     * Returns the revision since which a host is sent all changes. It is zero, so that it is sent all items, if this host
-     * may not know what was removed since: the other one would go on using targets that have left.
-     */
-    private long baseRevision(ReceiverProgress host) {
-        long sentRevision = host.sentRevision();
-        return copy.knowsRemovalsSince(sentRevision, host.receiver().state().newestRevision()) ? sentRevision : 0;
-    }
-
     private void startTransfer(ReceiverProgress host, LinkRateLimiter limiter, long nowMillis) {
-        long baseRevision = baseRevision(host);
+        long baseRevision = host.baseRevision(copy);
         List<StoreItem> items = new ArrayList<>();
         for (StoreItem item : baseRevision == 0 ? copy.items() : changesSince(baseRevision)) {
             if (baseRevision == 0 || !isSmall(item) || item.revision() > host.sentSmallItemsRevision()) {
@@ -226,17 +222,19 @@
             boolean complete,
             List<StoreItem> items,
             long nowMillis) {
+        boolean withKeys = complete && baseRevision > 0 && host.needsKeys(copy);
         FrameKey key = new FrameKey(
                 baseRevision,
                 smallItemsBaseRevision,
                 complete,
+                withKeys,
                 items.size(),
                 copy.revision(),
                 copy.newestRevision(),
                 host.supportsFragments());
         if (lastEncoded.isEmpty() || !lastEncoded.get().key().matches(key)) {
             PeerFrame.StoreItems frame = new PeerFrame.StoreItems(
-                    complete ? copy.contents(baseRevision, items) : StoreContents.some(items),
+                    complete ? copy.contents(baseRevision, items, withKeys) : StoreContents.some(items),
                     graceMillis.applyAsLong(nowMillis));
             byte[] bytes = PeerFrameCodec.encode(frame, host.supportsCompression());
             lastEncoded = Option.some(new EncodedFrame(key, frame, bytes));
@@ -248,6 +246,7 @@
             long baseRevision,
             long smallItemsBaseRevision,
             boolean complete,
+            boolean withKeys,
             int itemCount,
             long revision,
             long newestRevision,
@@ -257,6 +256,7 @@
             return baseRevision == other.baseRevision
                     && smallItemsBaseRevision == other.smallItemsBaseRevision
                     && complete == other.complete
+                    && withKeys == other.withKeys
                     && itemCount == other.itemCount
                     && revision == other.revision
                     && newestRevision == other.newestRevision
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreContents.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreContents.java
@@ -1,6 +1,9 @@
 package org.rattanplank.gateway.store;
 
 import java.util.List;
+import java.util.Set;
+
+import io.vavr.control.Option;
 
 /**
  * Items and removals of a host's local copy of the store, as sent to another host. Immutable and thread safe.
@@ -9,10 +12,18 @@
  * @param revision the revision up to which the items are complete; zero if they are only some of the changes
  * @param removalsSinceRevision the revision since which the removals among them are complete
  * @param items the items and removals, the newest of each key
+ * @param presentKeys the keys of all items that are there, by which the receiver finds removals that its sender doesn't know;
+ *     none if it knows all removals
  */
-public record StoreContents(long baseRevision, long revision, long removalsSinceRevision, List<StoreItem> items) {
+public record StoreContents(
+        long baseRevision,
+        long revision,
+        long removalsSinceRevision,
+        List<StoreItem> items,
+        Option<Set<String>> presentKeys) {
     public StoreContents {
         items = List.copyOf(items);
+        presentKeys = presentKeys.map(Set::copyOf);
     }
 
     /**
@@ -23,7 +34,19 @@
      * @return the contents
      */
     public static StoreContents all(long revision, List<StoreItem> items) {
-        return new StoreContents(0, revision, revision, items);
+        return new StoreContents(0, revision, revision, items, Option.none());
+    }
+
+    /**
+     * Creates the changes since a revision, with all removals since.
+     *
+     * @param baseRevision the revision
+     * @param revision the revision up to which they are complete
+     * @param items the items and removals
+     * @return the contents
+     */
+    public static StoreContents changes(long baseRevision, long revision, List<StoreItem> items) {
+        return new StoreContents(baseRevision, revision, baseRevision, items, Option.none());
     }
 
     /**
@@ -33,6 +56,6 @@
      * @return the contents
      */
     public static StoreContents some(List<StoreItem> items) {
-        return new StoreContents(0, 0, 0, items);
+        return new StoreContents(0, 0, 0, items, Option.none());
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import io.vavr.control.Option;
 import org.rattanplank.core.host.RendezvousHashing;
 
 /**
@@ -95,8 +96,8 @@
         if (partial || contents.revision() < revision || contents.baseRevision() > revision) {
             return newer;
         }
-        if (contents.baseRevision() == 0) {
-            newer.addAll(applyRemovalsMissingFrom(present, contents.revision()));
+        if (contents.baseRevision() == 0 || contents.presentKeys().isDefined()) {
+            newer.addAll(applyRemovalsMissingFrom(contents.presentKeys().getOrElse(present), contents.revision()));
         }
         removalHistory = removalHistory.withGap(revision, contents.removalsSinceRevision());
         completeUpTo(contents.revision());
@@ -142,7 +143,7 @@
      *
      * @param baseRevision the revision, up to which the other copy is complete
      * @param itsNewestRevision the revision of the newest item in the other copy
-     * @return whether this copy knows all removals since; if not, the other one needs all items
+     * @return whether this copy knows all removals since; if not, the other one needs the keys of all items, too
      */
     public boolean knowsRemovalsSince(long baseRevision, long itsNewestRevision) {
         return removalHistory.coversSince(baseRevision, itsNewestRevision);
@@ -153,12 +154,18 @@
      *
      * @param baseRevision the revision, or zero if all items are needed
      * @param changed the changes since, or all items
+     * @param withKeys whether the keys of all items are needed, too
      * @return the contents
      */
-    public StoreContents contents(long baseRevision, List<StoreItem> changed) {
+    public StoreContents contents(long baseRevision, List<StoreItem> changed, boolean withKeys) {
         return baseRevision == 0
                 ? StoreContents.all(revision, changed)
-                : new StoreContents(baseRevision, revision, removalHistory.completeSince(baseRevision), changed);
+                : new StoreContents(
+                        baseRevision,
+                        revision,
+                        removalHistory.completeSince(baseRevision),
+                        changed,
+                        Option.when(withKeys, items::keySet));
     }
 
     /**
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -3,7 +3,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 
+import io.vavr.control.Option;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -29,7 +31,7 @@
      * The encoded size of the fields that a state of an earlier version lacks: the newest revision, the time for which work
      * is accepted, the known revision, the link bandwidth, and the support of large prefill, crash and prompt part notices.
      */
-    private static final int NEWER_FIELDS_BYTES = 1 + 9 + 1 + 1 + 1 + 1 + 1;
+    private static final int NEWER_FIELDS_BYTES = 1 + 9 + 1 + 1 + 1 + 1 + 1 + 1;
 
     private static PeerFrame roundTrip(PeerFrame frame) {
         return PeerFrameCodec.decode(PeerFrameCodec.encode(frame)).get();
@@ -61,7 +63,11 @@
                         1_250,
                         true,
                         true,
+                        true,
                         true),
+                new PeerFrame.StoreItems(StoreContents.all(7, List.of()), 30),
+                new PeerFrame.StoreItems(StoreContents.changes(5, 7, List.of()), 0),
+                new PeerFrame.StoreItems(new StoreContents(5, 7, 6, List.of(), Option.some(Set.of("a", "b"))), 0),
                 new PeerFrame.ResponseHead(4, 200, List.of("a", "b"), "t", "t2"),
                 new PeerFrame.LargePrefillNotice(new PeerFrame.TargetWork(
                         "t", new InFlightWork(2, new PrefillBacklog(1, 2, 3), 4), new StreamStats(2, 120.5, 1))),
@@ -128,6 +134,7 @@
                 0,
                 false,
                 false,
+                false,
                 false);
         byte[] bytes = PeerFrameCodec.encode(state);
 
@@ -137,6 +144,17 @@
                         .get());
     }
 
+    /** Guards against a host of an earlier version whose changes lack removals, but are relayed as if they had all. */
+    @Test
+    void shouldAssumeUnknownRemovalsWhenChangesComeFromAHostThatDoesNotTellThem() {
+        byte[] bytes = PeerFrameCodec.encode(new PeerFrame.StoreItems(StoreContents.changes(5, 7, List.of()), 0));
+
+        PeerFrame.StoreItems decoded = (PeerFrame.StoreItems)
+                PeerFrameCodec.decode(Arrays.copyOf(bytes, bytes.length - 1)).get();
+
+        assertEquals(7, decoded.contents().removalsSinceRevision());
+    }
+
     @Test
     void shouldDecodeARequestWhenItsBodyHoldsAnyBytes() {
         byte[] body = {0, -1, 13, 10, 127};
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreRemovalTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreRemovalTest.java
@@ -41,7 +41,19 @@
      */
     @Test
     void shouldForgetARemovedItemWhenTheRelayHasListedTheStoreSince() {
+        assertRemovedItemForgottenWhenWatchersRestart(region(12, 1));
+    }
+
+    /** Guards against the same at hosts of an earlier version, which need all items to find what was removed. */
+    @Test
+    void shouldForgetARemovedItemWhenTheHostIsOfAnEarlierVersion() {
         TestRegion region = region(12, 1);
+        region.hosts().forEach(TestRegion.Host::setEarlierVersion);
+        region.run(SETTLED_MILLIS);
+        assertRemovedItemForgottenWhenWatchersRestart(region);
+    }
+
+    private static void assertRemovedItemForgottenWhenWatchersRestart(TestRegion region) {
         region.compactStore();
         List<TestRegion.Host> watchers =
                 region.hosts().stream().filter(TestRegion.Host::isWatcher).toList();
@@ -80,7 +92,7 @@
                         .size());
         assertEquals(
                 1,
-                copy.merge(new StoreContents(1_000, 1_002, 1_000, List.of(entry("target-2", 1_002))))
+                copy.merge(StoreContents.changes(1_000, 1_002, List.of(entry("target-2", 1_002))))
                         .size());
         assertEquals(1_002, copy.revision());
     }
@@ -102,6 +114,7 @@
     void shouldForgetRemovedItemsInTimeWhenHostsRestartAsInTheSeedsThatFailed() {
         assertRemovedItemsForgottenInTime(5, 1_250, 0);
         assertRemovedItemsForgottenInTime(35, 1_408, 174);
+        assertRemovedItemsForgottenInTime(30, 1_312, 1_503_264);
     }
 
     private static void assertRemovedItemsForgottenInTime(int hosts, long linkBytesPerMilli, long seed) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.function.Predicate;
 
+import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.InFlightWork;
 import org.rattanplank.core.gateway.PrefillBacklog;
@@ -269,6 +270,7 @@
                 LINK_BYTES_PER_MILLI,
                 false,
                 false,
+                false,
                 false));
     }
 
@@ -303,6 +305,7 @@
                 linkBytesPerMilli,
                 false,
                 false,
+                false,
                 false));
     }
 
@@ -325,7 +328,7 @@
      * @throws IOException if the link was closed
      */
     public void sendStoreItems(long baseRevision, long revision, List<StoreItem> items) throws IOException {
-        send(new PeerFrame.StoreItems(new StoreContents(baseRevision, revision, revision, items), 0));
+        send(new PeerFrame.StoreItems(new StoreContents(baseRevision, revision, revision, items, Option.none()), 0));
     }
 
     /**
@@ -433,6 +436,7 @@
                 LINK_BYTES_PER_MILLI,
                 false,
                 false,
+                false,
                 false));
     }
 
@@ -478,7 +482,8 @@
                 LINK_BYTES_PER_MILLI,
                 supportsLargePrefillNotices,
                 supportsCrashNotices,
-                supportsPromptPartNotices));
+                supportsPromptPartNotices,
+                false));
     }
 
     /**
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
@@ -12,7 +12,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import io.vavr.control.Option;
 import org.rattanplank.core.gateway.StoreWatchers;
+import org.rattanplank.gateway.store.StoreContents;
 import org.rattanplank.gateway.store.StoreCopy;
 import org.rattanplank.gateway.store.StoreItem;
 
@@ -108,6 +110,7 @@
         private PeerFrame.State lastState = PeerFrame.State.NONE;
         private boolean alive = true;
         private boolean rejectedByStore;
+        private boolean earlierVersion;
         private long listsAtMillis;
         private long terminatedAtMillis;
         private double linkFreeAtMillis;
@@ -179,6 +182,11 @@
             }
         }
 
+        /** Makes the host one of an earlier version, which ignores the keys of all items. */
+        void setEarlierVersion() {
+            earlierVersion = true;
+        }
+
         void setRejectedByStore(boolean newRejectedByStore) {
             rejectedByStore = newRejectedByStore;
         }
@@ -214,7 +222,8 @@
                         linkBytesPerMilli,
                         false,
                         false,
-                        false);
+                        false,
+                        !earlierVersion);
             }
             List<SimulatedLink> receivers = new ArrayList<>();
             for (Host host : hosts) {
@@ -325,7 +334,16 @@
 
         private void receive(PeerFrame frame) {
             if (frame instanceof PeerFrame.StoreItems items) {
-                to.copy.merge(items.contents());
+                StoreContents contents = items.contents();
+                to.copy.merge(
+                        to.earlierVersion
+                                ? new StoreContents(
+                                        contents.baseRevision(),
+                                        contents.revision(),
+                                        contents.revision(),
+                                        contents.items(),
+                                        Option.none())
+                                : contents);
             } else if (frame instanceof PeerFrame.Fragment fragment) {
                 fragments.add(fragment.bytes());
                 if (fragment.last()) {
