End the grace of a removal once, whatever the store does later

Callers' requests went to removed targets for as long as a host's store calls kept failing and succeeding, or as another host told it of such recoveries: each moved the end of the grace for all removals.

TargetPoolTest.shouldDropARemovedTargetInTimeWhenTheStoreRecoversAgainMeanwhile failed before and passes now.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -47,7 +47,7 @@
     private boolean entryUnreadable;
     private boolean hasNamedInvalidRateLimit;
     private long coldUntilMillis;
-    private long missingSinceMillis = -1;
+    private Option<Long> missingUntilMillis = Option.none();
     private long lastActivityMillis;
     private long backOffUntilMillis;
     private InFlightWork ownWork = InFlightWork.NONE;
@@ -163,7 +163,7 @@
         boolean newlyLeaving = newer.leaving() && !leaving;
         entry = newer;
         entryUnreadable = false;
-        missingSinceMillis = -1;
+        missingUntilMillis = Option.none();
         leaving |= newer.leaving();
         if (newer.coldMillis() > 0) {
             coldUntilMillis = Math.max(coldUntilMillis, nowMillis + newer.coldMillis());
@@ -171,14 +171,13 @@
         return newlyLeaving;
     }
 
-    void markMissing(long nowMillis) {
-        if (missingSinceMillis < 0) {
-            missingSinceMillis = nowMillis;
-        }
+    /** Records until when its removed entry may be restored; a later end doesn't replace an earlier one. */
+    void markMissing(long untilMillis) {
+        missingUntilMillis = missingUntilMillis.orElse(Option.some(untilMillis));
     }
 
-    boolean isMissingFor(long millis, long nowMillis) {
-        return missingSinceMillis >= 0 && nowMillis - missingSinceMillis >= millis;
+    boolean isMissingTooLong(long nowMillis) {
+        return missingUntilMillis.exists(until -> nowMillis >= until);
     }
 
     void extendColdPeriod(long millis, long nowMillis) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -14,7 +14,8 @@
 /**
  * The targets of this host's region and whether requests may be sent to them.
  *
- * <p>Invariants: a target in a data centre that is being evacuated gets no requests; an incarnation that left gets none
+ * <p>Invariants: a target in a data centre that is being evacuated gets no requests; one whose entry was removed gets none
+ * later than {@link #REMOVAL_GRACE_MILLIS} after that was learnt, however often the store fails and recovers; an incarnation that left gets none
  * even if an old entry of it arrives again; of the incarnations of one target the pool has only the one that started
  * last, and an entry of an earlier one changes nothing. Confined to its owner's thread.
  */
@@ -153,11 +154,12 @@
     /**
      * Extends the time in which removed entries may be restored, as another host that saw the store recover reports it.
      *
-     * @param millis the time from now
+     * @param millis the time from now; the bound of an own recovery holds for it, too
      * @param nowMillis the time
      */
     public void extendRemovalGrace(long millis, long nowMillis) {
-        removalGraceUntilMillis = Math.max(removalGraceUntilMillis, nowMillis + millis);
+        long boundedMillis = Math.min(millis, REMOVAL_GRACE_MILLIS);
+        removalGraceUntilMillis = Math.max(removalGraceUntilMillis, nowMillis + boundedMillis);
     }
 
     /**
@@ -174,7 +176,7 @@
         if (nowMillis < removalGraceUntilMillis) {
             // The entry may have expired during the store outage while the target is alive: dropping it now would leave
             // the region with few targets or none for seconds. Symptom: rejected requests right after an outage.
-            target.markMissing(nowMillis);
+            target.markMissing(removalGraceUntilMillis);
         } else {
             drop(id, nowMillis);
         }
@@ -188,11 +190,9 @@
      */
     public List<String> tick(long nowMillis) {
         List<String> removed = new ArrayList<>();
-        if (nowMillis >= removalGraceUntilMillis) {
-            for (GatewayTarget target : targets.values()) {
-                if (target.isMissingFor(0, nowMillis)) {
-                    removed.add(target.id());
-                }
+        for (GatewayTarget target : targets.values()) {
+            if (target.isMissingTooLong(nowMillis)) {
+                removed.add(target.id());
             }
         }
         removed.forEach(id -> drop(id, nowMillis));
