Encode a frame anew when the grace of its removals has changed

A frame of store items is reused for hosts that lack the same changes, with the grace of the moment at which it was encoded: a host that was told the same a minute after an outage kept removed targets for up to 2.3 s. The grace is now part of what makes two frames the same; without one frames are shared as before.

StoreReplicatorTest.shouldTellNoGraceThatIsOverWhenTheSameItemsAreSentAgain failed before (2,200 ms where 0 was due) and passes now.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
@@ -223,6 +223,7 @@
             List<StoreItem> items,
             long nowMillis) {
         boolean withKeys = complete && baseRevision > 0 && host.needsKeys(copy);
+        long removalGraceMillis = graceMillis.applyAsLong(nowMillis);
         FrameKey key = new FrameKey(
                 baseRevision,
                 smallItemsBaseRevision,
@@ -231,11 +232,12 @@
                 items.size(),
                 copy.revision(),
                 copy.newestRevision(),
+                removalGraceMillis,
                 host.supportsFragments());
         if (lastEncoded.isEmpty() || !lastEncoded.get().key().matches(key)) {
             PeerFrame.StoreItems frame = new PeerFrame.StoreItems(
                     complete ? copy.contents(baseRevision, items, withKeys) : StoreContents.some(items),
-                    graceMillis.applyAsLong(nowMillis));
+                    removalGraceMillis);
             byte[] bytes = PeerFrameCodec.encode(frame, host.supportsCompression());
             lastEncoded = Option.some(new EncodedFrame(key, frame, bytes));
         }
@@ -250,6 +252,7 @@
             int itemCount,
             long revision,
             long newestRevision,
+            long removalGraceMillis,
             boolean fragmented) {
         /** Compares field by field, because the first call of a record's equals generates code at run time. */
         private boolean matches(FrameKey other) {
@@ -260,6 +263,7 @@
                     && itemCount == other.itemCount
                     && revision == other.revision
                     && newestRevision == other.newestRevision
+                    && removalGraceMillis == other.removalGraceMillis
                     && fragmented == other.fragmented;
         }
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreReplicatorTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreReplicatorTest.java
@@ -8,7 +8,10 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
+import org.rattanplank.gateway.store.StoreCopy;
+import org.rattanplank.gateway.store.StoreItem;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class StoreReplicatorTest {
@@ -105,6 +108,61 @@
         assertTrue(hosts.stream().anyMatch(host -> !host.hasItem("configuration")));
     }
 
+    /** Guards against a target that is kept because a frame from just after an outage is sent again much later. */
+    @Test
+    void shouldTellNoGraceThatIsOverWhenTheSameItemsAreSentAgain() {
+        StoreCopy copy = new StoreCopy();
+        copy.apply(new StoreItem("target-1", new byte[100], 7, false));
+        copy.completeUpTo(7);
+        StoreReplicator replicator =
+                new StoreReplicator(copy, SMALL_LINK_BYTES_PER_MILLI, now -> Math.max(0, 2_300 - now), line -> {});
+        RecordingReceiver early = new RecordingReceiver("early", followerState());
+        RecordingReceiver late = new RecordingReceiver("late", followerState());
+
+        replicator.tick(List.of(early), new RelayToAll(), 100);
+        replicator.tick(List.of(late), new RelayToAll(), 60_000);
+
+        assertEquals(2_200, ((PeerFrame.StoreItems) early.received().get(0)).removalGraceMillis());
+        assertEquals(0, ((PeerFrame.StoreItems) late.received().get(0)).removalGraceMillis());
+    }
+
+    /** Returns the state of a host that lacks the last two revisions of the store. */
+    private static PeerFrame.State followerState() {
+        return new PeerFrame.State(
+                1,
+                0,
+                0,
+                500,
+                true,
+                1,
+                0,
+                false,
+                true,
+                List.of(),
+                List.of(),
+                5,
+                PeerFrame.State.UNLIMITED_MILLIS,
+                5,
+                SMALL_LINK_BYTES_PER_MILLI,
+                false,
+                false,
+                false,
+                true);
+    }
+
+    /** Relays each change to each host. */
+    private static final class RelayToAll implements ReplicationPolicy {
+        @Override
+        public boolean relaysTo(StoreReceiver receiver) {
+            return true;
+        }
+
+        @Override
+        public long catchUpAfterMillis(StoreReceiver receiver) {
+            return NEVER;
+        }
+    }
+
     private static TestRegion region(int hosts, long seed) {
         TestRegion region = new TestRegion(seed);
         for (int i = 0; i < hosts; i++) {
