List the store when a copy differs from a watcher's at the same revision

Whatever else may leave a departed target in a host's copy (changes relayed by a host of an earlier version, a removal that the store told nobody), nothing found it: the state reports carry a digest of the copy, which nobody read. A host now compares it with that of each host of its region that watches the store, when both are complete up to the same revision and have nothing newer: a watcher reports its state just before it relays the changes of that moment, so this is possible about twice a second while the store changes, and at each report while it doesn't. If they differ one of them is wrong, and the host lists the store, at most once in five seconds, beside its watch; the line store_differs and a counter tell.

DepartedTargetFlowTest.shouldForgetADepartedTargetWhenAHostThatWatchesTheStoreLacksIt failed before (the target was kept for the 22 s of the test) and passes now.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
@@ -92,6 +92,14 @@
         }
     }
 
+    @Override
+    public void copyDiffers(String peer, long revision) {
+        state.metrics().copyDiffers();
+        state.log()
+                .writeImportant(
+                        LogLine.of(LogEvent.STORE_DIFFERS).with("peer", peer).with("revision", revision));
+    }
+
     @Override
     public void storeRecovered() {
         state.pool().recordStoreRecovery(state.nowMillis());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -234,7 +234,7 @@
     @Override
     public void storeItemsReceived(PeerLink link, PeerFrame.StoreItems storeItems) {
         state.pool().extendRemovalGrace(storeItems.removalGraceMillis(), clock.nowMillis());
-        feed.mergeFromPeer(link.name(), storeItems.contents());
+        stateExchange.storeItemsReceived(link, storeItems.contents());
     }
 
     @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
@@ -69,6 +69,11 @@
         count("requests_total", "outcome=\"" + outcome + "\"");
     }
 
+    /** Counts a local copy of the store that differed from another host's at the same revision. */
+    public void copyDiffers() {
+        registry.counter(PREFIX + "store_copies_different_total").inc();
+    }
+
     /** Counts a stream that was sent with a backup. */
     public void backedUp() {
         registry.counter(PREFIX + "streams_backed_up_total").inc();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -26,6 +26,7 @@
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.PeerLink;
 import org.rattanplank.gateway.peer.PeerLinks;
+import org.rattanplank.gateway.store.StoreContents;
 import org.rattanplank.gateway.store.StoreFeed;
 
 /**
@@ -201,6 +202,7 @@
         GatewayHost host = link.host().get();
         state.metrics().record(Latency.PEER_ROUND_TRIP, link.roundTripMillis());
         feed.peerRevisionReported(received.knownRevision());
+        verifyCopy(link);
         if (link.isInOwnRegion() && !state.uses(Mechanism.OTHERS_WORK)) {
             return;
         }
@@ -218,6 +220,25 @@
         }
     }
 
+    void storeItemsReceived(PeerLink link, StoreContents contents) {
+        feed.mergeFromPeer(link.name(), contents);
+        verifyCopy(link);
+    }
+
+    /**
+     * Compares the local copy of the store with that of a host that watches the store. It reports its state just before it
+     * relays the changes up to the same revision, so that this is done about twice a second also while the store changes.
+     */
+    private void verifyCopy(PeerLink link) {
+        PeerFrame.State peer = link.state();
+        if (link.isInOwnRegion()
+                && peer.watchesStore()
+                && peer.storeHealthy()
+                && peer.newestRevision() == peer.knownRevision()) {
+            feed.verify(link.name(), peer.knownRevision(), peer.storeDigest());
+        }
+    }
+
     void disconnected(PeerLink link) {
         lastReports.remove(link);
         replication.disconnected(link);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -68,6 +68,8 @@
     STORE_TOLD,
     /** This host has lacked changes of the store for some time that another host has. */
     STORE_BEHIND,
+    /** This host's copy of the store differs from that of another one at the same revision; it lists the store. */
+    STORE_DIFFERS,
     /** A large response of the store was read. */
     STORE_READ,
     /** Many bytes for another host are still queued in this process. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
@@ -27,6 +27,14 @@
      */
     void pageReceived(StoreReadKind kind, long bytes, int items, long tookMillis);
 
+    /**
+     * Called when the local copy differs from that of another host at the same revision, and the store is listed.
+     *
+     * @param peer the name of the other host
+     * @param revision the revision
+     */
+    void copyDiffers(String peer, long revision);
+
     /** Called when the store responds again after an outage; entries that expired meanwhile may be registered again. */
     void storeRecovered();
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
@@ -206,7 +206,7 @@
     }
 
     /**
-     * Returns a digest of all items, by which hosts of an earlier version compare their copies.
+     * Returns a digest of all items, by which hosts compare their copies.
      *
      * @return the digest
      */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -42,6 +42,12 @@
      */
     private static final long MAX_WATCH_PAUSE_MILLIS = 1_000;
 
+    /**
+     * The minimum interval between two listings because of a copy that differs. Another host may be wrong, too, and stay so
+     * if it is of an earlier version.
+     */
+    static final long MIN_VERIFICATION_INTERVAL_MILLIS = 5_000;
+
     /** How long a host whose calls failed while it watched the store stays unhealthy after it stops watching. */
     private static final long UNHEALTHY_HOLD_MILLIS = 2_000;
 
@@ -58,10 +64,9 @@
     private final WatchPacer watchPacer = new WatchPacer();
     private final StoreCopy copy = new StoreCopy();
     private final CopyLag lag = new CopyLag();
-    private final Set<String> listedKeys = new HashSet<>();
     private Backoff backoff = Backoff.of(0, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS);
-    private long listRevision;
     private long calledAtMillis;
+    private long verifiedAtMillis = Long.MIN_VALUE / 2;
     private long lastResponseMillis;
     private long unavailableAtMillis;
     private boolean active;
@@ -113,7 +118,7 @@
     /** Lists all items and watches for changes from then on. */
     public void start() {
         active = true;
-        list("");
+        listAll();
     }
 
     /**
@@ -132,7 +137,7 @@
             if (isComplete()) {
                 watch();
             } else {
-                list("");
+                listAll();
             }
         }
     }
@@ -184,6 +189,27 @@
         return clock.nowMillis() - lastResponseMillis;
     }
 
+    /**
+     * Compares the local copy with that of another host that watches the store. If they differ at the same revision, one of
+     * them is wrong, and this host lists the store.
+     *
+     * @param peer the name of the other host
+     * @param peerRevision the revision up to which its copy is complete, without newer items
+     * @param peerDigest the digest of its copy
+     */
+    public void verify(String peer, long peerRevision, long peerDigest) {
+        long now = clock.nowMillis();
+        if (copy.revision() != peerRevision
+                || copy.newestRevision() != peerRevision
+                || copy.digest() == peerDigest
+                || now - verifiedAtMillis < MIN_VERIFICATION_INTERVAL_MILLIS) {
+            return;
+        }
+        verifiedAtMillis = now;
+        listener.copyDiffers(peer, peerRevision);
+        listPage(new Listing(true), "");
+    }
+
     /**
      * Records the revision up to which another host's copy is complete.
      *
@@ -237,46 +263,60 @@
         listener.itemChanged(new StoreChange(item, source, copyRevision), format.read(item));
     }
 
-    private void list(String after) {
+    private void listAll() {
         if (!watching && isComplete()) {
             active = false;
             return;
         }
-        if (after.isEmpty()) {
-            listedKeys.clear();
-            listRevision = Long.MAX_VALUE;
-        }
-        calledAtMillis = clock.nowMillis();
-        store.list(format.prefix(), after, this::pageListed);
+        listPage(new Listing(false), "");
     }
 
-    private void pageListed(Either<StoreFailure, StorePage> reply) {
+    private void listPage(Listing listing, String after) {
+        long calledMillis = clock.nowMillis();
+        store.list(format.prefix(), after, reply -> pageListed(listing, calledMillis, reply));
+    }
+
+    private void pageListed(Listing listing, long calledMillis, Either<StoreFailure, StorePage> reply) {
         if (reply.isLeft()) {
-            markUnavailableAndRetry(reply.getLeft(), () -> list(""));
+            listingFailed(listing, reply.getLeft());
             return;
         }
         responseReceived();
-        listener.storeResponded(clock.nowMillis() - calledAtMillis);
+        listener.storeResponded(clock.nowMillis() - calledMillis);
         StorePage page = reply.get();
-        recordPage(StoreReadKind.LIST, page);
-        // Pages are not a snapshot: only the first page's revision is definitely covered by all of them.
-        listRevision = Math.min(listRevision, page.revision());
+        recordPage(StoreReadKind.LIST, page, calledMillis);
+        listing.revision = Math.min(listing.revision, page.revision());
         page.items().forEach(item -> {
-            listedKeys.add(item.key());
+            listing.keys.add(item.key());
             if (copy.applyListed(item, page.revision())) {
                 notifyListener(item, StoreReadKind.LIST.name(), copy.revision());
             }
         });
-        if (page.hasMore() && !page.items().isEmpty()) {
-            list(page.items().get(page.items().size() - 1).key());
-            return;
+        if (!page.hasMore() || page.items().isEmpty()) {
+            listed(listing);
+        } else if (listing.verification || watching || !isComplete()) {
+            listPage(listing, page.items().get(page.items().size() - 1).key());
+        } else {
+            active = false;
         }
+    }
+
+    private void listed(Listing listing) {
         long copyRevision = copy.revision();
-        for (StoreItem removal : copy.completeListing(listedKeys, listRevision)) {
+        for (StoreItem removal : copy.completeListing(listing.keys, listing.revision)) {
             notifyListener(removal, StoreReadKind.LIST.name(), copyRevision);
         }
-        backoff = backoff.succeeded();
-        watch();
+        if (!listing.verification) {
+            backoff = backoff.succeeded();
+            watch();
+        }
+    }
+
+    private void listingFailed(Listing listing, StoreFailure failure) {
+        // A difference that is still there is reported again.
+        if (!listing.verification) {
+            markUnavailableAndRetry(failure, this::listAll);
+        }
     }
 
     private void watch() {
@@ -295,7 +335,7 @@
         responseReceived();
         backoff = backoff.succeeded();
         StorePage page = reply.get();
-        recordPage(StoreReadKind.WATCH, page);
+        recordPage(StoreReadKind.WATCH, page, calledAtMillis);
         for (StoreItem item : page.items()) {
             if (copy.apply(item)) {
                 notifyListener(item, StoreReadKind.WATCH.name(), copy.revision());
@@ -309,27 +349,27 @@
         long waitedMillis = clock.nowMillis() - calledAtMillis;
         long pauseMillis =
                 Math.max(watchPacer.pauseAfterChanges(waitedMillis), readLimiter.delayMillis(clock.nowMillis()));
-        Runnable next = pauseMillis > MAX_WATCH_PAUSE_MILLIS ? () -> list("") : this::watch;
+        Runnable next = pauseMillis > MAX_WATCH_PAUSE_MILLIS ? this::listAll : this::watch;
         loop.schedule(next, pauseMillis, TimeUnit.MILLISECONDS);
     }
 
     private void watchFailed(StoreFailure failure) {
         if (failure == StoreFailure.HISTORY_GONE) {
             long pauseMillis = readLimiter.delayMillis(clock.nowMillis());
-            loop.schedule(() -> list(""), pauseMillis, TimeUnit.MILLISECONDS);
+            loop.schedule(this::listAll, pauseMillis, TimeUnit.MILLISECONDS);
         } else if (failure == StoreFailure.NO_ANSWER && lastResponseAgeMillis() < WATCH_TIMEOUT_MILLIS) {
             // A waiting watch may be closed although the store is healthy; watching again costs one call.
             scheduleRetry(this::watch);
         } else {
             // After an outage changes may be missing without an error, so everything is listed again.
-            markUnavailableAndRetry(failure, () -> list(""));
+            markUnavailableAndRetry(failure, this::listAll);
         }
     }
 
-    private void recordPage(StoreReadKind kind, StorePage page) {
+    private void recordPage(StoreReadKind kind, StorePage page, long calledMillis) {
         long bytes = page.valueBytes();
         readLimiter.consume(Math.round(bytes * BASE64_BYTES_PER_BYTE), clock.nowMillis());
-        listener.pageReceived(kind, bytes, page.items().size(), clock.nowMillis() - calledAtMillis);
+        listener.pageReceived(kind, bytes, page.items().size(), clock.nowMillis() - calledMillis);
     }
 
     private void responseReceived() {
@@ -353,4 +393,19 @@
         long pauseMillis = Math.max(backoff.delayMillis(random), readLimiter.delayMillis(clock.nowMillis()));
         loop.schedule(next, pauseMillis, TimeUnit.MILLISECONDS);
     }
+
+    /** The pages of one listing that were read so far. */
+    private static final class Listing {
+        /** Whether it only verifies the copy, beside the watch. */
+        private final boolean verification;
+
+        private final Set<String> keys = new HashSet<>();
+
+        /** The lowest revision of a page: pages are not a snapshot, and all of them cover only that of the first for sure. */
+        private long revision = Long.MAX_VALUE;
+
+        private Listing(boolean verification) {
+            this.verification = verification;
+        }
+    }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
@@ -21,6 +21,7 @@
 @Timeout(60)
 class DepartedTargetFlowTest {
     private static final long REPORT_MILLIS = 100;
+    private static final int MAX_REPORTS = 100;
 
     private TestGateway gateway;
 
@@ -81,6 +82,29 @@
         assertTrue(follower.items().stream().noneMatch(item -> item.key().equals(entry.key())));
     }
 
+    /**
+     * Guards against a departed target that a host keeps without end for whatever reason, such as changes relayed by a host of
+     * an earlier version: its copy of the store differs from that of others at the same revision.
+     */
+    @Test
+    void shouldForgetADepartedTargetWhenAHostThatWatchesTheStoreLacksIt() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        StoreItem entry = gateway.untoldTarget("t1", 1);
+        try (TestPeer peer = gateway.sameRegionPeer("watcher")) {
+            peer.drainInBackground();
+            peer.sendStoreItems(0, 0, List.of(entry));
+            gateway.awaitTargets(1);
+            gateway.putBytes("other", 1);
+            for (int i = 0; gateway.countLogged("target_gone") == 0 && i < MAX_REPORTS; i++) {
+                peer.reportWatching(entry.revision() + 2);
+                Thread.sleep(REPORT_MILLIS);
+            }
+        }
+
+        gateway.awaitTargets(0);
+        gateway.awaitLogged("\"event\":\"store_differs\"");
+    }
+
     private static void reportUntilInterrupted(TestPeer peer, long revision) {
         try {
             while (!Thread.currentThread().isInterrupted()) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -184,12 +184,23 @@
      */
     StoreItem departedTarget(String id, int port) {
         long lists = store.lists();
-        String key = "targets/" + id;
+        String key = TestStore.TARGETS_PREFIX + id;
         long revision = store.putAndRemoveUnobserved(key, registration(new TargetIncarnation(id, 0), port));
         awaitListed(lists + 1);
         return new StoreItem(key, new byte[0], revision, false);
     }
 
+    /**
+     * Adds a target and removes it, of which the store tells no watch.
+     *
+     * @return the entry of the target
+     */
+    StoreItem untoldTarget(String id, int port) {
+        String key = TestStore.TARGETS_PREFIX + id;
+        long revision = store.putAndRemoveUntold(key, registration(new TargetIncarnation(id, 0), port));
+        return new StoreItem(key, new byte[0], revision, false);
+    }
+
     /** Waits until the store was listed that often. */
     void awaitListed(long lists) {
         for (int i = 0; i < MAX_POLLS; i++) {
@@ -203,7 +214,7 @@
 
     /** Removes the entry of a target. */
     void removeTarget(String id) {
-        store.put("targets/" + id, new ClusterEvent.TargetRemoved(id), true);
+        store.put(TestStore.TARGETS_PREFIX + id, new ClusterEvent.TargetRemoved(id), true);
     }
 
     /** Waits until the gateway knows that many targets. */
@@ -213,7 +224,7 @@
 
     /** Puts an unreadable entry under the key of a target. */
     void putUnreadableTarget(String id) {
-        store.put("targets/" + id, new ClusterEvent.Unreadable(Option.some(id), "no address"), false);
+        store.put(TestStore.TARGETS_PREFIX + id, new ClusterEvent.Unreadable(Option.some(id), "no address"), false);
     }
 
     /** Waits until that many unreadable items were counted. */
@@ -231,7 +242,7 @@
 
     /** Adds an incarnation of a target. */
     void registerTarget(TargetIncarnation incarnation, int port) {
-        store.put("targets/" + incarnation.id(), registration(incarnation, port), false);
+        store.put(TestStore.TARGETS_PREFIX + incarnation.id(), registration(incarnation, port), false);
     }
 
     private static ClusterEvent registration(TargetIncarnation incarnation, int port) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
@@ -25,6 +25,9 @@
 
 /** An in-memory store whose items decode to the events that a test puts. Its calls are confined to the event loop. */
 final class TestStore implements ClusterStore, StoreFormat {
+    /** The prefix of the targets' entries. */
+    static final String TARGETS_PREFIX = "targets/";
+
     private final EventLoop loop;
     private final TreeMap<String, StoreItem> items = new TreeMap<>();
     private final TreeMap<Long, StoreItem> history = new TreeMap<>();
@@ -62,6 +65,23 @@
         List.copyOf(waiting).forEach(Runnable::run);
     }
 
+    /**
+     * Puts an item and removes it without telling any watch.
+     *
+     * @return the revision at which the item was put
+     */
+    long putAndRemoveUntold(String key, ClusterEvent event) {
+        AtomicLong putRevision = new AtomicLong();
+        loop.submit(() -> putRevision.set(putAndRemoveInLoop(event))).syncUninterruptibly();
+        return putRevision.get();
+    }
+
+    private long putAndRemoveInLoop(ClusterEvent event) {
+        events.put(revision + 1, event);
+        revision += 2;
+        return revision - 1;
+    }
+
     /**
      * Puts an item, removes it and forgets the history before the gateway observes either, so that it lists the store.
      *
@@ -70,9 +90,7 @@
     long putAndRemoveUnobserved(String key, ClusterEvent event) {
         AtomicLong putRevision = new AtomicLong();
         loop.submit(() -> {
-                    putRevision.set(revision + 1);
-                    events.put(revision + 1, event);
-                    revision += 2;
+                    putRevision.set(putAndRemoveInLoop(event));
                     compactedRevision = revision;
                     List.copyOf(waiting).forEach(Runnable::run);
                 })
@@ -183,7 +201,10 @@
 
     @Override
     public ClusterEvent read(StoreItem item) {
-        return events.get(item.revision());
+        // A removal that a listing shows has the revision of the listing.
+        return item.removed() && item.key().startsWith(TARGETS_PREFIX)
+                ? new ClusterEvent.TargetRemoved(item.key().substring(TARGETS_PREFIX.length()))
+                : events.get(item.revision());
     }
 
     @Override
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
@@ -226,6 +226,11 @@
             // Sizes are not checked here.
         }
 
+        @Override
+        public void copyDiffers(String peer, long revision) {
+            // There is no other host here.
+        }
+
         @Override
         public void storeRecovered() {
             storeStates.add("returned");
