Send nothing to a target that begins to leave while it is connected to

A request whose connection was being opened (0.5 s at most, more on a loaded event loop) went to its target although an entry that says it leaves, or the removal of its entry, had arrived meanwhile; only a restarted target was looked at. It is now not sent there, like a failed connection, and tried elsewhere.

TargetConnectionsTest failed before (the request was sent) and passes now.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -193,9 +193,10 @@
     private void open(GatewayTarget target, TargetAttempt attempt) {
         TargetConnection connection = new TargetConnection(names.requestId(), this);
         Channel channel = connect(target, connection, CONNECT_TIMEOUT_MILLIS, done -> {
-            if (done.isSuccess() && target.isTerminated()) {
+            if (done.isSuccess() && target.isLeaving()) {
                 connection.close();
-                attempt.connectFailed(new ConnectException("the target has restarted"));
+                attempt.connectFailed(new ConnectException(
+                        target.isTerminated() ? "the target has restarted" : "the target has begun to leave"));
             } else if (done.isSuccess()) {
                 targetByConnection.put(connection, target);
                 attempt.connected(connection);
