Send a summary again when the link was lost after it had been sent

rattanplankd: hosts of another data centre could go on being named to callers and be sent work after they had left. A representative sends its data centre's summary once and then only when it changes; if the link was lost with it and the same process connected again, it was taken for received, and heartbeats alone followed. The recipient is now forgotten with its link.

MembershipTest.shouldSendTheSummaryAgainWhenTheLinkWasLostMeanwhile failed before and passes now.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Membership.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Membership.java
@@ -142,6 +142,7 @@
     public List<MemberAction> disconnected(String host, boolean connectionRefused, long atMillis) {
         return update(atMillis, () -> {
             peers.disconnected(host, connectionRefused, atMillis);
+            remoteDataCentres.disconnected(host);
             refresh();
             return List.of();
         });
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/RemoteDataCentres.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/RemoteDataCentres.java
@@ -43,6 +43,9 @@
     private static final long LOAD_INTERVAL_MILLIS_PER_DATA_CENTRE = 250;
     private static final long MAX_LOAD_INTERVAL_MILLIS = 10_000;
 
+    /** Separates the name of a host from its incarnation; names contain none. */
+    private static final String RECIPIENT_SEPARATOR = "/";
+
     private final NodeIdentity self;
     private final Map<String, RemoteDataCentre> dataCentres = new TreeMap<>();
     private final Map<String, List<String>> listedHosts = new TreeMap<>();
@@ -76,6 +79,15 @@
                 .removeIf(remote -> !listedHosts.containsKey(remote.location.dataCentre()) && remote.summary.isEmpty());
     }
 
+    /** Forgets that a host was sent the summary, which may have been lost with the link. */
+    void disconnected(String host) {
+        for (RemoteDataCentre remote : dataCentres.values()) {
+            if (remote.summaryRecipient.startsWith(host + RECIPIENT_SEPARATOR)) {
+                remote.summaryRecipient = "";
+            }
+        }
+    }
+
     void recordMessage(Location location, long nowMillis) {
         if (isRemote(location.dataCentre())) {
             dataCentres.computeIfAbsent(location.dataCentre(), name -> new RemoteDataCentre(location))
@@ -196,7 +208,7 @@
             CentreBeat heartbeat,
             boolean sendsLoads,
             long nowMillis) {
-        String recipient = peer.host + "/" + peer.incarnation;
+        String recipient = peer.host + RECIPIENT_SEPARATOR + peer.incarnation;
         boolean isNewRecipient = !recipient.equals(remote.summaryRecipient);
         long sinceSummary = nowMillis - remote.summarySentMillis;
         boolean changed = sinceSummary >= MIN_SUMMARY_INTERVAL_MILLIS
