Pass on no summary of a data centre that has been silent since

rattanplankd: a host that was cut off from a data centre kept its last summary and sent it, minutes old, to each host of its own data centre that started or connected again. There it replaced a newer one, and named hosts that had left as available, which ended their leaving notices: a removed item brought back by a stale replica. A summary is now passed on while its data centre is heard from, as then each change of it has come.

MembershipTest.shouldPassOnNoSummaryWhenItsDataCentreHasBeenSilentSince failed before and passes now; the core's tests of nodes and rolling stops pass.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/Membership.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/Membership.java
@@ -319,7 +319,7 @@
             actions.add(new MemberAction.Send(host, new LeavingNews(newest)));
         }
         for (RemoteDataCentre remote : remoteDataCentres.all()) {
-            if (remote.representedSinceMillis.isDefined()) {
+            if (remote.representedSinceMillis.isDefined() && remote.isHeardFrom(nowMillis)) {
                 remote.summary.forEach(summary -> actions.add(new MemberAction.Send(host, summary)));
             }
         }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/RemoteDataCentre.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/RemoteDataCentre.java
@@ -69,6 +69,11 @@
         return Option.some(dialledHost);
     }
 
+    /** Returns whether its summary is in force: it sends heartbeats, and each change of the summary at once. */
+    boolean isHeardFrom(long nowMillis) {
+        return nowMillis - lastMessageMillis <= RemoteDataCentres.UNRESPONSIVE_AFTER_MILLIS;
+    }
+
     void stopRepresenting() {
         representedSinceMillis = Option.none();
         unresponsive = false;
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/RemoteDataCentres.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/RemoteDataCentres.java
@@ -133,7 +133,7 @@
             }
             remote.unresponsive =
                     remote.representedSinceMillis.exists(since -> nowMillis - since > UNRESPONSIVE_AFTER_MILLIS)
-                            && nowMillis - remote.lastMessageMillis > UNRESPONSIVE_AFTER_MILLIS;
+                            && !remote.isHeardFrom(nowMillis);
             remote.reachable = remote.representatives.stream()
                     .anyMatch(representative -> !isUnresponsive(remote, representative, peers));
             changed = changed || wasReachable != remote.reachable;
--- a/rattanplank-core/src/test/java/org/rattanplank/core/member/MembershipTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/member/MembershipTest.java
@@ -21,6 +21,9 @@
     private static final SelfReport REPORT = new SelfReport(1, false, 0, Map.of(), true);
     private static final long TICK_MILLIS = 50;
 
+    /** Longer than a data centre may be silent, and than two views of a departure may differ. */
+    private static final long SILENT_MILLIS = 10_000;
+
     private final Membership membership = Membership.of(new NodeIdentity("s1", 1, HERE));
     private long nowMillis = 1_000;
 
@@ -44,6 +47,19 @@
         assertTrue(sendsSummary(tick()));
     }
 
+    /** Guards against a host that has left and is named again, as a host passes on what it was told before a partition. */
+    @Test
+    void shouldPassOnNoSummaryWhenItsDataCentreHasBeenSilentSince() {
+        membership.receive("l1", 1, summaryOf("l1", "l2"), nowMillis);
+        assertTrue(sendsSummary(membership.connected("s2", 1, HERE, nowMillis)));
+        membership.disconnected("s2", false, nowMillis);
+        for (long end = nowMillis + SILENT_MILLIS; nowMillis < end; ) {
+            tick();
+        }
+
+        assertFalse(sendsSummary(membership.connected("s2", 2, HERE, nowMillis)));
+    }
+
     private List<MemberAction> tick() {
         nowMillis += TICK_MILLIS;
         return membership.tick(REPORT, nowMillis);
@@ -55,6 +71,10 @@
                         action -> action instanceof MemberAction.Send send && send.message() instanceof RegionSummary);
     }
 
+    private static RegionSummary summaryOf(String... hosts) {
+        return new RegionSummary(THERE.region(), THERE.dataCentre(), 1, List.of(hosts), Map.of(), List.of());
+    }
+
     private static ListedHost entryHost(String name, Location location) {
         return new ListedHost(name, HostRole.ENTRY, location, "10.0.0.1", 1, 2, "", false);
     }
