Let the soak check that hosts know the targets that are there

After the last fault each host must know as many targets of its region as are registered, within the six seconds after which it is bound and the five that a target that leaves may take.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -51,6 +51,10 @@
 
     private static final long STABLE_MILLIS = 6_000;
     private static final int ALLOWED_LATER_CRASHES = 3;
+
+    /** A host is bound six seconds after the last disturbance, and then by the five seconds for a target that leaves. */
+    private static final long MAX_BELIEF_MILLIS = 11_000;
+
     private static final int LATER_CRASHING_CALLS = 12;
 
     private final SoakSite site;
@@ -124,6 +128,7 @@
         try {
             injectFaultsFor(millis);
             Try.run(this::awaitRecovery).onFailure(error -> violations.add(error.getMessage()));
+            checkKnownTargets(violations);
             checkCrashes(violations);
         } finally {
             // Callers left running after a failure of the soak test itself would keep the process alive and load the
@@ -190,6 +195,18 @@
         crashingCallers.add(thread);
     }
 
+    /** Checks that no host goes on believing in a target that has left, or lacks one that is there. */
+    private void checkKnownTargets(List<String> violations) {
+        for (String host : site.hostNames()) {
+            long registered = site.registeredTargets(host);
+            Try.run(() -> Poll.until(
+                            host + " knows its " + registered + " targets",
+                            MAX_BELIEF_MILLIS,
+                            () -> site.knownTargets(host).contains(registered)))
+                    .onFailure(error -> violations.add(error.getMessage() + ", but " + site.knownTargets(host)));
+        }
+    }
+
     /** Checks that what crashes replicas reaches few of them any more, through hosts that have been undisturbed. */
     private void checkCrashes(List<String> violations) {
         Map<CrashCause, Integer> crashes = new EnumMap<>(CrashCause.class);
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
@@ -7,6 +7,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
+import io.vavr.control.Option;
+import io.vavr.control.Try;
 import org.rattanplank.gateway.HeaderNames;
 import org.rattanplank.platform.PlatformHeaders;
 import org.rattanplank.standins.site.SiteConfigurations;
@@ -48,6 +50,24 @@
         return call(host, id, true, SiteConfigurations.DRAFTS_PREFIX + SiteReplica.CRASHING_PATH_END, "");
     }
 
+    /** Returns the value of a metric of a host, or none if it doesn't answer. */
+    static Option<Long> metric(InetSocketAddress metrics, String name) {
+        String start = name + " ";
+        return Try.of(() -> {
+                    try (Socket socket = new Socket()) {
+                        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+                        socket.connect(metrics, CONNECT_TIMEOUT_MILLIS);
+                        String request = "GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n";
+                        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+                        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                    }
+                })
+                .toOption()
+                .flatMap(text -> Option.ofOptional(
+                        text.lines().filter(line -> line.startsWith(start)).findFirst()))
+                .map(line -> Long.parseLong(line.substring(start.length())));
+    }
+
     private static SoakCall call(
             InetSocketAddress host, String id, boolean stream, String path, String additionalHeaders) {
         ByteArrayOutputStream received = new ByteArrayOutputStream();
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -37,6 +37,10 @@
     static final List<String> REGIONS = List.of("suva", "labasa");
     private static final int REPLICAS_PER_REGION = 2;
     private static final int CALLER_PORT = 17_400;
+
+    /** The port of the metrics in the template for the settings. */
+    private static final int METRICS_PORT = 9_464;
+
     private static final int OCTET_VALUES = 250;
     private static final int FIRST_HOST_OCTET = 100;
 
@@ -130,6 +134,21 @@
         return replicaLinks.get(id);
     }
 
+    /** Returns how many targets of its region a host may send requests to, or none if it doesn't answer. */
+    Option<Long> knownTargets(String host) {
+        InetSocketAddress metrics =
+                new InetSocketAddress(callerAddresses.get(host).getAddress(), METRICS_PORT);
+        return SoakCaller.metric(metrics, "rattanplank_gateway_targets");
+    }
+
+    /** Returns how many targets of a host's region are registered. */
+    long registeredTargets(String host) {
+        String region = host.split("-")[0];
+        return replicaLinks.keySet().stream()
+                .filter(id -> id.split("-")[1].equals(region))
+                .count();
+    }
+
     /** Starts a host that is not running, with its previous name and address. */
     void startHost(String name) {
         processes.put(
