--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -15,9 +15,9 @@
  * The targets of this host's region and whether requests may be sent to them.
  *
  * <p>Invariants: a target in a data centre that is being evacuated gets no requests; one whose entry was removed gets none
- * later than {@link #REMOVAL_GRACE_MILLIS} after that was learnt, however often the store fails and recovers; an incarnation that left gets none
- * even if an old entry of it arrives again; of the incarnations of one target the pool has only the one that started
- * last, and an entry of an earlier one changes nothing. Confined to its owner's thread.
+ * later than {@link #REMOVAL_GRACE_MILLIS} after that was learnt, however often the store fails and recovers; an
+ * incarnation that left gets none even if an old entry of it arrives again; of the incarnations of one target the pool has
+ * only the one that started last, and an entry of an earlier one changes nothing. Confined to its owner's thread.
  */
 public final class TargetPool {
     /** Entries that expired during a store outage are back about two seconds after it; a margin is added. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/RemovalHistory.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/RemovalHistory.java
@@ -41,7 +41,12 @@
                 || revision >= fromRevision && Math.max(revision, newestRevision) <= gapStartRevision;
     }
 
-    /** Returns the lowest revision, not below the given one, since which all removals are known. */
+    /**
+     * Returns since when another copy knows all removals that it is told the changes since a revision.
+     *
+     * @param revision the revision
+     * @return the revision itself, or the end of a gap behind it
+     */
     long completeSince(long revision) {
         return Math.max(revision, gapEndRevision);
     }
