Ask the quarantine about a request in one way in both programs

CrashQuarantine.mayRetry and isQuarantined by a lazy fingerprint had no caller left that needed them, and both programs guarded the calls by identity with isEmpty() themselves, so that no fingerprint is computed while there is no evidence. The guard now stands in the quarantine, which asks for the identity only if there is evidence. Behaviour is the same.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/QuarantineExchange.java
@@ -66,12 +66,12 @@
                         "quarantined: targets ran requests with this prompt part and crashed: "
                                 + String.join(" and ", parts)));
             }
-            if (!quarantine.isQuarantined(request.fingerprint())) {
+            Fingerprint fingerprint = request.fingerprint().get();
+            if (!quarantine.isQuarantined(fingerprint)) {
                 return Option.<Failure>none();
             }
             String crashes = Option.ofOptional(quarantine.quarantined(nowMillis).stream()
-                            .filter(each -> each.fingerprint()
-                                    .equals(request.fingerprint().get()))
+                            .filter(each -> each.fingerprint().equals(fingerprint))
                             .findFirst())
                     .map(QuarantineEntry::crashesText)
                     .getOrElse("");
@@ -82,7 +82,7 @@
 
     /** Returns whether this host may retry a request on its own. */
     boolean mayRetry(Request request) {
-        return locked(() -> quarantine.isEmpty() || quarantine.mayRetry(identity(request)));
+        return locked(() -> quarantine.mayRetry(() -> identity(request)));
     }
 
     private static RequestIdentity identity(Request request) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/CrashQuarantine.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 
-import io.vavr.Lazy;
 import io.vavr.control.Option;
 
 /**
@@ -93,43 +93,30 @@
     /**
      * Returns whether a request must not be sent to any target.
      *
-     * @param request the request
+     * @param request returns the request; called only if there is evidence
      * @return whether it or one of its prompt parts is quarantined
      */
-    public boolean isQuarantined(RequestIdentity request) {
-        return isQuarantined(request.fingerprint())
-                || !quarantinedParts(request.promptParts()).isEmpty();
-    }
-
-    /**
-     * Returns whether a request must not be sent to any target; its fingerprint is computed only if there is evidence.
-     *
-     * @param fingerprint the request
-     * @return whether it is quarantined
-     */
-    public boolean isQuarantined(Lazy<Fingerprint> fingerprint) {
-        return !isEmpty() && isQuarantined(fingerprint.get());
+    public boolean isQuarantined(Supplier<RequestIdentity> request) {
+        return !isEmpty() && isQuarantined(request.get());
     }
 
-    /**
-     * Returns whether a host may retry a request, or continue it elsewhere, on its own; its fingerprint is computed only
-     * if there is evidence.
-     *
-     * @param fingerprint the request
-     * @return whether so few targets crashed under it that it is probably not the cause
-     */
-    public boolean mayRetry(Lazy<Fingerprint> fingerprint) {
-        return isEmpty() || mayRetry(fingerprint.get());
+    boolean isQuarantined(RequestIdentity request) {
+        return isQuarantined(request.fingerprint())
+                || !quarantinedParts(request.promptParts()).isEmpty();
     }
 
     /**
      * Returns whether a host may retry a request, or continue it elsewhere, on its own.
      *
-     * @param request the request
+     * @param request returns the request; called only if there is evidence
      * @return whether so few targets crashed under it, and under different requests with one of its prompt parts, that it
      *     is probably not the cause
      */
-    public boolean mayRetry(RequestIdentity request) {
+    public boolean mayRetry(Supplier<RequestIdentity> request) {
+        return isEmpty() || mayRetry(request.get());
+    }
+
+    boolean mayRetry(RequestIdentity request) {
         if (!mayRetry(request.fingerprint())) {
             return false;
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/RequestQuarantine.java
@@ -70,7 +70,7 @@
 
     /** Returns whether a request must not be sent to any target. */
     boolean isQuarantined(GatewayRequest request) {
-        return !quarantine.isEmpty() && quarantine.isQuarantined(request.identity());
+        return quarantine.isQuarantined(request::identity);
     }
 
     /** Returns why a quarantined request is rejected. */
@@ -84,7 +84,7 @@
 
     /** Returns whether this host may retry a request on its own. */
     boolean mayRetry(GatewayRequest request) {
-        return quarantine.isEmpty() || quarantine.mayRetry(request.identity());
+        return quarantine.mayRetry(request::identity);
     }
 
     /** Records that a target has completed a request, which therefore is not the cause of earlier crashes. */
