--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/RemoteDataCentre.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/RemoteDataCentre.java
@@ -30,7 +30,7 @@
     private List<String> rankingInput = List.of();
     private List<String> ranking = List.of();
 
-    String summaryRecipient = "";
+    Option<Recipient> summaryRecipient = Option.none();
     Option<RegionSummary> sentSummary = Option.none();
     long summarySentMillis;
     long lastSentMillis;
@@ -79,7 +79,15 @@
         unresponsive = false;
         skippedHosts = 0;
         dialledHost = "";
-        summaryRecipient = "";
+        summaryRecipient = Option.none();
         sentSummary = Option.none();
     }
+
+    /**
+     * The process that the summary was sent to last. Immutable and thread safe.
+     *
+     * @param host its host
+     * @param incarnation its start time
+     */
+    record Recipient(String host, long incarnation) {}
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/member/RemoteDataCentres.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/member/RemoteDataCentres.java
@@ -43,9 +43,6 @@
     private static final long LOAD_INTERVAL_MILLIS_PER_DATA_CENTRE = 250;
     private static final long MAX_LOAD_INTERVAL_MILLIS = 10_000;
 
-    /** Separates the name of a host from its incarnation; names contain none. */
-    private static final String RECIPIENT_SEPARATOR = "/";
-
     private final NodeIdentity self;
     private final Map<String, RemoteDataCentre> dataCentres = new TreeMap<>();
     private final Map<String, List<String>> listedHosts = new TreeMap<>();
@@ -82,8 +79,8 @@
     /** Forgets that a host was sent the summary, which may have been lost with the link. */
     void disconnected(String host) {
         for (RemoteDataCentre remote : dataCentres.values()) {
-            if (remote.summaryRecipient.startsWith(host + RECIPIENT_SEPARATOR)) {
-                remote.summaryRecipient = "";
+            if (remote.summaryRecipient.exists(recipient -> recipient.host().equals(host))) {
+                remote.summaryRecipient = Option.none();
             }
         }
     }
@@ -208,14 +205,14 @@
             CentreBeat heartbeat,
             boolean sendsLoads,
             long nowMillis) {
-        String recipient = peer.host + RECIPIENT_SEPARATOR + peer.incarnation;
-        boolean isNewRecipient = !recipient.equals(remote.summaryRecipient);
+        RemoteDataCentre.Recipient recipient = new RemoteDataCentre.Recipient(peer.host, peer.incarnation);
+        boolean isNewRecipient = !remote.summaryRecipient.contains(recipient);
         long sinceSummary = nowMillis - remote.summarySentMillis;
         boolean changed = sinceSummary >= MIN_SUMMARY_INTERVAL_MILLIS
                 && remote.sentSummary.exists(sent -> RegionSummaries.differBeyondLoad(sent, summary));
         boolean loadDue = sendsLoads && sinceSummary >= loadIntervalMillis() && !remote.sentSummary.contains(summary);
         if (isNewRecipient || changed || loadDue) {
-            remote.summaryRecipient = recipient;
+            remote.summaryRecipient = Option.some(recipient);
             remote.sentSummary = Option.some(summary);
             remote.summarySentMillis = nowMillis;
             remote.lastSentMillis = nowMillis;
