Log changes of what is believed without a function for each line

Each of the three lines passed a function that adds its fields, which is generated when it is first used: while a host starts. The line is now passed with its fields; the fields and their order are the same.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import java.util.function.UnaryOperator;
 
 import org.rattanplank.core.gateway.EntryChange;
 import org.rattanplank.core.gateway.GatewayConfiguration;
@@ -54,13 +53,17 @@
         } else if (event instanceof ClusterEvent.TargetRemoved removed) {
             long graceMillis = state.pool().removalGraceMillis(state.nowMillis());
             state.pool().remove(removed.id(), state.nowMillis());
-            logChange(LogEvent.TARGET_GONE, change, line -> line.with("target", removed.id())
+            LogLine line = LogLine.of(LogEvent.TARGET_GONE)
+                    .with("target", removed.id())
                     .with("reason", "its entry was removed")
-                    .with("graceMillis", graceMillis));
+                    .with("graceMillis", graceMillis);
+            logChange(line, change);
         } else if (event instanceof ClusterEvent.EvacuationChanged evacuation) {
             state.pool().evacuate(evacuation.dataCentre(), evacuation.active(), state.nowMillis());
-            logChange(LogEvent.EVACUATION, change, line -> line.with("dataCentre", evacuation.dataCentre())
-                    .with("active", evacuation.active()));
+            LogLine line = LogLine.of(LogEvent.EVACUATION)
+                    .with("dataCentre", evacuation.dataCentre())
+                    .with("active", evacuation.active());
+            logChange(line, change);
         } else if (event instanceof ClusterEvent.HostRegistered host) {
             links.hostRegistered(host.host());
         } else if (event instanceof ClusterEvent.HostRemoved host) {
@@ -146,20 +149,20 @@
             state.connections().closeAll(previous);
             logTargetRemoved(previous.incarnationText(), "the target has restarted");
         });
-        entryChange
-                .changed()
-                .forEach(target ->
-                        logChange(LogEvent.TARGET_CHANGED, change, line -> line.with("target", target.incarnationText())
-                                .with("service", entry.service())
-                                .with("leaving", entry.leaving())
-                                .with("coldMillis", entry.coldMillis())));
+        entryChange.changed().forEach(target -> {
+            LogLine line = LogLine.of(LogEvent.TARGET_CHANGED)
+                    .with("target", target.incarnationText())
+                    .with("service", entry.service())
+                    .with("leaving", entry.leaving())
+                    .with("coldMillis", entry.coldMillis());
+            logChange(line, change);
+        });
     }
 
     /** Logs a change of what this host believes, with where it was learnt and how far the local copy was before. */
-    private void logChange(LogEvent event, StoreChange change, UnaryOperator<LogLine> details) {
+    private void logChange(LogLine line, StoreChange change) {
         state.log()
-                .writeImportant(details.apply(LogLine.of(event))
-                        .with("revision", change.item().revision())
+                .writeImportant(line.with("revision", change.item().revision())
                         .with("source", change.source())
                         .with("copyRevision", change.copyRevision()));
     }
