Find removals in whole sets and in changes by one rule

StoreCopy.merge had a rule for whole sets, by the keys of their items, and one for changes with the keys of all items, and collected keys for each relayed change though it needs none. Contents that are all items now carry their keys, and merge has one rule; the codec leaves the keys out where the items are sent, so that no byte on the wire changes, and copies none. Whole contents without keys can't be built. The host of an earlier version in TestRegion drops the keys beside changes alone, as such a host does; no check changes.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -197,8 +198,9 @@
             write(item.value(), out);
         }
         out.packLong(contents.removalsSinceRevision());
-        if (contents.presentKeys().isDefined()) {
-            write(List.copyOf(contents.presentKeys().get()), out);
+        // Of all items the receiver has the keys.
+        if (contents.baseRevision() > 0 && contents.presentKeys().isDefined()) {
+            write(contents.presentKeys().get(), out);
         }
     }
 
@@ -327,7 +329,7 @@
         out.packString(host.callerAddress()).packString(host.peerAddress());
     }
 
-    private static void write(List<String> strings, MessageBufferPacker out) throws IOException {
+    private static void write(Collection<String> strings, MessageBufferPacker out) throws IOException {
         out.packArrayHeader(strings.size());
         for (String string : strings) {
             out.packString(string);
@@ -455,6 +457,10 @@
         }
         // A host of an earlier version sends changes since a revision whether or not it knows all removals since.
         long removalsSinceRevision = in.hasNext() ? in.unpackLong() : revision;
+        if (baseRevision == 0) {
+            return new PeerFrame.StoreItems(
+                    revision == 0 ? StoreContents.some(items) : StoreContents.all(revision, items), graceMillis);
+        }
         Option<Set<String>> presentKeys = in.hasNext() ? Option.some(Set.copyOf(readStrings(in))) : Option.none();
         return new PeerFrame.StoreItems(
                 new StoreContents(baseRevision, revision, removalsSinceRevision, items, presentKeys), graceMillis);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
@@ -21,8 +21,8 @@
  * Replicates the store's items to other hosts.
  *
  * <p>A host is sent the newest change of each key since the revision up to which it is complete, with the keys of all
- * items if this host may not know all removals since. Small items go first, in
- * a frame of their own; larger ones are sent in fragments, between which other frames may be sent.
+ * items if this host may not know all removals since. Small items go first, in a frame of their own; larger ones are sent
+ * in fragments, between which other frames may be sent.
  * Invariants: relayed changes use at most {@link #RELAY_SHARE} of this host's link and catch-up at most
  * {@link #CATCH_UP_SHARE}, for any number of hosts, item size and rate of changes; nothing is queued for a host while
  * earlier bytes for it are still pending. Confined to the event loop.
@@ -117,8 +117,9 @@
                 || host.receiver().pendingBytes() > 0) {
             return;
         }
+        long baseRevision = host.baseRevision(copy);
         boolean complete = host.transfer().isEmpty()
-                && host.baseRevision(copy) > 0
+                && baseRevision > 0
                 && changesSince(host.sentRevision()).stream().allMatch(StoreReplicator::isSmall);
         List<StoreItem> small = changesSince(host.sentSmallItemsRevision()).stream()
                 .filter(StoreReplicator::isSmall)
@@ -126,13 +127,8 @@
         if (!complete && small.isEmpty()) {
             return;
         }
-        EncodedFrame frame = encode(
-                host,
-                complete ? host.baseRevision(copy) : 0,
-                host.sentSmallItemsRevision(),
-                complete,
-                small,
-                nowMillis);
+        EncodedFrame frame =
+                encode(host, complete ? baseRevision : 0, host.sentSmallItemsRevision(), complete, small, nowMillis);
         if (frame.bytes().length > StoreTransfer.FRAGMENT_BYTES) {
             return;
         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreContents.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreContents.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.vavr.control.Option;
 
@@ -12,8 +13,8 @@
  * @param revision the revision up to which the items are complete; zero if they are only some of the changes
  * @param removalsSinceRevision the revision since which the removals among them are complete
  * @param items the items and removals, the newest of each key
- * @param presentKeys the keys of all items that are there, by which the receiver finds removals that its sender doesn't know;
- *     none if it knows all removals
+ * @param presentKeys the keys of all items that are there, by which the receiver finds removals that aren't among them; none
+ *     if all removals are
  */
 public record StoreContents(
         long baseRevision,
@@ -24,6 +25,9 @@
     public StoreContents {
         items = List.copyOf(items);
         presentKeys = presentKeys.map(Set::copyOf);
+        if (baseRevision == 0 && revision > 0 && presentKeys.isEmpty()) {
+            throw new IllegalArgumentException("all items up to revision " + revision + " without their keys");
+        }
     }
 
     /**
@@ -34,7 +38,8 @@
      * @return the contents
      */
     public static StoreContents all(long revision, List<StoreItem> items) {
-        return new StoreContents(0, revision, revision, items, Option.none());
+        Set<String> keys = items.stream().map(StoreItem::key).collect(Collectors.toSet());
+        return new StoreContents(0, revision, revision, items, Option.some(keys));
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
@@ -85,9 +84,7 @@
      */
     public List<StoreItem> merge(StoreContents contents) {
         List<StoreItem> newer = new ArrayList<>();
-        Set<String> present = new HashSet<>();
         for (StoreItem item : contents.items()) {
-            present.add(item.key());
             if (!isKnownRemoved(item) && apply(item)) {
                 newer.add(item);
             }
@@ -96,9 +93,7 @@
         if (partial || contents.revision() < revision || contents.baseRevision() > revision) {
             return newer;
         }
-        if (contents.baseRevision() == 0 || contents.presentKeys().isDefined()) {
-            newer.addAll(applyRemovalsMissingFrom(contents.presentKeys().getOrElse(present), contents.revision()));
-        }
+        contents.presentKeys().forEach(keys -> newer.addAll(applyRemovalsMissingFrom(keys, contents.revision())));
         removalHistory = removalHistory.withGap(revision, contents.removalsSinceRevision());
         completeUpTo(contents.revision());
         return newer;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -46,7 +46,7 @@
      * The minimum interval between two listings because of a copy that differs. Another host may be wrong, too, and stay so
      * if it is of an earlier version.
      */
-    static final long MIN_VERIFICATION_INTERVAL_MILLIS = 5_000;
+    private static final long MIN_VERIFICATION_INTERVAL_MILLIS = 5_000;
 
     /** How long a host whose calls failed while it watched the store stays unhealthy after it stops watching. */
     private static final long UNHEALTHY_HOLD_MILLIS = 2_000;
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
@@ -49,7 +49,7 @@
             stale.await(PeerFrame.State.class);
             long receivedBytes = gateway.metric("peer_bytes_received");
 
-            stale.sendStoreItems(0, entry.revision(), List.of(entry));
+            stale.sendStoreItems(StoreContents.all(entry.revision(), List.of(entry)));
             gateway.awaitReceived((int) receivedBytes + 1);
 
             String answer = gateway.caller()
@@ -92,7 +92,7 @@
         StoreItem entry = gateway.untoldTarget("t1", 1);
         try (TestPeer peer = gateway.sameRegionPeer("watcher")) {
             peer.drainInBackground();
-            peer.sendStoreItems(0, 0, List.of(entry));
+            peer.sendStoreItems(StoreContents.some(List.of(entry)));
             gateway.awaitTargets(1);
             gateway.putBytes("other", 1);
             for (int i = 0; gateway.countLogged("target_gone") == 0 && i < MAX_REPORTS; i++) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.function.Predicate;
 
-import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.InFlightWork;
 import org.rattanplank.core.gateway.PrefillBacklog;
@@ -322,13 +321,11 @@
     /**
      * Sends items of the store.
      *
-     * @param baseRevision the revision since which they are all changes; zero if they are all items
-     * @param revision the revision up to which they are complete; zero if they are only some of the changes
-     * @param items the items
+     * @param contents the items
      * @throws IOException if the link was closed
      */
-    public void sendStoreItems(long baseRevision, long revision, List<StoreItem> items) throws IOException {
-        send(new PeerFrame.StoreItems(new StoreContents(baseRevision, revision, revision, items, Option.none()), 0));
+    public void sendStoreItems(StoreContents contents) throws IOException {
+        send(new PeerFrame.StoreItems(contents, 0));
     }
 
     /**
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
@@ -334,16 +334,7 @@
 
         private void receive(PeerFrame frame) {
             if (frame instanceof PeerFrame.StoreItems items) {
-                StoreContents contents = items.contents();
-                to.copy.merge(
-                        to.earlierVersion
-                                ? new StoreContents(
-                                        contents.baseRevision(),
-                                        contents.revision(),
-                                        contents.revision(),
-                                        contents.items(),
-                                        Option.none())
-                                : contents);
+                to.copy.merge(to.earlierVersion ? withoutKeyList(items.contents()) : items.contents());
             } else if (frame instanceof PeerFrame.Fragment fragment) {
                 fragments.add(fragment.bytes());
                 if (fragment.last()) {
@@ -352,6 +343,18 @@
             }
         }
 
+        /** Returns the contents as a host of an earlier version reads them, which ignores the keys beside changes. */
+        private static StoreContents withoutKeyList(StoreContents contents) {
+            return contents.baseRevision() == 0
+                    ? contents
+                    : new StoreContents(
+                            contents.baseRevision(),
+                            contents.revision(),
+                            contents.revision(),
+                            contents.items(),
+                            Option.none());
+        }
+
         private byte[] joinFragments() {
             int length =
                     fragments.stream().mapToInt(fragment -> fragment.length).sum();
