Share the set-up of the tests of crashing targets

CrashQuarantineFlowTest and PromptPartQuarantineFlowTest set up gateways and crashing targets alike, and two tests of TruncatedResponseFlowTest their two targets.

--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/CrashQuarantineFlowTest.java
@@ -1,13 +1,10 @@
 package org.rattanplank.gateway;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
+import java.io.OutputStream;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.rattanplank.core.gateway.RouteKind;
@@ -23,7 +20,7 @@
 
 /** Tests requests that crash each target that runs them. */
 @Timeout(60)
-class CrashQuarantineFlowTest {
+class CrashQuarantineFlowTest extends CrashingTargetsFixture {
     /** The maximum number of targets that one request may crash before it is quarantined. */
     private static final int MAX_CRASHES = 3;
 
@@ -34,43 +31,20 @@
     /** Longer than a target may be silent before its attempt is given up. */
     private static final long LONG_SILENCE_MILLIS = 3_000;
 
-    private final AtomicInteger crashes = new AtomicInteger();
-    private final List<AutoCloseable> resources = new ArrayList<>();
     private volatile String crashingPath = CRASHING_PATH;
     private volatile int answerStatus = 200;
     private volatile long answerDelayMillis;
     private int requests;
 
-    @AfterEach
-    void close() throws Exception {
-        for (AutoCloseable each : resources) {
-            each.close();
-        }
-    }
-
-    private TestGateway gateway(String name, String region) throws IOException {
-        TestGateway gateway = new TestGateway(name, region);
-        resources.add(gateway);
-        return gateway.configure(RouteKind.SAFE, false, 2);
+    @Override
+    boolean isCrashing(String request) {
+        return request.startsWith("POST " + crashingPath + " ");
     }
 
-    /** Adds targets that crash when they receive the crashing path: all connections end, and new ones are refused. */
-    private void addTargets(TestGateway gateway, String prefix, int count) throws IOException {
-        for (int i = 0; i < count; i++) {
-            TestTarget[] self = new TestTarget[1];
-            self[0] = new TestTarget((request, out) -> {
-                if (request.startsWith("POST " + crashingPath + " ")) {
-                    crashes.incrementAndGet();
-                    self[0].crash();
-                    throw new IOException("crashed by the test");
-                }
-                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(answerDelayMillis));
-                TestTarget.write(out, TestTarget.answer(request, answerStatus, "done"));
-            });
-            resources.add(self[0]);
-            gateway.registerTarget(new TargetIncarnation(prefix + i, 0), self[0].port());
-        }
-        gateway.awaitTargets(count);
+    @Override
+    void answer(String request, OutputStream out) throws IOException {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(answerDelayMillis));
+        TestTarget.write(out, TestTarget.answer(request, answerStatus, "done"));
     }
 
     /** Sends a request under a new identifier and returns the head of its response. */
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PromptPartQuarantineFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PromptPartQuarantineFlowTest.java
@@ -1,15 +1,10 @@
 package org.rattanplank.gateway;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicInteger;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.rattanplank.core.gateway.RouteKind;
-import org.rattanplank.core.gateway.TargetIncarnation;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.TestPeer;
 import org.rattanplank.gateway.store.ClusterEvent;
@@ -20,7 +15,7 @@
 
 /** Tests requests that differ but share a prompt part which crashes each target that begins to answer them. */
 @Timeout(60)
-class PromptPartQuarantineFlowTest {
+class PromptPartQuarantineFlowTest extends CrashingTargetsFixture {
     /** The maximum number of targets that one part may crash before requests with it are rejected. */
     private static final int MAX_CRASHES = 5;
 
@@ -28,40 +23,12 @@
     private static final int TARGETS = 2 * CRASHING_REQUESTS;
     private static final String CRASHING_PART = "bad";
 
-    private final AtomicInteger crashes = new AtomicInteger();
-    private final List<AutoCloseable> resources = new ArrayList<>();
     private volatile String crashingPart = CRASHING_PART;
     private int requests;
 
-    @AfterEach
-    void close() throws Exception {
-        for (AutoCloseable each : resources) {
-            each.close();
-        }
-    }
-
-    private TestGateway gateway(String name, String region) throws IOException {
-        TestGateway gateway = new TestGateway(name, region);
-        resources.add(gateway);
-        return gateway.configure(RouteKind.SAFE, false, 2);
-    }
-
-    /** Adds targets that crash when a request with the crashing part arrives. */
-    private void addTargets(TestGateway gateway, String prefix, int count) throws IOException {
-        for (int i = 0; i < count; i++) {
-            TestTarget[] self = new TestTarget[1];
-            self[0] = new TestTarget((request, out) -> {
-                if (TestTarget.header(request, "parts").contains(crashingPart + ":")) {
-                    crashes.incrementAndGet();
-                    self[0].crash();
-                    throw new IOException("crashed by the test");
-                }
-                TestTarget.write(out, TestTarget.answer(request, 200, "done"));
-            });
-            resources.add(self[0]);
-            gateway.registerTarget(new TargetIncarnation(prefix + i, 0), self[0].port());
-        }
-        gateway.awaitTargets(count);
+    @Override
+    boolean isCrashing(String request) {
+        return TestTarget.header(request, "parts").contains(crashingPart + ":");
     }
 
     /** Sends a request that no other is like, and returns the head of its response. */
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TruncatedResponseFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TruncatedResponseFlowTest.java
@@ -61,6 +61,14 @@
         return target;
     }
 
+    /** Adds two targets with a script, and returns the bytes of a complete stream from them. */
+    private String streamOfTwoTargets(TestTarget.Script script) throws IOException {
+        addTarget("t1", script);
+        addTarget("t2", script);
+        gateway.awaitTargets(2);
+        return gateway.caller().send(request("q1")).readUntil(LAST_CHUNK).replaceAll("\r\n[0-9a-f]+\r\n", "");
+    }
+
     /** Adds targets whose processes end after the given part of an answer, and returns how many have ended. */
     private AtomicInteger addCrashingTargets(int count, String contentType, String body) throws IOException {
         AtomicInteger crashes = new AtomicInteger();
@@ -117,12 +125,8 @@
             TestTarget.write(out, TestTarget.closeDelimitedHead(request, TestTarget.EVENT_STREAM) + rest);
             throw new IOException("connection closed by the test");
         };
-        addTarget("t1", script);
-        addTarget("t2", script);
-        gateway.awaitTargets(2);
 
-        String answer =
-                gateway.caller().send(request("q1")).readUntil(LAST_CHUNK).replaceAll("\r\n[0-9a-f]+\r\n", "");
+        String answer = streamOfTwoTargets(script);
 
         assertTrue(answer.contains(FIRST_EVENT + SECOND_EVENT), answer);
     }
@@ -137,12 +141,8 @@
             TestTarget.write(out, TestTarget.closeDelimitedHead(request, TestTarget.EVENT_STREAM) + part);
             throw new IOException("connection closed by the test");
         };
-        addTarget("t1", script);
-        addTarget("t2", script);
-        gateway.awaitTargets(2);
 
-        String answer =
-                gateway.caller().send(request("q1")).readUntil(LAST_CHUNK).replaceAll("\r\n[0-9a-f]+\r\n", "");
+        String answer = streamOfTwoTargets(script);
 
         assertTrue(answer.contains(FIRST_EVENT + SECOND_EVENT), answer);
     }
