Carry the removals that a whole copy knows beyond its revision

Callers could be sent to a target that had left, by a host that was told all items by another one. Whole contents claimed "all items up to 9", left out an item that their sender knew to be removed at 10, and did not tell that removal. The receiver then lacked the item at 9, listed the store at 10, found nothing to remove and took its history of removals for complete, so that it relayed "changes since 9" without keys to a host that kept the item.

The receiver now finds the doubt itself, doesn't count as complete and lists the store.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -459,7 +459,10 @@
         long removalsSinceRevision = in.hasNext() ? in.unpackLong() : revision;
         if (baseRevision == 0) {
             return new PeerFrame.StoreItems(
-                    revision == 0 ? StoreContents.some(items) : StoreContents.all(revision, items), graceMillis);
+                    revision == 0
+                            ? StoreContents.some(items)
+                            : StoreContents.all(revision, removalsSinceRevision, items),
+                    graceMillis);
         }
         Option<Set<String>> presentKeys = in.hasNext() ? Option.some(Set.copyOf(readStrings(in))) : Option.none();
         return new PeerFrame.StoreItems(
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
@@ -120,8 +120,8 @@
         long baseRevision = host.baseRevision(copy);
         boolean complete = host.transfer().isEmpty()
                 && baseRevision > 0
-                && changesSince(host.sentRevision()).stream().allMatch(StoreReplicator::isSmall);
-        List<StoreItem> small = changesSince(host.sentSmallItemsRevision()).stream()
+                && copy.changesSince(host.sentRevision()).stream().allMatch(StoreReplicator::isSmall);
+        List<StoreItem> small = copy.changesSince(host.sentSmallItemsRevision()).stream()
                 .filter(StoreReplicator::isSmall)
                 .toList();
         if (!complete && small.isEmpty()) {
@@ -159,7 +159,7 @@
     private void startTransfer(ReceiverProgress host, LinkRateLimiter limiter, long nowMillis) {
         long baseRevision = host.baseRevision(copy);
         List<StoreItem> items = new ArrayList<>();
-        for (StoreItem item : baseRevision == 0 ? copy.items() : changesSince(baseRevision)) {
+        for (StoreItem item : baseRevision == 0 ? copy.itemsAndNewerRemovals() : copy.changesSince(baseRevision)) {
             if (baseRevision == 0 || !isSmall(item) || item.revision() > host.sentSmallItemsRevision()) {
                 items.add(item);
             }
@@ -195,17 +195,6 @@
         }
     }
 
-    /** Returns the changes since a revision, up to the revision up to which the local copy is complete. */
-    private List<StoreItem> changesSince(long baseRevision) {
-        List<StoreItem> changes = new ArrayList<>();
-        for (StoreItem item : copy.changesSince(baseRevision)) {
-            if (item.revision() <= copy.revision()) {
-                changes.add(item);
-            }
-        }
-        return changes;
-    }
-
     private static boolean isSmall(StoreItem item) {
         return item.value().length <= SMALL_ITEM_MAX_BYTES;
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
@@ -28,7 +28,8 @@
     void pageReceived(StoreReadKind kind, long bytes, int items, long tookMillis);
 
     /**
-     * Called when the local copy differs from that of another host at the same revision, and the store is listed.
+     * Called when the local copy differs from that of another host at the same revision, or can't be completed by what that
+     * host has sent, and the store is listed.
      *
      * @param peer the name of the other host
      * @param revision the revision
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreContents.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreContents.java
@@ -34,12 +34,24 @@
      * Creates the contents of a whole copy.
      *
      * @param revision the revision up to which it is complete
+     * @param removalsSinceRevision the revision since which it knows all removals
+     * @param items all its items, and the removals since the revision
+     * @return the contents
+     */
+    public static StoreContents all(long revision, long removalsSinceRevision, List<StoreItem> items) {
+        Set<String> keys = items.stream().map(StoreItem::key).collect(Collectors.toSet());
+        return new StoreContents(0, revision, removalsSinceRevision, items, Option.some(keys));
+    }
+
+    /**
+     * Creates the contents of a whole copy that knows all removals since its revision.
+     *
+     * @param revision the revision up to which it is complete
      * @param items all its items
      * @return the contents
      */
     public static StoreContents all(long revision, List<StoreItem> items) {
-        Set<String> keys = items.stream().map(StoreItem::key).collect(Collectors.toSet());
-        return new StoreContents(0, revision, revision, items, Option.some(keys));
+        return all(revision, revision, items);
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
@@ -90,7 +91,10 @@
             }
         }
         boolean partial = contents.revision() == 0;
-        if (partial || contents.revision() < revision || contents.baseRevision() > revision) {
+        if (partial
+                || contents.revision() < revision
+                || contents.baseRevision() > revision
+                || mayLackRemovals(contents)) {
             return newer;
         }
         contents.presentKeys().forEach(keys -> newer.addAll(applyRemovalsMissingFrom(keys, contents.revision())));
@@ -99,6 +103,25 @@
         return newer;
     }
 
+    /**
+     * Returns whether contents may lack the removal of an item that this copy has. Their sender judged by a report of what
+     * this copy knew, which may have learnt of the item since.
+     *
+     * @param contents the contents
+     * @return whether an item is in doubt, so that the contents don't make the copy complete
+     */
+    public boolean mayLackRemovals(StoreContents contents) {
+        if (contents.presentKeys().isDefined() || contents.removalsSinceRevision() <= contents.baseRevision()) {
+            return false;
+        }
+        Set<String> told = new HashSet<>();
+        contents.items().forEach(item -> told.add(item.key()));
+        return changesSince(contents.baseRevision()).stream()
+                .anyMatch(item -> !item.removed()
+                        && item.revision() <= contents.removalsSinceRevision()
+                        && !told.contains(item.key()));
+    }
+
     /**
      * Marks the copy as complete up to a revision, all changes up to which were applied.
      *
@@ -112,12 +135,13 @@
      * Removes the known items that are missing from a full listing, and marks the copy as complete up to its revision.
      *
      * @param present the keys of the listing, whose items were applied
-     * @param listRevision the revision of the listing
+     * @param listRevision the lowest revision at which a page of the listing was read
+     * @param lastPageRevision the highest such revision; items that were removed between the two may be missing
      * @return the removals
      */
-    public List<StoreItem> completeListing(Set<String> present, long listRevision) {
+    public List<StoreItem> completeListing(Set<String> present, long listRevision, long lastPageRevision) {
         List<StoreItem> removals = applyRemovalsMissingFrom(present, listRevision);
-        removalHistory = removalHistory.withGap(revision, listRevision);
+        removalHistory = removalHistory.withGap(revision, lastPageRevision);
         completeUpTo(listRevision);
         return removals;
     }
@@ -148,13 +172,13 @@
      * Returns the contents for another copy that is complete up to a revision.
      *
      * @param baseRevision the revision, or zero if all items are needed
-     * @param changed the changes since, or all items
+     * @param changed the changes since, or {@link #itemsAndNewerRemovals}
      * @param withKeys whether the keys of all items are needed, too
      * @return the contents
      */
     public StoreContents contents(long baseRevision, List<StoreItem> changed, boolean withKeys) {
         return baseRevision == 0
-                ? StoreContents.all(revision, changed)
+                ? StoreContents.all(revision, removalHistory.completeSince(revision), changed)
                 : new StoreContents(
                         baseRevision,
                         revision,
@@ -173,6 +197,18 @@
         return changes.tailSet(new StoreItem("", new byte[0], baseRevision + 1, false), true);
     }
 
+    /**
+     * Returns all items, and the removals since the revision up to which the copy is complete: without them it lacks items
+     * that were still there at that revision.
+     *
+     * @return the items and removals
+     */
+    public List<StoreItem> itemsAndNewerRemovals() {
+        List<StoreItem> all = new ArrayList<>(items.values());
+        changesSince(revision).stream().filter(StoreItem::removed).forEach(all::add);
+        return all;
+    }
+
     /**
      * Returns all items.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -198,11 +198,14 @@
      * @param peerDigest the digest of its copy
      */
     public void verify(String peer, long peerRevision, long peerDigest) {
+        if (copy.revision() == peerRevision && copy.newestRevision() == peerRevision && copy.digest() != peerDigest) {
+            verifyByListing(peer, peerRevision);
+        }
+    }
+
+    private void verifyByListing(String peer, long peerRevision) {
         long now = clock.nowMillis();
-        if (copy.revision() != peerRevision
-                || copy.newestRevision() != peerRevision
-                || copy.digest() == peerDigest
-                || now - verifiedAtMillis < MIN_VERIFICATION_INTERVAL_MILLIS) {
+        if (now - verifiedAtMillis < MIN_VERIFICATION_INTERVAL_MILLIS) {
             return;
         }
         verifiedAtMillis = now;
@@ -257,6 +260,9 @@
         for (StoreItem item : copy.merge(contents)) {
             notifyListener(item, peer, copyRevision);
         }
+        if (contents.revision() > copy.revision() && copy.mayLackRemovals(contents)) {
+            verifyByListing(peer, contents.revision());
+        }
     }
 
     private void notifyListener(StoreItem item, String source, long copyRevision) {
@@ -286,6 +292,7 @@
         StorePage page = reply.get();
         recordPage(StoreReadKind.LIST, page, calledMillis);
         listing.revision = Math.min(listing.revision, page.revision());
+        listing.lastPageRevision = Math.max(listing.lastPageRevision, page.revision());
         page.items().forEach(item -> {
             listing.keys.add(item.key());
             if (copy.applyListed(item, page.revision())) {
@@ -303,7 +310,7 @@
 
     private void listed(Listing listing) {
         long copyRevision = copy.revision();
-        for (StoreItem removal : copy.completeListing(listing.keys, listing.revision)) {
+        for (StoreItem removal : copy.completeListing(listing.keys, listing.revision, listing.lastPageRevision)) {
             notifyListener(removal, StoreReadKind.LIST.name(), copyRevision);
         }
         if (!listing.verification) {
@@ -404,6 +411,9 @@
         /** The lowest revision of a page: pages are not a snapshot, and all of them cover only that of the first for sure. */
         private long revision = Long.MAX_VALUE;
 
+        /** The highest revision of a page. */
+        private long lastPageRevision;
+
         private Listing(boolean verification) {
             this.verification = verification;
         }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
@@ -264,7 +264,7 @@
         /** Lists the store as {@link org.rattanplank.gateway.store.StoreFeed} does, which shows no removals. */
         private void listStore() {
             store.values().stream().filter(item -> !item.removed()).forEach(item -> copy.applyListed(item, revision));
-            copy.completeListing(presentKeys(), revision);
+            copy.completeListing(presentKeys(), revision, revision);
         }
 
         @Override
