List the store beside a watch that is silent

A host whose connection to the store went silent believed in targets that had left until its watch timed out, up to five seconds and a listing, and reported meanwhile that it watches the store and is healthy, so that nobody relayed to it.

A watch that returns nothing for a second while another host, of any region, has a newer revision is abandoned; the host lists the store and reports that the store doesn't answer it until it has an answer. A response that is being received is no silence.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
@@ -103,6 +103,14 @@
                         LogLine.of(LogEvent.STORE_DIFFERS).with("peer", peer).with("revision", revision));
     }
 
+    @Override
+    public void watchSilent(long lagMillis, long copyRevision) {
+        state.log()
+                .writeImportant(LogLine.of(LogEvent.STORE_WATCH_SILENT)
+                        .with("lagMillis", lagMillis)
+                        .with("copyRevision", copyRevision));
+    }
+
     @Override
     public void storeRecovered() {
         state.pool().recordStoreRecovery(state.nowMillis());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RegionReplication.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RegionReplication.java
@@ -64,6 +64,7 @@
             updateWatchers(alive);
             feed.setWatching(shouldWatch(alive));
         }
+        feed.tick();
         replicator.tick(alive, this, nowMillis);
         logLag();
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -70,6 +70,8 @@
     STORE_BEHIND,
     /** This host's copy of the store differs from that of another one at the same revision; it lists the store. */
     STORE_DIFFERS,
+    /** A watch of the store returned nothing although another host has a newer revision; this host lists the store. */
+    STORE_WATCH_SILENT,
     /** A large response of the store was read. */
     STORE_READ,
     /** Many bytes for another host are still queued in this process. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
@@ -36,6 +36,14 @@
      */
     void copyDiffers(String peer, long revision);
 
+    /**
+     * Called when a watch is silent although another host has a newer revision, and the store is listed.
+     *
+     * @param lagMillis for how long the local copy has lacked the newer revision
+     * @param copyRevision the revision up to which the local copy is complete
+     */
+    void watchSilent(long lagMillis, long copyRevision);
+
     /** Called when the store responds again after an outage; entries that expired meanwhile may be registered again. */
     void storeRecovered();
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -48,6 +48,15 @@
      */
     private static final long MIN_VERIFICATION_INTERVAL_MILLIS = 5_000;
 
+    /**
+     * A watch counts as silent when it has returned nothing for so long although another host has a newer revision: changes
+     * reach all watching hosts within a few hundred milliseconds.
+     */
+    static final long SILENT_WATCH_MILLIS = 1_000;
+
+    /** A watch whose response is being received isn't silent; responses to lease renewals are far smaller than this. */
+    private static final long SILENT_WATCH_MAX_BYTES = 4 << 10;
+
     /** How long a host whose calls failed while it watched the store stays unhealthy after it stops watching. */
     private static final long UNHEALTHY_HOLD_MILLIS = 2_000;
 
@@ -66,6 +75,11 @@
     private final CopyLag lag = new CopyLag();
     private Backoff backoff = Backoff.of(0, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS);
     private long calledAtMillis;
+    private long currentWatch;
+    private boolean watchPending;
+    private boolean watchSilent;
+    private long bytesReceived;
+    private long bytesReceivedAtMillis;
     private long verifiedAtMillis = Long.MIN_VALUE / 2;
     private long lastResponseMillis;
     private long unavailableAtMillis;
@@ -142,6 +156,31 @@
         }
     }
 
+    /**
+     * Abandons a watch that is silent although another host has a newer revision, and lists the store. The connection of the
+     * watch may be dead, which would show only when the watch times out; until then this host would believe in targets that
+     * have left, and other hosts would take it for up to date.
+     */
+    public void tick() {
+        long now = clock.nowMillis();
+        long received = store.traffic().receivedBytes();
+        if (!watchPending || received - bytesReceived >= SILENT_WATCH_MAX_BYTES) {
+            bytesReceived = received;
+            bytesReceivedAtMillis = now;
+        }
+        if (watchPending && now - bytesReceivedAtMillis >= SILENT_WATCH_MILLIS && lagMillis() >= SILENT_WATCH_MILLIS) {
+            watchSilent = true;
+            abandonWatch();
+            listener.watchSilent(lagMillis(), copy.revision());
+            listPage(new Listing(false), "");
+        }
+    }
+
+    private void abandonWatch() {
+        watchPending = false;
+        currentWatch++;
+    }
+
     /**
      * Returns whether this host watches the store itself.
      *
@@ -163,12 +202,13 @@
     /**
      * Returns whether the store responds to this host.
      *
-     * @return whether no call has failed since the last response, or recently if the store is no longer watched
+     * @return whether no call has failed since the last response, or recently if the store is no longer watched, and no watch
+     *     is silent
      */
     public boolean isHealthy() {
         boolean unhealthy =
                 unavailable && (watching || clock.nowMillis() - unavailableAtMillis < UNHEALTHY_HOLD_MILLIS);
-        return !leaseFailing && !unhealthy;
+        return !leaseFailing && !watchSilent && !unhealthy;
     }
 
     /**
@@ -320,6 +360,7 @@
     }
 
     private void listingFailed(Listing listing, StoreFailure failure) {
+        watchSilent = false;
         // A difference that is still there is reported again.
         if (!listing.verification) {
             markUnavailableAndRetry(failure, this::listAll);
@@ -330,11 +371,17 @@
         active = watching;
         if (active) {
             calledAtMillis = clock.nowMillis();
-            store.watch(format.prefix(), copy.revision(), WATCH_TIMEOUT_MILLIS, this::watchReplied);
+            watchPending = true;
+            long watch = ++currentWatch;
+            store.watch(format.prefix(), copy.revision(), WATCH_TIMEOUT_MILLIS, reply -> watchReplied(watch, reply));
         }
     }
 
-    private void watchReplied(Either<StoreFailure, StorePage> reply) {
+    private void watchReplied(long watch, Either<StoreFailure, StorePage> reply) {
+        if (watch != currentWatch) {
+            return;
+        }
+        watchPending = false;
         if (reply.isLeft()) {
             watchFailed(reply.getLeft());
             return;
@@ -381,6 +428,7 @@
 
     private void responseReceived() {
         lastResponseMillis = clock.nowMillis();
+        watchSilent = false;
         if (unavailable) {
             unavailable = false;
             listener.storeRecovered();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 
+import io.vavr.control.Option;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -105,6 +106,63 @@
         gateway.awaitLogged("\"event\":\"store_differs\"");
     }
 
+    /**
+     * Guards against a host that believes in a departed target until its watch of the store times out, as the connection of
+     * the watch has died.
+     */
+    @Test
+    void shouldForgetADepartedTargetWhenItsWatchIsSilent() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1).target("t1", 1);
+        gateway.silenceWatches();
+        gateway.removeTarget("t1");
+        try (TestPeer peer = gateway.sameRegionPeer("watcher")) {
+            peer.drainInBackground();
+            for (int i = 0; gateway.countLogged("store_watch_silent") == 0 && i < MAX_REPORTS; i++) {
+                peer.reportWatching(gateway.storeRevision());
+                Thread.sleep(REPORT_MILLIS);
+            }
+        }
+
+        gateway.awaitTargets(0);
+    }
+
+    /** Guards against a host to which nobody relays, as it reports that it watches the store, which doesn't answer it. */
+    @Test
+    void shouldReportThatTheStoreDoesNotAnswerWhenItsWatchIsSilent() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        gateway.silenceWatches();
+        gateway.silenceLists();
+        gateway.putBytes("other", 1);
+        boolean reported = false;
+        try (TestPeer peer = gateway.sameRegionPeer("watcher")) {
+            for (int i = 0; !reported && i < MAX_REPORTS; i++) {
+                peer.reportWatching(gateway.storeRevision());
+                reported = !peer.await(PeerFrame.State.class).storeHealthy();
+            }
+        }
+
+        assertTrue(reported);
+    }
+
+    /**
+     * Guards against a departed target that was told ahead of other changes: the host that completes them judged by an older
+     * report of this host, and has itself never known the target.
+     */
+    @Test
+    void shouldForgetADepartedTargetWhenTheRelayHasNeverKnownIt() throws Exception {
+        gateway.configure(RouteKind.SAFE, false, 1);
+        StoreItem entry = gateway.untoldTarget("t1", 1);
+        try (TestPeer peer = gateway.sameRegionPeer("relay")) {
+            peer.sendStoreItems(StoreContents.some(List.of(entry)));
+            gateway.awaitTargets(1);
+            long removedRevision = entry.revision() + 1;
+            peer.sendStoreItems(new StoreContents(
+                    entry.revision() - 1, removedRevision, removedRevision, List.of(), Option.none()));
+
+            gateway.awaitTargets(0);
+        }
+    }
+
     private static void reportUntilInterrupted(TestPeer peer, long revision) {
         try {
             while (!Thread.currentThread().isInterrupted()) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -201,6 +201,21 @@
         return new StoreItem(key, new byte[0], revision, false);
     }
 
+    /** Answers no watch of the store any more, as if its connection were dead. */
+    void silenceWatches() {
+        store.silenceWatches();
+    }
+
+    /** Answers no listing of the store any more, as if its connection were dead. */
+    void silenceLists() {
+        store.silenceLists();
+    }
+
+    /** Returns the newest revision of the store. */
+    long storeRevision() {
+        return store.revision();
+    }
+
     /** Waits until the store was listed that often. */
     void awaitListed(long lists) {
         for (int i = 0; i < MAX_POLLS; i++) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
@@ -38,6 +38,8 @@
     private long revision = 1;
     private long compactedRevision;
     private boolean down;
+    private boolean listsSilent;
+    private boolean watchesSilent;
 
     TestStore(EventLoop loop) {
         this.loop = loop;
@@ -125,6 +127,29 @@
                 .syncUninterruptibly();
     }
 
+    /** Answers no watch any more. */
+    void silenceWatches() {
+        loop.submit(() -> {
+                    watchesSilent = true;
+                })
+                .syncUninterruptibly();
+    }
+
+    /** Answers no listing any more. */
+    void silenceLists() {
+        loop.submit(() -> {
+                    listsSilent = true;
+                })
+                .syncUninterruptibly();
+    }
+
+    /** Returns the revision of the newest change. */
+    long revision() {
+        AtomicLong current = new AtomicLong();
+        loop.submit(() -> current.set(revision)).syncUninterruptibly();
+        return current.get();
+    }
+
     @Override
     public HttpClientTraffic traffic() {
         return new HttpClientTraffic();
@@ -133,6 +158,9 @@
     @Override
     public void list(String prefix, String after, Consumer<Either<StoreFailure, StorePage>> reply) {
         lists.incrementAndGet();
+        if (listsSilent) {
+            return;
+        }
         reply(reply, () -> new StorePage(List.copyOf(items.values()), revision, false));
     }
 
@@ -141,7 +169,7 @@
             String prefix, long afterRevision, long waitMillis, Consumer<Either<StoreFailure, StorePage>> reply) {
         boolean[] done = new boolean[1];
         Runnable answer = () -> {
-            if (!done[0]) {
+            if (!done[0] && !watchesSilent) {
                 done[0] = true;
                 if (afterRevision < compactedRevision) {
                     loop.execute(() -> reply.accept(Either.left(StoreFailure.HISTORY_GONE)));
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
@@ -231,6 +231,11 @@
             // There is no other host here.
         }
 
+        @Override
+        public void watchSilent(long lagMillis, long copyRevision) {
+            // Not tested here.
+        }
+
         @Override
         public void storeRecovered() {
             storeStates.add("returned");
