Let the key of a request select its client account

- A configuration that names accounts is read with them, or refused as a whole with the field named, never a key.
- A request on a route that isn't public needs the key of an account: else 401.
What isn't one well-formed key counts as none.
- Keys are kept and compared as digests; a digest tells nothing by its timing.
The key is taken out where the request is read; the account's name is set there, so that it is on every path: first send, repeat, resume, forward, backup.
A host that is forwarded a request checks the account if its configuration is newer.
- An account's homes bind together with its route's, as the same filter.
- An account that ranks before others is served with the most urgent routes; among those of the last rank the route decides.

Allowances are not enforced yet.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayConfiguration.java
@@ -1,6 +1,7 @@
 package org.rattanplank.core.gateway;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -10,6 +11,8 @@
 import java.util.TreeMap;
 
 import io.vavr.control.Option;
+import org.rattanplank.core.account.GatewayAccount;
+import org.rattanplank.core.account.KeyDigest;
 
 /**
  * The routes and services of one configuration version.
@@ -22,16 +25,30 @@
     private final Map<String, List<RouteRule>> routesByHostName;
     private final Map<String, ServiceRule> services;
     private final CallerLimits callerLimits;
+    private final boolean requiresAccounts;
+    private final Map<KeyDigest, GatewayAccount> accountsByKey;
+    private final Map<String, GatewayAccount> accountsByName;
+    private final int lastAccountRank;
 
     private GatewayConfiguration(
             long version,
             Map<String, List<RouteRule>> routesByHostName,
             Map<String, ServiceRule> services,
-            CallerLimits limits) {
+            CallerLimits limits,
+            boolean requiresAccounts,
+            Map<KeyDigest, GatewayAccount> accountsByKey,
+            Map<String, GatewayAccount> accountsByName) {
         this.version = version;
         this.routesByHostName = routesByHostName;
         this.services = services;
         this.callerLimits = limits;
+        this.requiresAccounts = requiresAccounts;
+        this.accountsByKey = accountsByKey;
+        this.accountsByName = accountsByName;
+        lastAccountRank = accountsByName.values().stream()
+                .mapToInt(GatewayAccount::rank)
+                .max()
+                .orElse(0);
     }
 
     /**
@@ -56,7 +73,32 @@
         byHostName.values().forEach(list -> list.sort(longestFirst));
         Map<String, ServiceRule> byName = new HashMap<>();
         services.forEach(service -> byName.put(service.name(), service));
-        return new GatewayConfiguration(version, byHostName, byName, limits);
+        return new GatewayConfiguration(version, byHostName, byName, limits, false, Map.of(), Map.of());
+    }
+
+    /**
+     * Adds client accounts. From then on requests need one, also if there is none.
+     *
+     * @param accounts the accounts
+     * @return the configuration with these accounts
+     * @throws IllegalArgumentException if two accounts have the same name or a key in common
+     */
+    public GatewayConfiguration withAccounts(List<GatewayAccount> accounts) {
+        Map<KeyDigest, GatewayAccount> byKey = new HashMap<>();
+        Map<String, GatewayAccount> byName = new HashMap<>();
+        for (GatewayAccount account : accounts) {
+            if (byName.put(account.name(), account) != null) {
+                throw new IllegalArgumentException("two client accounts have the name " + account.name());
+            }
+            for (KeyDigest key : account.keys()) {
+                GatewayAccount other = byKey.put(key, account);
+                if (other != null) {
+                    throw new IllegalArgumentException(
+                            "client accounts " + other.name() + " and " + account.name() + " have a key in common");
+                }
+            }
+        }
+        return new GatewayConfiguration(version, routesByHostName, services, callerLimits, true, byKey, byName);
     }
 
     /**
@@ -73,7 +115,8 @@
         routesByHostName.forEach((hostName, routes) -> narrowed.put(
                 hostName,
                 routes.stream().map(route -> restrictedTo(route, residencies)).toList()));
-        return new GatewayConfiguration(version, narrowed, services, callerLimits);
+        return new GatewayConfiguration(
+                version, narrowed, services, callerLimits, requiresAccounts, accountsByKey, accountsByName);
     }
 
     private static RouteRule restrictedTo(RouteRule route, Map<String, Set<String>> residencies) {
@@ -115,6 +158,56 @@
         return Option.of(services.get(name));
     }
 
+    /**
+     * Returns whether requests need a client account, except on public routes.
+     *
+     * @return whether the configuration names accounts
+     */
+    public boolean requiresAccounts() {
+        return requiresAccounts;
+    }
+
+    /**
+     * Returns the urgency of a request. A client account that ranks before others is served before them, whatever its
+     * route; requests of accounts of the last rank are told apart by their routes.
+     *
+     * @param route its route
+     * @param account its client account, if it has one
+     * @return its urgency
+     */
+    public Urgency urgency(RouteRule route, Option<GatewayAccount> account) {
+        return account.exists(each -> each.rank() < lastAccountRank) ? Urgency.FIRST : Urgency.of(route.rank());
+    }
+
+    /**
+     * Finds the client account of a key.
+     *
+     * @param key the digest of the key
+     * @return the account, or none if no account has the key
+     */
+    public Option<GatewayAccount> account(KeyDigest key) {
+        return Option.of(accountsByKey.get(key));
+    }
+
+    /**
+     * Finds a client account.
+     *
+     * @param name its name
+     * @return the account, or none
+     */
+    public Option<GatewayAccount> account(String name) {
+        return Option.of(accountsByName.get(name));
+    }
+
+    /**
+     * Returns the client accounts.
+     *
+     * @return the accounts
+     */
+    public Collection<GatewayAccount> accounts() {
+        return List.copyOf(accountsByName.values());
+    }
+
     /**
      * Finds the route of a request.
      *
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RouteRule.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RouteRule.java
@@ -5,6 +5,8 @@
 import java.util.Objects;
 import java.util.Set;
 
+import org.rattanplank.core.account.GatewayAccount;
+
 /**
  * A route: the requests that it matches and how they are served. Immutable and thread safe.
  *
@@ -20,6 +22,7 @@
  * @param gapObjectiveMillis the objective for the longest pause between events, zero if it isn't a stream
  * @param rank its rank among the routes, 0 first
  * @param homeRegions the only regions that may serve it; empty if all may
+ * @param isPublic whether its requests need no client account
  */
 public record RouteRule(
         String name,
@@ -33,7 +36,8 @@
         long objectiveMillis,
         long gapObjectiveMillis,
         int rank,
-        Set<String> homeRegions) {
+        Set<String> homeRegions,
+        boolean isPublic) {
     /** The name of no region: the home of a route that no region may serve. */
     static final String NO_REGION = "";
 
@@ -92,7 +96,18 @@
                 objectiveMillis,
                 gapObjectiveMillis,
                 rank,
-                common.isEmpty() ? Set.of(NO_REGION) : common);
+                common.isEmpty() ? Set.of(NO_REGION) : common,
+                isPublic);
+    }
+
+    /**
+     * Restricts the regions that may serve it to the homes of a client account.
+     *
+     * @param account the account
+     * @return the route for requests of the account
+     */
+    public RouteRule of(GatewayAccount account) {
+        return account.homeRegions().isEmpty() ? this : restrictedTo(account.homeRegions());
     }
 
     /**
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/EngineStreamCostsTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/EngineStreamCostsTest.java
@@ -50,7 +50,8 @@
                 objectiveMillis,
                 400,
                 work.urgency().ordinal(),
-                Set.of());
+                Set.of(),
+                false);
         ClusterView clusterView = new ClusterView("suva", HOSTS, Map.of(), Set.of());
         return Placement.of(
                 new PlacementRequest(route, Samples.MODEL_SERVICE, work, Set.of()),
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RouteRuleTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RouteRuleTest.java
@@ -38,7 +38,8 @@
                 500,
                 0,
                 0,
-                Set.of());
+                Set.of(),
+                false);
 
         assertEquals("new", route.pickService(draw));
     }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/Samples.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/Samples.java
@@ -35,7 +35,8 @@
                 1_000,
                 400,
                 1,
-                homeRegions);
+                homeRegions,
+                false);
     }
 
     static GatewayConfiguration configuration(long version, RouteRule... routes) {
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/StreamBackupTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/StreamBackupTest.java
@@ -31,7 +31,8 @@
                 1_000,
                 400,
                 1,
-                Set.of());
+                Set.of(),
+                false);
     }
 
     private GatewayTarget engine(String id) {
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/StreamKind.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/StreamKind.java
@@ -52,7 +52,8 @@
                 objectiveMillis,
                 400,
                 urgency.ordinal(),
-                Set.of());
+                Set.of(),
+                false);
     }
 
     /** Draws the number of tokens of an answer. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayRequest.java
@@ -6,9 +6,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.Lazy;
 import io.vavr.control.Option;
+import org.rattanplank.core.account.KeyDigest;
 import org.rattanplank.core.gateway.Work;
 import org.rattanplank.core.quarantine.Fingerprint;
 import org.rattanplank.core.quarantine.RequestIdentity;
+import org.rattanplank.gateway.http.Headers;
 
 /**
  * A request to be proxied. Immutable by convention: its headers and body are not modified.
@@ -22,6 +24,9 @@
  * @param timeoutMillis how long the caller waits, from the arrival; none if not given
  * @param lastEventId the last event of the stream that the caller has; none at the start of a stream
  * @param work the work it requires of a target
+ * @param key the digest of the key of its client account; none if the caller sent no key, or none that is well formed
+ * @param account the name of its client account, once it is known
+ * @param chargedTokens the tokens of its prompt and the most that it may generate; none if they aren't stated
  * @param fingerprint recognizes the request when it is sent again; computed when it is first needed
  */
 public record GatewayRequest(
@@ -34,6 +39,9 @@
         Option<Long> timeoutMillis,
         Option<String> lastEventId,
         Work work,
+        Option<KeyDigest> key,
+        Option<String> account,
+        Option<Long> chargedTokens,
         Lazy<Fingerprint> fingerprint) {
     private static final int MAX_PARTS = 32;
     private static final int MAX_PART_ID_CHARS = 64;
@@ -44,6 +52,30 @@
         Objects.requireNonNull(uri, "uri");
     }
 
+    /**
+     * Returns the request with its client account, whose name its target receives.
+     *
+     * @param header the header of the name
+     * @param name the name
+     * @return the request
+     */
+    public GatewayRequest ofAccount(String header, String name) {
+        return new GatewayRequest(
+                id,
+                method,
+                uri,
+                authority,
+                Headers.unchecked().add(headers).set(header, name),
+                body,
+                timeoutMillis,
+                lastEventId,
+                work,
+                key,
+                Option.some(name),
+                chargedTokens,
+                fingerprint);
+    }
+
     /**
      * Returns what of it may be blamed for a crash.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/HeaderNames.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/HeaderNames.java
@@ -1,5 +1,6 @@
 package org.rattanplank.gateway;
 
+import java.util.HashSet;
 import java.util.Objects;
 import java.util.Set;
 
@@ -20,6 +21,8 @@
  * @param tokens the number of prompt tokens and the maximum number of tokens to generate, separated by a comma
  * @param promptParts the parts of the prompt as ID:TOKENS, separated by commas
  * @param outputTokensHint the caller's estimate of the number of generated tokens
+ * @param key the key of the caller's client account; it is never forwarded
+ * @param account the name of the client account of a request, for the target
  * @param reserved headers that only this system may set; they are removed from callers' requests
  */
 public record HeaderNames(
@@ -36,9 +39,14 @@
         String tokens,
         String promptParts,
         String outputTokensHint,
+        String key,
+        String account,
         Set<String> reserved) {
     public HeaderNames {
         Objects.requireNonNull(requestId, "requestId");
-        reserved = Set.copyOf(reserved);
+        Set<String> withAccount = new HashSet<>(reserved);
+        withAccount.add(key);
+        withAccount.add(account);
+        reserved = Set.copyOf(withAccount);
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RequestReader.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RequestReader.java
@@ -5,6 +5,8 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -12,6 +14,7 @@
 import io.vavr.Lazy;
 import io.vavr.control.Option;
 import io.vavr.control.Try;
+import org.rattanplank.core.account.KeyDigest;
 import org.rattanplank.core.gateway.PromptPart;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
@@ -21,13 +24,18 @@
 /**
  * Converts received HTTP requests into requests to be proxied.
  *
- * <p>Invariants: hop-by-hop headers and headers that only this system sets are removed; everything else is kept byte
- * for byte. Immutable and thread safe.
+ * <p>Invariants: hop-by-hop headers, the key of the caller's client account and headers that only this system sets are
+ * removed; everything else is kept byte for byte. Immutable and thread safe.
  */
 public final class RequestReader {
     /** The expected number of generated tokens if the caller gives no estimate. */
     private static final int DEFAULT_OUTPUT_TOKENS = 256;
 
+    /** A key of a client account: visible characters, and not so many that a digest of it takes long. */
+    private static final Pattern KEY = Pattern.compile("[\\x21-\\x7e]{1,256}");
+
+    private static final Pattern TWO_COUNTS = Pattern.compile("\\s*(\\d{1,12})\\s*,\\s*(\\d{1,12})\\s*");
+
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
             "keep-alive",
@@ -75,8 +83,21 @@
         if (hosts.size() != 1 || hosts.get(0).isBlank()) {
             return Option.none();
         }
-        return Option.some(
-                request(head.method().name(), head.uri(), hosts.get(0), forwardableHeaders(head.headers()), body));
+        return Option.some(request(
+                head.method().name(),
+                head.uri(),
+                hosts.get(0),
+                forwardableHeaders(head.headers()),
+                body,
+                key(head.headers())));
+    }
+
+    /** Returns the digest of the key of a request, or none if it has no key, several, or none that is well formed. */
+    private Option<KeyDigest> key(HttpHeaders headers) {
+        List<String> keys = headers.getAll(names.key());
+        return keys.size() == 1 && KEY.matcher(keys.get(0)).matches()
+                ? Option.some(KeyDigest.of(keys.get(0)))
+                : Option.none();
     }
 
     /**
@@ -90,6 +111,11 @@
      * @return the request
      */
     public GatewayRequest request(String method, String uri, String authority, HttpHeaders headers, byte[] body) {
+        return request(method, uri, authority, headers, body, Option.none());
+    }
+
+    private GatewayRequest request(
+            String method, String uri, String authority, HttpHeaders headers, byte[] body, Option<KeyDigest> key) {
         return new GatewayRequest(
                 headers.get(names.requestId(), ""),
                 method,
@@ -100,6 +126,9 @@
                 number(headers.get(names.timeoutMillis())),
                 Option.of(headers.get(names.lastEventId())),
                 work(headers),
+                key,
+                Option.of(headers.get(names.account())),
+                statedTokens(headers),
                 Lazy.of(() -> Fingerprint.of(authority, method, uri, body)));
     }
 
@@ -125,6 +154,14 @@
         return forwardable;
     }
 
+    /** Returns the sum of the two numbers of tokens, or none unless there are exactly two. */
+    private Option<Long> statedTokens(HttpHeaders headers) {
+        Matcher counts = TWO_COUNTS.matcher(headers.get(names.tokens(), ""));
+        return counts.matches()
+                ? Option.some(Long.parseLong(counts.group(1)) + Long.parseLong(counts.group(2)))
+                : Option.none();
+    }
+
     private Work work(HttpHeaders headers) {
         String tokens = headers.get(names.tokens());
         if (tokens == null) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedRequest.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Option;
+import org.rattanplank.core.account.GatewayAccount;
 import org.rattanplank.core.gateway.ForwardDelay;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.Mechanism;
@@ -92,7 +93,7 @@
             return;
         }
         if (!isStillAllowed()) {
-            fail(AttemptFailure.NOT_SENT, "a newer configuration routes the request elsewhere");
+            fail(AttemptFailure.NOT_SENT, "a newer configuration doesn't allow the request here");
             return;
         }
         if (remainingMillis() <= 0) {
@@ -172,11 +173,14 @@
         fail(failure, reason);
     }
 
-    /** Checks the sender's choice of service against this host's configuration if that is newer. */
+    /** Checks the client account and the sender's choice of service against this host's configuration if that is newer. */
     private boolean isStillAllowed() {
         if (state.configurationVersion() <= frame.configurationVersion()) {
             return true;
         }
+        if (request.account().isDefined() && account().isEmpty()) {
+            return false;
+        }
         return route().exists(rule -> rule.allows(state.self().location().region())
                 && rule.services().stream()
                         .filter(service -> service.weight() > 0)
@@ -269,7 +273,13 @@
     }
 
     private Option<RouteRule> route() {
-        return state.configuration().flatMap(now -> now.route(frame.authority(), request.path()));
+        return state.configuration()
+                .flatMap(now -> now.route(frame.authority(), request.path()))
+                .map(rule -> account().map(rule::of).getOrElse(rule));
+    }
+
+    private Option<GatewayAccount> account() {
+        return state.configuration().flatMap(now -> request.account().flatMap(now::account));
     }
 
     private long remainingMillis() {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -404,6 +404,11 @@
         return connections;
     }
 
+    /** Returns the header by which targets receive the name of a request's client account. */
+    String accountHeader() {
+        return connections.headerNames().account();
+    }
+
     double nextRandom() {
         return random.nextDouble();
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vavr.control.Option;
+import org.rattanplank.core.account.GatewayAccount;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.Mechanism;
@@ -64,7 +65,7 @@
             "; this attempt has not run and the request will not be served\n";
 
     private final GatewayState state;
-    private final GatewayRequest request;
+    private GatewayRequest request;
     private final CallerResponse response;
     private final RequestLog requestLog;
     private final DecisionLog decisionLog;
@@ -135,8 +136,20 @@
             respond(HttpResponseStatus.NOT_FOUND, "no route matches the request");
             return;
         }
-        route = found.get();
-        work = request.work().withUrgency(state.uses(Mechanism.RANK) ? Urgency.of(route.rank()) : Urgency.MIDDLE);
+        Option<GatewayAccount> account = request.key().flatMap(configuration::account);
+        if (account.isEmpty()
+                && configuration.requiresAccounts()
+                && !found.get().isPublic()) {
+            respond(
+                    HttpResponseStatus.UNAUTHORIZED,
+                    request.key().isEmpty() ? "the request has no key" : "no client account has the request's key");
+            return;
+        }
+        request = account.map(each -> request.ofAccount(state.accountHeader(), each.name()))
+                .getOrElse(request);
+        route = account.map(found.get()::of).getOrElse(found.get());
+        work = request.work()
+                .withUrgency(state.uses(Mechanism.RANK) ? configuration.urgency(route, account) : Urgency.MIDDLE);
         String name = route.pickService(state.nextRandom());
         Option<ServiceRule> configured = configuration.service(name);
         if (configured.isEmpty()) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -70,6 +70,15 @@
                 new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
     }
 
+    /**
+     * Returns the names of the headers that targets receive.
+     *
+     * @return the names
+     */
+    public HeaderNames headerNames() {
+        return names;
+    }
+
     /**
      * Sends a request to a target.
      *
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -24,6 +24,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Option;
+import org.rattanplank.core.account.GatewayAccount;
 import org.rattanplank.core.gateway.CallerLimits;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayHost;
@@ -57,6 +58,8 @@
             "Tokens",
             "Parts",
             "Hint",
+            "Key",
+            "Account",
             Set.of("Expected", "Urgency", "Backup", "Continue-From"));
     private static final long LINK_BYTES_PER_MILLI = 1_250;
     private static final String DATA_CENTRE = "suva-hall";
@@ -88,6 +91,7 @@
     private final InetSocketAddress peers = ownAddress();
     private final GatewayHost self;
     private final Queue<TestCaller> openCallers = new ConcurrentLinkedQueue<>();
+    private Option<List<GatewayAccount>> accounts = Option.none();
     private long version;
     private int targets;
 
@@ -144,10 +148,28 @@
     private TestGateway configure(RouteKind kind, boolean resumable, int maxAttempts, long kvCacheTokens)
             throws IOException {
         version++;
-        RouteRule route = new RouteRule(
-                "r" + version,
+        List<RouteRule> routes = List.of(
+                route("/a/", kind, resumable, maxAttempts, false),
+                route("/public/", kind, resumable, maxAttempts, true));
+        GatewayConfiguration configuration = GatewayConfiguration.of(
+                version,
+                routes,
+                List.of(new ServiceRule("desk", 50, 0, 0, 0, 0, kvCacheTokens, kvCacheTokens > 0)),
+                new CallerLimits(4_096, 10_000, 3_000, 15_000));
+        store.put(
+                "configuration",
+                new ClusterEvent.ConfigurationChanged(
+                        accounts.map(configuration::withAccounts).getOrElse(configuration)),
+                false);
+        awaitMetric("configuration_version " + version);
+        return this;
+    }
+
+    private RouteRule route(String pathPrefix, RouteKind kind, boolean resumable, int maxAttempts, boolean isPublic) {
+        return new RouteRule(
+                "r" + version + pathPrefix,
                 "desk.example",
-                "/a/",
+                pathPrefix,
                 kind,
                 resumable,
                 List.of(new WeightedService("desk", 1)),
@@ -156,16 +178,13 @@
                 1_000,
                 400,
                 1,
-                Set.of());
-        store.put(
-                "configuration",
-                new ClusterEvent.ConfigurationChanged(GatewayConfiguration.of(
-                        version,
-                        List.of(route),
-                        List.of(new ServiceRule("desk", 50, 0, 0, 0, 0, kvCacheTokens, kvCacheTokens > 0)),
-                        new CallerLimits(4_096, 10_000, 3_000, 15_000))),
-                false);
-        awaitMetric("configuration_version " + version);
+                Set.of(),
+                isPublic);
+    }
+
+    /** Sets the client accounts of the configurations that are applied from then on. */
+    TestGateway withAccounts(GatewayAccount... newAccounts) {
+        accounts = Option.some(List.of(newAccounts));
         return this;
     }
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/target/TargetConnectionsTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/target/TargetConnectionsTest.java
@@ -37,7 +37,7 @@
 @Timeout(20)
 class TargetConnectionsTest {
     private static final HeaderNames NAMES =
-            new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", Set.of());
+            new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", Set.of());
 
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final TargetConnections connections = new TargetConnections(group, NAMES, MonotonicClock.ofProcess());
@@ -93,6 +93,9 @@
                 Option.none(),
                 Option.none(),
                 Work.PLAIN,
+                Option.none(),
+                Option.none(),
+                Option.none(),
                 Lazy.of(() -> Fingerprint.parse("0".repeat(32))));
         return new TargetCall(request, Work.PLAIN, 5_000, "", false);
     }
