Keep client accounts within their allowances over all hosts

An account could use any number of tokens: nothing counted them. A request is now charged where its caller connects, once for each send; what has not run is given back; over the allowance it is answered 429 at once, with the time at which it would be served.

Regions divide an allowance by what is asked in each. A region counts its own demand only as far as the others have acknowledged it, so that it raises its share after they have lowered theirs and the shares never add up to more than one, also while links are cut (DemandSharesTest: 500 random orders). The hosts of a region draw from one bucket, of which each keeps a copy; they tell each other with their states what they have drawn, and extrapolate. A host that falls silent is left its part for ten seconds.

A lease from an owner host was not built: it costs a round trip before the first request of each host, and a cut takes the whole allowance from those without the owner.

A region that is lost for good keeps its share for ten seconds.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/gateway/GatewayFleet.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/gateway/GatewayFleet.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.SingleThreadEventExecutor;
+import org.rattanplank.core.account.AllowanceBounds;
 import org.rattanplank.core.gateway.Mechanisms;
 import org.rattanplank.core.host.Location;
 import org.rattanplank.gateway.Gateway;
@@ -38,7 +39,8 @@
     private static final int PORTS_PER_HOST = 6;
     private static final int OCTET_VALUES = 250;
     private static final long LINK_BYTES_PER_MILLI = 125_000;
-    private static final SharedLimits LIMITS = new SharedLimits(8_000, 0.2, 160, 10_000, 1, 1_000);
+    private static final SharedLimits LIMITS =
+            new SharedLimits(8_000, 0.2, 160, 10_000, 1, 1_000, AllowanceBounds.EXACT);
 
     private final EventLoop loop = EventLoop.of();
     private final List<EventLoopGroup> groups = new ArrayList<>();
--- /dev/null
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/AllowanceRefusal.java
@@ -0,0 +1,17 @@
+package org.rattanplank.core.account;
+
+/**
+ * Why a request is over the allowance of its client account. Immutable and thread safe.
+ *
+ * @param allowedPerSecond the units per second that this region may use
+ * @param usedHerePerSecond the units per second that this host uses
+ * @param usedElsewherePerSecond the units per second that the other hosts of the region use, as they told
+ * @param oldestReportMillis the age of the oldest of their reports
+ * @param retryAfterMillis the time after which the region will be within its allowance again
+ */
+public record AllowanceRefusal(
+        double allowedPerSecond,
+        double usedHerePerSecond,
+        double usedElsewherePerSecond,
+        long oldestReportMillis,
+        long retryAfterMillis) {}
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Mechanism.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Mechanism.java
@@ -35,7 +35,9 @@
     /** Streams that must not run again have a backup at a second engine, where they continue after a failure. */
     BACK_UP_STREAMS,
     /** Requests that arrive before a configuration is known wait for it briefly. */
-    AWAIT_CONFIGURATION;
+    AWAIT_CONFIGURATION,
+    /** Client accounts are kept within their allowances. */
+    ALLOWANCES;
 
     /**
      * Returns the name in settings.
--- /dev/null
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/account/DemandSharesTest.java
@@ -0,0 +1,166 @@
+package org.rattanplank.core.account;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class DemandSharesTest {
+    private static final String ACCOUNT = "brewers";
+    private static final Allowance ALLOWANCE = new Allowance(ChargeUnit.TOKENS, 200, 100_000, 100_000);
+    private static final double ROUNDING = 1e-9;
+
+    /**
+     * Guards against regions that together take more than the whole allowance: each raises its share at once when its demand
+     * grows, while the others still count its old demand, most of all when they are cut off from each other.
+     */
+    @Property(tries = 500, seed = "31416")
+    void shouldAddUpToOneAtMostWhenReportsAreLateOrLost(
+            @ForAll @IntRange(min = 2, max = 6) int regions, @ForAll long seed) {
+        Random random = new Random(seed);
+        Fleet fleet = new Fleet(regions, random);
+        fleet.connectAll();
+        for (int i = 0; i < 400; i++) {
+            fleet.step();
+            assertTrue(fleet.shares() <= 1 + ROUNDING, () -> "seed " + seed + ": " + fleet.shares());
+        }
+    }
+
+    @Test
+    void shouldDivideEvenlyWhenNothingIsAskedYet() {
+        assertEquals(1.0 / 3, new DemandShares(3).share(ACCOUNT, ALLOWANCE, 90_000, 0), ROUNDING);
+    }
+
+    @Test
+    void shouldFollowDemandWhenTheOtherRegionsHaveAcknowledgedIt() {
+        DemandShares shares = new DemandShares(2);
+        List<AccountDemand> demand = List.of(new AccountDemand(ACCOUNT, 150_000));
+        shares.sent("lautoka", "h1", demand, 1_000);
+        shares.received("lautoka", "h1", List.of(new AccountDemand(ACCOUNT, 50_000)), 1_000);
+
+        assertEquals(0.75, shares.share(ACCOUNT, ALLOWANCE, 150_000, 1_500), ROUNDING);
+    }
+
+    /** Guards against a region that is cut off and takes over what the others still use. */
+    @Test
+    void shouldKeepItsShareWhenItIsCutOffAndItsDemandGrows() {
+        DemandShares shares = new DemandShares(2);
+        shares.sent("lautoka", "h1", List.of(new AccountDemand(ACCOUNT, 50_000)), 1_000);
+        shares.received("lautoka", "h1", List.of(new AccountDemand(ACCOUNT, 150_000)), 1_000);
+        shares.sent("lautoka", "h1", List.of(new AccountDemand(ACCOUNT, 500_000)), 1_400);
+
+        assertEquals(0.25, shares.share(ACCOUNT, ALLOWANCE, 500_000, 1_500), ROUNDING);
+        shares.disconnected("lautoka", "h1", 3_000);
+        assertEquals(0.25, shares.share(ACCOUNT, ALLOWANCE, 500_000, 9_000), ROUNDING);
+    }
+
+    /** Guards against an allowance that stays divided for good with a region that no longer exists. */
+    @Test
+    void shouldUseWhatARegionLeavesWhenItHasBeenDisconnectedForLong() {
+        DemandShares shares = new DemandShares(3);
+        shares.sent("suva", "h2", List.of(new AccountDemand(ACCOUNT, 100_000)), 1_000);
+        shares.received("suva", "h2", List.of(), 1_000);
+        shares.sent("lautoka", "h1", List.of(), 1_000);
+        shares.received("lautoka", "h1", List.of(new AccountDemand(ACCOUNT, 150_000)), 1_000);
+        shares.disconnected("lautoka", "h1", 3_000);
+
+        assertTrue(shares.share(ACCOUNT, ALLOWANCE, 100_000, 14_000) > 0.9);
+    }
+
+    /** Regions with one host each, that exchange reports over links of any delay, which are cut and opened again. */
+    private static final class Fleet {
+        private final int regions;
+        private final Random random;
+        private final List<DemandShares> shares = new ArrayList<>();
+        private final double[] demandPerSecond;
+        private final long[][] heardMillis;
+        private final List<List<Deque<Report>>> inFlight = new ArrayList<>();
+        private final boolean[][] cut;
+        private long nowMillis = 1;
+
+        private Fleet(int regions, Random random) {
+            this.regions = regions;
+            this.random = random;
+            demandPerSecond = new double[regions];
+            heardMillis = new long[regions][regions];
+            cut = new boolean[regions][regions];
+            for (int i = 0; i < regions; i++) {
+                shares.add(new DemandShares(regions));
+                inFlight.add(new ArrayList<>());
+                for (int j = 0; j < regions; j++) {
+                    inFlight.get(i).add(new ArrayDeque<>());
+                }
+            }
+        }
+
+        private void connectAll() {
+            for (int round = 0; round < 2; round++) {
+                for (int from = 0; from < regions; from++) {
+                    for (int to = 0; to < regions; to++) {
+                        if (from != to) {
+                            send(from, to);
+                            receive(from, to);
+                        }
+                    }
+                }
+            }
+        }
+
+        private void step() {
+            nowMillis += random.nextInt(20);
+            int from = random.nextInt(regions);
+            int to = (from + 1 + random.nextInt(regions - 1)) % regions;
+            switch (random.nextInt(5)) {
+                case 0 -> changeDemand(from);
+                case 1, 2 -> send(from, to);
+                case 3 -> receive(from, to);
+                default -> toggle(from, to);
+            }
+        }
+
+        private void changeDemand(int region) {
+            demandPerSecond[region] = random.nextInt(5) * 60_000 * random.nextDouble();
+        }
+
+        private void toggle(int from, int to) {
+            cut[from][to] ^= random.nextInt(4) == 0;
+        }
+
+        private void send(int from, int to) {
+            List<AccountDemand> demand = List.of(new AccountDemand(ACCOUNT, demandPerSecond[from]));
+            shares.get(from).sent(name(to), name(to), demand, nowMillis);
+            inFlight.get(from).get(to).add(new Report(demand, nowMillis, heardMillis[from][to]));
+        }
+
+        private void receive(int from, int to) {
+            Report report = inFlight.get(from).get(to).poll();
+            if (report != null && !cut[from][to]) {
+                heardMillis[to][from] = report.sentAtMillis();
+                shares.get(to).received(name(from), name(from), report.demand(), report.echoedMillis());
+            }
+        }
+
+        private double shares() {
+            double sum = 0;
+            for (int i = 0; i < regions; i++) {
+                sum += shares.get(i).share(ACCOUNT, ALLOWANCE, demandPerSecond[i], nowMillis);
+            }
+            return sum;
+        }
+
+        private static String name(int region) {
+            return "region-" + region;
+        }
+    }
+
+    private record Report(List<AccountDemand> demand, long sentAtMillis, long echoedMillis) {}
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -32,6 +32,7 @@
 import org.rattanplank.gateway.pass.ForwardedRequest;
 import org.rattanplank.gateway.pass.GatewayState;
 import org.rattanplank.gateway.pass.ProxiedRequest;
+import org.rattanplank.gateway.peer.DisconnectCause;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.PeerLink;
 import org.rattanplank.gateway.peer.PeerLinks;
@@ -205,13 +206,13 @@
     }
 
     @Override
-    public void disconnected(PeerLink link, String reason) {
+    public void disconnected(PeerLink link, DisconnectCause cause, String detail) {
         log.writeImportant(LogLine.of(LogEvent.PEER_LOST)
                 .with("peer", link.host().map(GatewayHost::name).getOrElse(""))
-                .with("reason", reason));
+                .with("reason", detail.isEmpty() ? cause.text() : cause.text() + ": " + detail));
         Option.of(forwarded.remove(link))
                 .forEach(calls -> List.copyOf(calls.values()).forEach(ForwardedRequest::cancel));
-        stateExchange.disconnected(link);
+        stateExchange.disconnected(link, cause);
         crashNoticeExchange.disconnected(link);
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayRequest.java
@@ -26,7 +26,7 @@
  * @param work the work it requires of a target
  * @param key the digest of the key of its client account; none if the caller sent no key, or none that is well formed
  * @param account the name of its client account, once it is known
- * @param chargedTokens the tokens of its prompt and the most that it may generate; none if they aren't stated
+ * @param statedTokens the tokens of its prompt and the most that it may generate; none if they aren't stated
  * @param fingerprint recognizes the request when it is sent again; computed when it is first needed
  */
 public record GatewayRequest(
@@ -41,7 +41,7 @@
         Work work,
         Option<KeyDigest> key,
         Option<String> account,
-        Option<Long> chargedTokens,
+        Option<Long> statedTokens,
         Lazy<Fingerprint> fingerprint) {
     private static final int MAX_PARTS = 32;
     private static final int MAX_PART_ID_CHARS = 64;
@@ -72,7 +72,7 @@
                 work,
                 key,
                 Option.some(name),
-                chargedTokens,
+                statedTokens,
                 fingerprint);
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewaySettings.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewaySettings.java
@@ -49,6 +49,15 @@
         Objects.requireNonNull(mechanisms, "mechanisms");
     }
 
+    /**
+     * Returns the number of regions of the installation.
+     *
+     * @return the number
+     */
+    public int regions() {
+        return Set.copyOf(regionsByDataCentre.values()).size();
+    }
+
     /**
      * Returns the data centres of this host's region.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -10,6 +10,7 @@
 import java.util.function.LongSupplier;
 
 import io.vavr.control.Option;
+import org.rattanplank.core.account.AccountDemand;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.InFlightWork;
@@ -23,6 +24,7 @@
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
 import org.rattanplank.gateway.pass.GatewayState;
+import org.rattanplank.gateway.peer.DisconnectCause;
 import org.rattanplank.gateway.peer.PeerFrame;
 import org.rattanplank.gateway.peer.PeerLink;
 import org.rattanplank.gateway.peer.PeerLinks;
@@ -147,18 +149,23 @@
         LastReport lastReport = lastReports.computeIfAbsent(link, each -> new LastReport());
         lastReport.atMillis = state.nowMillis();
         lastReport.work = work;
+        boolean ownRegion = link.isInOwnRegion();
+        List<AccountDemand> demand = ownRegion ? List.of() : state.allowances().regionDemand(lastReport.atMillis);
+        if (!ownRegion) {
+            state.allowances().demandSent(region(link), link.name(), demand, lastReport.atMillis);
+        }
         link.send(new PeerFrame.State(
                 lastReport.atMillis,
                 link.state().sentAtMillis(),
                 link.stateAgeMillis(),
-                periodMillis(link.isInOwnRegion()),
+                periodMillis(ownRegion),
                 acceptsCallers.getAsBoolean(),
                 state.configurationVersion(),
                 feed.copy().digest(),
                 feed.isWatching(),
                 feed.isHealthy(),
                 work,
-                link.isInOwnRegion() ? List.of() : regionLoads(),
+                ownRegion ? List.of() : regionLoads(),
                 Math.max(PeerFrame.State.EMPTY_REVISION, feed.copy().newestRevision()),
                 acceptMillis.getAsLong(),
                 feed.copy().revision(),
@@ -166,7 +173,9 @@
                 true,
                 true,
                 true,
-                true));
+                true,
+                ownRegion ? state.allowances().usage(lastReport.atMillis) : List.of(),
+                demand));
     }
 
     /**
@@ -200,6 +209,7 @@
 
     void receiveState(PeerLink link, PeerFrame.State received) {
         GatewayHost host = link.host().get();
+        receiveAccounts(link, received);
         state.metrics().record(Latency.PEER_ROUND_TRIP, link.roundTripMillis());
         feed.peerRevisionReported(received.knownRevision());
         verifyCopy(link);
@@ -220,6 +230,20 @@
         }
     }
 
+    private void receiveAccounts(PeerLink link, PeerFrame.State received) {
+        if (link.isInOwnRegion()) {
+            state.allowances()
+                    .usageReceived(link.name(), received.accountUsage(), received.periodMillis(), state.nowMillis());
+        } else {
+            state.allowances()
+                    .demandReceived(region(link), link.name(), received.accountDemand(), received.echoedMillis());
+        }
+    }
+
+    private static String region(PeerLink link) {
+        return link.host().get().location().region();
+    }
+
     void storeItemsReceived(PeerLink link, StoreContents contents) {
         feed.mergeFromPeer(link.name(), contents);
         verifyCopy(link);
@@ -239,7 +263,12 @@
         }
     }
 
-    void disconnected(PeerLink link) {
+    void disconnected(PeerLink link, DisconnectCause cause) {
+        if (link.isInOwnRegion()) {
+            state.allowances().hostLost(link.name(), cause.mayBeAlive(), state.nowMillis());
+        } else {
+            state.allowances().regionLinkLost(region(link), link.name(), state.nowMillis());
+        }
         lastReports.remove(link);
         replication.disconnected(link);
         link.host().forEach(host -> updateWorkOfHost(host.name(), List.of()));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -46,6 +46,8 @@
     EVACUATION,
     /** A request was rejected. */
     REFUSED,
+    /** A request was rejected because the allowance of its client account is used up. */
+    OVER_ALLOWANCE,
     /** A request was sent to the chosen target. */
     SENT,
     /** A request was forwarded to a host of another region. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
@@ -1,5 +1,6 @@
 package org.rattanplank.gateway.pass;
 
+import org.rattanplank.core.account.AllowanceRefusal;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.ServiceEstimate;
 import org.rattanplank.core.gateway.ServiceRule;
@@ -76,6 +77,16 @@
                 .with("events", response.events()));
     }
 
+    void overAllowance(String account, AllowanceRefusal refusal, long retryAfterMillis) {
+        log.add(LogLine.of(LogEvent.OVER_ALLOWANCE)
+                .with("account", account)
+                .with("allowedPerSecond", refusal.allowedPerSecond())
+                .with("usedHerePerSecond", refusal.usedHerePerSecond())
+                .with("usedElsewherePerSecond", refusal.usedElsewherePerSecond())
+                .with("reportAgeMillis", refusal.oldestReportMillis())
+                .with("retryAfterMillis", retryAfterMillis));
+    }
+
     void retried(CallerResponse response) {
         log.add(LogLine.of(response.isStarted() ? LogEvent.RESUMED : LogEvent.REPEATED)
                 .with("lastEventId", response.lastEventId()));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -11,6 +11,8 @@
 import java.util.random.RandomGenerator;
 
 import io.vavr.control.Option;
+import org.rattanplank.core.account.AllowanceControl;
+import org.rattanplank.core.account.AllowanceRefusal;
 import org.rattanplank.core.gateway.ClusterView;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayHost;
@@ -28,6 +30,7 @@
 import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.TargetChooser;
 import org.rattanplank.core.gateway.TargetPool;
+import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
 import org.rattanplank.core.intent.Configuration;
 import org.rattanplank.gateway.GatewayMetrics;
@@ -63,6 +66,8 @@
      */
     private static final long PEERS_CACHE_MILLIS = 50;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final GatewayHost self;
     private final MonotonicClock clock;
     private final RandomGenerator random;
@@ -72,6 +77,7 @@
     private final RegionLoads regionLoads = new RegionLoads();
     private final RetryBudget retryBudget;
     private final RetryAfterQueue retryAfterQueue = new RetryAfterQueue();
+    private final RetryAfterQueue allowanceQueue = new RetryAfterQueue();
     private final TargetConnections connections;
     private final EventLog log;
     private final GatewayMetrics metrics;
@@ -86,6 +92,7 @@
     private Predicate<Option<Long>> mayAccept = maxDurationMillis -> true;
     private BooleanSupplier isFeedComplete = () -> false;
     private Consumer<GatewayTarget> largePrefillListener = target -> {};
+    private final AllowanceControl allowances;
     private final RequestQuarantine quarantine;
     private final CrashDetector crashDetector;
 
@@ -122,6 +129,7 @@
                 limits.retryBudgetSlack(),
                 MIN_SLACK_SHARES,
                 limits.retryBudgetWindowMillis());
+        allowances = new AllowanceControl(settings.regions(), limits.allowanceBounds());
         mechanisms = settings.mechanisms();
         chooser = TargetChooser.of(self.name(), pool, random, mechanisms);
         quarantine = new RequestQuarantine(self.name(), clock::nowMillis, log);
@@ -201,6 +209,7 @@
 
     private void rebuildConfiguration() {
         configuration = baseConfiguration.map(unrefined -> unrefined.restrictedTo(intents.residencies()));
+        configuration.forEach(newest -> allowances.configure(newest.accounts(), nowMillis()));
         markRetiringTargets();
     }
 
@@ -368,6 +377,15 @@
         recentDurations.record(route.name(), millis, nowMillis());
     }
 
+    /**
+     * Returns the control of client accounts' allowances.
+     *
+     * @return the control
+     */
+    public AllowanceControl allowances() {
+        return allowances;
+    }
+
     /**
      * Returns the quarantine of requests that crash targets.
      *
@@ -430,6 +448,26 @@
                 name, work.urgency(), prefillMillis, remainingMillis, nextRandom(), nowMillis());
     }
 
+    /**
+     * Returns the delay after which a caller over its client account's allowance should retry: callers who are refused are
+     * spread over the time in which the account's region may use as much as they ask for.
+     *
+     * @param refusal why its request is refused
+     * @param account its account
+     * @param units the units that its request would use
+     * @param remainingMillis the time that the caller has left
+     * @return the delay in milliseconds
+     */
+    long retryAfterMillis(AllowanceRefusal refusal, String account, long units, long remainingMillis) {
+        double costMillis = units
+                * MILLIS_PER_SECOND
+                / refusal.allowedPerSecond()
+                * regionView().hosts().size();
+        long queuedMillis = allowanceQueue.retryAfterMillis(
+                account, Urgency.FIRST, costMillis, remainingMillis, nextRandom(), nowMillis());
+        return Math.max(refusal.retryAfterMillis(), queuedMillis);
+    }
+
     /** Returns the prefill time of a request divided by this host's share of the region's engines. */
     private double prefillShareMillis(ServiceRule service, Work work) {
         long engines = pool.all().stream()
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vavr.control.Option;
+import org.rattanplank.core.account.AllowanceRefusal;
 import org.rattanplank.core.account.GatewayAccount;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayTarget;
@@ -268,6 +269,9 @@
             return;
         }
         Option<String> region = placement.forwardRegion();
+        if ((region.isDefined() || placement.localChoice().isDefined()) && !charge()) {
+            return;
+        }
         if (region.isDefined()) {
             estimate = placement.estimate(region.get());
             forward(options, region.get());
@@ -279,6 +283,32 @@
         }
     }
 
+    /**
+     * Charges a send to the allowance of its client account, or rejects the request if that is used up. A request that is
+     * sent again is charged again, but not rejected: what it was charged first may have been used.
+     *
+     * @return whether it may be sent
+     */
+    private boolean charge() {
+        if (request.account().isEmpty() || !state.uses(Mechanism.ALLOWANCES)) {
+            return true;
+        }
+        String account = request.account().get();
+        if (mayHaveRun || response.isStarted()) {
+            state.allowances().chargeAgain(account, request.statedTokens(), state.nowMillis());
+            return true;
+        }
+        Option<AllowanceRefusal> refusal =
+                state.allowances().tryCharge(account, request.statedTokens(), state.nowMillis());
+        refusal.forEach(each -> rejectOverAllowance(account, each));
+        return refusal.isEmpty();
+    }
+
+    private void refund() {
+        request.account()
+                .forEach(account -> state.allowances().refund(account, request.statedTokens(), state.nowMillis()));
+    }
+
     private void sendLocally(TargetChoice choice) {
         attemptAtMillis = state.nowMillis();
         localTarget = choice.target();
@@ -389,6 +419,9 @@
 
     private void attemptFailed(AttemptFailure failure, String reason, String region, String backup) {
         attempt = null;
+        if (!failure.mayHaveRun()) {
+            refund();
+        }
         decisionLog.attemptFailed(request, failure, reason, lastTarget, state.nowMillis() - attemptAtMillis);
         state.metrics().attemptFailed(failure);
         if (failedOver) {
@@ -468,6 +501,20 @@
         complete("refused", reason, false);
     }
 
+    private void rejectOverAllowance(String account, AllowanceRefusal refusal) {
+        long retryAfterMillis = state.retryAfterMillis(
+                refusal,
+                account,
+                state.allowances().units(account, request.statedTokens()),
+                deadlineMillis - state.nowMillis());
+        HttpHeaders headers = Headers.unchecked();
+        headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(retryAfterMillis / MILLIS_PER_SECOND));
+        response.respond(HttpResponseStatus.TOO_MANY_REQUESTS.code(), headers, Unpooled.EMPTY_BUFFER);
+        state.metrics().ended("over_allowance");
+        decisionLog.overAllowance(account, refusal, retryAfterMillis);
+        complete("over_allowance", "the client account's allowance is used up", false);
+    }
+
     /** Ends it as no target may run it; without {@code Retry-After}, as it would be rejected again. */
     private void endQuarantined() {
         String reason = state.quarantine().reason(request);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.rattanplank.core.account.AccountDemand;
+import org.rattanplank.core.account.AccountUsage;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.InFlightWork;
 import org.rattanplank.core.gateway.RegionStreamStats;
@@ -51,6 +53,8 @@
      * @param supportsPromptPartNotices whether the sender accepts {@link PromptPartCrashNotice}, likewise
      * @param supportsKeyLists whether the sender applies the present keys of {@link StoreItems}; a host of an earlier version
      *     ignores them
+     * @param accountUsage what the sender has used of client accounts' allowances; sent to hosts of its own region only
+     * @param accountDemand what is asked of client accounts in the sender's region; sent to hosts of other regions only
      */
     record State(
             long sentAtMillis,
@@ -71,7 +75,9 @@
             boolean supportsLargePrefillNotices,
             boolean supportsCrashNotices,
             boolean supportsPromptPartNotices,
-            boolean supportsKeyLists)
+            boolean supportsKeyLists,
+            List<AccountUsage> accountUsage,
+            List<AccountDemand> accountDemand)
             implements PeerFrame {
         /** The {@link #acceptMillis} of a host that accepts callers. */
         public static final long UNLIMITED_MILLIS = Long.MAX_VALUE;
@@ -99,7 +105,9 @@
                 false,
                 false,
                 false,
-                false);
+                false,
+                List.of(),
+                List.of());
 
         /** The newest revision of a host whose local copy is empty; revisions of the store are above it. */
         public static final long EMPTY_REVISION = 1;
@@ -107,6 +115,8 @@
         public State {
             targetWork = List.copyOf(targetWork);
             regionLoads = List.copyOf(regionLoads);
+            accountUsage = List.copyOf(accountUsage);
+            accountDemand = List.copyOf(accountDemand);
         }
 
         /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -16,6 +16,8 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
+import org.rattanplank.core.account.AccountDemand;
+import org.rattanplank.core.account.AccountUsage;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.InFlightWork;
 import org.rattanplank.core.gateway.PrefillBacklog;
@@ -232,6 +234,15 @@
         }
         out.packBoolean(state.supportsLargePrefillNotices()).packBoolean(state.supportsCrashNotices());
         out.packBoolean(state.supportsPromptPartNotices()).packBoolean(state.supportsKeyLists());
+        out.packArrayHeader(state.accountUsage().size());
+        for (AccountUsage usage : state.accountUsage()) {
+            out.packString(usage.account()).packLong(usage.usedUnits());
+            out.packFloat((float) usage.usedPerSecond()).packFloat((float) usage.demandPerSecond());
+        }
+        out.packArrayHeader(state.accountDemand().size());
+        for (AccountDemand demand : state.accountDemand()) {
+            out.packString(demand.account()).packFloat((float) demand.perSecond());
+        }
     }
 
     /** Writes the evidence by target, as the text of a target takes more bytes than the rest. */
@@ -400,6 +411,14 @@
         boolean supportsCrashNotices = in.hasNext() && in.unpackBoolean();
         boolean supportsPromptPartNotices = in.hasNext() && in.unpackBoolean();
         boolean supportsKeyLists = in.hasNext() && in.unpackBoolean();
+        List<AccountUsage> accountUsage = new ArrayList<>();
+        for (int left = in.hasNext() ? in.unpackArrayHeader() : 0; left > 0; left--) {
+            accountUsage.add(new AccountUsage(in.unpackString(), in.unpackLong(), in.unpackFloat(), in.unpackFloat()));
+        }
+        List<AccountDemand> accountDemand = new ArrayList<>();
+        for (int left = in.hasNext() ? in.unpackArrayHeader() : 0; left > 0; left--) {
+            accountDemand.add(new AccountDemand(in.unpackString(), in.unpackFloat()));
+        }
         return new PeerFrame.State(
                 sentAtMillis,
                 echoedMillis,
@@ -419,7 +438,9 @@
                 supportsLargePrefillNotices,
                 supportsCrashNotices,
                 supportsPromptPartNotices,
-                supportsKeyLists);
+                supportsKeyLists,
+                accountUsage,
+                accountDemand);
     }
 
     private static PeerFrame.TargetWork readTargetWork(MessageUnpacker in) throws IOException {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -127,6 +127,11 @@
         return isOpen() && !peerLeaving && owner.inputReadUntilMillis() - lastReceivedMillis < unresponsiveMillis();
     }
 
+    /** Returns why the link is no longer alive. */
+    DisconnectCause lossCause() {
+        return isOpen() && !peerLeaving ? DisconnectCause.SILENT : DisconnectCause.CLOSED;
+    }
+
     /**
      * Returns whether the other host is overdue: it has missed a report, though it still counts as connected.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -203,7 +203,7 @@
         nextCheckMillis = now + CHECK_INTERVAL_MILLIS;
         for (PeerLink link : List.copyOf(links.values())) {
             if (!link.isAlive()) {
-                remove(link, "no data received for " + link.unresponsiveMillis() + " ms");
+                remove(link, link.lossCause(), "not within " + link.unresponsiveMillis() + " ms");
                 link.close();
             }
         }
@@ -338,15 +338,15 @@
     void linkClosed(PeerLink link) {
         openLinks.remove(link);
         retired.remove(link);
-        remove(link, "connection closed");
+        remove(link, DisconnectCause.CLOSED, "");
     }
 
     void linkFailed(PeerLink link, Throwable cause) {
-        remove(link, "connection failed: " + cause);
+        remove(link, DisconnectCause.FAILED, String.valueOf(cause));
     }
 
     void frameUnreadable(PeerLink link, Throwable cause) {
-        remove(link, "frame decoding failed: " + cause);
+        remove(link, DisconnectCause.UNREADABLE, String.valueOf(cause));
         link.close();
     }
 
@@ -388,11 +388,11 @@
         return host.location().region().equals(self.location().region());
     }
 
-    private void remove(PeerLink link, String reason) {
+    private void remove(PeerLink link, DisconnectCause cause, String detail) {
         String name = link.host().map(GatewayHost::name).getOrElse("");
         if (links.get(name) == link) {
             links.remove(name);
-            listener.disconnected(link, reason);
+            listener.disconnected(link, cause, detail);
         }
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerListener.java
@@ -17,9 +17,10 @@
      * Called when a host is no longer connected.
      *
      * @param link the link to it
-     * @param reason how the loss was detected
+     * @param cause how the loss was detected
+     * @param detail more about it, or empty
      */
-    void disconnected(PeerLink link, String reason);
+    void disconnected(PeerLink link, DisconnectCause cause, String detail);
 
     /**
      * Called when a host has reported its state.
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -24,6 +24,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Option;
+import org.rattanplank.core.account.AllowanceBounds;
 import org.rattanplank.core.account.GatewayAccount;
 import org.rattanplank.core.gateway.CallerLimits;
 import org.rattanplank.core.gateway.GatewayConfiguration;
@@ -123,7 +124,7 @@
                 metrics,
                 ownAddress(),
                 LINK_BYTES_PER_MILLI,
-                new SharedLimits(graceMillis, 0.2, 160, 10_000, 1, 1_000),
+                new SharedLimits(graceMillis, 0.2, 160, 10_000, 1, 1_000, AllowanceBounds.EXACT),
                 Mechanisms.ALL);
         EventLog log = EventLog.start(name, logged, System::nanoTime);
         gateway = Gateway.of(settings, new PlatformFormats(NAMES, store, new Directory()), group, store, log, 1);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -29,9 +29,10 @@
 class PeerFrameCodecTest {
     /**
      * The encoded size of the fields that a state of an earlier version lacks: the newest revision, the time for which work
-     * is accepted, the known revision, the link bandwidth, and the support of large prefill, crash and prompt part notices.
+     * is accepted, the known revision, the link bandwidth, the support of large prefill, crash and prompt part notices and of
+     * key lists, and what is told of client accounts.
      */
-    private static final int NEWER_FIELDS_BYTES = 1 + 9 + 1 + 1 + 1 + 1 + 1 + 1;
+    private static final int NEWER_FIELDS_BYTES = 1 + 9 + 1 + 1 + 1 + 1 + 1 + 1 + 1 + 1;
 
     private static PeerFrame roundTrip(PeerFrame frame) {
         return PeerFrameCodec.decode(PeerFrameCodec.encode(frame)).get();
@@ -64,7 +65,9 @@
                         true,
                         true,
                         true,
-                        true),
+                        true,
+                        List.of(),
+                        List.of()),
                 new PeerFrame.StoreItems(StoreContents.all(7, List.of()), 30),
                 new PeerFrame.StoreItems(StoreContents.changes(5, 7, List.of()), 0),
                 new PeerFrame.StoreItems(new StoreContents(5, 7, 6, List.of(), Option.some(Set.of("a", "b"))), 0),
@@ -135,7 +138,9 @@
                 false,
                 false,
                 false,
-                false);
+                false,
+                List.of(),
+                List.of());
         byte[] bytes = PeerFrameCodec.encode(state);
 
         assertEquals(
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreReplicatorTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreReplicatorTest.java
@@ -147,7 +147,9 @@
                 false,
                 false,
                 false,
-                true);
+                true,
+                List.of(),
+                List.of());
     }
 
     /** Relays each change to each host. */
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.function.Predicate;
 
+import org.rattanplank.core.account.AccountUsage;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.gateway.InFlightWork;
 import org.rattanplank.core.gateway.PrefillBacklog;
@@ -270,7 +271,9 @@
                 false,
                 false,
                 false,
-                false));
+                false,
+                List.of(),
+                List.of()));
     }
 
     /**
@@ -305,7 +308,9 @@
                 false,
                 false,
                 false,
-                false));
+                false,
+                List.of(),
+                List.of()));
     }
 
     /**
@@ -318,6 +323,37 @@
         reportState(0, newestRevision, true, LINK_BYTES_PER_MILLI);
     }
 
+    /**
+     * Reports what it has used of client accounts' allowances.
+     *
+     * @param usage the usage
+     * @throws IOException if the link was closed
+     */
+    public void reportUsage(List<AccountUsage> usage) throws IOException {
+        send(new PeerFrame.State(
+                1,
+                0,
+                0,
+                LONG_PERIOD_MILLIS,
+                true,
+                1,
+                0,
+                false,
+                true,
+                List.of(),
+                List.of(),
+                0,
+                1_000,
+                0,
+                0,
+                false,
+                false,
+                false,
+                false,
+                usage,
+                List.of()));
+    }
+
     /**
      * Sends items of the store.
      *
@@ -434,7 +470,9 @@
                 false,
                 false,
                 false,
-                false));
+                false,
+                List.of(),
+                List.of()));
     }
 
     /**
@@ -480,7 +518,9 @@
                 supportsLargePrefillNotices,
                 supportsCrashNotices,
                 supportsPromptPartNotices,
-                false));
+                false,
+                List.of(),
+                List.of()));
     }
 
     /**
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestRegion.java
@@ -223,7 +223,9 @@
                         false,
                         false,
                         false,
-                        !earlierVersion);
+                        !earlierVersion,
+                        List.of(),
+                        List.of());
             }
             List<SimulatedLink> receivers = new ArrayList<>();
             for (Host host : hosts) {
