Let the soak use client accounts, keys and an allowance

Half of the soak's calls are of an account with an allowance. Replicas must receive the account's name and never a key; what the account uses in any eight seconds must stay within what the settings allow, while hosts are killed, frozen and cut off from the store; a key that a later configuration lacks must be refused by each host at the end; 401 and 429 promise that nothing ran.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -130,6 +130,7 @@
             Try.run(this::awaitRecovery).onFailure(error -> violations.add(error.getMessage()));
             checkKnownTargets(violations);
             checkCrashes(violations);
+            checkRemovedKey(violations);
         } finally {
             // Callers left running after a failure of the soak test itself would keep the process alive and load the
             // host.
@@ -137,6 +138,7 @@
         }
         threads.forEach(thread -> Try.run(thread::join));
         violations.addAll(SoakAudit.violations(List.copyOf(calls), site.runCounts()));
+        violations.addAll(site.accountUse().violations());
         long answered = calls.stream()
                 .filter(call -> call.status() == STATUS_OK && call.complete())
                 .count();
@@ -227,6 +229,21 @@
         });
     }
 
+    /** Checks that no host goes on accepting a key that a later configuration doesn't have. */
+    private void checkRemovedKey(List<String> violations) {
+        site.applyNextConfiguration();
+        for (InetSocketAddress host : site.callerAddresses()) {
+            Try.run(() -> Poll.until(
+                            host + " rejects the removed key", MAX_BELIEF_MILLIS, () -> rejectsRemovedKey(host)))
+                    .onFailure(error -> violations.add(error.getMessage()));
+        }
+    }
+
+    private boolean rejectsRemovedKey(InetSocketAddress host) {
+        return SoakCaller.acceptsRemovedKey(host, "k" + lastCallNumber.incrementAndGet())
+                .contains(false);
+    }
+
     private int laterCrashes(CrashCause cause, int before) {
         for (int i = 0; i < LATER_CRASHING_CALLS; i++) {
             List<InetSocketAddress> hosts = site.callerAddresses();
@@ -244,7 +261,8 @@
 
     private void callUntilStopped(SplittableRandom callerRandom, List<InetSocketAddress> hosts) {
         while (callersActive.get()) {
-            String id = "q" + lastCallNumber.incrementAndGet();
+            String start = callerRandom.nextBoolean() ? SoakCaller.LIMITED_ID_START : "q";
+            String id = start + lastCallNumber.incrementAndGet();
             calls.add(SoakCaller.call(hosts.get(callerRandom.nextInt(hosts.size())), id, callerRandom.nextBoolean()));
             Poll.pause(callerRandom.nextLong(1, 40));
         }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakAudit.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakAudit.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -17,7 +18,11 @@
  */
 final class SoakAudit {
     private static final int STATUS_OK = 200;
-    private static final int STATUS_NOT_RUN = 503;
+    private static final int STATUS_UNAVAILABLE = 503;
+
+    /** The statuses that promise that a request was not executed: no valid key, over the allowance, unavailable. */
+    private static final Set<Integer> NOT_RUN = Set.of(401, 429, STATUS_UNAVAILABLE);
+
     private static final String QUARANTINED = "quarantined";
     private static final Pattern EVENT_PATTERN =
             Pattern.compile("id: (\\d+)\ndata: line (\\d+) for (\\S+) by \\S+\n\n");
@@ -31,10 +36,10 @@
             if (!call.stream() && runCount > 1) {
                 violations.add(call.id() + " is a booking and was executed " + runCount + " times");
             }
-            if (!call.stream() && call.status() == STATUS_NOT_RUN && runCount > 0) {
-                violations.add(call.id() + " was reported as not run but was executed");
+            if (!call.stream() && NOT_RUN.contains(call.status()) && runCount > 0) {
+                violations.add(call.id() + " was answered " + call.status() + ", as not run, but was executed");
             }
-            if (call.status() == STATUS_NOT_RUN && call.body().contains(QUARANTINED)) {
+            if (call.status() == STATUS_UNAVAILABLE && call.body().contains(QUARANTINED)) {
                 violations.add(call.id() + " crashed no replica but was quarantined");
             }
             if (call.status() == STATUS_OK) {
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
@@ -25,10 +25,40 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int REQUEST_TIMEOUT_MILLIS = 4_000;
     private static final String SOUND_PART = "5a";
+
+    /** The first letter of the identifiers of requests of the client account with an allowance. */
+    static final String LIMITED_ID_START = "l";
+
+    private static final int STATUS_UNAUTHORIZED = 401;
     private static final HeaderNames HEADER_NAMES = PlatformHeaders.names();
 
     private SoakCaller() {}
 
+    /** Returns the client account of a request: that with an allowance for half of the ordinary calls. */
+    static String accountOf(String id) {
+        return id.startsWith(LIMITED_ID_START)
+                ? SiteConfigurations.LIMITED_ACCOUNT
+                : SiteConfigurations.UNLIMITED_ACCOUNT;
+    }
+
+    /** Returns whether a host still accepts the key that was removed, or none if it doesn't answer. */
+    static Option<Boolean> acceptsRemovedKey(InetSocketAddress host, String id) {
+        SoakCall call = call(
+                host,
+                id,
+                false,
+                SiteConfigurations.BOOKINGS_PREFIX + "1",
+                HEADER_NAMES.key() + ": " + SiteConfigurations.REMOVED_KEY + "\r\n");
+        return call.status() == 0 ? Option.none() : Option.some(call.status() != STATUS_UNAUTHORIZED);
+    }
+
+    private static String keyOf(String id) {
+        String key = accountOf(id).equals(SiteConfigurations.LIMITED_ACCOUNT)
+                ? SiteConfigurations.LIMITED_KEY
+                : SiteConfigurations.UNLIMITED_KEY;
+        return HEADER_NAMES.key() + ": " + key + "\r\n";
+    }
+
     static SoakCall call(InetSocketAddress host, String id, boolean stream) {
         String prefix = stream ? SiteConfigurations.DRAFTS_PREFIX : SiteConfigurations.BOOKINGS_PREFIX;
         return call(host, id, stream, prefix + "1", stream ? promptParts(SOUND_PART) : "");
@@ -90,6 +120,7 @@
         return "POST " + path + " HTTP/1.1\r\nHost: " + SiteConfigurations.HOST_NAME + "\r\nConnection: close\r\n"
                 + HEADER_NAMES.requestId() + ": " + id + "\r\n" + HEADER_NAMES.timeoutMillis() + ": "
                 + REQUEST_TIMEOUT_MILLIS + "\r\n" + additionalHeaders
+                + (additionalHeaders.startsWith(HEADER_NAMES.key()) ? "" : keyOf(id))
                 + "Content-Length: 2\r\n\r\n{}";
     }
 
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -20,6 +20,7 @@
 import org.rattanplank.standins.platform.SiteStore;
 import org.rattanplank.standins.site.BodyEnd;
 import org.rattanplank.standins.site.CrashCause;
+import org.rattanplank.standins.site.ExecutedRequest;
 import org.rattanplank.standins.site.SiteConfigurations;
 import org.rattanplank.standins.site.SiteHost;
 import org.rattanplank.standins.site.SiteReplica;
@@ -41,6 +42,7 @@
     /** The port of the metrics in the template for the settings. */
     private static final int METRICS_PORT = 9_464;
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int OCTET_VALUES = 250;
     private static final int FIRST_HOST_OCTET = 100;
 
@@ -63,6 +65,7 @@
     private final Map<String, BodyEnd> bodyEnds = new ConcurrentHashMap<>();
     private final Queue<String> crashedReplicas = new ConcurrentLinkedQueue<>();
     private final Map<CrashCause, Integer> crashCounts = new ConcurrentHashMap<>();
+    private final AccountUse accountUse = new AccountUse();
     private int lastReplicaNumber;
     private long configurationVersion;
 
@@ -106,6 +109,10 @@
         return runCounts;
     }
 
+    AccountUse accountUse() {
+        return accountUse;
+    }
+
     SiteStore store() {
         return store;
     }
@@ -201,7 +208,8 @@
     /** Writes the next version of the configuration to the store. */
     void applyNextConfiguration() {
         configurationVersion++;
-        operator.configure(SiteConfigurations.of(configurationVersion));
+        operator.configure(SiteConfigurations.withAccounts(
+                SiteConfigurations.of(configurationVersion), configurationVersion == 1));
     }
 
     @Override
@@ -246,8 +254,9 @@
         }
 
         @Override
-        public void executed(String requestId) {
-            runCounts.merge(requestId, 1, Integer::sum);
+        public void executed(ExecutedRequest request) {
+            runCounts.merge(request.id(), 1, Integer::sum);
+            accountUse.executed(request, System.nanoTime() / NANOS_PER_MILLI);
         }
 
         @Override
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteConfigurations.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteConfigurations.java
@@ -1,5 +1,6 @@
 package org.rattanplank.standins.site;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.rattanplank.standins.http.Json;
 
@@ -32,6 +33,27 @@
     /** The path prefix of audits, single responses of a service that only another region has. */
     static final String AUDITS_PREFIX = "/audits/";
 
+    /** The client account without a limit. */
+    public static final String UNLIMITED_ACCOUNT = "brewers";
+
+    /** The client account with an allowance. */
+    public static final String LIMITED_ACCOUNT = "fitters";
+
+    /** The key of the account without a limit. */
+    public static final String UNLIMITED_KEY = "key-of-brewers";
+
+    /** A key of the same account that a later configuration no longer has. */
+    public static final String REMOVED_KEY = "removed-key-of-brewers";
+
+    /** The key of the account with an allowance. */
+    public static final String LIMITED_KEY = "key-of-fitters";
+
+    /** The rate and the burst of the allowance. */
+    public static final int LIMITED_TOKENS_PER_SECOND = 2_000;
+
+    /** The tokens that a request counts which states none. */
+    public static final int PLAIN_TOKENS = 200;
+
     private static final String REPORTER_SERVICE = "reporter";
     private static final String AUDITOR_SERVICE = "auditor";
     private static final int MAX_CONNECTIONS = 100;
@@ -64,6 +86,30 @@
         return configuration;
     }
 
+    /**
+     * Adds client accounts to a configuration: one without a limit, and one with an allowance. All requests then need a key.
+     *
+     * @param configuration the configuration
+     * @param withRemovedKey whether the first account still has the key that is removed later
+     * @return the same configuration
+     */
+    public static ObjectNode withAccounts(ObjectNode configuration, boolean withRemovedKey) {
+        ObjectNode unlimited = Json.object().put("name", UNLIMITED_ACCOUNT);
+        ArrayNode keys = unlimited.putArray("api_keys").add(UNLIMITED_KEY);
+        if (withRemovedKey) {
+            keys.add(REMOVED_KEY);
+        }
+        ObjectNode limited = Json.object()
+                .put("name", LIMITED_ACCOUNT)
+                .put("unit", "tokens")
+                .put("plain_tokens", PLAIN_TOKENS)
+                .put("rate_per_s", LIMITED_TOKENS_PER_SECOND)
+                .put("burst", LIMITED_TOKENS_PER_SECOND);
+        limited.putArray("api_keys").add(LIMITED_KEY);
+        configuration.putArray("tenants").add(unlimited).add(limited);
+        return configuration;
+    }
+
     /**
      * Returns a configuration with all kinds of routes: streams of model engines, which may be resumed or not, single
      * responses, and services that only one region has, so that requests are forwarded.
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
@@ -68,7 +68,7 @@
     public static void main(String[] args) {
         Options options = new Options();
         JCommander.newBuilder().addObject(options).build().parse(args);
-        InetSocketAddress address = serve(EventLoop.of(), options.id, options.streams, requestId -> {});
+        InetSocketAddress address = serve(EventLoop.of(), options.id, options.streams, request -> {});
         SiteStoreClient.of(options.store)
                 .registerTarget(options.id, options.service, Addresses.format(address), options.dataCentre);
         System.out.println("replica ready id=" + options.id + " address=" + Addresses.format(address));
@@ -83,7 +83,11 @@
             exchange.respond(STATUS_MISDIRECTED_REQUEST, echo, Json.object());
             return;
         }
-        listener.executed(requestId);
+        listener.executed(new ExecutedRequest(
+                requestId,
+                exchange.header(headerNames.account()),
+                exchange.header(headerNames.key()).isDefined(),
+                exchange.header(headerNames.tokens())));
         Option<CrashCause> crashCause = crashCause(exchange);
         if (crashCause.isDefined()) {
             loop.schedule(CRASH_DELAY_MILLIS, () -> listener.crashed(crashCause.get()));
@@ -144,9 +148,9 @@
         /**
          * Called when the replica executes a request.
          *
-         * @param requestId the identifier of the request
+         * @param request the request
          */
-        void executed(String requestId);
+        void executed(ExecutedRequest request);
 
         /**
          * Called when the replica crashes under a request.
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteSettings.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteSettings.java
@@ -16,6 +16,15 @@
     private static final double RETRY_BUDGET_RATIO = 0.2;
     private static final int RETRY_BUDGET_SLACK = 52;
     private static final int RETRY_BUDGET_WINDOW_SECONDS = 10;
+    /** The span over which the use of an allowance is summed. */
+    public static final int ALLOWANCE_WINDOW_SECONDS = 8;
+
+    /** The fraction by which an allowance may be exceeded in that span. */
+    public static final double ALLOWANCE_OVERAGE = 0.1;
+
+    /** The tokens by which it may be exceeded besides. */
+    public static final int ALLOWANCE_SLACK_TOKENS = 4_000;
+
     private static final int MIN_LEASE_TTL_MILLIS = 1_000;
 
     private SiteSettings() {}
@@ -68,7 +77,10 @@
                 .put("grace_s", STOP_GRACE_SECONDS)
                 .put("retry_budget_ratio", RETRY_BUDGET_RATIO)
                 .put("retry_budget_slack", RETRY_BUDGET_SLACK)
-                .put("budget_window_s", RETRY_BUDGET_WINDOW_SECONDS);
+                .put("budget_window_s", RETRY_BUDGET_WINDOW_SECONDS)
+                .put("quota_window_s", ALLOWANCE_WINDOW_SECONDS)
+                .put("quota_overage", ALLOWANCE_OVERAGE)
+                .put("quota_slack", ALLOWANCE_SLACK_TOKENS);
         values.putObject("provider").put("address", host.store()).put("ttl_min_ms", MIN_LEASE_TTL_MILLIS);
         return values;
     }
