Count the use of an allowance over the window in which it is bounded

Hosts now count the use of the region in a window that slides, and compare it with the region's share of rate x window + burst and of a tenth of the excess. Regions tell each other their use as well: what a region has used beyond its present share is left to it until it has left the window, and the others divide the rest. A region's demand counts no less than its use, or a region whose peak has passed would have nothing left.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/AccountBucket.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/AccountWindow.java
@@ -4,14 +4,16 @@
 import java.util.Map;
 
 /**
- * What a host knows of the use of one client account's allowance in its region: a token bucket that all hosts of the region
- * draw from, each with a copy of its own.
+ * What a host knows of the use of one client account's allowance in its region, over a window that slides.
  *
- * <p>What other hosts use is known from their reports, and extrapolated from one report to the next. Invariants: the level
- * never exceeds the burst; units that another host used are drawn once, however often they are reported. Confined to its
- * owner's thread.
+ * <p>What other hosts use is known from their reports, and extrapolated from one report to the next. Invariants: units that
+ * another host used count once, however often they are reported; units count for the window and at most one slot longer.
+ * Confined to its owner's thread.
  */
-final class AccountBucket {
+final class AccountWindow {
+    /** Each slot counts the units of one part of the window. */
+    private static final int SLOTS = 32;
+
     /** The time over which the use by a host is averaged: long enough for single requests, short beside a burst. */
     private static final double USED_TIME_CONSTANT_MILLIS = 300;
 
@@ -23,23 +25,75 @@
 
     private static final double ROUNDING_UNITS = 1e-6;
 
+    private final long windowMillis;
+    private final long slotMillis;
+    private final long createdAtMillis;
+    private final double[] slots = new double[SLOTS + 1];
     private final Map<String, PeerUsage> peers = new HashMap<>();
     private final UsageRate used = new UsageRate(USED_TIME_CONSTANT_MILLIS);
     private final UsageRate demand = new UsageRate(DEMAND_TIME_CONSTANT_MILLIS);
-    private double level;
+    private long newestSlot;
     private long advancedAtMillis;
     private long usedUnits;
     private long demandedAtMillis = Long.MIN_VALUE / 2;
 
-    AccountBucket(long nowMillis) {
+    AccountWindow(long windowMillis, long nowMillis) {
+        this.windowMillis = windowMillis;
+        slotMillis = Math.max(1, windowMillis / SLOTS);
+        createdAtMillis = nowMillis;
         advancedAtMillis = nowMillis;
+        newestSlot = nowMillis / slotMillis;
     }
 
-    /** Fills the bucket for the time since it was filled last, less what other hosts have used meanwhile. */
-    void advance(double unitsPerSecond, double burstUnits, long nowMillis) {
-        double seconds = Math.max(0, nowMillis - advancedAtMillis) / AllowanceControl.MILLIS_PER_SECOND;
+    /** Forgets what has left the window, and adds what other hosts are expected to have used meanwhile. */
+    void advance(long nowMillis) {
+        long slot = nowMillis / slotMillis;
+        for (long each = newestSlot + 1; each <= slot && each <= newestSlot + slots.length; each++) {
+            slots[index(each)] = 0;
+        }
+        newestSlot = Math.max(newestSlot, slot);
+        add(peerUsedPerSecond() * Math.max(0, nowMillis - advancedAtMillis) / AllowanceControl.MILLIS_PER_SECOND);
         advancedAtMillis = Math.max(advancedAtMillis, nowMillis);
-        level = Math.min(burstUnits, level + (unitsPerSecond - peerUsedPerSecond()) * seconds);
+    }
+
+    private void add(double units) {
+        slots[index(newestSlot)] += units;
+    }
+
+    private int index(long slot) {
+        return Math.floorMod(slot, slots.length);
+    }
+
+    /** Returns the units that the region has used in the window. */
+    double units() {
+        double sum = 0;
+        for (double each : slots) {
+            sum += each;
+        }
+        return Math.max(0, sum);
+    }
+
+    /**
+     * Returns how much of the window this host has seen, as a fraction: others may have used an allowance before it started.
+     */
+    double seenFraction(long nowMillis) {
+        return Math.min(1, (nowMillis - createdAtMillis) / (double) windowMillis);
+    }
+
+    boolean isBelow(double limitUnits) {
+        return units() <= limitUnits - ROUNDING_UNITS;
+    }
+
+    /** Returns the time until so much has left the window that it is below a limit. */
+    long millisUntilBelow(double limitUnits, long nowMillis) {
+        double left = units();
+        for (long slot = newestSlot - SLOTS; slot <= newestSlot; slot++) {
+            left -= slots[index(slot)];
+            if (left <= limitUnits - ROUNDING_UNITS) {
+                return (slot + slots.length) * slotMillis - nowMillis;
+            }
+        }
+        return windowMillis;
     }
 
     void recordDemand(double units, long nowMillis) {
@@ -47,21 +101,13 @@
         demand.record(units, nowMillis);
     }
 
-    boolean hasUnits() {
-        return level > -ROUNDING_UNITS;
-    }
-
-    /** Draws units; the level may become negative by one request of each host, which is made up for later. */
-    void draw(long units, long nowMillis) {
-        level -= units;
+    /** Counts units that this host uses, or gives back. */
+    void use(long units, long nowMillis) {
+        add(units);
         usedUnits += units;
         used.record(units, nowMillis);
     }
 
-    double level() {
-        return level;
-    }
-
     double usedPerSecond(long nowMillis) {
         return used.perSecond(nowMillis);
     }
@@ -74,13 +120,16 @@
         return perSecond;
     }
 
-    /** Returns what is asked for in the region. */
+    /**
+     * Returns what counts as asked for in the region. It is no less than what was used in the window: a region whose peak ends
+     * would have no room left for what is still asked there.
+     */
     double regionDemandPerSecond(long nowMillis) {
         double perSecond = demand.perSecond(nowMillis);
         for (PeerUsage peer : peers.values()) {
             perSecond += peer.demandPerSecond;
         }
-        return perSecond;
+        return Math.max(perSecond, units() * AllowanceControl.MILLIS_PER_SECOND / windowMillis);
     }
 
     long oldestReportMillis(long nowMillis) {
@@ -100,13 +149,13 @@
         return new AccountUsage(account, usedUnits, used.perSecond(nowMillis), demand.perSecond(nowMillis));
     }
 
-    /** Takes in the report of another host; the bucket is advanced up to now. */
+    /** Takes in the report of another host; the window is advanced up to now. */
     void receive(String host, AccountUsage report, long nowMillis) {
         PeerUsage peer = peers.computeIfAbsent(host, name -> new PeerUsage());
         if (peer.known) {
             double extrapolatedUnits =
                     peer.usedPerSecond * (nowMillis - peer.reportedAtMillis) / AllowanceControl.MILLIS_PER_SECOND;
-            level -= report.usedUnits() - peer.usedUnits - extrapolatedUnits;
+            add(report.usedUnits() - peer.usedUnits - extrapolatedUnits);
         }
         peer.known = true;
         peer.usedUnits = report.usedUnits();
@@ -115,12 +164,14 @@
         peer.reportedAtMillis = nowMillis;
     }
 
-    /** Leaves a part of what is left to a host that fell silent. */
+    /** Leaves the use of a host that fell silent, and that this one hears of no more, to that host. */
     void leavePart(double fraction) {
-        level -= Math.max(0, level) * fraction;
+        for (int i = 0; i < slots.length; i++) {
+            slots[i] *= 1 - fraction;
+        }
     }
 
-    /** Forgets another host, which has ended. */
+    /** Forgets another host; what it has used still counts. */
     void forget(String host) {
         peers.remove(host);
     }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/AllowanceControl.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/AllowanceControl.java
@@ -11,7 +11,7 @@
 /**
  * Keeps client accounts within their allowances, which count over all hosts of all regions.
  *
- * <p>Regions divide an allowance by what is asked in each ({@link DemandShares}); the hosts of a region draw from one bucket,
+ * <p>Regions divide an allowance by what is asked in each ({@link DemandShares}); the hosts of a region draw from one window,
  * of which each keeps a copy, and tell each other what they have drawn. A host that loses others without knowing that they
  * have ended leaves them their part for a while. Nothing is written to the store, and nothing is asked of another host
  * before a request is sent. Invariant: an account without a limit is never refused. Confined to its owner's thread.
@@ -19,11 +19,8 @@
 public final class AllowanceControl {
     static final double MILLIS_PER_SECOND = 1_000;
 
-    /**
-     * The part of the allowed excess that is given as an additional burst; the rest is for what hosts use before they know of
-     * each other's use.
-     */
-    private static final double BURST_EXCESS_FRACTION = 0.3;
+    /** The part of the allowed excess that is used; the rest is for what hosts use before they know of each other's use. */
+    private static final double USED_EXCESS_FRACTION = 0.1;
 
     /** How many of its periods a host's report may be late before its part is left to it. */
     private static final double OVERDUE_PERIODS = 1.5;
@@ -34,7 +31,7 @@
     private final int regions;
     private final AllowanceBounds bounds;
     private final DemandShares shares;
-    private final Map<String, AccountBucket> buckets = new HashMap<>();
+    private final Map<String, AccountWindow> windows = new HashMap<>();
     private final Map<String, Long> overdueAtMillis = new HashMap<>();
     private final Map<String, Long> silentUntilMillis = new HashMap<>();
     private Map<String, Allowance> allowances = Map.of();
@@ -66,8 +63,10 @@
             }
         }
         allowances = limited;
-        buckets.keySet().retainAll(limited.keySet());
-        limited.keySet().forEach(name -> buckets.computeIfAbsent(name, each -> new AccountBucket(nowMillis)));
+        windows.keySet().retainAll(limited.keySet());
+        limited.keySet()
+                .forEach(name ->
+                        windows.computeIfAbsent(name, each -> new AccountWindow(bounds.windowMillis(), nowMillis)));
     }
 
     /**
@@ -84,12 +83,13 @@
             return Option.none();
         }
         long units = allowance.charge(tokens);
-        AccountBucket bucket = advancedBucket(account, allowance, nowMillis);
-        bucket.recordDemand(units, nowMillis);
-        if (!bucket.hasUnits()) {
-            return Option.some(refusal(account, allowance, bucket, nowMillis));
+        AccountWindow window = advancedWindow(account, nowMillis);
+        window.recordDemand(units, nowMillis);
+        double limitUnits = limitUnits(account, allowance, window, nowMillis);
+        if (!window.isBelow(limitUnits)) {
+            return Option.some(refusal(account, window, limitUnits, nowMillis));
         }
-        bucket.draw(units, nowMillis);
+        window.use(units, nowMillis);
         return Option.none();
     }
 
@@ -115,6 +115,15 @@
         draw(account, tokens, -1, nowMillis);
     }
 
+    /**
+     * Returns the span over which use is summed.
+     *
+     * @return milliseconds
+     */
+    public long windowMillis() {
+        return bounds.windowMillis();
+    }
+
     /**
      * Returns how much a request counts.
      *
@@ -131,42 +140,38 @@
     private void draw(String account, Option<Long> tokens, int times, long nowMillis) {
         Allowance allowance = allowances.get(account);
         if (allowance != null) {
-            advancedBucket(account, allowance, nowMillis).draw(times * allowance.charge(tokens), nowMillis);
+            advancedWindow(account, nowMillis).use(times * allowance.charge(tokens), nowMillis);
         }
     }
 
-    private AllowanceRefusal refusal(String account, Allowance allowance, AccountBucket bucket, long nowMillis) {
-        double allowedPerSecond = regionPerSecond(account, allowance, bucket, nowMillis);
+    private AllowanceRefusal refusal(String account, AccountWindow window, double limitUnits, long nowMillis) {
         return new AllowanceRefusal(
-                allowedPerSecond,
-                bucket.usedPerSecond(nowMillis),
-                bucket.peerUsedPerSecond(),
-                bucket.oldestReportMillis(nowMillis),
-                Math.round(Math.ceil(-bucket.level() * MILLIS_PER_SECOND / allowedPerSecond)));
-    }
-
-    private AccountBucket advancedBucket(String account, Allowance allowance, long nowMillis) {
-        AccountBucket bucket = buckets.get(account);
-        double share = share(account, allowance, bucket, nowMillis);
-        // The burst is divided evenly: it serves a region whose demand grows until its share has followed.
-        double burstUnits = (allowance.burstUnits() + BURST_EXCESS_FRACTION * bounds.excessUnits(allowance)) / regions;
-        bucket.advance(share * allowance.unitsPerSecond(), burstUnits, nowMillis);
-        return bucket;
+                limitUnits,
+                window.units(),
+                window.usedPerSecond(nowMillis),
+                window.peerUsedPerSecond(),
+                window.oldestReportMillis(nowMillis),
+                window.millisUntilBelow(limitUnits, nowMillis));
     }
 
-    private double regionPerSecond(String account, Allowance allowance, AccountBucket bucket, long nowMillis) {
-        return share(account, allowance, bucket, nowMillis) * allowance.unitsPerSecond();
+    private AccountWindow advancedWindow(String account, long nowMillis) {
+        AccountWindow window = windows.get(account);
+        window.advance(nowMillis);
+        return window;
     }
 
-    /** Returns the part of an allowance that the connected hosts of this region may use. */
-    private double share(String account, Allowance allowance, AccountBucket bucket, long nowMillis) {
+    /** Returns the units that the connected hosts of this region may use in a window. */
+    private double limitUnits(String account, Allowance allowance, AccountWindow window, long nowMillis) {
         silentUntilMillis.values().removeIf(untilMillis -> untilMillis <= nowMillis);
         long overdue = overdueAtMillis.values().stream()
                 .filter(atMillis -> atMillis <= nowMillis)
                 .count();
         double known = overdueAtMillis.size() + 1.0 + silentUntilMillis.size();
         double presentFraction = (known - silentUntilMillis.size() - overdue) / known;
-        return presentFraction * shares.share(account, allowance, bucket.regionDemandPerSecond(nowMillis), nowMillis);
+        double allUnits = bounds.windowUnits(allowance) + USED_EXCESS_FRACTION * bounds.excessUnits(allowance);
+        return presentFraction
+                * window.seenFraction(nowMillis)
+                * shares.units(account, allowance, allUnits, window.regionDemandPerSecond(nowMillis), nowMillis);
     }
 
     /**
@@ -177,9 +182,9 @@
      */
     public List<AccountUsage> usage(long nowMillis) {
         List<AccountUsage> usage = new ArrayList<>();
-        buckets.forEach((account, bucket) -> {
-            if (bucket.isActive(nowMillis)) {
-                usage.add(bucket.usage(account, nowMillis));
+        windows.forEach((account, window) -> {
+            if (window.isActive(nowMillis)) {
+                usage.add(window.usage(account, nowMillis));
             }
         });
         return usage;
@@ -189,14 +194,16 @@
      * Returns what this host tells other regions.
      *
      * @param nowMillis the time
-     * @return the demand of this region for accounts of which more is asked than the least that counts
+     * @return the demand and use of this region for the accounts that had any of late
      */
     public List<AccountDemand> regionDemand(long nowMillis) {
         List<AccountDemand> demands = new ArrayList<>();
-        buckets.forEach((account, bucket) -> {
-            double perSecond = bucket.regionDemandPerSecond(nowMillis);
-            if (perSecond > shares.minDemandPerSecond(allowances.get(account))) {
-                demands.add(new AccountDemand(account, perSecond));
+        windows.forEach((account, window) -> {
+            window.advance(nowMillis);
+            double perSecond = window.regionDemandPerSecond(nowMillis);
+            double usedUnits = window.units();
+            if (perSecond > shares.minDemandPerSecond(allowances.get(account)) || usedUnits > 0) {
+                demands.add(new AccountDemand(account, perSecond, usedUnits));
             }
         });
         return demands;
@@ -216,7 +223,7 @@
         for (AccountUsage report : reports) {
             Allowance allowance = allowances.get(report.account());
             if (allowance != null) {
-                advancedBucket(report.account(), allowance, nowMillis).receive(host, report, nowMillis);
+                advancedWindow(report.account(), nowMillis).receive(host, report, nowMillis);
             }
         }
     }
@@ -229,11 +236,11 @@
      * @param nowMillis the time
      */
     public void hostLost(String host, boolean mayBeAlive, long nowMillis) {
-        buckets.values().forEach(bucket -> bucket.forget(host));
+        windows.values().forEach(window -> window.forget(host));
         if (overdueAtMillis.remove(host) != null && mayBeAlive) {
             silentUntilMillis.put(host, nowMillis + SILENT_HOLD_MILLIS);
             double known = overdueAtMillis.size() + 1.0 + silentUntilMillis.size();
-            buckets.values().forEach(bucket -> bucket.leavePart(1 / known));
+            windows.values().forEach(window -> window.leavePart(1 / known));
         }
     }
 
--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/DemandShares.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/DemandShares.java
@@ -1,6 +1,7 @@
 package org.rattanplank.core.account;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
@@ -10,11 +11,11 @@
 /**
  * Divides the allowances of client accounts between regions by what is asked in each.
  *
- * <p>Each region tells the others its demand, and divides by the demands that it was told. It counts its own demand only
- * as far as every other region has acknowledged it: a region raises its share after the others have lowered theirs, and
- * lowers its own at once. Invariant: the shares of regions that have been connected add up to one at most, however late
- * reports arrive, and also while the regions are cut off from each other; a region that is cut off keeps at most the share
- * that it had. A region with which this one was never connected counts as if little was asked there.
+ * <p>Each region tells the others its demand and its use, and divides by the demands that it was told. It counts its own demand
+ * only as far as every other region has acknowledged it: a region raises its share after the others have lowered theirs, and
+ * lowers its own at once. What another region has used beyond its present share is left to it until it has left the window.
+ * Invariant: regions that have been connected use no more than the whole in any window, however late reports arrive, and also
+ * while the regions are cut off from each other; a region that is cut off keeps at most the share that it had. A region with which this one was never connected counts as if little was asked there.
  * Confined to its owner's thread.
  */
 final class DemandShares {
@@ -92,35 +93,48 @@
     }
 
     /**
-     * Returns the share of an allowance that this region may use.
+     * Returns the units that this region may use in a window: its share of all, less what other regions have used of it while
+     * their shares were greater.
      *
      * @param account the account
      * @param allowance its allowance
+     * @param allUnits the units that all regions may use in a window
      * @param demandPerSecond what is asked in this region
      * @param nowMillis the time
-     * @return a fraction
+     * @return units, not below zero
      */
-    double share(String account, Allowance allowance, double demandPerSecond, long nowMillis) {
+    double units(String account, Allowance allowance, double allUnits, double demandPerSecond, long nowMillis) {
         double minDemand = minDemandPerSecond(allowance);
         double own = Math.max(minDemand, demandPerSecond);
-        double other = minDemand * (regions - 1 - others.size());
+        double total = minDemand * (regions - 1 - others.size());
+        List<AccountDemand> told = new ArrayList<>();
         boolean alone = true;
         for (OtherRegion region : others.values()) {
             Collection<Link> known = region.known(nowMillis);
             alone &= known.isEmpty();
-            double told = minDemand;
+            double otherDemand = minDemand;
+            double otherUsed = 0;
             for (Link link : known) {
                 own = Math.min(own, Math.max(minDemand, link.leastUnacknowledged(account)));
-                told = Math.max(told, link.received.getOrDefault(account, 0.0));
+                otherDemand = Math.max(otherDemand, link.received(account).perSecond());
+                otherUsed = Math.max(otherUsed, link.received(account).usedUnits());
             }
-            other += told;
+            total += otherDemand;
+            told.add(new AccountDemand(account, otherDemand, otherUsed));
         }
         own = alone ? minDemand : own;
-        double total = own + Math.max(0, other);
-        // More demand of this region raises its share and lowers those of others, whatever is spare; the invariant
-        // needs that.
-        double evenly = EVEN_SPARE_FRACTION * Math.max(0, allowance.unitsPerSecond() - total);
-        return (own + evenly / regions) / (total + evenly);
+        Division division = new Division(Math.max(own, own + total), allowance.unitsPerSecond(), regions);
+        double ownShare = division.share(own);
+        double dividedUnits = allUnits;
+        double dividedShare = 1;
+        for (AccountDemand other : told) {
+            double share = division.share(other.perSecond());
+            if (other.usedUnits() > share * allUnits) {
+                dividedUnits -= other.usedUnits();
+                dividedShare -= share;
+            }
+        }
+        return Math.max(0, dividedUnits * ownShare / Math.max(ownShare, dividedShare));
     }
 
     private Link link(String region, String host) {
@@ -129,12 +143,23 @@
                 .computeIfAbsent(host, name -> new Link());
     }
 
-    private static Map<String, Double> byAccount(List<AccountDemand> demands) {
-        Map<String, Double> byAccount = new HashMap<>();
-        demands.forEach(demand -> byAccount.put(demand.account(), demand.perSecond()));
+    private static Map<String, AccountDemand> byAccount(List<AccountDemand> demands) {
+        Map<String, AccountDemand> byAccount = new HashMap<>();
+        demands.forEach(demand -> byAccount.put(demand.account(), demand));
         return byAccount;
     }
 
+    /**
+     * Divides an allowance by demand; half of what nobody asks for is divided evenly. More demand of a region raises its
+     * share and lowers those of others, whatever is spare; the invariant needs that.
+     */
+    private record Division(double totalPerSecond, double allowedPerSecond, int regions) {
+        private double share(double perSecond) {
+            double evenly = EVEN_SPARE_FRACTION * Math.max(0, allowedPerSecond - totalPerSecond);
+            return (perSecond + evenly / regions) / (totalPerSecond + evenly);
+        }
+    }
+
     private static final class OtherRegion {
         private final Map<String, Link> links = new HashMap<>();
 
@@ -157,7 +182,7 @@
     /** The demands told over one link. */
     private static final class Link {
         private final Deque<SentDemands> sent = new ArrayDeque<>();
-        private Map<String, Double> received = Map.of();
+        private Map<String, AccountDemand> received = Map.of();
         private boolean acknowledged;
 
         private boolean isAcknowledged() {
@@ -177,15 +202,21 @@
             return iterator.next();
         }
 
+        private AccountDemand received(String account) {
+            AccountDemand demand = received.get(account);
+            return demand == null ? new AccountDemand(account, 0, 0) : demand;
+        }
+
         /** Returns the least of the demands that the other host may believe in. */
         private double leastUnacknowledged(String account) {
             double least = Double.MAX_VALUE;
             for (SentDemands each : sent) {
-                least = Math.min(least, each.byAccount.getOrDefault(account, 0.0));
+                AccountDemand demand = each.byAccount.get(account);
+                least = Math.min(least, demand == null ? 0 : demand.perSecond());
             }
             return least;
         }
     }
 
-    private record SentDemands(long atMillis, Map<String, Double> byAccount) {}
+    private record SentDemands(long atMillis, Map<String, AccountDemand> byAccount) {}
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
@@ -80,7 +80,8 @@
     void overAllowance(String account, AllowanceRefusal refusal, long retryAfterMillis) {
         log.add(LogLine.of(LogEvent.OVER_ALLOWANCE)
                 .with("account", account)
-                .with("allowedPerSecond", refusal.allowedPerSecond())
+                .with("limitUnits", refusal.limitUnits())
+                .with("usedUnits", refusal.usedUnits())
                 .with("usedHerePerSecond", refusal.usedHerePerSecond())
                 .with("usedElsewherePerSecond", refusal.usedElsewherePerSecond())
                 .with("reportAgeMillis", refusal.oldestReportMillis())
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -66,7 +66,8 @@
      */
     private static final long PEERS_CACHE_MILLIS = 50;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
+    /** Bounds the delay of callers whose account has nothing left in this region. */
+    private static final double MIN_UNITS_PER_MILLI = 0.001;
 
     private final GatewayHost self;
     private final MonotonicClock clock;
@@ -459,10 +460,8 @@
      * @return the delay in milliseconds
      */
     long retryAfterMillis(AllowanceRefusal refusal, String account, long units, long remainingMillis) {
-        double costMillis = units
-                * MILLIS_PER_SECOND
-                / refusal.allowedPerSecond()
-                * regionView().hosts().size();
+        double unitsPerMilli = Math.max(MIN_UNITS_PER_MILLI, refusal.limitUnits() / allowances.windowMillis());
+        double costMillis = units * regionView().hosts().size() / unitsPerMilli;
         long queuedMillis = allowanceQueue.retryAfterMillis(
                 account, Urgency.FIRST, costMillis, remainingMillis, nextRandom(), nowMillis());
         return Math.max(refusal.retryAfterMillis(), queuedMillis);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -241,7 +241,9 @@
         }
         out.packArrayHeader(state.accountDemand().size());
         for (AccountDemand demand : state.accountDemand()) {
-            out.packString(demand.account()).packFloat((float) demand.perSecond());
+            out.packString(demand.account())
+                    .packFloat((float) demand.perSecond())
+                    .packFloat((float) demand.usedUnits());
         }
     }
 
@@ -417,7 +419,7 @@
         }
         List<AccountDemand> accountDemand = new ArrayList<>();
         for (int left = in.hasNext() ? in.unpackArrayHeader() : 0; left > 0; left--) {
-            accountDemand.add(new AccountDemand(in.unpackString(), in.unpackFloat()));
+            accountDemand.add(new AccountDemand(in.unpackString(), in.unpackFloat(), in.unpackFloat()));
         }
         return new PeerFrame.State(
                 sentAtMillis,
