--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/Loss.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/Loss.java
@@ -64,6 +64,7 @@
         }
     };
 
+    private static final int MIN_ERROR_STATUS = 400;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
     private final String label;
@@ -78,9 +79,11 @@
         return label;
     }
 
-    /** Returns whether the caller received the complete response of a target, in time or late. */
-    boolean isServed() {
-        return this == FIRST_PART_LATE || this == PAUSE_TOO_LONG || this == NONE;
+    /** Returns whether the caller received the complete response of a target that is no error, in time or late. */
+    static boolean isServed(JsonNode endedLine) {
+        Loss loss = of(endedLine);
+        boolean complete = loss == FIRST_PART_LATE || loss == PAUSE_TOO_LONG || loss == NONE;
+        return complete && endedLine.path("status").asInt() < MIN_ERROR_STATUS;
     }
 
     static Loss of(JsonNode endedLine) {
--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/LossTable.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/LossTable.java
@@ -11,8 +11,8 @@
 import io.vavr.control.Try;
 
 /**
- * Counts the outcomes of the requests of each route, and the fractions of served requests among its largest generations,
- * from the {@code ended} log lines.
+ * Counts the outcomes of the requests of each route, and the fractions of served requests among its largest generations and
+ * of the client accounts served least, from the {@code ended} log lines.
  *
  * <p>Invariant: a request counts once, at the entry host that received it from its caller. Requests that match no route,
  * such as probes, are not counted. Confined to one thread.
@@ -20,6 +20,7 @@
 final class LossTable {
     private final Map<String, Map<String, Integer>> countsByRoute = new TreeMap<>();
     private final SizeTable sizes = new SizeTable();
+    private final AccountTable accounts = new AccountTable();
     private int linesDropped;
 
     /** Adds the lines of one host's log; text before the JSON of a line is ignored. */
@@ -47,6 +48,7 @@
         String causeLabel = reason.isEmpty() ? loss.label() : loss.label() + ": " + reason;
         countsByRoute.computeIfAbsent(route, key -> new TreeMap<>()).merge(causeLabel, 1, Integer::sum);
         sizes.add(route, line);
+        accounts.add(line);
     }
 
     boolean isEmpty() {
@@ -67,6 +69,7 @@
                             cause.getKey())));
         });
         text.addAll(sizes.text());
+        text.addAll(accounts.text());
         if (linesDropped > 0) {
             text.add(linesDropped + " lines were left out of these logs; the counts are too low by at most so many");
         }
@@ -88,6 +91,11 @@
         return sizes.json();
     }
 
+    /** Returns the served fractions of the accounts served least as JSON. */
+    ArrayNode accountsJson() {
+        return accounts.json();
+    }
+
     private static double percent(Map.Entry<String, Integer> count, int total) {
         return 100.0 * count.getValue() / total;
     }
--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/LossesCommand.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/LossesCommand.java
@@ -7,12 +7,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
- * Counts the outcomes of requests, and the served fraction of the largest generations, from the logs of all hosts. Run
- * once by one thread.
+ * Counts the outcomes of requests, and the served fractions of the largest generations and of client accounts, from the logs
+ * of all hosts. Run once by one thread.
  */
 @Parameters(
         commandDescription =
-                "count request outcomes and served fractions of the largest generations of each route from logs")
+                "count request outcomes and served fractions of the largest generations of each route, and of the client"
+                        + " accounts served least, from logs")
 final class LossesCommand extends Command {
     @ParametersDelegate
     private final LogFiles logs = new LogFiles();
@@ -35,6 +36,7 @@
         ObjectNode json = JsonHttpClient.JSON.createObjectNode();
         json.set("causes", table.json());
         json.set("sizes", table.sizesJson());
+        json.set("accounts", table.accountsJson());
         return json;
     }
 }
--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/SizeTable.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/SizeTable.java
@@ -15,8 +15,6 @@
  * <p>Invariant: only requests whose {@code ended} log line has token counts are included. Confined to one thread.
  */
 final class SizeTable {
-    private static final int MIN_ERROR_STATUS = 400;
-
     private final Map<String, ServedBySize> byRoute = new TreeMap<>();
 
     /** Adds the {@code ended} log line of a request at the entry host that received it from its caller. */
@@ -28,7 +26,7 @@
                 .add(
                         endedLine.path("promptTokens").asLong(),
                         endedLine.path("outputTokens").asLong(),
-                        isServed(endedLine));
+                        Loss.isServed(endedLine));
     }
 
     List<String> text() {
@@ -71,9 +69,4 @@
                 ratioToRoute,
                 share.isUnderserved() ? ", LESS THAN HALF" : "");
     }
-
-    /** Counts late responses as served, because their callers received the complete response. */
-    private static boolean isServed(JsonNode endedLine) {
-        return Loss.of(endedLine).isServed() && endedLine.path("status").asInt() < MIN_ERROR_STATUS;
-    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -549,6 +549,7 @@
                 .with("attempts", attemptsSent)
                 .with("readMillis", response.requestReadMillis())
                 .with("tookMillis", state.nowMillis() - arrivedAtMillis);
+        request.account().forEach(account -> endLine.with("account", account));
         if (!reason.isEmpty()) {
             endLine.with("reason", reason);
         }
