Copy shared prompt parts from the engine that keeps them in another region

A copy from an engine was asked for only where another engine of the region keeps the part; the keeper itself read it. A host that sends a part to its keeper for the first time now names the keeper of the largest other region that may serve the request. An engine copies only what it lacks.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Mechanism.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/Mechanism.java
@@ -22,6 +22,8 @@
     READ_AGAIN,
     /** Prompt parts that another engine of the region has cached are transferred from there. */
     COPY_PARTS,
+    /** Prompt parts that an engine lacks are transferred from an engine of another region. */
+    COPY_FROM_REGIONS,
     /** Long streams go to engines that end them in time. */
     END_IN_TIME,
     /** Prompts avoid engines at which they would make streams end too late. */
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChoice.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChoice.java
@@ -18,7 +18,7 @@
         ServiceEstimate estimate,
         int prefillTokens,
         int candidates,
-        Option<GatewayTarget> transferSource) {
+        Option<TargetEntry> transferSource) {
     public TargetChoice {
         Objects.requireNonNull(target, "target");
         Objects.requireNonNull(estimate, "estimate");
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import io.vavr.control.Option;
@@ -107,6 +108,16 @@
      */
     public Option<TargetChoice> choose(
             ServiceRule service, Work work, Set<String> excluded, RegionView regionView, long nowMillis) {
+        return choose(service, work, excluded, regionView, region -> false, nowMillis);
+    }
+
+    private Option<TargetChoice> choose(
+            ServiceRule service,
+            Work work,
+            Set<String> excluded,
+            RegionView regionView,
+            Predicate<String> mayServe,
+            long nowMillis) {
         List<GatewayTarget> eligible = healthyOrAll(eligible(service, excluded, regionView, nowMillis), nowMillis);
         List<PromptPart> shared = work.sharedParts();
         int sharedTokens = work.sharedTokens();
@@ -149,7 +160,7 @@
                 estimate,
                 prefillTokens,
                 eligible.size(),
-                transferSource(best, affinityTarget, shared, sharedTokens)));
+                transferSource(best, affinityTarget, shared, mayServe)));
     }
 
     /** Estimates the time to a target's first event or answer. */
@@ -231,7 +242,7 @@
     }
 
     private Option<TargetChoice> choose(PlacementRequest request, Work work, RegionView regionView, long nowMillis) {
-        return choose(request.service(), work, request.excluded(), regionView, nowMillis);
+        return choose(request.service(), work, request.excluded(), regionView, request.route()::allows, nowMillis);
     }
 
     private static boolean isRejected(TargetChoice choice, PlacementRequest request) {
@@ -313,7 +324,7 @@
         if (shared.isEmpty()) {
             return null;
         }
-        long prefixHash = RendezvousHashing.hash(shared.get(shared.size() - 1).id());
+        long prefixHash = prefixHash(shared);
         GatewayTarget affinityTarget = null;
         for (GatewayTarget target : eligible) {
             if (target.isRateLimited()) {
@@ -326,15 +337,30 @@
         return affinityTarget;
     }
 
+    private static long prefixHash(List<PromptPart> shared) {
+        return RendezvousHashing.hash(shared.get(shared.size() - 1).id());
+    }
+
     /**
-     * Returns the target from which the chosen one may transfer the shared prefix: the affinity target, if it is
-     * another one. A transfer takes an engine far less time than prefill.
+     * Returns the target from which the chosen one may transfer the shared prefix: the affinity target, or that of another
+     * region if it was chosen itself and this host has not sent it the prefix yet. A transfer takes an engine far less time
+     * than prefill, and nothing is transferred that the chosen one has.
      */
-    private Option<GatewayTarget> transferSource(
-            GatewayTarget chosen, GatewayTarget affinityTarget, List<PromptPart> shared, int sharedTokens) {
-        boolean lacksPrefix =
-                affinityTarget != null && affinityTarget != chosen && chosen.cachedTokens(shared) < sharedTokens;
-        return lacksPrefix && mechanisms.isEnabled(Mechanism.COPY_PARTS) ? Option.some(affinityTarget) : Option.none();
+    private Option<TargetEntry> transferSource(
+            GatewayTarget chosen, GatewayTarget affinityTarget, List<PromptPart> shared, Predicate<String> mayServe) {
+        int sharedTokens = shared.stream().mapToInt(PromptPart::tokens).sum();
+        if (affinityTarget == null
+                || chosen.cachedTokens(shared) >= sharedTokens
+                || !mechanisms.isEnabled(Mechanism.COPY_PARTS)) {
+            return Option.none();
+        }
+        if (affinityTarget != chosen) {
+            return Option.some(affinityTarget.entry());
+        }
+        String service = chosen.entry().service();
+        return mechanisms.isEnabled(Mechanism.COPY_FROM_REGIONS)
+                ? pool.remoteEngines().affinityTarget(service, prefixHash(shared), mayServe)
+                : Option.none();
     }
 
     private double queueWaitMillis(GatewayTarget target, ServiceRule service, Work work, long nowMillis) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -32,6 +32,7 @@
     private static final long COLD_AFTER_EVACUATION_MILLIS = 1_500;
 
     private final Set<String> dataCentres;
+    private final RemoteEngines remoteEngines;
     private final Map<String, GatewayTarget> targets = new LinkedHashMap<>();
     private final Map<String, Departed> departed = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
@@ -43,18 +44,36 @@
      */
     private boolean incarnationsReported;
 
-    private TargetPool(Set<String> dataCentres) {
+    private TargetPool(Set<String> dataCentres, RemoteEngines remoteEngines) {
         this.dataCentres = Set.copyOf(dataCentres);
+        this.remoteEngines = remoteEngines;
     }
 
     /**
-     * Creates an empty pool.
+     * Creates an empty pool of the only region.
      *
-     * @param dataCentres the data centres of this host's region; targets elsewhere can't be reached from here
+     * @param dataCentres its data centres
      * @return the pool
      */
     public static TargetPool of(Set<String> dataCentres) {
-        return new TargetPool(dataCentres);
+        return new TargetPool(dataCentres, new RemoteEngines(Map.of(), ""));
+    }
+
+    /**
+     * Creates an empty pool of one of several regions.
+     *
+     * @param regionsByDataCentre the region of each data centre
+     * @param region this host's region; targets elsewhere can't be reached from here
+     * @return the pool
+     */
+    public static TargetPool of(Map<String, String> regionsByDataCentre, String region) {
+        Set<String> own = new HashSet<>(regionsByDataCentre.keySet());
+        own.removeIf(dataCentre -> !regionsByDataCentre.get(dataCentre).equals(region));
+        return new TargetPool(own, new RemoteEngines(regionsByDataCentre, region));
+    }
+
+    RemoteEngines remoteEngines() {
+        return remoteEngines;
     }
 
     /**
@@ -97,6 +116,7 @@
      * @return the resulting change
      */
     public EntryChange register(TargetEntry entry, long nowMillis) {
+        remoteEngines.register(entry);
         incarnationsReported |= entry.incarnation().startedAtMillis() > 0;
         GatewayTarget current = targets.get(entry.id());
         if (current != null && entry.incarnation().isBefore(current.incarnation())) {
@@ -169,6 +189,7 @@
      * @param nowMillis the time
      */
     public void remove(String id, long nowMillis) {
+        remoteEngines.remove(id);
         GatewayTarget target = targets.get(id);
         if (target == null) {
             return;
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetChooserTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetChooserTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 
@@ -170,12 +171,51 @@
         keepBusy(first.target());
 
         TargetChoice other = choose(1);
-        assertEquals(first.target(), other.transferSource().get());
+        assertEquals(first.target().entry(), other.transferSource().get());
 
         other.target().reserve(DRAFT, 400_000, 1);
         assertTrue(choose(2).transferSource().isEmpty());
     }
 
+    /**
+     * Guards against a region that prefills again what another region has cached: the peak passes from one region to the next,
+     * whose engines get each shared part for the first time.
+     */
+    @Test
+    void shouldUseAnEngineOfTheLargestOtherRegionWhenTheAffinityTargetMayLackThePrefix() {
+        TargetPool regions =
+                TargetPool.of(Map.of(DATA_CENTRE, "suva", "lautoka-hall", "lautoka", "labasa-hall", "labasa"), "suva");
+        TargetChooser chooserOfRegion = TargetChooser.of("h1", regions, new Random(1));
+        regions.register(Samples.target("own", DATA_CENTRE, false, 0), 0);
+        regions.register(Samples.target("far-1", "lautoka-hall", false, 0), 0);
+        regions.register(Samples.target("far-2", "lautoka-hall", false, 0), 0);
+        regions.register(Samples.target("small", "labasa-hall", false, 0), 0);
+        RouteRule anywhere = Samples.route("r", "desk.example", "/", Set.of());
+        RouteRule homed = Samples.route("r", "desk.example", "/", Set.of("suva", "labasa"));
+
+        TargetEntry source = choose(chooserOfRegion, anywhere).transferSource().get();
+        assertEquals("lautoka-hall", source.dataCentre());
+        assertEquals(source, choose(chooserOfRegion, anywhere).transferSource().get());
+        assertEquals(
+                "small", choose(chooserOfRegion, homed).transferSource().get().id());
+        regions.remove("small", 0);
+        regions.register(Samples.target(source.id(), "lautoka-hall", true, 0), 0);
+        assertTrue(choose(chooserOfRegion, homed).transferSource().isEmpty());
+        assertTrue(!source.equals(
+                choose(chooserOfRegion, anywhere).transferSource().get()));
+
+        TargetChoice choice = choose(chooserOfRegion, anywhere);
+        choice.target().reserve(DRAFT, 400_000, 1);
+        assertTrue(choose(chooserOfRegion, anywhere).transferSource().isEmpty());
+    }
+
+    private static TargetChoice choose(TargetChooser chooserOfRegion, RouteRule route) {
+        PlacementRequest request = new PlacementRequest(route, Samples.MODEL_SERVICE, DRAFT, Set.of());
+        return chooserOfRegion
+                .choose(request, RegionView.complete(Set.of("h1")), 1)
+                .get();
+    }
+
     @Test
     void shouldUseNoTransferSourceWhenTransfersAreSwitchedOff() {
         Mechanisms mechanisms = new Mechanisms(Set.of(Mechanism.COPY_PARTS));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewaySettings.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewaySettings.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 import org.rattanplank.core.gateway.Mechanisms;
 import org.rattanplank.core.host.Location;
@@ -57,16 +56,4 @@
     public int regions() {
         return Set.copyOf(regionsByDataCentre.values()).size();
     }
-
-    /**
-     * Returns the data centres of this host's region.
-     *
-     * @return their names
-     */
-    public Set<String> ownDataCentres() {
-        return regionsByDataCentre.entrySet().stream()
-                .filter(entry -> entry.getValue().equals(location.region()))
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toUnmodifiableSet());
-    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/DecisionLog.java
@@ -35,7 +35,7 @@
                 .with(
                         "copyFrom",
                         choice.transferSource()
-                                .map(GatewayTarget::incarnationText)
+                                .map(source -> source.incarnation().text())
                                 .getOrElse(""))
                 .with("requestsThere", target.totalWork().requests())
                 .with("tokensWaitingThere", target.totalWork().prefillBacklog().ahead(work.urgency()))
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -123,7 +123,7 @@
         this.connections = connections;
         this.log = log;
         this.metrics = metrics;
-        pool = TargetPool.of(settings.ownDataCentres());
+        pool = TargetPool.of(settings.regionsByDataCentre(), settings.location().region());
         SharedLimits limits = settings.limits();
         retryBudget = RetryBudget.of(
                 limits.retryBudgetRatio(),
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -19,6 +19,7 @@
 import io.vavr.control.Try;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.TargetChoice;
+import org.rattanplank.core.gateway.TargetEntry;
 import org.rattanplank.core.response.BodyFraming;
 import org.rattanplank.core.response.Completeness;
 import org.rattanplank.core.response.ResponseBody;
@@ -44,7 +45,7 @@
     private static final double MAX_RATE_LIMIT_PER_SECOND = 1_000_000;
 
     private final GatewayTarget target;
-    private final Option<GatewayTarget> transferSource;
+    private final Option<TargetEntry> transferSource;
     private final TargetCall call;
     private final HeaderNames names;
     private final AttemptListener listener;
@@ -219,9 +220,9 @@
         headers.set(names.expectedTarget(), target.id());
         headers.set(names.urgency(), Integer.toString(call.work().urgency().level()));
         transferSource.forEach(from -> headers.set(names.transferSource(), address(from)));
-        call.backup().forEach(backup -> headers.set(names.backup(), address(backup)));
+        call.backup().forEach(backup -> headers.set(names.backup(), address(backup.entry())));
         if (call.failover()) {
-            headers.set(names.continuedFrom(), address(target) + '/' + request.id());
+            headers.set(names.continuedFrom(), address(target.entry()) + '/' + request.id());
         }
         if (!call.lastEventId().isEmpty()) {
             headers.set(names.lastEventId(), call.lastEventId());
@@ -238,8 +239,8 @@
                 EmptyHttpHeaders.INSTANCE);
     }
 
-    private static String address(GatewayTarget target) {
-        return target.entry().ip() + ':' + target.entry().port();
+    private static String address(TargetEntry target) {
+        return target.ip() + ':' + target.port();
     }
 
     private static boolean mayHaveBody(String method) {
