Look for the keeper of a part among the engines of one region

Each request that may copy from another region went through all remote engines: 2,000 at the size in two years. They are grouped by service and region, so that the largest allowed region is found first and only its engines are looked at.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RemoteEngines.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RemoteEngines.java
@@ -1,7 +1,11 @@
 package org.rattanplank.core.gateway;
 
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import io.vavr.control.Option;
@@ -18,25 +22,36 @@
     private final String ownRegion;
     private final Map<String, RemoteEngine> engines = new HashMap<>();
 
+    /** By service and region, so that a decision looks at the engines of one region only. */
+    private final Map<String, Map<String, Set<RemoteEngine>>> enginesByRegion = new HashMap<>();
+
     RemoteEngines(Map<String, String> regionsByDataCentre, String ownRegion) {
         this.regionsByDataCentre = Map.copyOf(regionsByDataCentre);
         this.ownRegion = ownRegion;
     }
 
     void register(TargetEntry entry) {
-        String region = regionsByDataCentre.getOrDefault(entry.dataCentre(), ownRegion);
-        if (entry.leaving() || region.equals(ownRegion)) {
-            engines.remove(entry.id());
+        RemoteEngine previous = engines.get(entry.id());
+        if (previous != null && previous.entry.equals(entry)) {
             return;
         }
-        RemoteEngine previous = engines.get(entry.id());
-        if (previous == null || !previous.entry.incarnation().equals(entry.incarnation())) {
-            engines.put(entry.id(), new RemoteEngine(entry, region, RendezvousHashing.hash(entry.id())));
+        remove(entry.id());
+        String region = regionsByDataCentre.getOrDefault(entry.dataCentre(), ownRegion);
+        if (!entry.leaving() && !region.equals(ownRegion)) {
+            RemoteEngine engine = new RemoteEngine(entry, region, RendezvousHashing.hash(entry.id()));
+            engines.put(entry.id(), engine);
+            enginesByRegion
+                    .computeIfAbsent(entry.service(), service -> new HashMap<>())
+                    .computeIfAbsent(region, name -> new HashSet<>())
+                    .add(engine);
         }
     }
 
     void remove(String id) {
-        engines.remove(id);
+        RemoteEngine engine = engines.remove(id);
+        if (engine != null) {
+            enginesByRegion.get(engine.entry.service()).get(engine.region).remove(engine);
+        }
     }
 
     /**
@@ -49,22 +64,15 @@
      * @return its entry, or none if no other region has one
      */
     Option<TargetEntry> affinityTarget(String service, long prefixHash, Predicate<String> mayServe) {
-        Map<String, Integer> countsByRegion = new HashMap<>();
-        Map<String, RemoteEngine> bestByRegion = new HashMap<>();
-        for (RemoteEngine engine : engines.values()) {
-            if (!engine.entry.service().equals(service)) {
-                continue;
-            }
-            countsByRegion.merge(engine.region, 1, Integer::sum);
-            RemoteEngine best = bestByRegion.get(engine.region);
-            if (best == null || engine.affinityScore(prefixHash) > best.affinityScore(prefixHash)) {
-                bestByRegion.put(engine.region, engine);
-            }
-        }
-        return Option.ofOptional(countsByRegion.entrySet().stream()
-                        .filter(each -> mayServe.test(each.getKey()))
-                        .max(Map.Entry.<String, Integer>comparingByValue().thenComparing(Map.Entry.comparingByKey())))
-                .map(each -> bestByRegion.get(each.getKey()).entry);
+        Optional<Set<RemoteEngine>> largest = enginesByRegion.getOrDefault(service, Map.of()).entrySet().stream()
+                .filter(region -> mayServe.test(region.getKey()))
+                .max(Comparator.<Map.Entry<String, Set<RemoteEngine>>>comparingInt(
+                                region -> region.getValue().size())
+                        .thenComparing(Map.Entry.comparingByKey()))
+                .map(Map.Entry::getValue);
+        return Option.ofOptional(largest.flatMap(region ->
+                        region.stream().max(Comparator.comparingLong(each -> each.affinityScore(prefixHash)))))
+                .map(RemoteEngine::entry);
     }
 
     private record RemoteEngine(TargetEntry entry, String region, long idHash) {
