Charge streams that continue at their backup to the allowance

A stream that continues at the engine of its backup arrives at a second target, which was charged to the retry budget but not to the allowance of its client account. While engines crash, an account could so use up to twice what it was charged. The host that sends the continuation charges it; the one that the caller is connected to gives nothing back for a continuation that was not sent.

AllowanceFlowTest#shouldChargeAStreamAgainWhenItContinuesAtItsBackup waits in vain for the second charge without the change.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -94,6 +94,7 @@
     private BooleanSupplier isFeedComplete = () -> false;
     private Consumer<GatewayTarget> largePrefillListener = target -> {};
     private final AllowanceControl allowances;
+    private final AllowanceCharges charges;
     private final RequestQuarantine quarantine;
     private final CrashDetector crashDetector;
 
@@ -132,6 +133,7 @@
                 limits.retryBudgetWindowMillis());
         allowances = new AllowanceControl(settings.regions(), limits.allowanceBounds());
         mechanisms = settings.mechanisms();
+        charges = new AllowanceCharges(allowances, clock::nowMillis, uses(Mechanism.ALLOWANCES));
         chooser = TargetChooser.of(self.name(), pool, random, mechanisms);
         quarantine = new RequestQuarantine(self.name(), clock::nowMillis, log);
         crashDetector = new CrashDetector(connections, quarantine, clock::nowMillis);
@@ -387,6 +389,10 @@
         return allowances;
     }
 
+    AllowanceCharges charges() {
+        return charges;
+    }
+
     /**
      * Returns the quarantine of requests that crash targets.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -295,7 +295,7 @@
 
     /**
      * Returns whether the stream may continue at its backup. It is the same run, but another arrival at a target, so
-     * that it takes from the retry budget. A request whose engine ended before it sent an event has no copy, and may be
+     * that it takes from the retry budget and from the allowance of its client account. A request whose engine ended before it sent an event has no copy, and may be
      * what brought the engine down.
      */
     private boolean tryReserveFailover() {
@@ -326,6 +326,7 @@
         long now = state.nowMillis();
         sentRequest = InFlightRequest.ofFailover(state.chooser(), target, service, work, now);
         TargetChoice choice = new TargetChoice(target, ServiceEstimate.NONE, 0, 1, Option.none());
+        state.charges().chargeAgain(call.request());
         connect(choice, call.failOver(work, deadlineMillis - now, lastEventId));
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -283,32 +283,17 @@
         }
     }
 
-    /**
-     * Charges a send to the allowance of its client account, or rejects the request if that is used up. A request that is
-     * sent again is charged again, but not rejected: what it was charged first may have been used.
-     *
-     * @return whether it may be sent
-     */
+    /** Charges a send to the allowance of its client account, and rejects the request if that is used up. */
     private boolean charge() {
-        if (request.account().isEmpty() || !state.uses(Mechanism.ALLOWANCES)) {
-            return true;
-        }
-        String account = request.account().get();
         if (mayHaveRun || response.isStarted()) {
-            state.allowances().chargeAgain(account, request.statedTokens(), state.nowMillis());
+            state.charges().chargeAgain(request);
             return true;
         }
-        Option<AllowanceRefusal> refusal =
-                state.allowances().tryCharge(account, request.statedTokens(), state.nowMillis());
-        refusal.forEach(each -> rejectOverAllowance(account, each));
+        Option<AllowanceRefusal> refusal = state.charges().tryCharge(request);
+        refusal.forEach(this::rejectOverAllowance);
         return refusal.isEmpty();
     }
 
-    private void refund() {
-        request.account()
-                .forEach(account -> state.allowances().refund(account, request.statedTokens(), state.nowMillis()));
-    }
-
     private void sendLocally(TargetChoice choice) {
         attemptAtMillis = state.nowMillis();
         localTarget = choice.target();
@@ -419,8 +404,8 @@
 
     private void attemptFailed(AttemptFailure failure, String reason, String region, String backup) {
         attempt = null;
-        if (!failure.mayHaveRun()) {
-            refund();
+        if (!failure.mayHaveRun() && !failedOver) {
+            state.charges().refund(request);
         }
         decisionLog.attemptFailed(request, failure, reason, lastTarget, state.nowMillis() - attemptAtMillis);
         state.metrics().attemptFailed(failure);
@@ -501,7 +486,8 @@
         complete("refused", reason, false);
     }
 
-    private void rejectOverAllowance(String account, AllowanceRefusal refusal) {
+    private void rejectOverAllowance(AllowanceRefusal refusal) {
+        String account = request.account().get();
         long retryAfterMillis = state.retryAfterMillis(
                 refusal,
                 account,
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/AllowanceFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/AllowanceFlowTest.java
@@ -46,9 +46,12 @@
     }
 
     private void configure(ChargeUnit unit) throws IOException {
+        limit(unit).configure(RouteKind.UNSAFE, false, 1);
+    }
+
+    private TestGateway limit(ChargeUnit unit) {
         Allowance allowance = new Allowance(unit, 200, UNITS_PER_SECOND, 0);
-        gateway.withAccounts(new GatewayAccount("brewers", Set.of(KeyDigest.of(KEY)), 1, allowance, Set.of()))
-                .configure(RouteKind.UNSAFE, false, 1);
+        return gateway.withAccounts(new GatewayAccount("brewers", Set.of(KeyDigest.of(KEY)), 1, allowance, Set.of()));
     }
 
     private String send(String headers) throws IOException {
@@ -129,4 +132,32 @@
             assertEquals(1_050, reported.get(0).usedUnits());
         }
     }
+
+    /** Guards against use beyond an allowance by streams that run at a second target. */
+    @Test
+    void shouldChargeAStreamAgainWhenItContinuesAtItsBackup() throws Exception {
+        limit(ChargeUnit.TOKENS).configureModelWithoutResumption();
+        TestTarget.Script crashing = (request, out) -> {
+            TestTarget.write(out, TestTarget.streamHead(request) + TestTarget.chunk("id: 1\ndata: a\n\n"));
+            if (TestTarget.header(request, "continue-from").isEmpty()) {
+                throw new IOException("connection closed by the test");
+            }
+            TestTarget.write(out, "0\r\n\r\n");
+        };
+        try (TestTarget one = new TestTarget(crashing);
+                TestTarget other = new TestTarget(crashing);
+                TestPeer peer = gateway.sameRegionPeer("n1")) {
+            gateway.target("t1", one.port()).target("t2", other.port());
+
+            send("Tokens: 100,50\r\n");
+
+            long used = 0;
+            while (used < 300) {
+                used = peer.await(PeerFrame.State.class).accountUsage().stream()
+                        .mapToLong(AccountUsage::usedUnits)
+                        .sum();
+            }
+            assertEquals(300, used);
+        }
+    }
 }
