Keep allowances while hosts and regions are cut off for long

A region or a host that was cut off for over ten seconds was taken for lost: the others took over its share, and it took over theirs. Regions lose each other for minutes.

- Regions that are disconnected keep their shares for ten seconds, then an even division replaces the one by demand: greater shares fall first, lesser ones rise when what was used before has left the window.
- A host that fell silent keeps its part for an hour unless it comes back.
When it does, its part of the use counts again, and so does what it used meanwhile.
- A request goes beyond a limit by half of its units at most, and is refused that far below it: many small parts, each exceeded by one request, added up.
- A region that is being connected again is believed in its new demand at once, also on a link that is lost before an acknowledgement.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/AccountWindow.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/AccountWindow.java
@@ -21,7 +21,7 @@
     private static final double DEMAND_TIME_CONSTANT_MILLIS = 700;
 
     /** Several of the longest intervals between reports, in which the rates fall to nearly nothing. */
-    private static final long ACTIVE_MILLIS = 5_000;
+    private static final long MIN_ACTIVE_MILLIS = 5_000;
 
     private static final double ROUNDING_UNITS = 1e-6;
 
@@ -80,16 +80,25 @@
         return Math.min(1, (nowMillis - createdAtMillis) / (double) windowMillis);
     }
 
-    boolean isBelow(double limitUnits) {
-        return units() <= limitUnits - ROUNDING_UNITS;
+    /**
+     * Returns whether a request may be used under a limit. Some go beyond it by up to half of their units and others are refused
+     * that far below it, so that large requests aren't preferred and don't add up; any one is allowed when nothing was used.
+     */
+    boolean allows(long requestUnits, double limitUnits) {
+        return isBelow(units(), requestUnits, limitUnits);
+    }
+
+    private static boolean isBelow(double used, long requestUnits, double limitUnits) {
+        return used <= Math.max(0, limitUnits - requestUnits / 2.0) - ROUNDING_UNITS
+                || used <= ROUNDING_UNITS && limitUnits > 0;
     }
 
-    /** Returns the time until so much has left the window that it is below a limit. */
-    long millisUntilBelow(double limitUnits, long nowMillis) {
+    /** Returns the time until so much has left the window that a request is allowed under a limit. */
+    long millisUntilAllowed(long requestUnits, double limitUnits, long nowMillis) {
         double left = units();
         for (long slot = newestSlot - SLOTS; slot <= newestSlot; slot++) {
             left -= slots[index(slot)];
-            if (left <= limitUnits - ROUNDING_UNITS) {
+            if (isBelow(left, requestUnits, limitUnits)) {
                 return (slot + slots.length) * slotMillis - nowMillis;
             }
         }
@@ -140,9 +149,12 @@
         return oldest;
     }
 
-    /** Returns whether there was a request so recently that other hosts may not have been told all of it. */
+    /**
+     * Returns whether there was a request so recently that other hosts may not have been told all of it. A host that was cut off
+     * tells what it has used meanwhile as long as that counts.
+     */
     boolean isActive(long nowMillis) {
-        return nowMillis - demandedAtMillis < ACTIVE_MILLIS;
+        return nowMillis - demandedAtMillis < Math.max(MIN_ACTIVE_MILLIS, windowMillis + slotMillis);
     }
 
     AccountUsage usage(String account, long nowMillis) {
@@ -152,7 +164,8 @@
     /** Takes in the report of another host; the window is advanced up to now. */
     void receive(String host, AccountUsage report, long nowMillis) {
         PeerUsage peer = peers.computeIfAbsent(host, name -> new PeerUsage());
-        if (peer.known) {
+        // A lower count is that of a later process of the host.
+        if (peer.known && report.usedUnits() >= peer.usedUnits) {
             double extrapolatedUnits =
                     peer.usedPerSecond * (nowMillis - peer.reportedAtMillis) / AllowanceControl.MILLIS_PER_SECOND;
             add(report.usedUnits() - peer.usedUnits - extrapolatedUnits);
@@ -164,10 +177,32 @@
         peer.reportedAtMillis = nowMillis;
     }
 
-    /** Leaves the use of a host that fell silent, and that this one hears of no more, to that host. */
-    void leavePart(double fraction) {
+    /**
+     * Leaves to a host that fell silent its part of what was used, as that of what may be used is left to it.
+     *
+     * @param host the host
+     * @param fraction its part
+     */
+    void leavePart(String host, double fraction) {
+        PeerUsage peer = peers.computeIfAbsent(host, name -> new PeerUsage());
+        peer.usedPerSecond = 0;
+        peer.demandPerSecond = 0;
+        peer.leftFraction = fraction;
+        scale(1 - fraction);
+    }
+
+    /** Counts the part of a host again that is connected again; what it has used meanwhile is in its next report. */
+    void takeBackPart(String host) {
+        PeerUsage peer = peers.get(host);
+        if (peer != null) {
+            scale(1 / (1 - peer.leftFraction));
+            peer.leftFraction = 0;
+        }
+    }
+
+    private void scale(double factor) {
         for (int i = 0; i < slots.length; i++) {
-            slots[i] *= 1 - fraction;
+            slots[i] *= factor;
         }
     }
 
@@ -183,5 +218,6 @@
         private double usedPerSecond;
         private double demandPerSecond;
         private long reportedAtMillis;
+        private double leftFraction;
     }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/AllowanceControl.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/AllowanceControl.java
@@ -19,14 +19,20 @@
 public final class AllowanceControl {
     static final double MILLIS_PER_SECOND = 1_000;
 
-    /** The part of the allowed excess that is used; the rest is for what hosts use before they know of each other's use. */
+    /**
+     * The part of the allowed excess that is used while all hosts are heard from; the rest is for what hosts use before they
+     * know of each other's use.
+     */
     private static final double USED_EXCESS_FRACTION = 0.1;
 
     /** How many of its periods a host's report may be late before its part is left to it. */
     private static final double OVERDUE_PERIODS = 1.5;
 
-    /** How long a host that fell silent keeps its part; one that has ended is usually found out sooner. */
-    private static final long SILENT_HOLD_MILLIS = 10_000;
+    /**
+     * How long a host that fell silent keeps its part, as it may serve on while it is cut off. One that has ended mostly starts
+     * again under its name.
+     */
+    private static final long SILENT_HOLD_MILLIS = 3_600_000;
 
     private final int regions;
     private final AllowanceBounds bounds;
@@ -45,7 +51,7 @@
     public AllowanceControl(int regions, AllowanceBounds bounds) {
         this.regions = Math.max(1, regions);
         this.bounds = bounds;
-        shares = new DemandShares(regions);
+        shares = new DemandShares(regions, bounds.windowMillis());
     }
 
     /**
@@ -86,8 +92,8 @@
         AccountWindow window = advancedWindow(account, nowMillis);
         window.recordDemand(units, nowMillis);
         double limitUnits = limitUnits(account, allowance, window, nowMillis);
-        if (!window.isBelow(limitUnits)) {
-            return Option.some(refusal(account, window, limitUnits, nowMillis));
+        if (!window.allows(units, limitUnits)) {
+            return Option.some(refusal(window, units, limitUnits, nowMillis));
         }
         window.use(units, nowMillis);
         return Option.none();
@@ -144,14 +150,14 @@
         }
     }
 
-    private AllowanceRefusal refusal(String account, AccountWindow window, double limitUnits, long nowMillis) {
+    private static AllowanceRefusal refusal(AccountWindow window, long units, double limitUnits, long nowMillis) {
         return new AllowanceRefusal(
                 limitUnits,
                 window.units(),
                 window.usedPerSecond(nowMillis),
                 window.peerUsedPerSecond(),
                 window.oldestReportMillis(nowMillis),
-                window.millisUntilBelow(limitUnits, nowMillis));
+                window.millisUntilAllowed(units, limitUnits, nowMillis));
     }
 
     private AccountWindow advancedWindow(String account, long nowMillis) {
@@ -162,16 +168,21 @@
 
     /** Returns the units that the connected hosts of this region may use in a window. */
     private double limitUnits(String account, Allowance allowance, AccountWindow window, long nowMillis) {
-        silentUntilMillis.values().removeIf(untilMillis -> untilMillis <= nowMillis);
+        double presentFraction = presentFraction(nowMillis);
+        double excessFraction = presentFraction < 1 ? 0 : USED_EXCESS_FRACTION;
+        double allUnits = bounds.windowUnits(allowance) + excessFraction * bounds.excessUnits(allowance);
+        return presentFraction
+                * window.seenFraction(nowMillis)
+                * shares.units(account, allowance, allUnits, window.regionDemandPerSecond(nowMillis), nowMillis);
+    }
+
+    /** Returns the fraction of the region's known hosts that this one hears from, itself included. */
+    private double presentFraction(long nowMillis) {
         long overdue = overdueAtMillis.values().stream()
                 .filter(atMillis -> atMillis <= nowMillis)
                 .count();
         double known = overdueAtMillis.size() + 1.0 + silentUntilMillis.size();
-        double presentFraction = (known - silentUntilMillis.size() - overdue) / known;
-        double allUnits = bounds.windowUnits(allowance) + USED_EXCESS_FRACTION * bounds.excessUnits(allowance);
-        return presentFraction
-                * window.seenFraction(nowMillis)
-                * shares.units(account, allowance, allUnits, window.regionDemandPerSecond(nowMillis), nowMillis);
+        return (known - silentUntilMillis.size() - overdue) / known;
     }
 
     /**
@@ -201,7 +212,8 @@
         windows.forEach((account, window) -> {
             window.advance(nowMillis);
             double perSecond = window.regionDemandPerSecond(nowMillis);
-            double usedUnits = window.units();
+            // The silent hosts of the region count as if they used as much as the others.
+            double usedUnits = window.units() / presentFraction(nowMillis);
             if (perSecond > shares.minDemandPerSecond(allowances.get(account)) || usedUnits > 0) {
                 demands.add(new AccountDemand(account, perSecond, usedUnits));
             }
@@ -219,7 +231,10 @@
      */
     public void usageReceived(String host, List<AccountUsage> reports, long periodMillis, long nowMillis) {
         overdueAtMillis.put(host, nowMillis + Math.round(OVERDUE_PERIODS * periodMillis));
-        silentUntilMillis.remove(host);
+        if (silentUntilMillis.remove(host) != null) {
+            windows.values().forEach(window -> window.takeBackPart(host));
+        }
+        forgetSilentHosts(nowMillis);
         for (AccountUsage report : reports) {
             Allowance allowance = allowances.get(report.account());
             if (allowance != null) {
@@ -229,19 +244,31 @@
     }
 
     /**
-     * Forgets another host of this region.
+     * Records that another host of this region is disconnected.
      *
      * @param host the host
      * @param mayBeAlive whether it only fell silent, so that it may still serve callers
      * @param nowMillis the time
      */
     public void hostLost(String host, boolean mayBeAlive, long nowMillis) {
-        windows.values().forEach(window -> window.forget(host));
-        if (overdueAtMillis.remove(host) != null && mayBeAlive) {
-            silentUntilMillis.put(host, nowMillis + SILENT_HOLD_MILLIS);
-            double known = overdueAtMillis.size() + 1.0 + silentUntilMillis.size();
-            windows.values().forEach(window -> window.leavePart(1 / known));
+        boolean hasReported = overdueAtMillis.remove(host) != null;
+        if (!mayBeAlive || !hasReported) {
+            windows.values().forEach(window -> window.forget(host));
+            return;
         }
+        silentUntilMillis.put(host, nowMillis + SILENT_HOLD_MILLIS);
+        double known = overdueAtMillis.size() + 1.0 + silentUntilMillis.size();
+        windows.values().forEach(window -> window.leavePart(host, 1 / known));
+    }
+
+    private void forgetSilentHosts(long nowMillis) {
+        silentUntilMillis.entrySet().removeIf(silent -> {
+            if (silent.getValue() <= nowMillis) {
+                windows.values().forEach(window -> window.forget(silent.getKey()));
+                return true;
+            }
+            return false;
+        });
     }
 
     /**
--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/DemandShares.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/DemandShares.java
@@ -14,33 +14,40 @@
  * <p>Each region tells the others its demand and its use, and divides by the demands that it was told. It counts its own demand
  * only as far as every other region has acknowledged it: a region raises its share after the others have lowered theirs, and
  * lowers its own at once. What another region has used beyond its present share is left to it until it has left the window.
- * Invariant: regions that have been connected use no more than the whole in any window, however late reports arrive, and also
- * while the regions are cut off from each other; a region that is cut off keeps at most the share that it had. A region with which this one was never connected counts as if little was asked there.
- * Confined to its owner's thread.
+ *
+ * <p>A region that is cut off may serve on for as long as it likes, and nobody can tell it from one that is lost. So regions
+ * that are disconnected keep the shares that they had for a while. Then an even division replaces them: shares that are
+ * greater fall to it, and a window later those that are less rise.
+ *
+ * <p>Invariant: regions use no more than the whole in any window, however late reports arrive, and also while regions are cut
+ * off from each other. Confined to its owner's thread.
  */
 final class DemandShares {
     /** The part of an allowance that counts as asked for by all other regions together, so that each keeps a share. */
     private static final double MIN_OTHER_DEMAND_FRACTION = 0.08;
 
-    /**
-     * How long a region whose hosts are all disconnected keeps its share: regions that are cut off from each other are
-     * usually connected again sooner, and hosts that have ended need none.
-     */
+    /** How long disconnected regions keep the shares that they had: most are connected again sooner. */
     private static final long DISCONNECTED_HOLD_MILLIS = 10_000;
 
+    /** How much later than this region another one may notice that they are disconnected. */
+    private static final long DISCONNECTED_SKEW_MILLIS = 2_000;
+
     /** The part of what nobody asks for that is divided evenly, for regions whose demand grows; the rest follows demand. */
     private static final double EVEN_SPARE_FRACTION = 0.5;
 
     private final int regions;
+    private final long windowMillis;
     private final Map<String, OtherRegion> others = new HashMap<>();
 
     /**
      * Creates the shares of a region that knows no other one.
      *
      * @param regions the number of regions of the installation
+     * @param windowMillis the span over which use is summed
      */
-    DemandShares(int regions) {
+    DemandShares(int regions, long windowMillis) {
         this.regions = Math.max(1, regions);
+        this.windowMillis = windowMillis;
     }
 
     /** Returns the demand that counts for a region in which less is asked. */
@@ -71,6 +78,7 @@
     void received(String region, String host, List<AccountDemand> demands, long acknowledgedMillis) {
         Link link = link(region, host);
         link.received = byAccount(demands);
+        link.hasReceived = true;
         link.acknowledge(acknowledgedMillis);
     }
 
@@ -84,11 +92,8 @@
     void disconnected(String region, String host, long nowMillis) {
         OtherRegion other = others.get(region);
         Link link = other == null ? null : other.links.remove(host);
-        if (link != null
-                && link.isAcknowledged()
-                && other.links.values().stream().noneMatch(Link::isAcknowledged)) {
-            other.last = link;
-            other.disconnectedAtMillis = nowMillis;
+        if (link != null) {
+            other.lost(link, nowMillis);
         }
     }
 
@@ -104,17 +109,35 @@
      * @return units, not below zero
      */
     double units(String account, Allowance allowance, double allUnits, double demandPerSecond, long nowMillis) {
+        double demandUnits = unitsByDemand(account, allowance, allUnits, demandPerSecond, others.values());
+        boolean known = others.size() >= regions - 1;
+        if (known && others.values().stream().allMatch(region -> region.keepsItsShare(nowMillis))) {
+            return demandUnits;
+        }
+        List<OtherRegion> connected =
+                others.values().stream().filter(OtherRegion::isConnected).toList();
+        double connectedUnits = allUnits * (1 + connected.size()) / regions;
+        double evenUnits = Math.min(
+                allUnits / regions, unitsByDemand(account, allowance, connectedUnits, demandPerSecond, connected));
+        boolean mayRise = others.values().stream()
+                .allMatch(region -> region.isConnected() || region.hasFallen(nowMillis, windowMillis));
+        return mayRise ? evenUnits : Math.min(evenUnits, demandUnits);
+    }
+
+    private double unitsByDemand(
+            String account,
+            Allowance allowance,
+            double allUnits,
+            double demandPerSecond,
+            Collection<OtherRegion> divided) {
         double minDemand = minDemandPerSecond(allowance);
         double own = Math.max(minDemand, demandPerSecond);
-        double total = minDemand * (regions - 1 - others.size());
+        double total = 0;
         List<AccountDemand> told = new ArrayList<>();
-        boolean alone = true;
-        for (OtherRegion region : others.values()) {
-            Collection<Link> known = region.known(nowMillis);
-            alone &= known.isEmpty();
+        for (OtherRegion region : divided) {
             double otherDemand = minDemand;
             double otherUsed = 0;
-            for (Link link : known) {
+            for (Link link : region.known()) {
                 own = Math.min(own, Math.max(minDemand, link.leastUnacknowledged(account)));
                 otherDemand = Math.max(otherDemand, link.received(account).perSecond());
                 otherUsed = Math.max(otherUsed, link.received(account).usedUnits());
@@ -122,8 +145,7 @@
             total += otherDemand;
             told.add(new AccountDemand(account, otherDemand, otherUsed));
         }
-        own = alone ? minDemand : own;
-        Division division = new Division(Math.max(own, own + total), allowance.unitsPerSecond(), regions);
+        Division division = new Division(Math.max(own, own + total), allowance.unitsPerSecond(), divided.size() + 1);
         double ownShare = division.share(own);
         double dividedUnits = allUnits;
         double dividedShare = 1;
@@ -161,21 +183,71 @@
     }
 
     private static final class OtherRegion {
+        private static final int MAX_LAST = 8;
+
         private final Map<String, Link> links = new HashMap<>();
 
-        /** The last link that was lost, which counts while there is no other one. */
-        private Link last;
+        /**
+         * The links that were lost last, which count while there is no other one: one on which the region has acknowledged
+         * something, and later ones on which it may have counted on its new demand.
+         */
+        private final Deque<Link> last = new ArrayDeque<>();
 
-        private long disconnectedAtMillis;
+        /** When the last link was lost on which the region had acknowledged something. */
+        private long disconnectedAtMillis = Long.MIN_VALUE / 2;
 
-        /** Returns the links that tell of the region: those on which it has acknowledged something, or the last of them. */
-        private Collection<Link> known(long nowMillis) {
+        /** When the last link was lost on which it had only told its demand. */
+        private long lostUnacknowledgedAtMillis = Long.MIN_VALUE / 2;
+
+        private void lost(Link link, long nowMillis) {
+            if (isConnected() || !link.hasReceived()) {
+                return;
+            }
+            if (link.isAcknowledged()) {
+                last.clear();
+                disconnectedAtMillis = nowMillis;
+            } else {
+                lostUnacknowledgedAtMillis = nowMillis;
+            }
+            if (last.size() >= MAX_LAST) {
+                last.poll();
+            }
+            last.add(link);
+        }
+
+        private boolean isConnected() {
+            return links.values().stream().anyMatch(Link::isAcknowledged);
+        }
+
+        /** Returns whether the division by demand holds for it. */
+        private boolean keepsItsShare(long nowMillis) {
+            return isConnected() || nowMillis - disconnectedAtMillis < DISCONNECTED_HOLD_MILLIS;
+        }
+
+        /**
+         * Returns whether its share has fallen to that of the even division, and what it used before has left the window. It
+         * may have counted on its new demand if it has told that, whether this region's was acknowledged or not.
+         */
+        private boolean hasFallen(long nowMillis, long windowMillis) {
+            long sinceMillis = Math.max(disconnectedAtMillis, lostUnacknowledgedAtMillis);
+            return nowMillis - sinceMillis >= DISCONNECTED_HOLD_MILLIS + DISCONNECTED_SKEW_MILLIS + windowMillis
+                    && links.values().stream().noneMatch(Link::hasReceived);
+        }
+
+        /**
+         * Returns the links that tell of the region: those on which it has acknowledged something. Until there is one, they are
+         * the last one that was lost and those on which it has told its demand anew.
+         */
+        private Collection<Link> known() {
             List<Link> acknowledged =
                     links.values().stream().filter(Link::isAcknowledged).toList();
-            if (!acknowledged.isEmpty() || last == null) {
+            if (!acknowledged.isEmpty()) {
                 return acknowledged;
             }
-            return nowMillis - disconnectedAtMillis < DISCONNECTED_HOLD_MILLIS ? List.of(last) : List.of();
+            List<Link> known = new ArrayList<>(
+                    links.values().stream().filter(Link::hasReceived).toList());
+            known.addAll(last);
+            return known;
         }
     }
 
@@ -183,12 +255,17 @@
     private static final class Link {
         private final Deque<SentDemands> sent = new ArrayDeque<>();
         private Map<String, AccountDemand> received = Map.of();
+        private boolean hasReceived;
         private boolean acknowledged;
 
         private boolean isAcknowledged() {
             return acknowledged;
         }
 
+        private boolean hasReceived() {
+            return hasReceived;
+        }
+
         private void acknowledge(long sentAtMillis) {
             while (sent.size() > 1 && second().atMillis <= sentAtMillis) {
                 sent.poll();
