Expect a host to serve on unless it has said that it leaves

A host that does not hear another one closes its link. Where only one direction is cut, the other side then sees a closed connection, took that host for ended and used its part of the allowances, while it served on. A connection that is closed or fails is told from one whose host has left (new reason 'host left' of peer_lost); only the latter gives up its part at once. A killed host's part waits for its next process.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/AllowanceControl.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/AllowanceControl.java
@@ -11,9 +11,9 @@
 /**
  * Keeps client accounts within their allowances, which count over all hosts of all regions.
  *
- * <p>Regions divide an allowance by what is asked in each ({@link DemandShares}); the hosts of a region draw from one window,
- * of which each keeps a copy, and tell each other what they have drawn. A host that loses others without knowing that they
- * have ended leaves them their part for a while. Nothing is written to the store, and nothing is asked of another host
+ * <p>Regions divide an allowance by what is asked in each ({@link DemandShares}). The hosts of a region count their use in one
+ * sliding window, of which each keeps a copy, and tell each other what they have used. A host that loses others without
+ * knowing that they have ended leaves them their part. Nothing is written to the store, and nothing is asked of another host
  * before a request is sent. Invariant: an account without a limit is never refused. Confined to its owner's thread.
  */
 public final class AllowanceControl {
@@ -34,7 +34,6 @@
      */
     private static final long SILENT_HOLD_MILLIS = 3_600_000;
 
-    private final int regions;
     private final AllowanceBounds bounds;
     private final DemandShares shares;
     private final Map<String, AccountWindow> windows = new HashMap<>();
@@ -49,7 +48,6 @@
      * @param bounds how far the use of an allowance may go beyond it
      */
     public AllowanceControl(int regions, AllowanceBounds bounds) {
-        this.regions = Math.max(1, regions);
         this.bounds = bounds;
         shares = new DemandShares(regions, bounds.windowMillis());
     }
@@ -107,7 +105,7 @@
      * @param nowMillis the time
      */
     public void chargeAgain(String account, Option<Long> tokens, long nowMillis) {
-        draw(account, tokens, 1, nowMillis);
+        use(account, tokens, 1, nowMillis);
     }
 
     /**
@@ -118,7 +116,7 @@
      * @param nowMillis the time
      */
     public void refund(String account, Option<Long> tokens, long nowMillis) {
-        draw(account, tokens, -1, nowMillis);
+        use(account, tokens, -1, nowMillis);
     }
 
     /**
@@ -143,7 +141,7 @@
                 .getOrElse(0L);
     }
 
-    private void draw(String account, Option<Long> tokens, int times, long nowMillis) {
+    private void use(String account, Option<Long> tokens, int times, long nowMillis) {
         Allowance allowance = allowances.get(account);
         if (allowance != null) {
             advancedWindow(account, nowMillis).use(times * allowance.charge(tokens), nowMillis);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/DisconnectCause.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/DisconnectCause.java
@@ -2,10 +2,12 @@
 
 /** Why another host is no longer connected. Immutable and thread safe. */
 public enum DisconnectCause {
-    /** The other host closed the connection, as its process does when it ends. */
-    CLOSED("connection closed", false),
+    /** The other host told that its process ends. */
+    LEFT("host left", false),
+    /** The connection was closed: the other host has ended, or has not heard of this one. */
+    CLOSED("connection closed", true),
     /** The connection failed. */
-    FAILED("connection failed", false),
+    FAILED("connection failed", true),
     /** This host closed the connection on which it received a frame that it can't read. */
     UNREADABLE("frame decoding failed", true),
     /** Nothing was received for too long: the other host has ended or is cut off. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -129,7 +129,10 @@
 
     /** Returns why the link is no longer alive. */
     DisconnectCause lossCause() {
-        return isOpen() && !peerLeaving ? DisconnectCause.SILENT : DisconnectCause.CLOSED;
+        if (peerLeaving) {
+            return DisconnectCause.LEFT;
+        }
+        return isOpen() ? DisconnectCause.SILENT : DisconnectCause.CLOSED;
     }
 
     /**
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -338,7 +338,7 @@
     void linkClosed(PeerLink link) {
         openLinks.remove(link);
         retired.remove(link);
-        remove(link, DisconnectCause.CLOSED, "");
+        remove(link, link.lossCause(), "");
     }
 
     void linkFailed(PeerLink link, Throwable cause) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/AllowanceFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/AllowanceFlowTest.java
@@ -160,4 +160,16 @@
             assertEquals(300, used);
         }
     }
+
+    /** Guards against a host that is taken for lost though it has left, or the other way round. */
+    @Test
+    void shouldLogWhetherAHostLeftWhenItsLinkIsClosed() throws Exception {
+        configure(ChargeUnit.TOKENS);
+        try (TestPeer leaving = gateway.sameRegionPeer("n1")) {
+            leaving.sendLeaving(0);
+        }
+        gateway.awaitLogged("\"reason\":\"host left\"");
+        gateway.sameRegionPeer("n2").close();
+        gateway.awaitLogged("\"reason\":\"connection closed\"");
+    }
 }
