Believe another host that reports less use of an allowance

Only a host that was silent can return with a lower count as another process.

AllowanceControlTest#shouldCountWhatAnotherHostGaveBackWhenItReportsLess fails without; the one of a host that used something while it was silent passes with both.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/AccountWindow.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/AccountWindow.java
@@ -81,8 +81,8 @@
     }
 
     /**
-     * Returns whether a request may be used under a limit. Some go beyond it by up to half of their units and others are refused
-     * that far below it, so that large requests aren't preferred and don't add up; any one is allowed when nothing was used.
+     * Returns whether a request is allowed under a limit: if no more than half of its units lie beyond it, so that what single
+     * requests exceed doesn't add up, or if nothing was used, so that no request is too large for good.
      */
     boolean allows(long requestUnits, double limitUnits) {
         return isBelow(units(), requestUnits, limitUnits);
@@ -164,13 +164,15 @@
     /** Takes in the report of another host; the window is advanced up to now. */
     void receive(String host, AccountUsage report, long nowMillis) {
         PeerUsage peer = peers.computeIfAbsent(host, name -> new PeerUsage());
-        // A lower count is that of a later process of the host.
-        if (peer.known && report.usedUnits() >= peer.usedUnits) {
+        // A host that was silent and returns with a lower count has started again.
+        boolean restarted = peer.silent && report.usedUnits() < peer.usedUnits;
+        if (peer.known && !restarted) {
             double extrapolatedUnits =
                     peer.usedPerSecond * (nowMillis - peer.reportedAtMillis) / AllowanceControl.MILLIS_PER_SECOND;
             add(report.usedUnits() - peer.usedUnits - extrapolatedUnits);
         }
         peer.known = true;
+        peer.silent = false;
         peer.usedUnits = report.usedUnits();
         peer.usedPerSecond = report.usedPerSecond();
         peer.demandPerSecond = report.demandPerSecond();
@@ -187,6 +189,7 @@
         PeerUsage peer = peers.computeIfAbsent(host, name -> new PeerUsage());
         peer.usedPerSecond = 0;
         peer.demandPerSecond = 0;
+        peer.silent = true;
         peer.leftFraction = fraction;
         scale(1 - fraction);
     }
@@ -214,6 +217,7 @@
     /** What one other host has reported. */
     private static final class PeerUsage {
         private boolean known;
+        private boolean silent;
         private long usedUnits;
         private double usedPerSecond;
         private double demandPerSecond;
--- a/rattanplank-core/src/test/java/org/rattanplank/core/account/AllowanceControlTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/account/AllowanceControlTest.java
@@ -209,6 +209,37 @@
                 2_000, control.tryCharge(ACCOUNT, Option.some(1L), 5_000).get().usedUnits());
     }
 
+    /** Guards against requests of another host that stay counted although they have not run. */
+    @Test
+    void shouldCountWhatAnotherHostGaveBackWhenItReportsLess() {
+        AllowanceControl control = new AllowanceControl(1, AllowanceBounds.EXACT);
+        control.configure(List.of(account(new Allowance(ChargeUnit.TOKENS, 5, 1_000, 1_000))), 0);
+
+        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 700, 0, 0)), 500, 5_000);
+        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 2_700, 0, 0)), 500, 5_000);
+        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 700, 0, 0)), 500, 5_000);
+
+        assertTrue(control.tryCharge(ACCOUNT, Option.some(2_000L), 5_000).isEmpty());
+    }
+
+    /** Guards against use that nobody counts, of a host that was cut off or has started again. */
+    @Test
+    void shouldCountWhatAnotherHostUsedMeanwhileWhenItWasSilent() {
+        AllowanceControl control = new AllowanceControl(1, AllowanceBounds.EXACT);
+        control.configure(List.of(account(new Allowance(ChargeUnit.TOKENS, 5, 1_000, 1_000))), 0);
+        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 700, 0, 0)), 500, 5_000);
+
+        control.hostLost("h2", true, 5_000);
+        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 2_600, 0, 0)), 500, 5_000);
+        control.hostLost("h2", true, 5_000);
+        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 10, 0, 0)), 500, 5_000);
+
+        assertEquals(
+                1_900,
+                control.tryCharge(ACCOUNT, Option.some(1_000L), 5_000).get().usedUnits(),
+                1);
+    }
+
     private static GatewayAccount account(Allowance allowance) {
         return new GatewayAccount(ACCOUNT, Set.of(), 0, allowance, Set.of());
     }
