--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/AllowanceFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/AllowanceFlowTest.java
@@ -109,8 +109,10 @@
         try (TestPeer peer = gateway.sameRegionPeer("n1")) {
             peer.reportUsage(List.of(new AccountUsage("brewers", 100, 0, 0, 0)));
             peer.reportUsage(List.of(new AccountUsage("brewers", 900, 0, 0, 0)));
-            peer.await(PeerFrame.State.class);
-            gateway.awaitServed(() -> send("Tokens: 1000,50\r\n").startsWith("HTTP/1.1 429"));
+
+            String answer = send("Tokens: 1000,50\r\n");
+
+            assertTrue(answer.startsWith("HTTP/1.1 429"), answer);
         }
         assertEquals(0, target.unreadRequests());
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -34,6 +34,10 @@
     private static final long LINK_BYTES_PER_MILLI = 1_250;
     private static final long LONG_PERIOD_MILLIS = 60_000;
 
+    /** Greater than the times of all other reports. */
+    private static final long FIRST_USAGE_REPORT_MILLIS = 1_000_000;
+
+    private long usageReports;
     private final Socket socket = new Socket();
     private final DataInputStream in;
     private final DataOutputStream out;
@@ -324,14 +328,15 @@
     }
 
     /**
-     * Reports what it has used of client accounts' allowances.
+     * Reports what it has used of client accounts' allowances, and waits until the gateway has received that.
      *
      * @param usage the usage
      * @throws IOException if the link was closed
      */
     public void reportUsage(List<AccountUsage> usage) throws IOException {
+        long sentAtMillis = FIRST_USAGE_REPORT_MILLIS + usageReports++;
         send(new PeerFrame.State(
-                1,
+                sentAtMillis,
                 0,
                 0,
                 LONG_PERIOD_MILLIS,
@@ -352,6 +357,9 @@
                 false,
                 usage,
                 List.of()));
+        while (await(PeerFrame.State.class).echoedMillis() != sentAtMillis) {
+            // The gateway reports every few hundred milliseconds.
+        }
     }
 
     /**
