--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/KeyDigest.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/KeyDigest.java
@@ -1,11 +1,9 @@
 package org.rattanplank.core.account;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Objects;
 
+import org.rattanplank.core.digest.Sha256;
+
 /**
  * The digest of a secret by which a caller names its client account.
  *
@@ -15,8 +13,6 @@
  * @param sha256 the SHA-256 of the secret in lower-case hexadecimal
  */
 public record KeyDigest(String sha256) {
-    private static final String ALGORITHM = "SHA-256";
-
     public KeyDigest {
         Objects.requireNonNull(sha256, "sha256");
     }
@@ -28,12 +24,7 @@
      * @return its digest
      */
     public static KeyDigest of(String secret) {
-        try {
-            byte[] digest = MessageDigest.getInstance(ALGORITHM).digest(secret.getBytes(StandardCharsets.UTF_8));
-            return new KeyDigest(HexFormat.of().formatHex(digest));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java runtime has " + ALGORITHM, e);
-        }
+        return new KeyDigest(Sha256.hex(secret));
     }
 
     // Written out, as the runtime would generate the code of a record's methods during the start of a host.
--- a/rattanplank-core/src/main/java/org/rattanplank/core/intent/CanonicalJson.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/CanonicalJson.java
@@ -1,10 +1,5 @@
 package org.rattanplank.core.intent;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
-
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MapperFeature;
@@ -32,13 +27,4 @@
             throw new IllegalArgumentException("the node is not a JSON value", e);
         }
     }
-
-    static String sha256(String text) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("SHA-256 is missing from this Java platform", e);
-        }
-    }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/intent/Document.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/Document.java
@@ -14,6 +14,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Option;
 import io.vavr.control.Try;
+import org.rattanplank.core.digest.Sha256;
 import org.rattanplank.schema.intent.IntentFile;
 
 /**
@@ -89,7 +90,7 @@
     public static String digestOf(Map<String, JsonNode> files) {
         ObjectNode node = JsonNodeFactory.instance.objectNode();
         files.forEach(node::set);
-        return CanonicalJson.sha256(CanonicalJson.text(node));
+        return Sha256.hex(CanonicalJson.text(node));
     }
 
     /**
--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
@@ -3,11 +3,11 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Comparator;
 import java.util.regex.Pattern;
 
 import io.vavr.Lazy;
+import org.rattanplank.core.digest.Sha256;
 
 /**
  * A digest by which a request that is sent again is recognized, whatever its identifier, deadline and connection are.
@@ -19,7 +19,6 @@
  * @param low the last 64 bits
  */
 public record Fingerprint(long high, long low) {
-    private static final String ALGORITHM = "SHA-256";
     private static final Pattern TEXT = Pattern.compile("[0-9a-f]{32}");
     private static final int HEXADECIMAL = 16;
 
@@ -40,7 +39,7 @@
      * @return the fingerprint
      */
     public static Fingerprint of(String caller, String method, String uri, byte[] body) {
-        MessageDigest digest = newDigest();
+        MessageDigest digest = Sha256.newDigest();
         updateText(digest, caller);
         updateText(digest, method);
         updateText(digest, uri);
@@ -60,7 +59,7 @@
      * @return the fingerprint
      */
     public static Fingerprint ofPromptPart(String id) {
-        MessageDigest digest = newDigest();
+        MessageDigest digest = Sha256.newDigest();
         updateText(digest, PROMPT_PART);
         updateText(digest, id);
         return of(digest);
@@ -108,12 +107,4 @@
         digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, bytes.length));
         digest.update(bytes);
     }
-
-    private static MessageDigest newDigest() {
-        try {
-            return MessageDigest.getInstance(ALGORITHM);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java runtime provides " + ALGORITHM, e);
-        }
-    }
 }
