Compute rendezvous scores in one place

RemoteEngines repeated the score of GatewayTarget, which must be the same for the hosts of both regions to mean the same engine. RendezvousHashing.score is called by both, by rank and by PrefixAffinity; the numbers are the same.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -270,7 +270,7 @@
 
     /** Returns the rendezvous score of this target for a prefix, which is the same on every host. */
     long affinityScore(long prefixHash) {
-        return RendezvousHashing.mix(idHash ^ prefixHash);
+        return RendezvousHashing.score(idHash, prefixHash);
     }
 
     double kvCacheShortfallTokens(long tokens, long kvCacheTokens) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RemoteEngines.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/RemoteEngines.java
@@ -70,14 +70,10 @@
                                 region -> region.getValue().size())
                         .thenComparing(Map.Entry.comparingByKey()))
                 .map(Map.Entry::getValue);
-        return Option.ofOptional(largest.flatMap(region ->
-                        region.stream().max(Comparator.comparingLong(each -> each.affinityScore(prefixHash)))))
+        return Option.ofOptional(largest.flatMap(region -> region.stream()
+                        .max(Comparator.comparingLong(each -> RendezvousHashing.score(each.idHash, prefixHash)))))
                 .map(RemoteEngine::entry);
     }
 
-    private record RemoteEngine(TargetEntry entry, String region, long idHash) {
-        private long affinityScore(long prefixHash) {
-            return RendezvousHashing.mix(idHash ^ prefixHash);
-        }
-    }
+    private record RemoteEngine(TargetEntry entry, String region, long idHash) {}
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/host/RendezvousHashing.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/host/RendezvousHashing.java
@@ -25,12 +25,23 @@
     public static List<String> rank(Collection<String> members, String key) {
         long seed = hash(key);
         return members.stream()
-                .map(member -> new Scored(member, mix(hash(member) ^ seed)))
+                .map(member -> new Scored(member, score(hash(member), seed)))
                 .sorted()
                 .map(Scored::member)
                 .toList();
     }
 
+    /**
+     * Returns the score of a member for a key; the member with the highest one ranks first.
+     *
+     * @param memberHash the hash of the member
+     * @param keyHash the hash of the key
+     * @return the score
+     */
+    public static long score(long memberHash, long keyHash) {
+        return mix(memberHash ^ keyHash);
+    }
+
     /**
      * Returns the hash of a text.
      *
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/PrefixAffinity.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/PrefixAffinity.java
@@ -67,7 +67,7 @@
         long firstRank = Long.MIN_VALUE;
         long secondRank = Long.MIN_VALUE;
         for (int i = 0; i < seeds.length; i++) {
-            long rank = RendezvousHashing.mix(key ^ seeds[i]);
+            long rank = RendezvousHashing.score(seeds[i], key);
             if (rank <= secondRank || !isSelectable.test(targets[i])) {
                 continue;
             }
