--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetChooser.java
@@ -156,11 +156,7 @@
                         : streamCosts.delayCostMillis(best, chargedTokens(service, work.urgency(), prefillTokens)),
                 overrunMillis(streamCosts, best, work, firstEventMillis));
         return Option.some(new TargetChoice(
-                best,
-                estimate,
-                prefillTokens,
-                eligible.size(),
-                transferSource(best, affinityTarget, shared, mayServe)));
+                best, estimate, prefillTokens, eligible.size(), transferSource(best, affinityTarget, work, mayServe)));
     }
 
     /** Estimates the time to a target's first event or answer. */
@@ -347,10 +343,10 @@
      * than prefill, and nothing is transferred that the chosen one has.
      */
     private Option<TargetEntry> transferSource(
-            GatewayTarget chosen, GatewayTarget affinityTarget, List<PromptPart> shared, Predicate<String> mayServe) {
-        int sharedTokens = shared.stream().mapToInt(PromptPart::tokens).sum();
+            GatewayTarget chosen, GatewayTarget affinityTarget, Work work, Predicate<String> mayServe) {
+        List<PromptPart> shared = work.sharedParts();
         if (affinityTarget == null
-                || chosen.cachedTokens(shared) >= sharedTokens
+                || chosen.cachedTokens(shared) >= work.sharedTokens()
                 || !mechanisms.isEnabled(Mechanism.COPY_PARTS)) {
             return Option.none();
         }
