Reject with Retry-After in one way

The rejection over an allowance was a copy of the other one. The line over_allowance is now written before the response instead of after it; it still precedes the line of the request's end.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -478,12 +478,8 @@
     }
 
     private void reject(String reason) {
-        HttpHeaders headers = Headers.unchecked();
         long retryAfterMillis = state.retryAfterMillis(Option.of(service), work, deadlineMillis - state.nowMillis());
-        headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(retryAfterMillis / MILLIS_PER_SECOND));
-        response.respond(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), headers, Unpooled.EMPTY_BUFFER);
-        state.metrics().ended("refused");
-        complete("refused", reason, false);
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused", reason, retryAfterMillis);
     }
 
     private void rejectOverAllowance(AllowanceRefusal refusal) {
@@ -493,12 +489,20 @@
                 account,
                 state.allowances().units(account, request.statedTokens()),
                 deadlineMillis - state.nowMillis());
+        decisionLog.overAllowance(account, refusal, retryAfterMillis);
+        reject(
+                HttpResponseStatus.TOO_MANY_REQUESTS,
+                "over_allowance",
+                "the client account's allowance is used up",
+                retryAfterMillis);
+    }
+
+    private void reject(HttpResponseStatus status, String outcome, String reason, long retryAfterMillis) {
         HttpHeaders headers = Headers.unchecked();
         headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(retryAfterMillis / MILLIS_PER_SECOND));
-        response.respond(HttpResponseStatus.TOO_MANY_REQUESTS.code(), headers, Unpooled.EMPTY_BUFFER);
-        state.metrics().ended("over_allowance");
-        decisionLog.overAllowance(account, refusal, retryAfterMillis);
-        complete("over_allowance", "the client account's allowance is used up", false);
+        response.respond(status.code(), headers, Unpooled.EMPTY_BUFFER);
+        state.metrics().ended(outcome);
+        complete(outcome, reason, false);
     }
 
     /** Ends it as no target may run it; without {@code Retry-After}, as it would be rejected again. */
