Drop derived state and a repeated computation from allowances

The fraction of present hosts was computed once for each account of a report; that a link has told demands is whether it has any; own demand plus that of others is no less than the own one.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/AllowanceControl.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/AllowanceControl.java
@@ -214,11 +214,12 @@
      */
     public List<AccountDemand> regionDemand(long nowMillis) {
         List<AccountDemand> demands = new ArrayList<>();
+        double presentFraction = presentFraction(nowMillis);
         windows.forEach((account, window) -> {
             window.advance(nowMillis);
             double perSecond = window.regionDemandPerSecond(nowMillis);
             // The silent hosts of the region count as if they used as much as the others.
-            double usedUnits = window.units() / presentFraction(nowMillis);
+            double usedUnits = window.units() / presentFraction;
             if (perSecond > shares.minDemandPerSecond(allowances.get(account)) || usedUnits > 0) {
                 demands.add(new AccountDemand(account, perSecond, usedUnits));
             }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/account/DemandShares.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/account/DemandShares.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 
+import io.vavr.control.Option;
+
 /**
  * Divides the allowances of client accounts between regions by what is asked in each.
  *
@@ -77,8 +79,7 @@
      */
     void received(String region, String host, List<AccountDemand> demands, long acknowledgedMillis) {
         Link link = link(region, host);
-        link.received = byAccount(demands);
-        link.hasReceived = true;
+        link.received = Option.some(byAccount(demands));
         link.acknowledge(acknowledgedMillis);
     }
 
@@ -145,7 +146,7 @@
             total += otherDemand;
             told.add(new AccountDemand(account, otherDemand, otherUsed));
         }
-        Division division = new Division(Math.max(own, own + total), allowance.unitsPerSecond(), divided.size() + 1);
+        Division division = new Division(own + total, allowance.unitsPerSecond(), divided.size() + 1);
         double ownShare = division.share(own);
         double dividedUnits = allUnits;
         double dividedShare = 1;
@@ -254,8 +255,7 @@
     /** The demands told over one link. */
     private static final class Link {
         private final Deque<SentDemands> sent = new ArrayDeque<>();
-        private Map<String, AccountDemand> received = Map.of();
-        private boolean hasReceived;
+        private Option<Map<String, AccountDemand>> received = Option.none();
         private boolean acknowledged;
 
         private boolean isAcknowledged() {
@@ -263,7 +263,7 @@
         }
 
         private boolean hasReceived() {
-            return hasReceived;
+            return received.isDefined();
         }
 
         private void acknowledge(long sentAtMillis) {
@@ -280,8 +280,8 @@
         }
 
         private AccountDemand received(String account) {
-            AccountDemand demand = received.get(account);
-            return demand == null ? new AccountDemand(account, 0, 0) : demand;
+            return received.flatMap(demands -> Option.of(demands.get(account)))
+                    .getOrElse(() -> new AccountDemand(account, 0, 0));
         }
 
         /** Returns the least of the demands that the other host may believe in. */
