Share the set-up of the tests of accounts, and drop an unused method

TestPeer.reportUsage repeated a whole state frame and the wait for its echo, which reportIdle and framesUntilEchoed do; three tests of AllowanceControl built the same control and reports; sixteen tests wrote out a target that answers always the same (TestTarget.answering). Assertions are as they were. AccountUse.mostTokens of the soak had no caller.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/AccountUse.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/AccountUse.java
@@ -63,9 +63,4 @@
         }
         return all;
     }
-
-    /** Returns the most tokens that were used in a window. */
-    synchronized long mostTokens() {
-        return mostTokens;
-    }
 }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/account/AllowanceControlTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/account/AllowanceControlTest.java
@@ -205,14 +205,13 @@
     /** Guards against use of another host that counts twice, or again after the host has started anew. */
     @Test
     void shouldCountTheUseOfAnotherHostOnceWhenItReportsAgainAndRestarts() {
-        AllowanceControl control = new AllowanceControl(1, AllowanceBounds.EXACT);
-        control.configure(List.of(account(new Allowance(ChargeUnit.TOKENS, 5, 1_000, 1_000))), 0);
+        AllowanceControl control = limitedTo2000Tokens();
 
-        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 700, 0, 0, 0)), 500, 5_000);
-        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 1_650, 0, 0, 0)), 500, 5_000);
-        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 1_650, 0, 0, 0)), 500, 5_000);
+        receiveUsage(control, 700);
+        receiveUsage(control, 1_650);
+        receiveUsage(control, 1_650);
         control.hostLost("h2", false, 5_000);
-        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 10, 0, 0, 0)), 500, 5_000);
+        receiveUsage(control, 10);
 
         assertTrue(control.tryCharge(ACCOUNT, Option.some(1_050L), 5_000).isEmpty());
         assertEquals(
@@ -222,12 +221,11 @@
     /** Guards against requests of another host that stay counted although they have not run. */
     @Test
     void shouldCountWhatAnotherHostGaveBackWhenItReportsLess() {
-        AllowanceControl control = new AllowanceControl(1, AllowanceBounds.EXACT);
-        control.configure(List.of(account(new Allowance(ChargeUnit.TOKENS, 5, 1_000, 1_000))), 0);
+        AllowanceControl control = limitedTo2000Tokens();
 
-        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 700, 0, 0, 0)), 500, 5_000);
-        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 2_700, 0, 0, 0)), 500, 5_000);
-        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 700, 0, 0, 0)), 500, 5_000);
+        receiveUsage(control, 700);
+        receiveUsage(control, 2_700);
+        receiveUsage(control, 700);
 
         assertTrue(control.tryCharge(ACCOUNT, Option.some(2_000L), 5_000).isEmpty());
     }
@@ -235,14 +233,13 @@
     /** Guards against use that nobody counts, of a host that was cut off or has started again. */
     @Test
     void shouldCountWhatAnotherHostUsedMeanwhileWhenItWasSilent() {
-        AllowanceControl control = new AllowanceControl(1, AllowanceBounds.EXACT);
-        control.configure(List.of(account(new Allowance(ChargeUnit.TOKENS, 5, 1_000, 1_000))), 0);
-        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 700, 0, 0, 0)), 500, 5_000);
+        AllowanceControl control = limitedTo2000Tokens();
+        receiveUsage(control, 700);
 
         control.hostLost("h2", true, 5_000);
-        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 2_600, 0, 0, 0)), 500, 5_000);
+        receiveUsage(control, 2_600);
         control.hostLost("h2", true, 5_000);
-        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, 10, 0, 0, 0)), 500, 5_000);
+        receiveUsage(control, 10);
 
         assertEquals(
                 1_900,
@@ -250,6 +247,17 @@
                 1);
     }
 
+    private static AllowanceControl limitedTo2000Tokens() {
+        AllowanceControl control = new AllowanceControl(1, AllowanceBounds.EXACT);
+        control.configure(List.of(account(new Allowance(ChargeUnit.TOKENS, 5, 1_000, 1_000))), 0);
+        return control;
+    }
+
+    /** Reports what the host h2 has used since it started. */
+    private static void receiveUsage(AllowanceControl control, long usedUnits) {
+        control.usageReceived("h2", List.of(new AccountUsage(ACCOUNT, usedUnits, 0, 0, 0)), 500, 5_000);
+    }
+
     private static GatewayAccount account(Allowance allowance) {
         return new GatewayAccount(ACCOUNT, Set.of(), 0, allowance, Set.of());
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/AllowanceFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/AllowanceFlowTest.java
@@ -36,7 +36,7 @@
     @BeforeEach
     void startGateway() throws IOException {
         gateway = new TestGateway();
-        target = new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "done")));
+        target = TestTarget.answering("done");
     }
 
     @AfterEach
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/DepartedTargetFlowTest.java
@@ -42,8 +42,7 @@
      */
     @Test
     void shouldSendNothingToADepartedTargetWhenAnotherHostStillHasIt() throws Exception {
-        try (TestTarget target = new TestTarget(
-                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "done")));
+        try (TestTarget target = TestTarget.answering("done");
                 TestPeer stale = gateway.sameRegionPeer("stale")) {
             gateway.configure(RouteKind.SAFE, false, 1);
             StoreItem entry = gateway.departedTarget("t1", target.port());
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayFlowTest.java
@@ -41,8 +41,7 @@
 
     @Test
     void shouldProxyARequestUnchangedWhenATargetAnswers() throws Exception {
-        try (TestTarget target =
-                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "done")))) {
+        try (TestTarget target = TestTarget.answering("done")) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
 
             String answer = gateway.caller().send(request("q1", "two seals")).readUntil("done");
@@ -81,8 +80,7 @@
         try (TestTarget breaking = new TestTarget((request, out) -> {
                     throw new IOException("connection closed by the test");
                 });
-                TestTarget other = new TestTarget(
-                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "again")))) {
+                TestTarget other = TestTarget.answering("again")) {
             gateway.configure(RouteKind.UNSAFE, false, 3).target("t1", breaking.port());
 
             String answer = gateway.caller().send(request("q1", "b")).readUntil("\r\n\r\n");
@@ -316,8 +314,7 @@
      */
     @Test
     void shouldStartNoRequestWhenTheRemainingStopTimeIsShort() throws Exception {
-        try (TestTarget target =
-                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "one")))) {
+        try (TestTarget target = TestTarget.answering("one")) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
             TestCaller persistent = gateway.caller().send(request("q1", "b"));
             persistent.readUntil("one");
@@ -397,8 +394,7 @@
      */
     @Test
     void shouldSendNothingWhenTheCallerDisconnectsBeforeItsRequestIsRead() throws Exception {
-        try (TestTarget target =
-                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "one")))) {
+        try (TestTarget target = TestTarget.answering("one")) {
             gateway.configure(RouteKind.SAFE, false, 1).target("t1", target.port());
             gateway.caller().send(request("q1", "b")).readUntil("one");
 
@@ -429,8 +425,7 @@
     @Test
     void shouldFailRequestsAsUnknownWhenTheirTargetRestarts() throws Exception {
         try (TestTarget previous = new TestTarget((request, out) -> {});
-                TestTarget restarted = new TestTarget(
-                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "later")))) {
+                TestTarget restarted = TestTarget.answering("later")) {
             gateway.configure(RouteKind.UNSAFE, false, 1);
             gateway.registerTarget(new TargetIncarnation("t1", 1_000), previous.port());
             gateway.awaitTargets(1);
@@ -452,8 +447,7 @@
      */
     @Test
     void shouldLogAnUnreadableEntryOnceAndUseTheNextReadableOne() throws Exception {
-        try (TestTarget target =
-                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "done")))) {
+        try (TestTarget target = TestTarget.answering("done")) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
             gateway.putUnreadableTarget("t1");
             gateway.putUnreadableTarget("t1");
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayLogTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/GatewayLogTest.java
@@ -140,8 +140,7 @@
 
     @Test
     void shouldLogOneLineWhenARequestSucceeds() throws Exception {
-        try (TestTarget target =
-                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "ok")))) {
+        try (TestTarget target = TestTarget.answering("ok")) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
             gateway.caller().send(request("q1")).readUntil("ok");
 
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
@@ -44,8 +44,7 @@
 
     @Test
     void shouldServeAForwardedRequestWhenItHasTimeLeft() throws Exception {
-        try (TestTarget target = new TestTarget(
-                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "one")));
+        try (TestTarget target = TestTarget.answering("one");
                 TestPeer peer = gateway.peer()) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
 
@@ -62,8 +61,7 @@
      */
     @Test
     void shouldSendNothingWhenAForwardedRequestArrivesAfterItsDeadline() throws Exception {
-        try (TestTarget target = new TestTarget(
-                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "one")));
+        try (TestTarget target = TestTarget.answering("one");
                 TestPeer peer = gateway.peer()) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
             PeerFrame.State state = peer.await(PeerFrame.State.class);
@@ -128,8 +126,7 @@
      */
     @Test
     void shouldAnswerReceivedRequestsAndReportTheLastCallWhenItStops() throws Exception {
-        try (TestTarget target = new TestTarget(
-                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "one")));
+        try (TestTarget target = TestTarget.answering("one");
                 TestPeer peer = gateway.peer()) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
             PeerFrame.State state = peer.await(PeerFrame.State.class);
@@ -154,8 +151,7 @@
     @ParameterizedTest
     @EnumSource
     void shouldAnswerARequestWhenOnlyAPartOfItHasArrivedAtTheEndOfTheStop(CallSplit split) throws Exception {
-        try (TestTarget target = new TestTarget(
-                        (request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "one")));
+        try (TestTarget target = TestTarget.answering("one");
                 TestPeer peer = gateway.peer()) {
             gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
             peer.reportIdle(false);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PlannedStopFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PlannedStopFlowTest.java
@@ -31,7 +31,7 @@
 
     @BeforeEach
     void startGateway() throws IOException {
-        target = new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "done")));
+        target = TestTarget.answering("done");
         gateway = new TestGateway(GRACE_MILLIS);
         gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", target.port());
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TargetLimitFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TargetLimitFlowTest.java
@@ -40,8 +40,7 @@
                     out,
                     TestTarget.answer(request, 200, "done").replace("Stamp: s\r\n", "Stamp: s\r\n" + limitHeaders));
         });
-        TestTarget other =
-                new TestTarget((request, out) -> TestTarget.write(out, TestTarget.answer(request, 200, "done")));
+        TestTarget other = TestTarget.answering("done");
         resources.add(limited);
         resources.add(other);
         for (String name : List.of("h1", "h2")) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
@@ -74,6 +74,11 @@
         return requests.size();
     }
 
+    /** Returns a target that answers each request with the same body. */
+    static TestTarget answering(String body) throws IOException {
+        return new TestTarget((request, out) -> write(out, answer(request, 200, body)));
+    }
+
     /** Writes raw text. */
     static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -34,10 +34,6 @@
     private static final long LINK_BYTES_PER_MILLI = 1_250;
     private static final long LONG_PERIOD_MILLIS = 60_000;
 
-    /** Greater than the times of all other reports. */
-    private static final long FIRST_USAGE_REPORT_MILLIS = 1_000_000;
-
-    private long usageReports;
     private final Socket socket = new Socket();
     private final DataInputStream in;
     private final DataOutputStream out;
@@ -334,32 +330,8 @@
      * @throws IOException if the link was closed
      */
     public void reportUsage(List<AccountUsage> usage) throws IOException {
-        long sentAtMillis = FIRST_USAGE_REPORT_MILLIS + usageReports++;
-        send(new PeerFrame.State(
-                sentAtMillis,
-                0,
-                0,
-                LONG_PERIOD_MILLIS,
-                true,
-                1,
-                0,
-                false,
-                true,
-                List.of(),
-                List.of(),
-                0,
-                1_000,
-                0,
-                0,
-                false,
-                false,
-                false,
-                false,
-                usage,
-                List.of()));
-        while (await(PeerFrame.State.class).echoedMillis() != sentAtMillis) {
-            // The gateway reports every few hundred milliseconds.
-        }
+        reportIdle(false, false, false, usage);
+        framesUntilEchoed();
     }
 
     /**
@@ -490,7 +462,7 @@
      * @throws IOException if the link was closed
      */
     public void reportIdle(boolean supportsLargePrefillNotices) throws IOException {
-        reportIdle(supportsLargePrefillNotices, false, false);
+        reportIdle(supportsLargePrefillNotices, false, false, List.of());
     }
 
     /**
@@ -500,11 +472,14 @@
      * @throws IOException if the link was closed
      */
     public void reportIdleWithCrashNotices(boolean promptParts) throws IOException {
-        reportIdle(true, true, promptParts);
+        reportIdle(true, true, promptParts, List.of());
     }
 
     private void reportIdle(
-            boolean supportsLargePrefillNotices, boolean supportsCrashNotices, boolean supportsPromptPartNotices)
+            boolean supportsLargePrefillNotices,
+            boolean supportsCrashNotices,
+            boolean supportsPromptPartNotices,
+            List<AccountUsage> accountUsage)
             throws IOException {
         lastStateAtMillis++;
         send(new PeerFrame.State(
@@ -527,7 +502,7 @@
                 supportsCrashNotices,
                 supportsPromptPartNotices,
                 false,
-                List.of(),
+                accountUsage,
                 List.of()));
     }
 
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteSettings.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteSettings.java
@@ -16,6 +16,7 @@
     private static final double RETRY_BUDGET_RATIO = 0.2;
     private static final int RETRY_BUDGET_SLACK = 52;
     private static final int RETRY_BUDGET_WINDOW_SECONDS = 10;
+
     /** The span over which the use of an allowance is summed. */
     public static final int ALLOWANCE_WINDOW_SECONDS = 8;
 
