--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -591,7 +591,7 @@
         return admin("GET", "/metrics");
     }
 
-    private void awaitMetric(String line) throws IOException {
+    void awaitMetric(String line) throws IOException {
         String lastMetrics = "";
         for (int i = 0; i < MAX_POLLS; i++) {
             lastMetrics = metrics();
