Send nothing to a target that says in an answer that it leaves

Callers saw: nothing; their requests were served by a target that was about to end, and any that it didn't end in time was lost. Cause: a target was known to leave by its entry in the store alone (rattanplankd: by its load report and the host list). While the store is out nobody learns of it. The header Server-Leaving, in all answers of such a target, was read by nobody. Ruled out: that it was read and forgotten (nothing read it), and that the requests had been chosen before the answer (they were sent by callers 4 s later). Change: an answer that carries the header marks that run of the target as leaving, which is final, whatever its entry says later. 421 doesn't: it comes from another target. rattanplankd: X-Leaving, by the way of a load report that says so; its hosts tell each other.

--- a/rattanplank-bench/src/test/java/org/rattanplank/bench/fleet/FleetTest.java
+++ b/rattanplank-bench/src/test/java/org/rattanplank/bench/fleet/FleetTest.java
@@ -101,6 +101,19 @@
         assertEquals(List.of(), targets("suva-1"));
     }
 
+    @Test
+    void shouldExcludeTargetWhenItSaysInAnAnswerThatItLeaves() {
+        // Guards against sending new work to a target that has said so in an answer, while its load report and the host
+        // list still show it unchanged.
+        startThreeRegions();
+        fleet.deliver("suva-2", new Event.TargetLeaving("plank-suva"));
+        assertEquals(List.of(), targets("suva-2"));
+        fleet.advance(DETECTION_MILLIS);
+        assertEquals(List.of(), targets("suva-1"));
+        fleet.publishHostList(0).advance(DETECTION_MILLIS);
+        assertEquals(List.of(), targets("suva-2"));
+    }
+
     @Test
     void shouldKeepConfigurationWhenStoreIsDownDuringRollingReplacement() {
         // Guards against rejected calls due to a missing or old configuration. All entry hosts are replaced one after
--- a/rattanplank-core/src/main/java/org/rattanplank/core/Event.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Event.java
@@ -109,6 +109,17 @@
      */
     record LoadReported(TargetLoad load) implements Event {}
 
+    /**
+     * A target said in an answer that it leaves.
+     *
+     * @param target the target
+     */
+    record TargetLeaving(String target) implements Event {
+        public TargetLeaving {
+            Objects.requireNonNull(target, "target");
+        }
+    }
+
     /**
      * A target did not answer a load query.
      *
--- a/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
@@ -176,6 +176,8 @@
             requests.attemptEnded(ended, nowMillis, effects);
         } else if (event instanceof Event.LoadReported reported) {
             recordLoadReport(reported, nowMillis);
+        } else if (event instanceof Event.TargetLeaving leaving) {
+            recordLeaving(leaving.target(), nowMillis);
         } else if (event instanceof Event.LoadMissed missed) {
             router.recordMissedReport(missed.target(), nowMillis);
         } else if (event instanceof Event.CacheReported cached) {
@@ -242,13 +244,17 @@
 
     private void recordLoadReport(Event.LoadReported reported, long nowMillis) {
         if (reported.load().leaving()) {
-            membership.leaving(reported.load().target(), nowMillis);
-            refreshTargets(nowMillis);
+            recordLeaving(reported.load().target(), nowMillis);
         }
         router.recordLoadReport(reported.load(), nowMillis);
         controller.targetReported(reported.load(), nowMillis);
     }
 
+    private void recordLeaving(String target, long nowMillis) {
+        membership.leaving(target, nowMillis);
+        refreshTargets(nowMillis);
+    }
+
     private void storeReplied(Event.StoreReplied replied, long nowMillis, Effects effects) {
         switch (replied.owner()) {
             case CLAIM -> effects.addClaimActions(claims.storeReplied(replied.callId(), replied.reply(), nowMillis));
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/AttemptListener.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/AttemptListener.java
@@ -12,6 +12,9 @@
      */
     void progressed(long eventsDelivered);
 
+    /** Called when the headers of the response say that the target leaves. */
+    void targetLeaving();
+
     /**
      * Called when the attempt has ended; no call follows.
      *
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
@@ -112,8 +112,11 @@
             endAsLost("the response carries another request identifier");
             return;
         }
+        if (isTrue(headers, "X-Leaving")) {
+            listener.targetLeaving();
+        }
         rejectedBeforeExecution = (status == TOO_MANY_REQUESTS || status == UNAVAILABLE)
-                && "true".equalsIgnoreCase(headers.get("X-Not-Run"))
+                && isTrue(headers, "X-Not-Run")
                 && !targetCall.isResumed();
         retryAfterMillis = retryAfterMillis(headers.get(HttpHeaderNames.RETRY_AFTER));
         streaming = status == OK && contentType.startsWith(EVENT_STREAM);
@@ -291,6 +294,10 @@
         return Failure.of(step, targetCall.target().name(), reason);
     }
 
+    private static boolean isTrue(HttpHeaders headers, String name) {
+        return "true".equalsIgnoreCase(headers.get(name));
+    }
+
     private static long retryAfterMillis(String header) {
         return Option.of(header)
                 .flatMap(text -> Try.of(() -> Long.parseLong(text.strip())).toOption())
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/Targets.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/Targets.java
@@ -146,6 +146,11 @@
                                 .raise(new Event.StreamProgressed(key.requestId(), key.attempt(), eventsDelivered));
                     }
 
+                    @Override
+                    public void targetLeaving() {
+                        resources.eventSink().raise(new Event.TargetLeaving(target.name()));
+                    }
+
                     @Override
                     public void ended(AttemptResult result) {
                         activeAttempts.remove(key);
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/TargetsTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/TargetsTest.java
@@ -212,6 +212,16 @@
         }
     }
 
+    /* Guards against requests to a target that says in its answers that it leaves before its load report does. */
+    @Test
+    void shouldReportThatTheTargetLeavesWhenAnAnswerSaysSo() throws Exception {
+        try (RawServer target = RawServer.of(respond(OK + "X-Leaving: true\r\nContent-Length: 4\r\n\r\nbook"))) {
+            assertInstanceOf(AttemptResult.Completed.class, run(target, "/book", 0));
+
+            assertEquals(1, eventSink.count(Event.TargetLeaving.class));
+        }
+    }
+
     /*
      * Guards against a request that hangs until its deadline although the target is healthy: the connection becomes
      * unresponsive permanently while new connections to the target work, and the two are not compared.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/HeaderNames.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/HeaderNames.java
@@ -13,6 +13,7 @@
  * @param expectedTarget the identifier of the only target that may run the request
  * @param notExecuted in a response: the target did not run the request
  * @param rateLimit in a response: the requests a second that the target takes from all hosts together
+ * @param leaving in a response: 1 if the target leaves and accepts no more requests
  * @param transferSource the address of the target that has cached prompt parts which the receiving target lacks
  * @param backup the address of the target that receives the KV cache of a stream as it grows
  * @param continuedFrom the address of the receiving target and the identifier of the request whose backup it holds,
@@ -32,6 +33,7 @@
         String expectedTarget,
         String notExecuted,
         String rateLimit,
+        String leaving,
         String transferSource,
         String backup,
         String continuedFrom,
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -194,6 +194,16 @@
                         .with("text", text));
     }
 
+    @Override
+    public void targetLeaving() {
+        state.log()
+                .writeImportant(LogLine.of(LogEvent.TARGET_CHANGED)
+                        .with("target", target.incarnationText())
+                        .with("service", service.name())
+                        .with("leaving", true)
+                        .with("source", "ANSWER"));
+    }
+
     @Override
     public void contentReceived(ByteBuf bytes) {
         sentRequest.recordEvent(success, state.nowMillis());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
@@ -39,6 +39,9 @@
      */
     default void rateLimitInvalid(String text) {}
 
+    /** Called when the response is the first that says that its target leaves, which nothing has said before. */
+    default void targetLeaving() {}
+
     /**
      * Called when the response ended with its connection, as it has neither a length nor chunks. A listener that can't find
      * out whether the target's process ended with it takes it for incomplete.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -38,6 +38,8 @@
 
     private static final int MISDIRECTED = HttpResponseStatus.MISDIRECTED_REQUEST.code();
 
+    private static final String LEAVING = "1";
+
     /** How long this host sends nothing to a target that has reported no capacity, while others may have some. */
     private static final long FULL_TARGET_PAUSE_MILLIS = 50;
 
@@ -53,6 +55,7 @@
     private Channel connectingChannel;
     private TargetConnection connection;
     private ResponseBody body;
+    private boolean misdirected;
     private boolean rejected;
     private boolean finished;
 
@@ -123,17 +126,18 @@
         }
         String contentType = headers.get(HttpHeaderNames.CONTENT_TYPE, "").toLowerCase(Locale.ROOT);
         body = ResponseBody.of(framing, contentType.startsWith(EVENT_STREAM));
-        boolean notExecuted = headers.contains(names.notExecuted());
-        if (status != MISDIRECTED) {
-            readRateLimit(headers.getAll(names.rateLimit()), notExecuted);
+        misdirected = status == MISDIRECTED;
+        if (misdirected) {
+            rejected = true;
+            target.markLeaving();
+            return;
         }
-        if (status == MISDIRECTED || notExecuted) {
+        boolean notExecuted = headers.contains(names.notExecuted());
+        readLeaving(headers);
+        readRateLimit(headers.getAll(names.rateLimit()), notExecuted);
+        if (notExecuted) {
             rejected = true;
-            if (status == MISDIRECTED) {
-                target.markLeaving();
-            } else {
-                target.backOff(FULL_TARGET_PAUSE_MILLIS, clock.nowMillis());
-            }
+            target.backOff(FULL_TARGET_PAUSE_MILLIS, clock.nowMillis());
             return;
         }
         if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
@@ -144,6 +148,14 @@
         listener.headersReceived(status, headers);
     }
 
+    /** A target may say that it leaves before its entry does, and while the store is out only its answers do. */
+    private void readLeaving(HttpHeaders headers) {
+        if (!target.isLeaving() && headers.containsValue(names.leaving(), LEAVING, false)) {
+            target.markLeaving();
+            listener.targetLeaving();
+        }
+    }
+
     /** Reads the named limit; a rejection without one doesn't tell that the limit has ended. */
     private void readRateLimit(List<String> values, boolean rejection) {
         if (values.isEmpty()) {
@@ -188,9 +200,7 @@
             return;
         }
         if (rejected) {
-            failed(
-                    AttemptFailure.REFUSED,
-                    target.isLeaving() ? "another target has this address" : "target has no capacity");
+            failed(AttemptFailure.REFUSED, misdirected ? "another target has this address" : "target has no capacity");
             return;
         }
         finished = true;
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TargetLeavingFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TargetLeavingFlowTest.java
@@ -42,8 +42,7 @@
         try (TestTarget leaving = leavingTarget(status)) {
             gateway.configure(RouteKind.SAFE, false, 1).target("t1", leaving.port());
             request(0);
-            gateway.registerTarget(new TargetIncarnation("t2", 0), other.port());
-            awaitServed();
+            gateway.target("t2", other.port());
 
             for (int i = 0; i < REQUESTS; i++) {
                 assertTrue(request(i + 1).startsWith("HTTP/1.1 200"));
@@ -60,8 +59,9 @@
             gateway.configure(RouteKind.SAFE, false, 1).target("t1", leaving.port());
             request(0);
             gateway.registerTarget(new TargetIncarnation("t1", 0), leaving.port());
-            gateway.registerTarget(new TargetIncarnation("t2", 0), other.port());
-            awaitServed();
+            gateway.target("t2", other.port());
+
+            assertTrue(request(1).startsWith("HTTP/1.1 200"));
 
             assertEquals(1, leaving.unreadRequests());
         }
@@ -89,11 +89,6 @@
                 TestTarget.write(out, TestTarget.answer(request, 200, "done").replace("200 X", head)));
     }
 
-    private void awaitServed() throws IOException {
-        gateway.awaitMetric("targets 1");
-        assertTrue(request(REQUESTS + 1).startsWith("HTTP/1.1 200"));
-    }
-
     private String request(int number) throws IOException {
         return gateway.caller()
                 .send("GET /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q" + number
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -52,6 +52,7 @@
             "Expected",
             "Not-Run",
             "Limit",
+            "Leaving",
             "Copy-From",
             "Backup",
             "Continue-From",
@@ -591,7 +592,7 @@
         return admin("GET", "/metrics");
     }
 
-    void awaitMetric(String line) throws IOException {
+    private void awaitMetric(String line) throws IOException {
         String lastMetrics = "";
         for (int i = 0; i < MAX_POLLS; i++) {
             lastMetrics = metrics();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/target/TargetConnectionsTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/target/TargetConnectionsTest.java
@@ -37,7 +37,7 @@
 @Timeout(20)
 class TargetConnectionsTest {
     private static final HeaderNames NAMES =
-            new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", Set.of());
+            new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p", Set.of());
 
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final TargetConnections connections = new TargetConnections(group, NAMES, MonotonicClock.ofProcess());
