Send nothing to a target for the time that it asks for

Callers saw: 503. Of 43 broker replies 15 were refused within four seconds, while an engine beside was free, and each was sent to the engine that had just turned others away. Cause: Retry-After in the answers of targets was read by nobody. Each rejection had one pause of 50 ms, so that each host sent a request to that target 20 times a second, as it looked idle. rattanplankd read whole seconds only, cut them at 2 s, let a later answer shorten a pause, and sent to paused targets when no other was left. Ruled out: requests chosen before the answer (23 came up to 2.5 s after it); an entry that was written again (none was). Change: a 503, or any rejection, that names a time (seconds, fractions, or a date against the answer's own) pauses the target at this host; the end never moves back, entries written again change nothing, a connection that is being opened is given up when the pause begins, streams don't continue there. Afterwards the target is preferred only for one request at a time until it has answered. If every target of a service pauses and no other region has room, callers are rejected at once and told when the first pause ends, one behind the other. Other hosts are not told: the target speaks to each host by itself.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/Event.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Event.java
@@ -120,6 +120,18 @@
         }
     }
 
+    /**
+     * A target wants nothing from this host for some time.
+     *
+     * @param target the target
+     * @param millis the time
+     */
+    record TargetPauseRequested(String target, long millis) implements Event {
+        public TargetPauseRequested {
+            Objects.requireNonNull(target, "target");
+        }
+    }
+
     /**
      * A target did not answer a load query.
      *
--- a/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/Node.java
@@ -178,6 +178,8 @@
             recordLoadReport(reported, nowMillis);
         } else if (event instanceof Event.TargetLeaving leaving) {
             recordLeaving(leaving.target(), nowMillis);
+        } else if (event instanceof Event.TargetPauseRequested pause) {
+            router.recordPauseRequest(pause.target(), pause.millis(), nowMillis);
         } else if (event instanceof Event.LoadMissed missed) {
             router.recordMissedReport(missed.target(), nowMillis);
         } else if (event instanceof Event.CacheReported cached) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/GatewayTarget.java
@@ -40,6 +40,7 @@
     private final TargetStreams streams = new TargetStreams();
     private final SlidingWindowCounter coldSends = new SlidingWindowCounter(SECOND_MILLIS);
     private final TargetRateLimit rateLimit = new TargetRateLimit();
+    private final TargetPause pause = new TargetPause();
     private final Map<String, InFlightWork> workByHost = new HashMap<>();
     private TargetEntry entry;
     private boolean leaving;
@@ -49,7 +50,6 @@
     private long coldUntilMillis;
     private Option<Long> missingUntilMillis = Option.none();
     private long lastActivityMillis;
-    private long backOffUntilMillis;
     private InFlightWork ownWork = InFlightWork.NONE;
 
     /** The sum of all hosts' work, maintained incrementally as each choice reads it for each target. */
@@ -234,11 +234,13 @@
     }
 
     boolean mayAccept(long nowMillis) {
-        return !leaving && !entryUnreadable && nowMillis >= backOffUntilMillis && health.isReachable(nowMillis);
+        return !leaving && !entryUnreadable && !pause.isActive(nowMillis) && health.isReachable(nowMillis);
     }
 
+    /** Whether it is to be preferred; after a pause that it has requested, one request at a time tries it. */
     boolean isHealthy(long nowMillis) {
-        return health.isHealthy(ownWork.requests(), nowMillis);
+        boolean isTried = pause.isOnTrial() && ownWork.requests() > 0;
+        return !isTried && health.isHealthy(ownWork.requests(), nowMillis);
     }
 
     /**
@@ -392,9 +394,14 @@
         return streams;
     }
 
-    /** Records an answer that was not a failure of the target. */
-    public void recordSuccess() {
+    /**
+     * Records an answer that was not a failure of the target.
+     *
+     * @param nowMillis the time
+     */
+    public void recordSuccess(long nowMillis) {
         health.recordSuccess();
+        pause.recordAnswer(nowMillis);
     }
 
     /**
@@ -422,6 +429,27 @@
      * @param nowMillis the time
      */
     public void backOff(long backOffMillis, long nowMillis) {
-        backOffUntilMillis = nowMillis + backOffMillis;
+        pause.start(backOffMillis, nowMillis);
+    }
+
+    /**
+     * Records that it wants nothing from this host for some time.
+     *
+     * @param millis the time
+     * @param nowMillis the time of its answer
+     * @return whether it had requested no pause that still lasts
+     */
+    public boolean requestPause(long millis, long nowMillis) {
+        return pause.request(millis, nowMillis);
+    }
+
+    /**
+     * Returns how much longer it wants nothing from this host.
+     *
+     * @param nowMillis the time
+     * @return milliseconds, zero if it has requested no pause that still lasts
+     */
+    public long requestedPauseMillis(long nowMillis) {
+        return pause.requestedMillis(nowMillis);
     }
 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -255,6 +255,21 @@
                 && !(incarnationsReported && target.incarnation().startedAtMillis() == 0);
     }
 
+    /**
+     * Returns how much longer every target of a service wants nothing from this host.
+     *
+     * @param service the service
+     * @param nowMillis the time
+     * @return milliseconds, zero if there is no such target, or one that has requested no pause
+     */
+    public long requestedPauseMillis(String service, long nowMillis) {
+        return targets.values().stream()
+                .filter(target -> target.entry().service().equals(service) && !target.isLeaving())
+                .mapToLong(target -> target.requestedPauseMillis(nowMillis))
+                .min()
+                .orElse(0);
+    }
+
     /**
      * Returns whether a stream may be continued at a target that holds its backup.
      *
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/BaselineChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/BaselineChooser.java
@@ -41,12 +41,16 @@
     @Override
     public RoutingDecision choose(Request request, Eligibility eligibility, long nowMillis) {
         CandidateLog candidateLog = new CandidateLog();
-        List<WeightedRoute> candidates = candidates(request, eligibility);
+        List<WeightedRoute> candidates = candidates(request, eligibility, nowMillis);
         candidates.forEach(
                 candidate -> candidateLog.add(candidate.route().peer(), "eligible", candidate.loadPerSlot()));
         if (candidates.isEmpty()) {
             Failure failure = Failure.of(Step.ROUTE, request.service(), "no target can take it");
-            return new RoutingDecision.Reject(failure, RETRY_AFTER_MILLIS, candidateLog.candidates());
+            long pauseMillis = targets.service(request.service())
+                    .map(service -> service.pauseMillis(nowMillis))
+                    .getOrElse(0L);
+            return new RoutingDecision.Reject(
+                    failure, Math.max(RETRY_AFTER_MILLIS, pauseMillis), candidateLog.candidates());
         }
         Route route =
                 switch (policy) {
@@ -57,10 +61,11 @@
         return new RoutingDecision.Dispatch(route, candidateLog.candidates());
     }
 
-    private List<WeightedRoute> candidates(Request request, Eligibility eligibility) {
+    private List<WeightedRoute> candidates(Request request, Eligibility eligibility, long nowMillis) {
         List<WeightedRoute> candidates = new ArrayList<>();
         if (eligibility.allowedRegions().contains(region)) {
-            targets.service(request.service()).forEach(service -> addTargets(service, eligibility, candidates));
+            targets.service(request.service())
+                    .forEach(service -> addTargets(service, eligibility, nowMillis, candidates));
         }
         if (eligibility.mayLeaveRegion() && policy != Policy.HOME_ONLY) {
             for (RemoteRegionState remote : remoteRegions.all()) {
@@ -70,9 +75,10 @@
         return candidates;
     }
 
-    private static void addTargets(ServiceTargets service, Eligibility eligibility, List<WeightedRoute> candidates) {
+    private static void addTargets(
+            ServiceTargets service, Eligibility eligibility, long nowMillis, List<WeightedRoute> candidates) {
         for (Target target : service.targets()) {
-            if (target.acceptsRequests() && !eligibility.triedPeers().contains(target.name)) {
+            if (target.mayReceive(nowMillis) && !eligibility.triedPeers().contains(target.name)) {
                 candidates.add(new WeightedRoute(new Route.ToTarget(target.name), 1, target.reportedLoadPerSlot()));
             }
         }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/Ejection.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/Ejection.java
@@ -37,15 +37,20 @@
 
     /** Returns whether one more request may be sent while this host has the given number in flight there. */
     boolean allowsRequest(int ownInFlight, long nowMillis) {
-        if (nowMillis < ejectedUntilMillis || nowMillis < pausedUntilMillis) {
+        if (isEjected(nowMillis) || pauseMillis(nowMillis) > 0) {
             return false;
         }
         return consecutiveEjections == 0 || ownInFlight <= successesSinceEjection;
     }
 
-    /** Sends nothing to the peer until the given time, because it requested a pause without failing. */
+    /** Sends nothing to the peer until the given time, because it requested a pause without failing; never shortens one. */
     void pauseUntil(long untilMillis) {
-        pausedUntilMillis = untilMillis;
+        pausedUntilMillis = Math.max(pausedUntilMillis, untilMillis);
+    }
+
+    /** Returns how much longer the pause that the peer requested lasts. */
+    long pauseMillis(long nowMillis) {
+        return Math.max(0, pausedUntilMillis - nowMillis);
     }
 
     /** Records a success; the ratio is the measured over the expected time, relative to the mean of the service. */
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/Router.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/Router.java
@@ -133,6 +133,22 @@
         }
     }
 
+    /**
+     * Records that a target wants nothing from this host for some time.
+     *
+     * @param target the target
+     * @param millis the time
+     * @param nowMillis the time of its answer
+     */
+    public void recordPauseRequest(String target, long millis, long nowMillis) {
+        lock.lock();
+        try {
+            targetTable.target(target).forEach(paused -> paused.ejection.pauseUntil(nowMillis + millis));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Records that a target did not answer a load query.
      *
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/ScoredChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/ScoredChooser.java
@@ -285,7 +285,10 @@
                 return new RoutingDecision.Dispatch(route.get(), candidateLog.candidates());
             }
             Failure failure = Failure.of(Step.ROUTE, request.service(), "no target can take it");
-            return new RoutingDecision.Reject(failure, RETRY_AFTER_MILLIS, candidateLog.candidates());
+            long pauseMillis = service.map(targetsHere -> targetsHere.pauseMillis(nowMillis))
+                    .getOrElse(0L);
+            return new RoutingDecision.Reject(
+                    failure, Math.max(RETRY_AFTER_MILLIS, pauseMillis), candidateLog.candidates());
         }
 
         private Option<Route> firstOtherRegion() {
@@ -310,7 +313,7 @@
             }
             Option<Target> best = Option.none();
             for (Target target : service.get().targets()) {
-                boolean isCandidate = target.acceptsRequests() && !triedPeers.contains(target.name);
+                boolean isCandidate = target.mayReceive(nowMillis) && !triedPeers.contains(target.name);
                 if (isCandidate && !best.exists(found -> found.load.load() <= target.load.load())) {
                     best = Option.some(target);
                 }
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/ServiceTargets.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/ServiceTargets.java
@@ -83,7 +83,7 @@
         load = 0;
         excluded = 0;
         for (Target target : targets) {
-            if (!target.acceptsRequests() || target.ejection.isEjected(nowMillis)) {
+            if (!target.mayReceive(nowMillis) || target.ejection.isEjected(nowMillis)) {
                 excluded++;
                 continue;
             }
@@ -109,6 +109,17 @@
         return Math.max(0, load + 1 - slots) / Math.max(1, slots) * workEstimate.meanRunMillis();
     }
 
+    /** Returns how much longer every target that accepts requests wants a pause, zero if there is none or one does not. */
+    long pauseMillis(long nowMillis) {
+        long shortestMillis = Long.MAX_VALUE;
+        for (Target target : targets) {
+            if (target.acceptsRequests()) {
+                shortestMillis = Math.min(shortestMillis, target.ejection.pauseMillis(nowMillis));
+            }
+        }
+        return shortestMillis == Long.MAX_VALUE ? 0 : shortestMillis;
+    }
+
     /** Ejects a target, unless half of the targets are already ejected. */
     void eject(Target target, long nowMillis) {
         // A fault of the network or of this host looks like a failure of every target. If all of them were ejected,
@@ -126,7 +137,7 @@
         int running = 0;
         int queued = 0;
         for (Target target : targets) {
-            if (target.load.hasReport() && target.acceptsRequests() && !target.ejection.isEjected(nowMillis)) {
+            if (target.load.hasReport() && target.mayReceive(nowMillis) && !target.ejection.isEjected(nowMillis)) {
                 int targetSlots = (int) target.slots(nowMillis);
                 count++;
                 totalSlots += targetSlots;
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/Target.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/Target.java
@@ -58,6 +58,11 @@
         return acceptsRequests && servesWantedVersion;
     }
 
+    /** Returns whether it may be sent a request even as a last resort. */
+    boolean mayReceive(long nowMillis) {
+        return acceptsRequests() && ejection.pauseMillis(nowMillis) == 0;
+    }
+
     boolean hasModel(String wantedVersion) {
         return models.contains(wantedVersion);
     }
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RetryAfterQueueTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/RetryAfterQueueTest.java
@@ -15,8 +15,21 @@
 
     private final RetryAfterQueue queue = new RetryAfterQueue();
 
+    /** Guards against callers that are sent back before anything can be served, or all at once when it can. */
+    @Test
+    void shouldSpreadCallersBehindTheTimeWhenNothingCanBeServedUntilThen() {
+        long unavailableMillis = 4 * REMAINING_MILLIS;
+        long previous = unavailableMillis;
+        for (int i = 0; i < 3; i++) {
+            long next = queue.retryAfterMillis(
+                    SERVICE, Urgency.FIRST, COST_MILLIS, unavailableMillis, REMAINING_MILLIS, 0, 0);
+            assertTrue(next >= previous, next + " after " + previous);
+            previous = next;
+        }
+    }
+
     private long reject(Urgency urgency, long nowMillis) {
-        return queue.retryAfterMillis(SERVICE, urgency, COST_MILLIS, REMAINING_MILLIS, 0, nowMillis);
+        return queue.retryAfterMillis(SERVICE, urgency, COST_MILLIS, 0, REMAINING_MILLIS, 0, nowMillis);
     }
 
     /**
--- a/rattanplank-core/src/test/java/org/rattanplank/core/route/Fixtures.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/Fixtures.java
@@ -62,7 +62,11 @@
     }
 
     static Router router(int targets) {
-        Router router = Router.of(SUVA, Policy.COST, 7);
+        return router(targets, Policy.COST);
+    }
+
+    static Router router(int targets, Policy policy) {
+        Router router = Router.of(SUVA, policy, 7);
         router.updateTargets(targets(targets), 0);
         for (int i = 0; i < targets; i++) {
             router.recordLoadReport(load("t" + i, 0, 0), 0);
--- a/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/route/RouterTest.java
@@ -72,6 +72,32 @@
             assertTrue(toIdle >= 9 && toIdle <= 14, "sent to the idle target: " + toIdle);
         }
 
+        /** Guards against requests to a target that has requested a pause, also if it is the last resort, or asks for less later. */
+        @Test
+        void shouldRejectUntilThePauseEndsWhenEveryTargetHasRequestedOne() {
+            for (Policy policy : List.of(Policy.COST, Policy.RANDOM, Policy.LEAST_REPORTED)) {
+                Router router = Fixtures.router(2, policy);
+                router.recordPauseRequest("t0", 9_000, 100);
+                router.recordPauseRequest("t0", 500, 110);
+                for (int i = 0; i < 10; i++) {
+                    assertEquals(
+                            new Route.ToTarget("t1"),
+                            chooseRoute(router, Fixtures.request("a" + i), 2_500)
+                                    .route());
+                }
+                router.recordPauseRequest("t1", 60_000, 2_500);
+
+                RoutingDecision.Reject rejection = assertInstanceOf(
+                        RoutingDecision.Reject.class,
+                        router.choose(Fixtures.request("r"), Fixtures.eligibleAnywhere(Set.of()), 2_600));
+
+                assertTrue(rejection.retryAfterMillis() >= 6_500);
+                assertEquals(
+                        new Route.ToTarget("t0"),
+                        chooseRoute(router, Fixtures.request("b"), 9_100).route());
+            }
+        }
+
         @Test
         void shouldRejectAtOnceWhenBacklogExceedsDeadline() {
             Router router = Fixtures.router(1);
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/AttemptListener.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/AttemptListener.java
@@ -15,6 +15,13 @@
     /** Called when the headers of the response say that the target leaves. */
     void targetLeaving();
 
+    /**
+     * Called when the headers of the response say that the target wants nothing from this host for some time.
+     *
+     * @param millis the time
+     */
+    void pauseRequested(long millis);
+
     /**
      * Called when the attempt has ended; no call follows.
      *
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/TargetAttempt.java
@@ -1,19 +1,21 @@
 package org.rattanplank.daemon.target;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Date;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.DateFormatter;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
 import io.vavr.control.Option;
-import io.vavr.control.Try;
 import org.rattanplank.core.request.Answer;
 import org.rattanplank.core.request.AttemptResult;
 import org.rattanplank.core.request.Failure;
 import org.rattanplank.core.request.Step;
+import org.rattanplank.core.response.RetryAfter;
 import org.rattanplank.daemon.call.Call;
 import org.rattanplank.daemon.call.RelayResult;
 import org.rattanplank.daemon.http.Exchange;
@@ -115,10 +117,17 @@
         if (isTrue(headers, "X-Leaving")) {
             listener.targetLeaving();
         }
+        Option<Long> pauseMillis = RetryAfter.readMillis(
+                headers.getAll(HttpHeaderNames.RETRY_AFTER),
+                headers.get(HttpHeaderNames.DATE),
+                text -> Option.of(DateFormatter.parseHttpDate(text)).map(Date::getTime));
+        retryAfterMillis = pauseMillis.getOrElse(0L);
         rejectedBeforeExecution = (status == TOO_MANY_REQUESTS || status == UNAVAILABLE)
                 && isTrue(headers, "X-Not-Run")
                 && !targetCall.isResumed();
-        retryAfterMillis = retryAfterMillis(headers.get(HttpHeaderNames.RETRY_AFTER));
+        if (status == UNAVAILABLE || rejectedBeforeExecution) {
+            pauseMillis.forEach(listener::pauseRequested);
+        }
         streaming = status == OK && contentType.startsWith(EVENT_STREAM);
         if (targetCall.isResumed() && !streaming) {
             endAsLost("the target cannot resume the stream");
@@ -297,11 +306,4 @@
     private static boolean isTrue(HttpHeaders headers, String name) {
         return "true".equalsIgnoreCase(headers.get(name));
     }
-
-    private static long retryAfterMillis(String header) {
-        return Option.of(header)
-                .flatMap(text -> Try.of(() -> Long.parseLong(text.strip())).toOption())
-                .map(TimeUnit.SECONDS::toMillis)
-                .getOrElse(0L);
-    }
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/Targets.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/target/Targets.java
@@ -151,6 +151,11 @@
                         resources.eventSink().raise(new Event.TargetLeaving(target.name()));
                     }
 
+                    @Override
+                    public void pauseRequested(long millis) {
+                        resources.eventSink().raise(new Event.TargetPauseRequested(target.name(), millis));
+                    }
+
                     @Override
                     public void ended(AttemptResult result) {
                         activeAttempts.remove(key);
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/TargetsTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/TargetsTest.java
@@ -212,6 +212,17 @@
         }
     }
 
+    /* Guards against a pause that is not kept as its target didn't say that the request has not run. */
+    @Test
+    void shouldReportThePauseWhenTheTargetNamesOne() throws Exception {
+        String unavailable = "HTTP/1.1 503 X\r\nX-Request-Id: r1.1\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n";
+        try (RawServer target = RawServer.of(respond(unavailable))) {
+            assertInstanceOf(AttemptResult.Completed.class, run(target, "/book", 0));
+
+            assertEquals(1, eventSink.count(Event.TargetPauseRequested.class));
+        }
+    }
+
     /* Guards against requests to a target that says in its answers that it leaves before its load report does. */
     @Test
     void shouldReportThatTheTargetLeavesWhenAnAnswerSaysSo() throws Exception {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -34,6 +34,8 @@
     TARGET_LIMIT,
     /** A target has named a limit that is none. */
     TARGET_LIMIT_INVALID,
+    /** A target wants no requests from this host for some time. */
+    TARGET_PAUSED,
     /** A target crashed while requests of this host were in flight there. */
     TARGET_CRASHED,
     /** A request is quarantined, as several targets crashed under it. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/GatewayState.java
@@ -232,6 +232,13 @@
                 Placement.of(request, clusterView, chooser, regionLoads, mechanisms, nowMillis()), linksByRegion);
     }
 
+    /** Returns whether a new request could be sent anywhere now. */
+    boolean hasCandidate(RouteRule route, ServiceRule service, Work work) {
+        return routingOptions(new PlacementRequest(route, service, work, Set.of()))
+                .placement()
+                .hasCandidate();
+    }
+
     /** Draws the regions that accept no further request, each with probability 1 minus its configured share. */
     private Set<String> drawRegionsOverShare() {
         Set<String> overShare = new HashSet<>();
@@ -443,16 +450,17 @@
      *
      * @param service the service of its request, if it is known
      * @param work the work of its request
+     * @param unavailableMillis how long nothing of the service can be served, zero if something can
      * @param remainingMillis the time that the caller has left
      * @return the delay in milliseconds
      */
-    long retryAfterMillis(Option<ServiceRule> service, Work work, long remainingMillis) {
+    long retryAfterMillis(Option<ServiceRule> service, Work work, long unavailableMillis, long remainingMillis) {
         double prefillMillis = service.filter(ServiceRule::isModel)
                 .map(rule -> prefillShareMillis(rule, work))
                 .getOrElse(0.0);
         String name = service.map(ServiceRule::name).getOrElse("");
         return retryAfterQueue.retryAfterMillis(
-                name, work.urgency(), prefillMillis, remainingMillis, nextRandom(), nowMillis());
+                name, work.urgency(), prefillMillis, unavailableMillis, remainingMillis, nextRandom(), nowMillis());
     }
 
     /**
@@ -469,7 +477,7 @@
         double unitsPerMilli = Math.max(MIN_UNITS_PER_MILLI, refusal.limitUnits() / allowances.windowMillis());
         double costMillis = units * regionView().hosts().size() / unitsPerMilli;
         long queuedMillis = allowanceQueue.retryAfterMillis(
-                account, Urgency.FIRST, costMillis, remainingMillis, nextRandom(), nowMillis());
+                account, Urgency.FIRST, costMillis, 0, remainingMillis, nextRandom(), nowMillis());
         return Math.max(refusal.retryAfterMillis(), queuedMillis);
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -194,6 +194,14 @@
                         .with("text", text));
     }
 
+    @Override
+    public void pauseRequested(long millis) {
+        state.log()
+                .writeImportant(LogLine.of(LogEvent.TARGET_PAUSED)
+                        .with("target", target.incarnationText())
+                        .with("millis", millis));
+    }
+
     @Override
     public void targetLeaving() {
         state.log()
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -478,10 +478,20 @@
     }
 
     private void reject(String reason) {
-        long retryAfterMillis = state.retryAfterMillis(Option.of(service), work, deadlineMillis - state.nowMillis());
+        long retryAfterMillis = state.retryAfterMillis(
+                Option.of(service), work, unavailableMillis(), deadlineMillis - state.nowMillis());
         reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused", reason, retryAfterMillis);
     }
 
+    /** Returns how long its service can't be served: every target has requested a pause, and no other region has room. */
+    private long unavailableMillis() {
+        if (service == null) {
+            return 0;
+        }
+        long pauseMillis = state.pool().requestedPauseMillis(service.name(), state.nowMillis());
+        return pauseMillis == 0 || state.hasCandidate(route, service, work) ? 0 : pauseMillis;
+    }
+
     private void rejectOverAllowance(AllowanceRefusal refusal) {
         String account = request.account().get();
         long retryAfterMillis = state.retryAfterMillis(
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
@@ -39,6 +39,13 @@
      */
     default void rateLimitInvalid(String text) {}
 
+    /**
+     * Called when the target wants nothing from this host for some time, unless it has already said so.
+     *
+     * @param millis the time from now
+     */
+    default void pauseRequested(long millis) {}
+
     /** Called when the response is the first that says that its target leaves, which nothing has said before. */
     default void targetLeaving() {}
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -1,11 +1,13 @@
 package org.rattanplank.gateway.target;
 
+import java.util.Date;
 import java.util.List;
 import java.util.Locale;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.handler.codec.DateFormatter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -23,6 +25,7 @@
 import org.rattanplank.core.response.BodyFraming;
 import org.rattanplank.core.response.Completeness;
 import org.rattanplank.core.response.ResponseBody;
+import org.rattanplank.core.response.RetryAfter;
 import org.rattanplank.gateway.GatewayRequest;
 import org.rattanplank.gateway.HeaderNames;
 import org.rattanplank.gateway.MonotonicClock;
@@ -36,6 +39,7 @@
 final class TargetAttempt implements Attempt {
     private static final String EVENT_STREAM = HttpHeaderValues.TEXT_EVENT_STREAM.toString();
 
+    private static final int UNAVAILABLE = HttpResponseStatus.SERVICE_UNAVAILABLE.code();
     private static final int MISDIRECTED = HttpResponseStatus.MISDIRECTED_REQUEST.code();
 
     private static final String LEAVING = "1";
@@ -57,6 +61,7 @@
     private ResponseBody body;
     private boolean misdirected;
     private boolean rejected;
+    private Option<Long> requestedPauseMillis = Option.none();
     private boolean finished;
 
     TargetAttempt(
@@ -135,6 +140,9 @@
         boolean notExecuted = headers.contains(names.notExecuted());
         readLeaving(headers);
         readRateLimit(headers.getAll(names.rateLimit()), notExecuted);
+        if (notExecuted || status == UNAVAILABLE) {
+            readPause(headers);
+        }
         if (notExecuted) {
             rejected = true;
             target.backOff(FULL_TARGET_PAUSE_MILLIS, clock.nowMillis());
@@ -143,7 +151,7 @@
         if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
             target.recordFailure(clock.nowMillis());
         } else {
-            target.recordSuccess();
+            target.recordSuccess(clock.nowMillis());
         }
         listener.headersReceived(status, headers);
     }
@@ -156,6 +164,16 @@
         }
     }
 
+    private void readPause(HttpHeaders headers) {
+        requestedPauseMillis = RetryAfter.readMillis(
+                headers.getAll(HttpHeaderNames.RETRY_AFTER),
+                headers.get(HttpHeaderNames.DATE),
+                text -> Option.of(DateFormatter.parseHttpDate(text)).map(Date::getTime));
+        requestedPauseMillis
+                .filter(millis -> target.requestPause(millis, clock.nowMillis()))
+                .forEach(listener::pauseRequested);
+    }
+
     /** Reads the named limit; a rejection without one doesn't tell that the limit has ended. */
     private void readRateLimit(List<String> values, boolean rejection) {
         if (values.isEmpty()) {
@@ -200,7 +218,7 @@
             return;
         }
         if (rejected) {
-            failed(AttemptFailure.REFUSED, misdirected ? "another target has this address" : "target has no capacity");
+            failed(AttemptFailure.REFUSED, rejectionReason());
             return;
         }
         finished = true;
@@ -212,6 +230,20 @@
         }
     }
 
+    private String rejectionReason() {
+        if (misdirected) {
+            return "another target has this address";
+        }
+        return requestedPauseMillis
+                .map(millis -> "target has requested a pause of " + millis + " ms")
+                .getOrElse("target has no capacity");
+    }
+
+    /** Ends it before it is sent, as the target may receive nothing any more. */
+    void withdrawn(String reason) {
+        failed(AttemptFailure.NOT_SENT, reason);
+    }
+
     void failed(AttemptFailure failure, String reason) {
         if (finished) {
             return;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -1,6 +1,5 @@
 package org.rattanplank.gateway.target;
 
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -22,6 +21,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.TargetChoice;
 import org.rattanplank.gateway.HeaderNames;
@@ -202,20 +202,31 @@
     private void open(GatewayTarget target, TargetAttempt attempt) {
         TargetConnection connection = new TargetConnection(names.requestId(), this);
         Channel channel = connect(target, connection, CONNECT_TIMEOUT_MILLIS, done -> {
-            if (done.isSuccess() && target.isLeaving()) {
+            Option<String> obstacle = obstacle(target);
+            if (!done.isSuccess()) {
+                attempt.connectFailed(done.cause());
+            } else if (obstacle.isDefined()) {
                 connection.close();
-                attempt.connectFailed(new ConnectException(
-                        target.isTerminated() ? "the target has restarted" : "the target has begun to leave"));
-            } else if (done.isSuccess()) {
+                attempt.withdrawn(obstacle.get());
+            } else {
                 targetByConnection.put(connection, target);
                 attempt.connected(connection);
-            } else {
-                attempt.connectFailed(done.cause());
             }
         });
         attempt.connectStarted(channel);
     }
 
+    /** Returns why a target that was chosen before its connection was open may receive nothing any more. */
+    private Option<String> obstacle(GatewayTarget target) {
+        if (target.isTerminated()) {
+            return Option.some("the target has restarted");
+        }
+        if (target.isLeaving()) {
+            return Option.some("the target has begun to leave");
+        }
+        return Option.when(target.requestedPauseMillis(clock.nowMillis()) > 0, "the target has requested a pause");
+    }
+
     private Channel connect(
             GatewayTarget target, TargetConnection connection, int timeoutMillis, ChannelFutureListener listener) {
         openedCount++;
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/target/TargetConnectionsTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/target/TargetConnectionsTest.java
@@ -72,6 +72,23 @@
         }
     }
 
+    /** Guards against a request that reaches a target which has requested a pause while the connection to it was opened. */
+    @Test
+    void shouldSendNothingWhenTheTargetRequestsAPauseWhileItsConnectionIsOpened() throws Exception {
+        GatewayTarget target = target();
+        TargetChoice choice = new TargetChoice(target, ServiceEstimate.NONE, 0, 1, Option.none());
+
+        group.next().execute(() -> {
+            connections.send(choice, call(), new FailureListener());
+            target.requestPause(Integer.MAX_VALUE, MonotonicClock.ofProcess().nowMillis());
+        });
+
+        assertEquals(AttemptFailure.NOT_SENT, failures.poll(10, TimeUnit.SECONDS));
+        try (Socket socket = server.accept()) {
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
     private GatewayTarget target() {
         TargetPool pool = TargetPool.of(Set.of("suva-hall"));
         String ip = server.getInetAddress().getHostAddress();
