--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -232,6 +232,18 @@
         store.silenceLists();
     }
 
+    /** Lets the store come back from the copy of a revision. */
+    void restoreStore(long revision) {
+        store.restore(revision);
+    }
+
+    /** Writes the entry of a target that leaves. */
+    void registerLeavingTarget(String id, int port) {
+        TargetEntry entry =
+                new TargetEntry(new TargetIncarnation(id, 0), "desk", "127.0.0.1", port, DATA_CENTRE, 4, true, 0);
+        store.put(TestStore.TARGETS_PREFIX + id, new ClusterEvent.TargetRegistered(entry), false);
+    }
+
     /** Returns the newest revision of the store. */
     long storeRevision() {
         return store.revision();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestStore.java
@@ -37,6 +37,7 @@
     private final AtomicLong lists = new AtomicLong();
     private long revision = 1;
     private long compactedRevision;
+    private boolean restored;
     private boolean down;
     private boolean listsSilent;
     private boolean watchesSilent;
@@ -100,6 +101,31 @@
         return putRevision.get();
     }
 
+    /**
+     * Comes back from the copy of a revision, as after a drill: what was written since is gone, and its revisions are given out
+     * again. Watches are closed.
+     */
+    void restore(long copyRevision) {
+        loop.submit(() -> restoreInLoop(copyRevision)).syncUninterruptibly();
+    }
+
+    private void restoreInLoop(long copyRevision) {
+        items.clear();
+        history.tailMap(copyRevision, false).clear();
+        for (StoreItem item : history.values()) {
+            if (item.removed()) {
+                items.remove(item.key());
+            } else {
+                items.put(item.key(), item);
+            }
+        }
+        revision = copyRevision;
+        restored = true;
+        List.copyOf(waiting).forEach(Runnable::run);
+        waiting.clear();
+        restored = false;
+    }
+
     /** Returns the items of quarantines that the gateway has written. */
     List<ClusterEvent.QuarantineChanged> quarantines() {
         List<ClusterEvent.QuarantineChanged> quarantines = new ArrayList<>();
@@ -171,7 +197,7 @@
         Runnable answer = () -> {
             if (!done[0] && !watchesSilent) {
                 done[0] = true;
-                if (afterRevision < compactedRevision) {
+                if (afterRevision < compactedRevision || restored || afterRevision > revision) {
                     loop.execute(() -> reply.accept(Either.left(StoreFailure.HISTORY_GONE)));
                     return;
                 }
@@ -185,7 +211,7 @@
             }
         };
         waiting.removeIf(each -> done[0]);
-        if (afterRevision >= revision) {
+        if (afterRevision == revision) {
             waiting.add(answer);
             loop.schedule(answer, waitMillis, TimeUnit.MILLISECONDS);
         } else {
