Order what the store says by its era, then by its revision

Callers saw: requests handled by a configuration that had been replaced over four seconds before (CONFIG), and requests at targets that had been confirmed to leave 4.8 s before (DRAIN); after the next change of the same key all was right again. Cause: a host's copy of the store takes a change of a key only if its revision is higher than the known one, and takes an unknown item below its own revision for removed. After the store has come back from an older copy its revisions are given out again, so that changes just after were taken for old ones, by watches, listings and other hosts alike. Whether the store has passed the old revision by the next watch, nothing tells but Store-Era, which was read by nobody. Leases are lost and their identifiers given out again, so that a host could renew or end the lease of another. Ruled out: a watch that waits behind the store (listings of 410 were there, and believed nothing); removals at the return. Change: StoreRevision holds the era above the number, so that all that is ordered by revision (copy, removals, digests, lag, what is relayed, reports between hosts) is ordered by era first. Answers of a later era than the revision that they follow lead to a listing; pages of two eras to a new one; a pending watch is given up when any answer, a lease's too, tells a later era. A lease is used only in its era. Hosts of an earlier version are told the store's own numbers; they are not relied on as relays once the store tells an era. A store without the header is served as before.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -14,7 +14,8 @@
 /**
  * The targets of this host's region and whether requests may be sent to them.
  *
- * <p>Invariants: a target in a data centre that is being evacuated gets no requests; one whose entry was removed gets none
+ * <p>Invariants: a target in a data centre that is being evacuated gets no requests, nor, after an outage of the store, before
+ * the end of the evacuation has lasted for {@link #REMOVAL_GRACE_MILLIS}; one whose entry was removed gets none
  * later than {@link #REMOVAL_GRACE_MILLIS} after that was learnt, however often the store fails and recovers; an
  * incarnation that left gets none even if an old entry of it arrives again; of the incarnations of one target the pool has
  * only the one that started last, and an entry of an earlier one changes nothing. Confined to its owner's thread.
@@ -36,6 +37,7 @@
     private final Map<String, GatewayTarget> targets = new LinkedHashMap<>();
     private final Map<String, Departed> departed = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
+    private final Map<String, Long> evacuationEndMillis = new HashMap<>();
     private long removalGraceUntilMillis;
 
     /**
@@ -204,7 +206,7 @@
     }
 
     /**
-     * Drops the targets whose entries were not restored in time.
+     * Drops the targets, and ends the evacuations, whose entries were not restored in time.
      *
      * @param nowMillis the time
      * @return the identifiers of the dropped targets
@@ -217,12 +219,19 @@
             }
         }
         removed.forEach(id -> drop(id, nowMillis));
+        List<String> ended = new ArrayList<>(evacuationEndMillis.keySet());
+        ended.removeIf(dataCentre -> nowMillis < evacuationEndMillis.get(dataCentre));
+        ended.forEach(dataCentre -> {
+            evacuationEndMillis.remove(dataCentre);
+            endEvacuation(dataCentre, nowMillis);
+        });
         departed.values().removeIf(each -> nowMillis - each.departedAtMillis() > DEPARTED_RETENTION_MILLIS);
         return removed;
     }
 
     /**
-     * Starts or ends the evacuation of a data centre.
+     * Starts or ends the evacuation of a data centre. Its end is believed later if the store may only have lost the request for
+     * it, which operators then write again.
      *
      * @param dataCentre the data centre
      * @param active whether nothing may be sent there
@@ -231,7 +240,16 @@
     public void evacuate(String dataCentre, boolean active, long nowMillis) {
         if (active) {
             evacuated.add(dataCentre);
-        } else if (evacuated.remove(dataCentre)) {
+            evacuationEndMillis.remove(dataCentre);
+        } else if (evacuated.contains(dataCentre) && nowMillis < removalGraceUntilMillis) {
+            evacuationEndMillis.putIfAbsent(dataCentre, removalGraceUntilMillis);
+        } else {
+            endEvacuation(dataCentre, nowMillis);
+        }
+    }
+
+    private void endEvacuation(String dataCentre, long nowMillis) {
+        if (evacuated.remove(dataCentre)) {
             // Targets may have become cold meanwhile, and their entries may report it a little later: the first burst
             // after an evacuation would crash them.
             targets.values().stream()
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetPoolTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetPoolTest.java
@@ -184,4 +184,23 @@
 
         assertEquals(List.of("a"), pool.tick(TargetPool.REMOVAL_GRACE_MILLIS));
     }
+
+    /** Guards against requests to a data centre that is being evacuated, as the store came back without the request for it. */
+    @Test
+    void shouldKeepADataCentreEvacuatedWhenItsRequestIsMissingForAMomentAfterAnOutage() {
+        pool.evacuate("suva-hall", true, 0);
+        pool.recordStoreRecovery(1_000);
+
+        pool.evacuate("suva-hall", false, 1_100);
+        pool.tick(2_000);
+        assertEquals(Set.of("suva-hall"), pool.evacuated());
+        pool.evacuate("suva-hall", true, 2_100);
+        pool.tick(10_000);
+        assertEquals(Set.of("suva-hall"), pool.evacuated());
+
+        pool.recordStoreRecovery(20_000);
+        pool.evacuate("suva-hall", false, 20_100);
+        pool.tick(20_000 + TargetPool.REMOVAL_GRACE_MILLIS);
+        assertEquals(Set.of(), pool.evacuated());
+    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
@@ -19,6 +19,7 @@
 import org.rattanplank.gateway.store.StoreFailure;
 import org.rattanplank.gateway.store.StoreItem;
 import org.rattanplank.gateway.store.StoreReadKind;
+import org.rattanplank.gateway.store.StoreRevision;
 
 /** Applies events read from the store to this host's cluster state and logs each change. Confined to the event loop. */
 final class ClusterStateUpdater implements FeedListener {
@@ -73,6 +74,8 @@
             }
         } else if (event instanceof ClusterEvent.QuarantineChanged changed) {
             quarantineRecorder.mergeStored(changed.fingerprint(), changed.evidence());
+        } else if (event instanceof ClusterEvent.QuarantineRemoved removed) {
+            quarantineRecorder.recordRemoved(removed.fingerprint());
         } else if (event instanceof ClusterEvent.Unreadable unreadable) {
             reportUnreadable(change.item(), unreadable);
         }
@@ -99,8 +102,9 @@
     public void copyDiffers(String peer, long revision) {
         state.metrics().copyDiffers();
         state.log()
-                .writeImportant(
-                        LogLine.of(LogEvent.STORE_DIFFERS).with("peer", peer).with("revision", revision));
+                .writeImportant(LogLine.of(LogEvent.STORE_DIFFERS)
+                        .with("peer", peer)
+                        .with("revision", StoreRevision.number(revision)));
     }
 
     @Override
@@ -108,7 +112,18 @@
         state.log()
                 .writeImportant(LogLine.of(LogEvent.STORE_WATCH_SILENT)
                         .with("lagMillis", lagMillis)
-                        .with("copyRevision", copyRevision));
+                        .with("copyRevision", StoreRevision.number(copyRevision)));
+    }
+
+    @Override
+    public void storeRestored(long copyRevision, long revision) {
+        state.pool().recordStoreRecovery(state.nowMillis());
+        state.log()
+                .writeImportant(LogLine.of(LogEvent.STORE_RESTORED)
+                        .with("era", StoreRevision.era(revision))
+                        .with("revision", StoreRevision.number(revision))
+                        .with("copyEra", StoreRevision.era(copyRevision))
+                        .with("copyRevision", StoreRevision.number(copyRevision)));
     }
 
     @Override
@@ -170,9 +185,10 @@
     /** Logs a change of what this host believes, with where it was learnt and how far the local copy was before. */
     private void logChange(LogLine line, StoreChange change) {
         state.log()
-                .writeImportant(line.with("revision", change.item().revision())
+                .writeImportant(line.with("era", StoreRevision.era(change.item().revision()))
+                        .with("revision", StoreRevision.number(change.item().revision()))
                         .with("source", change.source())
-                        .with("copyRevision", change.copyRevision()));
+                        .with("copyRevision", StoreRevision.number(change.copyRevision())));
     }
 
     /** Logs an unreadable entry once per key and reason, as it may be rewritten every second. */
@@ -183,7 +199,7 @@
             state.log()
                     .writeImportant(LogLine.of(LogEvent.ITEM_UNREADABLE)
                             .with("key", item.key())
-                            .with("revision", item.revision())
+                            .with("revision", StoreRevision.number(item.revision()))
                             .with("reason", unreadable.reason()));
         }
         if (reportedUnreadable.size() > MAX_REPORTED_UNREADABLE) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -42,6 +42,7 @@
 import org.rattanplank.gateway.store.HostLease;
 import org.rattanplank.gateway.store.StoreFailure;
 import org.rattanplank.gateway.store.StoreFeed;
+import org.rattanplank.gateway.store.StoreRevision;
 import org.rattanplank.gateway.target.TargetConnections;
 
 /**
@@ -449,7 +450,9 @@
         metrics.gauge("configuration_version", state::configurationVersion);
         metrics.gauge("intents_generation", () -> state.intents().generation());
         metrics.gauge("store_age_millis", () -> feed.lastResponseAgeMillis());
-        metrics.gauge("store_copy_revision", () -> feed.copy().revision());
+        metrics.gauge(
+                "store_copy_revision", () -> StoreRevision.number(feed.copy().revision()));
+        metrics.gauge("store_copy_era", () -> StoreRevision.era(feed.copy().revision()));
         metrics.gauge("store_copy_lag_millis", () -> feed.lagMillis());
         metrics.gauge("requests_in_progress", () -> requests.size());
         metrics.gauge("targets", () -> state.pool().all().size());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/PeerStateExchange.java
@@ -174,6 +174,7 @@
                 true,
                 true,
                 true,
+                true,
                 ownRegion ? state.allowances().usage(lastReport.atMillis) : List.of(),
                 demand));
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/QuarantineRecorder.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/QuarantineRecorder.java
@@ -77,6 +77,13 @@
         pending.computeIfPresent(fingerprint, (key, each) -> each.learned() ? null : each);
     }
 
+    /** Writes a record again that the store has lost while there is evidence, unless another host does so first. */
+    void recordRemoved(Fingerprint fingerprint) {
+        if (!quarantine.evidence(fingerprint).isEmpty()) {
+            learned(fingerprint);
+        }
+    }
+
     /** Starts the next write that is due. */
     void tick(long nowMillis) {
         if (writing) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RegionReplication.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RegionReplication.java
@@ -15,6 +15,7 @@
 import org.rattanplank.gateway.peer.StoreReceiver;
 import org.rattanplank.gateway.peer.StoreReplicator;
 import org.rattanplank.gateway.store.StoreFeed;
+import org.rattanplank.gateway.store.StoreRevision;
 
 /**
  * Decides whether this host watches the store, and to which hosts it replicates store changes.
@@ -75,8 +76,10 @@
             state.log()
                     .writeImportant(LogLine.of(LogEvent.STORE_BEHIND)
                             .with("lagMillis", lagMillis)
-                            .with("copyRevision", feed.copy().revision())
-                            .with("newestRevision", feed.newestReportedRevision())
+                            .with(
+                                    "copyRevision",
+                                    StoreRevision.number(feed.copy().revision()))
+                            .with("newestRevision", StoreRevision.number(feed.newestReportedRevision()))
                             .with("watching", feed.isWatching()));
         }
         lagLogged = lagMillis >= LOGGED_LAG_MILLIS;
@@ -94,13 +97,19 @@
         for (PeerLink link : alive) {
             if (link.isInOwnRegion()
                     && link.state().watchesStore()
-                    && link.state().storeHealthy()) {
+                    && link.state().storeHealthy()
+                    && tellsEras(link.state())) {
                 return false;
             }
         }
         return feed.isHealthy();
     }
 
+    /** A host of an earlier version doesn't notice that the store has come back from an older copy. */
+    private boolean tellsEras(PeerFrame.State peer) {
+        return peer.supportsStoreEras() || StoreRevision.era(feed.copy().revision()) == 0;
+    }
+
     /**
      * Selects the watchers again if a host of this region was added, removed or has changed, which a checksum over the
      * hosts detects.
@@ -182,6 +191,7 @@
             return !peer.storeHealthy() && peer.configurationVersion() < state.configurationVersion();
         }
         return peer.knownRevision() != PeerFrame.State.UNREPORTED
-                || peer.newestRevision() < feed.copy().newestRevision();
+                || peer.newestRevisionIn(StoreRevision.era(feed.copy().revision()))
+                        < feed.copy().newestRevision();
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
@@ -140,8 +140,8 @@
             }
             boolean reusable =
                     HttpUtil.isKeepAlive(response) && response.decoderResult().isSuccess();
-            HttpClientResponse complete =
-                    new HttpClientResponse(response.status().code(), ByteBufUtil.getBytes(response.content()));
+            HttpClientResponse complete = new HttpClientResponse(
+                    response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
             if (reusable) {
                 idleConnections.push(this);
             } else {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -76,6 +76,8 @@
     STORE_DIFFERS,
     /** A watch of the store returned nothing although another host has a newer revision; this host lists the store. */
     STORE_WATCH_SILENT,
+    /** The store has come back from an older copy and gives revisions out again. */
+    STORE_RESTORED,
     /** A large response of the store was read. */
     STORE_READ,
     /** Many bytes for another host are still queued in this process. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrame.java
@@ -12,6 +12,7 @@
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.gateway.store.StoreContents;
+import org.rattanplank.gateway.store.StoreRevision;
 
 /** A message between hosts. Immutable and thread safe. */
 public sealed interface PeerFrame {
@@ -53,6 +54,8 @@
      * @param supportsPromptPartNotices whether the sender accepts {@link PromptPartCrashNotice}, likewise
      * @param supportsKeyLists whether the sender applies the present keys of {@link StoreItems}; a host of an earlier version
      *     ignores them
+     * @param supportsStoreEras whether the sender orders revisions by the store's era; a host of an earlier version knows only
+     *     the store's own numbers
      * @param accountUsage what the sender has used of client accounts' allowances; sent to hosts of its own region only
      * @param accountDemand what is asked of client accounts in the sender's region; sent to hosts of other regions only
      */
@@ -76,6 +79,7 @@
             boolean supportsCrashNotices,
             boolean supportsPromptPartNotices,
             boolean supportsKeyLists,
+            boolean supportsStoreEras,
             List<AccountUsage> accountUsage,
             List<AccountDemand> accountDemand)
             implements PeerFrame {
@@ -106,6 +110,7 @@
                 false,
                 false,
                 false,
+                false,
                 List.of(),
                 List.of());
 
@@ -119,6 +124,27 @@
             accountDemand = List.copyOf(accountDemand);
         }
 
+        /**
+         * Returns the known revision as one of an era. A host of an earlier version tells no era; it is taken to be in the
+         * receiver's.
+         *
+         * @param era the receiver's era
+         * @return the revision
+         */
+        public long knownRevisionIn(long era) {
+            return supportsStoreEras ? knownRevision : StoreRevision.of(era, knownRevision);
+        }
+
+        /**
+         * Returns the newest revision as one of an era, likewise.
+         *
+         * @param era the receiver's era
+         * @return the revision
+         */
+        public long newestRevisionIn(long era) {
+            return supportsStoreEras ? newestRevision : StoreRevision.of(era, newestRevision);
+        }
+
         /**
          * Returns whether the host accepts work although it is leaving.
          *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerFrameCodec.java
@@ -30,6 +30,7 @@
 import org.rattanplank.core.quarantine.PromptPartUse;
 import org.rattanplank.gateway.store.StoreContents;
 import org.rattanplank.gateway.store.StoreItem;
+import org.rattanplank.gateway.store.StoreRevision;
 
 /**
  * Encodes frames as MessagePack and decodes them.
@@ -222,9 +223,9 @@
             out.packString(load.service()).packInt(load.urgency().ordinal());
             out.packFloat((float) load.expectedMillis()).packFloat((float) load.perTokenMillis());
         }
-        out.packLong(state.newestRevision());
+        out.packLong(StoreRevision.number(state.newestRevision()));
         out.packLong(state.acceptMillis());
-        out.packLong(state.knownRevision()).packLong(state.linkBytesPerMilli());
+        out.packLong(StoreRevision.number(state.knownRevision())).packLong(state.linkBytesPerMilli());
         for (PeerFrame.TargetWork work : state.targetWork()) {
             write(work.streamStats(), out);
         }
@@ -246,6 +247,9 @@
                     .packFloat((float) demand.perSecond())
                     .packFloat((float) demand.usedUnits());
         }
+        if (state.supportsStoreEras()) {
+            out.packLong(StoreRevision.era(state.newestRevision())).packLong(StoreRevision.era(state.knownRevision()));
+        }
     }
 
     /** Writes the evidence by target, as the text of a target takes more bytes than the rest. */
@@ -423,6 +427,11 @@
         for (int left = in.hasNext() ? in.unpackArrayHeader() : 0; left > 0; left--) {
             accountDemand.add(new AccountDemand(in.unpackString(), in.unpackFloat(), in.unpackFloat()));
         }
+        boolean supportsStoreEras = in.hasNext();
+        if (supportsStoreEras) {
+            newestRevision = StoreRevision.of(in.unpackLong(), newestRevision);
+            knownRevision = StoreRevision.of(in.unpackLong(), knownRevision);
+        }
         return new PeerFrame.State(
                 sentAtMillis,
                 echoedMillis,
@@ -443,6 +452,7 @@
                 supportsCrashNotices,
                 supportsPromptPartNotices,
                 supportsKeyLists,
+                supportsStoreEras,
                 accountUsage,
                 accountDemand);
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/ReceiverProgress.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/ReceiverProgress.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import org.rattanplank.gateway.store.StoreCopy;
+import org.rattanplank.gateway.store.StoreRevision;
 
 /**
  * Tracks how far the store is replicated to one other host.
@@ -11,6 +12,7 @@
  */
 final class ReceiverProgress {
     private final StoreReceiver receiver;
+    private long era;
     private long sentRevision;
     private long sentSmallItemsRevision;
     private long expectedRevision;
@@ -48,6 +50,14 @@
         return receiver.state().knownRevision() != PeerFrame.State.UNREPORTED;
     }
 
+    boolean supportsEras() {
+        return receiver.state().supportsStoreEras();
+    }
+
+    private long knownRevision() {
+        return receiver.state().knownRevisionIn(era);
+    }
+
     /** Returns whether the host accepts compressed items; hosts that report their newest revision do. */
     boolean supportsCompression() {
         return receiver.state().newestRevision() > 0;
@@ -63,7 +73,7 @@
 
     /** Returns whether the host needs the keys of all items, as removals since its revision may be unknown here. */
     boolean needsKeys(StoreCopy copy) {
-        return !copy.knowsRemovalsSince(sentRevision, receiver.state().newestRevision());
+        return !copy.knowsRemovalsSince(sentRevision, receiver.state().newestRevisionIn(era));
     }
 
     /** Returns when something was last sent to the host. */
@@ -77,7 +87,8 @@
 
     /** Updates the progress from the host's last state report and from this host's revision. */
     void update(long ownRevision, long nowMillis) {
-        long known = receiver.state().knownRevision();
+        era = StoreRevision.era(ownRevision);
+        long known = knownRevision();
         sentRevision = Math.max(sentRevision, known);
         sentSmallItemsRevision = Math.max(sentSmallItemsRevision, sentRevision);
         if (known >= expectedRevision) {
@@ -91,14 +102,14 @@
      * lags slightly during continuous changes does not count as lagging.
      */
     boolean isBehindFor(long millis, long nowMillis) {
-        return receiver.state().knownRevision() < expectedRevision
+        return knownRevision() < expectedRevision
                 && transfer.isEmpty()
                 && nowMillis - Math.max(expectedAtMillis, sentAtMillis) > millis;
     }
 
     /** Resets the progress to the revision that the host reported, since it did not apply what was sent. */
     void rewindToReported() {
-        sentRevision = Math.max(0, receiver.state().knownRevision());
+        sentRevision = Math.max(0, knownRevision());
         sentSmallItemsRevision = sentRevision;
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/StoreReplicator.java
@@ -16,6 +16,7 @@
 import org.rattanplank.gateway.store.StoreContents;
 import org.rattanplank.gateway.store.StoreCopy;
 import org.rattanplank.gateway.store.StoreItem;
+import org.rattanplank.gateway.store.StoreRevision;
 
 /**
  * Replicates the store's items to other hosts.
@@ -169,8 +170,8 @@
                 .with("peer", host.receiver().name())
                 .with("items", items.size())
                 .with("bytes", frame.bytes().length)
-                .with("baseRevision", baseRevision)
-                .with("revision", copy.revision())
+                .with("baseRevision", StoreRevision.number(baseRevision))
+                .with("revision", StoreRevision.number(copy.revision()))
                 .with("help", limiter == catchUpLimiter));
         if (frame.bytes().length <= StoreTransfer.FRAGMENT_BYTES || !host.supportsFragments()) {
             host.receiver().send(frame.frame(), frame.bytes());
@@ -218,11 +219,13 @@
                 copy.revision(),
                 copy.newestRevision(),
                 removalGraceMillis,
-                host.supportsFragments());
+                host.supportsFragments(),
+                host.supportsEras());
         if (lastEncoded.isEmpty() || !lastEncoded.get().key().matches(key)) {
+            StoreContents contents =
+                    complete ? copy.contents(baseRevision, items, withKeys) : StoreContents.some(items);
             PeerFrame.StoreItems frame = new PeerFrame.StoreItems(
-                    complete ? copy.contents(baseRevision, items, withKeys) : StoreContents.some(items),
-                    removalGraceMillis);
+                    host.supportsEras() ? contents : contents.withoutEras(), removalGraceMillis);
             byte[] bytes = PeerFrameCodec.encode(frame, host.supportsCompression());
             lastEncoded = Option.some(new EncodedFrame(key, frame, bytes));
         }
@@ -238,7 +241,8 @@
             long revision,
             long newestRevision,
             long removalGraceMillis,
-            boolean fragmented) {
+            boolean fragmented,
+            boolean withEras) {
         /** Compares field by field, because the first call of a record's equals generates code at run time. */
         private boolean matches(FrameKey other) {
             return baseRevision == other.baseRevision
@@ -249,7 +253,8 @@
                     && revision == other.revision
                     && newestRevision == other.newestRevision
                     && removalGraceMillis == other.removalGraceMillis
-                    && fragmented == other.fragmented;
+                    && fragmented == other.fragmented
+                    && withEras == other.withEras;
         }
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterEvent.java
@@ -92,6 +92,13 @@
         }
     }
 
+    /**
+     * The record of a quarantine was removed.
+     *
+     * @param fingerprint the fingerprint of the quarantined request
+     */
+    record QuarantineRemoved(Fingerprint fingerprint) implements ClusterEvent {}
+
     /** An item that does not concern this host. */
     record Unrelated() implements ClusterEvent {}
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterStore.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/ClusterStore.java
@@ -9,7 +9,8 @@
 /**
  * The platform's store, which holds all state that outlives a process.
  *
- * <p>Each call completes exactly once, on the event loop that made it, at the latest shortly after its time-out.
+ * <p>Revisions are those of {@link StoreRevision}. Each call completes exactly once, on the event loop that made it, at the
+ * latest shortly after its time-out.
  */
 public interface ClusterStore {
     /**
@@ -19,6 +20,14 @@
      */
     HttpClientTraffic traffic();
 
+    /**
+     * Returns the highest era that a response has reported. It rises when the store comes back from an older copy: what was
+     * written since is gone, leases too, and identifiers of leases are given out again.
+     *
+     * @return the era, zero if none was reported
+     */
+    long era();
+
     /**
      * Lists items.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/FeedListener.java
@@ -44,6 +44,15 @@
      */
     void watchSilent(long lagMillis, long copyRevision);
 
+    /**
+     * Called when the store has come back from an older copy, before the removals of what the copy lacks; operators and targets
+     * write again what they had written since.
+     *
+     * @param copyRevision the revision up to which the local copy was complete
+     * @param revision a revision of the store since
+     */
+    void storeRestored(long copyRevision, long revision);
+
     /** Called when the store responds again after an outage; entries that expired meanwhile may be registered again. */
     void storeRecovered();
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/HostLease.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/HostLease.java
@@ -11,8 +11,9 @@
 /**
  * Keeps this host registered in the store by a lease.
  *
- * <p>Invariant: while the store responds, a lost entry is restored within one renewal interval, whether its lease expired
- * or its key was removed. Confined to its event loop.
+ * <p>Invariants: while the store responds, a lost entry is restored within one renewal interval, whether its lease expired, its
+ * key was removed or the store came back from an older copy; a lease is used only in the era of the store that granted it, as its
+ * identifier may belong to another host since. Confined to its event loop.
  */
 public final class HostLease {
     /** A killed host is detected by its links; the lease only bounds how long its entry stays. */
@@ -31,6 +32,7 @@
     private final long leaseMillis;
     private final Consumer<Option<StoreFailure>> outcomeListener;
     private long lease;
+    private long leaseEra;
     private boolean registered;
     private boolean deregistered;
 
@@ -83,7 +85,7 @@
     /** Removes this host from the store by revoking its lease. */
     public void deregister() {
         deregistered = true;
-        if (lease != 0) {
+        if (lease != 0 && leaseEra == store.era()) {
             store.revokeLease(lease);
         }
     }
@@ -92,8 +94,12 @@
         if (deregistered) {
             return;
         }
+        long era = store.era();
+        if (leaseEra != era) {
+            forgetLease();
+        }
         if (lease == 0) {
-            store.grantLease(leaseMillis, this::leaseGranted);
+            store.grantLease(leaseMillis, reply -> leaseGranted(era, reply));
         } else if (!registered) {
             StoreItem item = format.write(self);
             store.put(item.key(), item.value(), lease, Option.none(), this::entryWritten);
@@ -102,9 +108,10 @@
         }
     }
 
-    private void leaseGranted(Either<StoreFailure, Long> reply) {
+    private void leaseGranted(long era, Either<StoreFailure, Long> reply) {
         if (reply.isRight()) {
             lease = reply.get();
+            leaseEra = era;
             registered = false;
             advance();
             return;
@@ -115,8 +122,7 @@
     private void entryWritten(Either<StoreFailure, Long> reply) {
         if (reply.isRight()) {
             registered = true;
-            outcomeListener.accept(Option.none());
-            scheduleNext();
+            callSucceeded();
             return;
         }
         clearIfLeaseEnded(reply.getLeft());
@@ -129,14 +135,26 @@
             callFailed(reply.getLeft());
             return;
         }
-        outcomeListener.accept(Option.none());
-        scheduleNext();
+        callSucceeded();
     }
 
     private void clearIfLeaseEnded(StoreFailure failure) {
         if (failure == StoreFailure.NOT_FOUND) {
-            lease = 0;
-            registered = false;
+            forgetLease();
+        }
+    }
+
+    private void forgetLease() {
+        lease = 0;
+        registered = false;
+    }
+
+    private void callSucceeded() {
+        outcomeListener.accept(Option.none());
+        if (leaseEra == store.era()) {
+            scheduleNext();
+        } else {
+            advance();
         }
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreContents.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreContents.java
@@ -66,6 +66,24 @@
         return new StoreContents(baseRevision, revision, baseRevision, items, Option.none());
     }
 
+    /**
+     * Returns the same contents with the store's own numbers as revisions, for a host that knows no eras.
+     *
+     * @return the contents
+     */
+    public StoreContents withoutEras() {
+        List<StoreItem> numbered = items.stream()
+                .map(item ->
+                        new StoreItem(item.key(), item.value(), StoreRevision.number(item.revision()), item.removed()))
+                .toList();
+        return new StoreContents(
+                StoreRevision.number(baseRevision),
+                StoreRevision.number(revision),
+                StoreRevision.number(removalsSinceRevision),
+                numbered,
+                presentKeys);
+    }
+
     /**
      * Creates contents that are only some of the changes.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -17,8 +17,9 @@
  * changes.
  *
  * <p>Invariants: a key that is missing from a full listing at a higher revision than the key's is removed; reads use
- * {@link #READ_SHARE} of the host's link on average, plus one listing and one watch ahead. Contents sent by other hosts are
- * merged at any time. Confined to its event loop.
+ * {@link #READ_SHARE} of the host's link on average, plus one listing and one watch ahead; changes of a later era than the
+ * revision they follow are not applied, but the store is listed. Contents sent by other hosts are merged at any time. Confined
+ * to its event loop.
  */
 public final class StoreFeed {
     /**
@@ -157,7 +158,8 @@
     }
 
     /**
-     * Abandons a watch that is silent although another host has a newer revision, and lists the store. The connection of the
+     * Abandons a watch that has outlived the store's era, or that is silent although another host has a newer revision, and
+     * lists the store. The connection of the
      * watch may be dead, which would show only when the watch times out; until then this host would believe in targets that
      * have left, and other hosts would take it for up to date.
      */
@@ -168,6 +170,11 @@
             bytesReceived = received;
             bytesReceivedAtMillis = now;
         }
+        if (watchPending && store.era() > copyEra()) {
+            abandonWatch();
+            listPage(new Listing(false), "");
+            return;
+        }
         if (watchPending && now - bytesReceivedAtMillis >= SILENT_WATCH_MILLIS && lagMillis() >= SILENT_WATCH_MILLIS) {
             watchSilent = true;
             abandonWatch();
@@ -297,6 +304,7 @@
      */
     public void mergeFromPeer(String peer, StoreContents contents) {
         long copyRevision = copy.revision();
+        recordRestore(contents.revision());
         for (StoreItem item : copy.merge(contents)) {
             notifyListener(item, peer, copyRevision);
         }
@@ -305,6 +313,12 @@
         }
     }
 
+    private void recordRestore(long revision) {
+        if (isComplete() && StoreRevision.era(revision) > copyEra()) {
+            listener.storeRestored(copy.revision(), revision);
+        }
+    }
+
     private void notifyListener(StoreItem item, String source, long copyRevision) {
         listener.itemChanged(new StoreChange(item, source, copyRevision), format.read(item));
     }
@@ -331,6 +345,10 @@
         listener.storeResponded(clock.nowMillis() - calledMillis);
         StorePage page = reply.get();
         recordPage(StoreReadKind.LIST, page, calledMillis);
+        if (!listing.continuesWith(page.revision()) || StoreRevision.era(page.revision()) < copyEra()) {
+            scheduleRetry(() -> listPage(new Listing(listing.verification), ""));
+            return;
+        }
         listing.revision = Math.min(listing.revision, page.revision());
         listing.lastPageRevision = Math.max(listing.lastPageRevision, page.revision());
         page.items().forEach(item -> {
@@ -350,6 +368,7 @@
 
     private void listed(Listing listing) {
         long copyRevision = copy.revision();
+        recordRestore(listing.revision);
         for (StoreItem removal : copy.completeListing(listing.keys, listing.revision, listing.lastPageRevision)) {
             notifyListener(removal, StoreReadKind.LIST.name(), copyRevision);
         }
@@ -373,11 +392,12 @@
             calledAtMillis = clock.nowMillis();
             watchPending = true;
             long watch = ++currentWatch;
-            store.watch(format.prefix(), copy.revision(), WATCH_TIMEOUT_MILLIS, reply -> watchReplied(watch, reply));
+            long revision = copy.revision();
+            store.watch(format.prefix(), revision, WATCH_TIMEOUT_MILLIS, reply -> watchReplied(watch, revision, reply));
         }
     }
 
-    private void watchReplied(long watch, Either<StoreFailure, StorePage> reply) {
+    private void watchReplied(long watch, long watchedRevision, Either<StoreFailure, StorePage> reply) {
         if (watch != currentWatch) {
             return;
         }
@@ -390,6 +410,10 @@
         backoff = backoff.succeeded();
         StorePage page = reply.get();
         recordPage(StoreReadKind.WATCH, page, calledAtMillis);
+        if (!StoreRevision.isSameEra(page.revision(), watchedRevision)) {
+            listAll();
+            return;
+        }
         for (StoreItem item : page.items()) {
             if (copy.apply(item)) {
                 notifyListener(item, StoreReadKind.WATCH.name(), copy.revision());
@@ -420,6 +444,10 @@
         }
     }
 
+    private long copyEra() {
+        return StoreRevision.era(copy.revision());
+    }
+
     private void recordPage(StoreReadKind kind, StorePage page, long calledMillis) {
         long bytes = page.valueBytes();
         readLimiter.consume(Math.round(bytes * BASE64_BYTES_PER_BYTE), clock.nowMillis());
@@ -465,5 +493,10 @@
         private Listing(boolean verification) {
             this.verification = verification;
         }
+
+        /** Returns whether a page shows the same history of the store as those before. */
+        private boolean continuesWith(long pageRevision) {
+            return lastPageRevision == 0 || StoreRevision.isSameEra(lastPageRevision, pageRevision);
+        }
     }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/QuarantineRecorderTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/QuarantineRecorderTest.java
@@ -111,6 +111,11 @@
         private final List<Fingerprint> writes = new ArrayList<>();
         private boolean refuses;
 
+        @Override
+        public long era() {
+            return 0;
+        }
+
         @Override
         public HttpClientTraffic traffic() {
             return new HttpClientTraffic();
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/PeerFrameCodecTest.java
@@ -66,6 +66,7 @@
                         true,
                         true,
                         true,
+                        true,
                         List.of(),
                         List.of()),
                 new PeerFrame.StoreItems(StoreContents.all(7, List.of()), 30),
@@ -139,6 +140,7 @@
                 false,
                 false,
                 false,
+                false,
                 List.of(),
                 List.of());
         byte[] bytes = PeerFrameCodec.encode(state);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreReplicatorTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/StoreReplicatorTest.java
@@ -148,6 +148,7 @@
                 false,
                 false,
                 true,
+                true,
                 List.of(),
                 List.of());
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -272,6 +272,7 @@
                 false,
                 false,
                 false,
+                true,
                 List.of(),
                 List.of()));
     }
@@ -309,6 +310,7 @@
                 false,
                 false,
                 false,
+                true,
                 List.of(),
                 List.of()));
     }
@@ -451,6 +453,7 @@
                 false,
                 false,
                 false,
+                true,
                 List.of(),
                 List.of()));
     }
@@ -502,6 +505,7 @@
                 supportsCrashNotices,
                 supportsPromptPartNotices,
                 false,
+                true,
                 accountUsage,
                 List.of()));
     }
