Let the soak's replicas leave and ask for pauses in their answers

Replicas now reject all requests and name a pause, or say that they leave while their entry stands, beside all other faults (drawn by a random source of their own, so that the draws of older seeds stay); the audit counts, at the replicas, the requests that reach them although every host must know. It can't tell hosts apart behind a link, so that it allows two for each host and each fault that excuses one.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -45,6 +45,11 @@
 
     private static final int MAX_CRASHING_PROMPTS = 7;
 
+    /** The requests that may reach a replica from a host in its pause; a host that starts again may send them once more. */
+    private static final int UNWANTED_REQUESTS_PER_HOST = 2;
+
+    private static final long RETRY_MILLIS = 100;
+
     /** The crashes by one cause after which few more are allowed, and the time from which they count. */
     private static final Map<CrashCause, Integer> ALLOWED_CRASHES =
             Map.of(CrashCause.REQUEST, 3, CrashCause.PROMPT_PART, 5);
@@ -61,6 +66,7 @@
     private final SplittableRandom random;
     private final SplittableRandom additionalRandom;
     private final SplittableRandom furtherRandom;
+    private final SplittableRandom latestRandom;
     private final List<Thread> crashingCallers = new ArrayList<>();
     private final List<SoakCall> calls = Collections.synchronizedList(new ArrayList<>());
     private final Map<SoakFault, Integer> faultCounts = new EnumMap<>(SoakFault.class);
@@ -74,6 +80,7 @@
         random = new SplittableRandom(seed);
         additionalRandom = new SplittableRandom(~seed);
         furtherRandom = new SplittableRandom(Long.reverse(seed));
+        latestRandom = new SplittableRandom(~Long.reverse(seed));
     }
 
     /**
@@ -139,6 +146,7 @@
         threads.forEach(thread -> Try.run(thread::join));
         violations.addAll(SoakAudit.violations(List.copyOf(calls), site.runCounts()));
         violations.addAll(site.accountUse().violations());
+        checkUnwantedRequests(violations);
         long answered = calls.stream()
                 .filter(call -> call.status() == STATUS_OK && call.complete())
                 .count();
@@ -151,16 +159,25 @@
             injectFault(SoakFault.SINGLE.get(random.nextInt(SoakFault.SINGLE.size())), random);
             injectSometimes(SoakFault.ADDITIONAL, additionalRandom);
             injectSometimes(SoakFault.FURTHER, furtherRandom);
+            injectSometimes(SoakFault.LATEST, latestRandom);
             Poll.pause(random.nextLong(200, 1_200));
             runDueRepairs();
             replaceCrashedReplicas();
         }
-        pendingRepairs.forEach(repair -> repair.action.run());
-        pendingRepairs.clear();
+        runAllRepairs();
         crashingCallers.forEach(thread -> Try.run(thread::join));
         replaceCrashedReplicas();
     }
 
+    /** Repairs may schedule others: what needs the store follows the end of its outages. */
+    private void runAllRepairs() {
+        while (!pendingRepairs.isEmpty()) {
+            List<Repair> due = List.copyOf(pendingRepairs);
+            pendingRepairs.clear();
+            due.forEach(repair -> repair.action.run());
+        }
+    }
+
     private void injectSometimes(List<SoakFault> faults, SplittableRandom draw) {
         if (draw.nextInt(FAULTS_PER_ADDITIONAL) == 0) {
             injectFault(faults.get(draw.nextInt(faults.size())), draw);
@@ -315,6 +332,14 @@
                 site.endBodies(replica, end);
                 scheduleRepair(millis, () -> site.endBodies(replica, BodyEnd.MARKED));
             }
+            case REPLICA_PAUSED -> {
+                site.pauseReplica(replica, LIMITED_PERIODS * millis);
+                scheduleRepair(LIMITED_PERIODS * millis, () -> site.resumeReplica(replica));
+            }
+            case REPLICA_LEAVES -> {
+                site.letReplicaLeave(replica);
+                scheduleRepair(LIMITED_PERIODS * millis, () -> removeLeaving(replica));
+            }
             default -> throw new IllegalStateException("unsupported fault " + fault);
         }
     }
@@ -328,6 +353,26 @@
         return fault == SoakFault.REPLICA_REPLACED || fault == SoakFault.CONFIGURATION_CHANGES;
     }
 
+    private void removeLeaving(String replica) {
+        if (activeStoreOutages > 0) {
+            scheduleRepair(RETRY_MILLIS, () -> removeLeaving(replica));
+        } else if (site.replicaIds().contains(replica)) {
+            site.replaceReplica(replica);
+        }
+    }
+
+    /** Checks that hosts that were not restarted, suspended or cut off kept to what replicas had said. */
+    private void checkUnwantedRequests(List<String> violations) {
+        int disturbances = SoakFault.EXCUSING.stream()
+                .mapToInt(fault -> faultCounts.getOrDefault(fault, 0))
+                .sum();
+        int allowed = UNWANTED_REQUESTS_PER_HOST * (site.hostNames().size() + disturbances);
+        if (site.unwantedRequests().count() > allowed) {
+            violations.add(
+                    site.unwantedRequests().count() + " requests reached replicas that wanted none, of " + allowed);
+        }
+    }
+
     private void endStoreOutage() {
         activeStoreOutages--;
         site.store().down(activeStoreOutages > 0);
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
@@ -35,7 +35,11 @@
     /** The responses of a replica end with their connections temporarily, whole, cut or reset. */
     REPLICA_CLOSE_DELIMITED,
     /** Different requests with a prompt part that crashes each replica which runs them are sent to several hosts. */
-    CRASHING_PROMPT_PART;
+    CRASHING_PROMPT_PART,
+    /** A replica rejects all requests temporarily and asks each host for a pause. */
+    REPLICA_PAUSED,
+    /** A replica says in its responses that it leaves, some time before its entry is removed. */
+    REPLICA_LEAVES;
 
     /** The faults that are drawn one at a time; the others are drawn beside them, so that the draw of a seed stays. */
     static final List<SoakFault> SINGLE = List.of(values()).subList(0, REPLICA_LIMITED.ordinal());
@@ -45,4 +49,11 @@
 
     /** The faults that are drawn beside both, for the same reason. */
     static final List<SoakFault> FURTHER = List.of(REPLICA_CLOSE_DELIMITED, CRASHING_PROMPT_PART);
+
+    /** The faults after which a host may ask a replica again that has told it to send nothing. */
+    static final List<SoakFault> EXCUSING =
+            List.of(FREEZE_HOST, KILL_HOST, STOP_HOST, REPLICA_CUT, REPLICA_LATE, REPLICA_SILENT);
+
+    /** The faults that are drawn beside all of them, likewise. */
+    static final List<SoakFault> LATEST = List.of(REPLICA_PAUSED, REPLICA_LEAVES);
 }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
@@ -43,6 +44,7 @@
     private static final int METRICS_PORT = 9_464;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long NANOS_PER_SECOND = 1_000_000_000;
     private static final int OCTET_VALUES = 250;
     private static final int FIRST_HOST_OCTET = 100;
 
@@ -63,6 +65,9 @@
     private final Map<String, Link> linksToCrash = new ConcurrentHashMap<>();
     private final Map<String, String> limitsByReplica = new ConcurrentHashMap<>();
     private final Map<String, BodyEnd> bodyEnds = new ConcurrentHashMap<>();
+    private final Map<String, Long> pauseEndNanos = new ConcurrentHashMap<>();
+    private final Set<String> leavingReplicas = ConcurrentHashMap.newKeySet();
+    private final ReplicaRequests unwantedRequests = new ReplicaRequests();
     private final Queue<String> crashedReplicas = new ConcurrentLinkedQueue<>();
     private final Map<CrashCause, Integer> crashCounts = new ConcurrentHashMap<>();
     private final AccountUse accountUse = new AccountUse();
@@ -109,6 +114,10 @@
         return runCounts;
     }
 
+    ReplicaRequests unwantedRequests() {
+        return unwantedRequests;
+    }
+
     AccountUse accountUse() {
         return accountUse;
     }
@@ -175,6 +184,7 @@
     void replaceReplica(String id) {
         operator.removeTarget(id);
         replicaLinks.remove(id);
+        unwantedRequests.wanted(id);
         addReplica(id.split("-")[1], id.startsWith("w"));
     }
 
@@ -191,6 +201,26 @@
         bodyEnds.put(id, end);
     }
 
+    /** Lets a replica reject all requests and ask for a pause until a time. */
+    void pauseReplica(String id, long millis) {
+        pauseEndNanos.put(id, System.nanoTime() + millis * NANOS_PER_MILLI);
+        unwantedRequests.unwanted(id, nowMillis());
+    }
+
+    /** Ends the pause of a replica. */
+    void resumeReplica(String id) {
+        pauseEndNanos.remove(id);
+        if (!leavingReplicas.contains(id)) {
+            unwantedRequests.wanted(id);
+        }
+    }
+
+    /** Lets a replica say in its responses that it leaves. */
+    void letReplicaLeave(String id) {
+        leavingReplicas.add(id);
+        unwantedRequests.unwanted(id, nowMillis());
+    }
+
     /** Returns how many replicas a cause has crashed. */
     int crashCount(CrashCause cause) {
         return crashCounts.getOrDefault(cause, 0);
@@ -208,6 +238,10 @@
     /** Writes the next version of the configuration to the store. */
     void applyNextConfiguration() {
         configurationVersion++;
+        configure();
+    }
+
+    private void configure() {
         operator.configure(SiteConfigurations.withAccounts(
                 SiteConfigurations.of(configurationVersion), configurationVersion == 1));
     }
@@ -225,8 +259,16 @@
         Link link = Link.open(loop, address);
         replicaLinks.put(id, link);
         linksToCrash.put(id, link);
-        String service = streams ? SiteConfigurations.WRITER_SERVICE : SiteConfigurations.DESK_SERVICE;
-        operator.registerTarget(id, service, link.address(), region + "-hall");
+        register(id, link);
+    }
+
+    private void register(String id, Link link) {
+        String service = id.startsWith("w") ? SiteConfigurations.WRITER_SERVICE : SiteConfigurations.DESK_SERVICE;
+        operator.registerTarget(id, service, link.address(), id.split("-")[1] + "-hall");
+    }
+
+    private static long nowMillis() {
+        return System.nanoTime() / NANOS_PER_MILLI;
     }
 
     private void writeSettings(String name, String region, int number) {
@@ -256,7 +298,23 @@
         @Override
         public void executed(ExecutedRequest request) {
             runCounts.merge(request.id(), 1, Integer::sum);
-            accountUse.executed(request, System.nanoTime() / NANOS_PER_MILLI);
+            accountUse.executed(request, nowMillis());
+        }
+
+        @Override
+        public void arrived() {
+            unwantedRequests.arrived(id, nowMillis());
+        }
+
+        @Override
+        public boolean isLeaving() {
+            return leavingReplicas.contains(id);
+        }
+
+        @Override
+        public Option<Long> pauseSeconds() {
+            return Option.of(pauseEndNanos.get(id))
+                    .map(end -> 1 + Math.max(0, end - System.nanoTime()) / NANOS_PER_SECOND);
         }
 
         @Override
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
@@ -22,6 +22,8 @@
 public final class SiteReplica {
     private static final int STATUS_OK = 200;
     private static final int STATUS_MISDIRECTED_REQUEST = 421;
+    private static final int STATUS_UNAVAILABLE = 503;
+
     /** The number of events of a complete stream. */
     public static final int EVENT_COUNT = 5;
 
@@ -83,6 +85,17 @@
             exchange.respond(STATUS_MISDIRECTED_REQUEST, echo, Json.object());
             return;
         }
+        listener.arrived();
+        if (listener.isLeaving()) {
+            echo.put(headerNames.leaving(), "1");
+        }
+        Option<Long> pauseSeconds = listener.pauseSeconds();
+        if (pauseSeconds.isDefined()) {
+            echo.put(headerNames.notExecuted(), "1");
+            echo.put("Retry-After", Long.toString(pauseSeconds.get()));
+            exchange.respond(STATUS_UNAVAILABLE, echo, Json.object());
+            return;
+        }
         listener.executed(new ExecutedRequest(
                 requestId,
                 exchange.header(headerNames.account()),
@@ -152,6 +165,27 @@
          */
         void executed(ExecutedRequest request);
 
+        /** Called when a request arrives that is addressed to the replica, whether it executes it or not. */
+        default void arrived() {}
+
+        /**
+         * Returns whether the replica says in its responses that it leaves.
+         *
+         * @return whether it does
+         */
+        default boolean isLeaving() {
+            return false;
+        }
+
+        /**
+         * Returns the pause that the replica requests as it rejects all requests.
+         *
+         * @return the seconds, or none if it executes requests
+         */
+        default Option<Long> pauseSeconds() {
+            return Option.none();
+        }
+
         /**
          * Called when the replica crashes under a request.
          *
