Let the soak's store come back from an older copy

It now tells its era in all answers, keeps copies and comes back from them; operators and replicas then write again. SiteStoreTest shows a store that has passed the old revisions before the next watch, and a condition on a revision of an earlier era.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -340,6 +340,10 @@
                 site.letReplicaLeave(replica);
                 scheduleRepair(LIMITED_PERIODS * millis, () -> removeLeaving(replica));
             }
+            case STORE_RESTORED -> {
+                site.store().keepCopy();
+                scheduleRepair(millis, this::restoreStore);
+            }
             default -> throw new IllegalStateException("unsupported fault " + fault);
         }
     }
@@ -353,6 +357,15 @@
         return fault == SoakFault.REPLICA_REPLACED || fault == SoakFault.CONFIGURATION_CHANGES;
     }
 
+    /** The store is written after it has come back, which is not possible while it is down. */
+    private void restoreStore() {
+        if (activeStoreOutages > 0) {
+            scheduleRepair(RETRY_MILLIS, this::restoreStore);
+        } else {
+            site.restoreStore();
+        }
+    }
+
     private void removeLeaving(String replica) {
         if (activeStoreOutages > 0) {
             scheduleRepair(RETRY_MILLIS, () -> removeLeaving(replica));
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
@@ -39,7 +39,9 @@
     /** A replica rejects all requests temporarily and asks each host for a pause. */
     REPLICA_PAUSED,
     /** A replica says in its responses that it leaves, some time before its entry is removed. */
-    REPLICA_LEAVES;
+    REPLICA_LEAVES,
+    /** The store comes back from an older copy; operators and replicas then write again what they had written since. */
+    STORE_RESTORED;
 
     /** The faults that are drawn one at a time; the others are drawn beside them, so that the draw of a seed stays. */
     static final List<SoakFault> SINGLE = List.of(values()).subList(0, REPLICA_LIMITED.ordinal());
@@ -55,5 +57,5 @@
             List.of(FREEZE_HOST, KILL_HOST, STOP_HOST, REPLICA_CUT, REPLICA_LATE, REPLICA_SILENT);
 
     /** The faults that are drawn beside all of them, likewise. */
-    static final List<SoakFault> LATEST = List.of(REPLICA_PAUSED, REPLICA_LEAVES);
+    static final List<SoakFault> LATEST = List.of(REPLICA_PAUSED, REPLICA_LEAVES, STORE_RESTORED);
 }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -67,6 +68,7 @@
     private final Map<String, BodyEnd> bodyEnds = new ConcurrentHashMap<>();
     private final Map<String, Long> pauseEndNanos = new ConcurrentHashMap<>();
     private final Set<String> leavingReplicas = ConcurrentHashMap.newKeySet();
+    private final List<String> removedReplicas = new ArrayList<>();
     private final ReplicaRequests unwantedRequests = new ReplicaRequests();
     private final Queue<String> crashedReplicas = new ConcurrentLinkedQueue<>();
     private final Map<CrashCause, Integer> crashCounts = new ConcurrentHashMap<>();
@@ -184,6 +186,7 @@
     void replaceReplica(String id) {
         operator.removeTarget(id);
         replicaLinks.remove(id);
+        removedReplicas.add(id);
         unwantedRequests.wanted(id);
         addReplica(id.split("-")[1], id.startsWith("w"));
     }
@@ -221,6 +224,14 @@
         unwantedRequests.unwanted(id, nowMillis());
     }
 
+    /** Lets the store come back from the copy that it kept, and writes again what operators and replicas wrote since. */
+    void restoreStore() {
+        store.restore();
+        removedReplicas.forEach(operator::removeTarget);
+        replicaLinks.forEach((id, link) -> register(id, link));
+        configure();
+    }
+
     /** Returns how many replicas a cause has crashed. */
     int crashCount(CrashCause cause) {
         return crashCounts.getOrDefault(cause, 0);
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/KeyValueStore.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/KeyValueStore.java
@@ -36,6 +36,18 @@
         return new KeyValueStore(listener);
     }
 
+    /** Returns a copy with all values, leases and the history. */
+    KeyValueStore copy() {
+        KeyValueStore copy = new KeyValueStore(listener);
+        copy.values.putAll(values);
+        copy.leases.putAll(leases);
+        copy.history.addAll(history);
+        copy.revision = revision;
+        copy.compactedRevision = compactedRevision;
+        copy.nextLeaseId = nextLeaseId;
+        return copy;
+    }
+
     long revision() {
         return revision;
     }
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/SiteStore.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/SiteStore.java
@@ -1,8 +1,11 @@
 package org.rattanplank.standins.platform;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Function;
 
 import com.beust.jcommander.JCommander;
@@ -32,7 +35,9 @@
 
     private final EventLoop loop;
     private final List<Runnable> pendingWatches = new ArrayList<>();
-    private final KeyValueStore store = KeyValueStore.of(change -> scheduleWatches());
+    private final Deque<KeyValueStore> copies = new ArrayDeque<>();
+    private KeyValueStore store = KeyValueStore.of(change -> scheduleWatches());
+    private long era = 1;
     private volatile boolean down;
     private boolean historyDropped;
 
@@ -82,6 +87,26 @@
         });
     }
 
+    /** Keeps a copy to come back from. May be called from any thread. */
+    public void keepCopy() {
+        loop.schedule(0, () -> copies.add(store.copy()));
+    }
+
+    /**
+     * Comes back from the oldest copy that was kept: what was written since is gone, leases too, and revisions and leases are
+     * given out again. May be called from any thread.
+     */
+    public void restore() {
+        loop.schedule(0, () -> {
+            if (copies.isEmpty()) {
+                throw new IllegalStateException("no copy of the store was kept");
+            }
+            store = copies.poll();
+            era++;
+            checkWatches();
+        });
+    }
+
     /**
      * Runs the store until the process is terminated.
      *
@@ -97,7 +122,7 @@
     private void handle(Exchange exchange) {
         String path = exchange.path();
         if (down) {
-            exchange.respond(STATUS_UNAVAILABLE, Json.object());
+            respond(exchange, STATUS_UNAVAILABLE, Json.object());
         } else if (path.equals(PlatformPaths.LIST)) {
             list(exchange);
         } else if (path.equals(PlatformPaths.WATCH)) {
@@ -105,18 +130,18 @@
         } else if (path.equals(PlatformPaths.GRANT_LEASE)) {
             long ttlMillis = exchange.jsonBody().path("ttl_ms").asLong();
             Lease lease = store.grantLease(0, ttlMillis, System.currentTimeMillis());
-            exchange.respond(STATUS_OK, Json.object().put("lease", lease.id()).put("ttl_ms", ttlMillis));
+            respond(exchange, STATUS_OK, Json.object().put("lease", lease.id()).put("ttl_ms", ttlMillis));
         } else if (path.startsWith(PlatformPaths.RENEW_LEASE)) {
             Option<Lease> renewed =
                     store.renewLease(parseId(path, PlatformPaths.RENEW_LEASE), System.currentTimeMillis());
-            exchange.respond(renewed.isDefined() ? STATUS_OK : STATUS_NOT_FOUND, Json.object());
+            respond(exchange, renewed.isDefined() ? STATUS_OK : STATUS_NOT_FOUND, Json.object());
         } else if (path.startsWith(PlatformPaths.REVOKE_LEASE)) {
             boolean revoked = store.revokeLease(parseId(path, PlatformPaths.REVOKE_LEASE));
-            exchange.respond(revoked ? STATUS_OK : STATUS_NOT_FOUND, Json.object());
+            respond(exchange, revoked ? STATUS_OK : STATUS_NOT_FOUND, Json.object());
         } else if (path.equals(PlatformPaths.TRANSACTION)) {
             change(exchange);
         } else {
-            exchange.respond(STATUS_NOT_FOUND, Json.object());
+            respond(exchange, STATUS_NOT_FOUND, Json.object());
         }
     }
 
@@ -130,13 +155,14 @@
                 items.add(item(value));
             }
         }
-        exchange.respond(STATUS_OK, response);
+        respond(exchange, STATUS_OK, response);
     }
 
     private void watch(Exchange exchange) {
         String prefix = exchange.query("prefix").getOrElse("");
         long after = exchange.query("after").map(Long::parseLong).getOrElse(0L);
         long waitMillis = exchange.query("wait_ms").map(Long::parseLong).getOrElse(0L);
+        long watchedEra = era;
         boolean[] responded = new boolean[1];
         Function<Boolean, Boolean> respond = onlyIfChanged -> {
             ArrayNode events = Json.array();
@@ -145,15 +171,20 @@
                     events.add(item(change));
                 }
             }
-            if (responded[0] || onlyIfChanged && events.isEmpty() && !historyDropped) {
+            if (responded[0]
+                    || onlyIfChanged
+                            && events.isEmpty()
+                            && !historyDropped
+                            && era == watchedEra
+                            && after <= store.revision()) {
                 return responded[0];
             }
             responded[0] = true;
             ObjectNode body = Json.object().put("current_rev", store.revision());
             body.set("events", events);
-            boolean dropped = historyDropped;
+            boolean dropped = historyDropped || era != watchedEra || after > store.revision();
             historyDropped = false;
-            exchange.respond(dropped ? STATUS_GONE : STATUS_OK, body);
+            respond(exchange, dropped ? STATUS_GONE : STATUS_OK, body);
             return true;
         };
         if (!respond.apply(true)) {
@@ -168,19 +199,23 @@
             StoredValue value = store.get(condition.path("key").asText());
             long revision = value.isDeleted() ? 0 : value.modRevision();
             if (revision != condition.path("revision").asLong()) {
-                exchange.respond(STATUS_PRECONDITION_FAILED, Json.object().putArray("items"));
+                respond(exchange, STATUS_PRECONDITION_FAILED, Json.object().putArray("items"));
                 return;
             }
         }
         for (JsonNode put : body.path("puts")) {
             String value = put.path("value").asText();
             if (!store.put(put.path("key").asText(), value, put.path("lease").asLong())) {
-                exchange.respond(STATUS_NOT_FOUND, Json.object());
+                respond(exchange, STATUS_NOT_FOUND, Json.object());
                 return;
             }
         }
         body.path("remove").forEach(key -> store.delete(KeyRange.of(key.asText())));
-        exchange.respond(STATUS_OK, Json.object().put("revision", store.revision()));
+        respond(exchange, STATUS_OK, Json.object().put("revision", store.revision()));
+    }
+
+    private void respond(Exchange exchange, int status, JsonNode body) {
+        exchange.respond(status, Map.of("Store-Era", Long.toString(era)), body);
     }
 
     private void scheduleWatches() {
--- a/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
+++ b/rattanplank-standins/src/test/java/org/rattanplank/standins/site/SiteStoreTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.locks.LockSupport;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -23,6 +24,7 @@
 import org.rattanplank.gateway.store.StoreFailure;
 import org.rattanplank.gateway.store.StoreFeed;
 import org.rattanplank.gateway.store.StoreReadKind;
+import org.rattanplank.gateway.store.StoreRevision;
 import org.rattanplank.platform.PlatformItems;
 import org.rattanplank.platform.PlatformStore;
 import org.rattanplank.standins.http.Addresses;
@@ -109,6 +111,51 @@
         assertEquals(new ClusterEvent.TargetRemoved("t1"), nextFact());
     }
 
+    /**
+     * Guards against changes that are taken for old ones as the store has come back from an older copy, whose revisions have passed
+     * the old ones before the next watch, so that no response but its era tells.
+     */
+    @Test
+    void shouldReceiveChangesWhenTheStoreHasComeBackFromAnOlderCopy() throws Exception {
+        operator.configure(SiteConfigurations.of(1));
+        nextFact();
+        site.keepCopy();
+        for (int version = 2; version < 6; version++) {
+            operator.configure(SiteConfigurations.of(version));
+            nextFact();
+        }
+
+        site.restore();
+        for (int version = 6; version < 12; version++) {
+            operator.configure(SiteConfigurations.of(version));
+        }
+
+        awaitStoreState("restored in era 2");
+        long version = 0;
+        while (version < 11) {
+            version = assertInstanceOf(ClusterEvent.ConfigurationChanged.class, nextFact())
+                    .configuration()
+                    .version();
+        }
+    }
+
+    /** Guards against a condition that holds by chance, as its revision was given out again. */
+    @Test
+    void shouldWriteNothingWhenTheExpectedRevisionIsOfAnEarlierEra() throws Exception {
+        BlockingQueue<Either<StoreFailure, Long>> replies = new LinkedBlockingQueue<>();
+        site.keepCopy();
+        site.restore();
+        operator.configure(SiteConfigurations.of(1));
+        nextFact();
+        long earlier = StoreRevision.of(1, 2);
+
+        loop.schedule(0, () -> client.put("op/config", new byte[0], 0, Option.some(earlier), replies::add));
+
+        assertEquals(
+                StoreFailure.CONFLICT,
+                replies.poll(AWAIT_SECONDS, TimeUnit.SECONDS).getLeft());
+    }
+
     /**
      * Guards against requests to a target that was removed long ago: the target is removed while the store drops its
      * history, so that a feed that only follows changes never receives the removal.
@@ -236,6 +283,11 @@
             // Not tested here.
         }
 
+        @Override
+        public void storeRestored(long copyRevision, long revision) {
+            storeStates.add("restored in era " + StoreRevision.era(revision));
+        }
+
         @Override
         public void storeRecovered() {
             storeStates.add("returned");
