End an attempt whose target sends bytes that are no answer

Callers saw: 504 after their whole time, for requests that another target could have served, and 504 ('may have run') for one that its target had rejected without ending the rejection's body. Change: 256 KiB that are no answer end the attempt, counted before they are decoded; a rejection counts with its head, and its connection waits a second for its end; an event of over 1 MiB ends the attempt.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/EventSplitter.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/EventSplitter.java
@@ -15,6 +15,9 @@
     private static final String ID_FIELD = "id:";
     private static final String COMMENT_PREFIX = ":";
 
+    /** More than any event of an engine; what has no end within it is no event. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
     private final ByteBuf pending = Unpooled.buffer(256);
     private String lastEventId;
     private int eventCount;
@@ -73,6 +76,15 @@
         return pending.readBytes(pending.readableBytes());
     }
 
+    /**
+     * Returns whether the incomplete event is larger than any event.
+     *
+     * @return whether the stream should be abandoned
+     */
+    public boolean isTooLarge() {
+        return pending.readableBytes() > MAX_EVENT_BYTES;
+    }
+
     /** Discards the bytes of an incomplete event. */
     public void discardRemainder() {
         pending.clear();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CallerResponse.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CallerResponse.java
@@ -115,6 +115,10 @@
         }
     }
 
+    boolean isEventTooLarge() {
+        return events.isTooLarge();
+    }
+
     void complete() {
         if (isEventStream()) {
             forwardEvents(events.takeRemainder());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -222,6 +222,10 @@
         }
         lastEventAtMillis = Option.some(state.nowMillis());
         deliver(events.get().append(bytes));
+        if (events.get().isTooLarge()) {
+            attempt.forEach(Attempt::cancel);
+            failed(AttemptFailure.UNKNOWN, "the target sends an event without end");
+        }
     }
 
     /** Records once that the target has been answering for long enough that the prompt crashes none. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -610,6 +610,9 @@
         public void contentReceived(ByteBuf bytes) {
             if (active && !finished) {
                 response.content(bytes, state.nowMillis());
+                if (response.isEventTooLarge()) {
+                    abandon("the target sends an event without end");
+                }
             }
         }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -60,7 +60,6 @@
     private TargetConnection connection;
     private ResponseBody body;
     private boolean misdirected;
-    private boolean rejected;
     private Option<Long> requestedPauseMillis = Option.none();
     private boolean finished;
 
@@ -133,8 +132,8 @@
         body = ResponseBody.of(framing, contentType.startsWith(EVENT_STREAM));
         misdirected = status == MISDIRECTED;
         if (misdirected) {
-            rejected = true;
             target.markLeaving();
+            failed(AttemptFailure.REFUSED, rejectionReason());
             return;
         }
         boolean notExecuted = headers.contains(names.notExecuted());
@@ -144,8 +143,9 @@
             readPause(headers);
         }
         if (notExecuted) {
-            rejected = true;
             target.backOff(FULL_TARGET_PAUSE_MILLIS, clock.nowMillis());
+            // The body may never end, and has nothing that its caller could use.
+            failed(AttemptFailure.REFUSED, rejectionReason());
             return;
         }
         if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
@@ -201,7 +201,7 @@
     }
 
     void contentReceived(ByteBuf bytes) {
-        if (finished || rejected) {
+        if (finished) {
             return;
         }
         if (body.dependsOnBytes()) {
@@ -217,10 +217,6 @@
         if (finished) {
             return;
         }
-        if (rejected) {
-            failed(AttemptFailure.REFUSED, rejectionReason());
-            return;
-        }
         finished = true;
         Completeness completeness = body.atEnd();
         if (completeness == Completeness.COMPLETE) {
@@ -230,6 +226,10 @@
         }
     }
 
+    boolean isFinished() {
+        return finished;
+    }
+
     private String rejectionReason() {
         if (misdirected) {
             return "another target has this address";
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
@@ -1,5 +1,7 @@
 package org.rattanplank.gateway.target;
 
+import java.util.concurrent.TimeUnit;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -21,7 +23,8 @@
  * One connection to a target, which carries one request at a time.
  *
  * <p>Invariants: a successful response is accepted only if it echoes the identifier of the pending request; a connection is
- * reused only if the request was written completely, its response was complete, and nothing was received beyond it.
+ * reused only if the request was written completely, its response was complete, and nothing was received beyond it; at most
+ * {@link #MAX_UNUSABLE_BYTES} are read for a request that are no answer to it.
  * Confined to the event loop.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
@@ -31,6 +34,12 @@
     /** The fraction of the announced idle time that is used; the rest allows for network latency and late timers. */
     private static final double IDLE_FRACTION = 0.6;
 
+    /** More than a late response to another request; a target may send such bytes until its connection is closed. */
+    private static final int MAX_UNUSABLE_BYTES = 256 << 10;
+
+    /** How long the end of a rejection is awaited, so that its connection can be reused. */
+    private static final long MAX_REJECTION_MILLIS = 1_000;
+
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final int SUCCESS_CLASS = 2;
     private static final int INFORMATIONAL_CLASS = 1;
@@ -43,6 +52,7 @@
     private boolean written;
     private boolean discarding;
     private boolean responding;
+    private int unusableBytes;
     private boolean notReusable;
     private long idleSinceMillis;
     private long idleMillis = DEFAULT_IDLE_MILLIS;
@@ -82,6 +92,7 @@
         written = false;
         discarding = false;
         responding = false;
+        unusableBytes = 0;
         ChannelFuture write = channel.writeAndFlush(message);
         write.addListener(done -> {
             if (done.isSuccess()) {
@@ -92,6 +103,16 @@
         });
     }
 
+    /** Counts bytes before they are decoded, as the decoder passes over some in silence. */
+    void bytesReceived(int count) {
+        if (attempt != null && (!responding || attempt.isFinished())) {
+            unusableBytes += count;
+            if (unusableBytes > MAX_UNUSABLE_BYTES) {
+                failAndClose("the target sends bytes that are no answer");
+            }
+        }
+    }
+
     /** Closes the connection, and fails its request as one that may have run. */
     void failAndClose(String reason) {
         fail(reason);
@@ -165,7 +186,17 @@
         headers.remove(HttpHeaderNames.CONNECTION);
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
         headers.remove("Keep-Alive");
-        attempt.headersReceived(status, headers, framing);
+        TargetAttempt answered = attempt;
+        answered.headersReceived(status, headers, framing);
+        if (answered.isFinished() && attempt == answered) {
+            channel.eventLoop().schedule(() -> closeUnlessEnded(answered), MAX_REJECTION_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void closeUnlessEnded(TargetAttempt rejected) {
+        if (attempt == rejected) {
+            close();
+        }
     }
 
     private boolean isOwnResponse(int status, String echoed) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -26,6 +26,7 @@
 import org.rattanplank.core.gateway.TargetChoice;
 import org.rattanplank.gateway.HeaderNames;
 import org.rattanplank.gateway.MonotonicClock;
+import org.rattanplank.gateway.http.ByteCountHandler;
 
 /**
  * A pool of connections to targets.
@@ -239,6 +240,7 @@
                     @Override
                     protected void initChannel(SocketChannel socket) {
                         socket.pipeline()
+                                .addLast(new ByteCountHandler(connection::bytesReceived))
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(new ResponseDecoder(connection))
                                 .addLast(connection);
--- /dev/null
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/EndlessResponseFlowTest.java
@@ -0,0 +1,121 @@
+package org.rattanplank.gateway;
+
+import java.io.IOException;
+import java.io.OutputStream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.rattanplank.core.gateway.RouteKind;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests targets that send bytes without end that are no answer. */
+@Timeout(60)
+class EndlessResponseFlowTest {
+    private static final String OTHER_ANSWER = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n";
+
+    private TestGateway gateway;
+
+    @BeforeEach
+    void startGateway() throws IOException {
+        gateway = new TestGateway();
+    }
+
+    @AfterEach
+    void closeGateway() {
+        gateway.close();
+    }
+
+    /** Guards against a caller that waits for its whole deadline while its host reads what will never be an answer. */
+    @ParameterizedTest
+    @EnumSource(Shape.class)
+    void shouldAskAnotherTargetAtOnceWhenOneSendsNoAnswerWithoutEnd(Shape shape) throws Exception {
+        try (TestTarget endless = new TestTarget((request, out) -> shape.writeWithoutEnd(out));
+                TestTarget other = TestTarget.answering("done")) {
+            gateway.configure(RouteKind.SAFE, false, 2).target("t1", endless.port());
+            TestCaller caller = gateway.caller().send(request(1));
+            endless.nextRequest();
+            gateway.target("t2", other.port());
+
+            String answer = caller.readUntil("\r\n\r\n");
+
+            assertTrue(answer.startsWith("HTTP/1.1 200") || answer.startsWith("HTTP/1.1 50"), answer);
+            assertTrue(gateway.linesOf("q1").stream().noneMatch(line -> line.contains("deadline has passed")));
+            endless.awaitClosed();
+        }
+    }
+
+    /** Guards against a rejection that counts only when its body has ended. */
+    @Test
+    void shouldRejectAtOnceWhenTheBodyOfARejectionNeverComes() throws Exception {
+        try (TestTarget silent = new TestTarget((request, out) -> {
+            TestTarget.write(
+                    out,
+                    "HTTP/1.1 503 X\r\nRequest-Id: " + TestTarget.header(request, "request-id")
+                            + "\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\n");
+        })) {
+            gateway.configure(RouteKind.UNSAFE, false, 1).target("t1", silent.port());
+
+            String answer = gateway.caller().send(request(1)).readUntil("\r\n\r\n");
+
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+            assertTrue(gateway.linesOf("q1").stream().noneMatch(line -> line.contains("deadline has passed")));
+            silent.awaitClosed();
+        }
+    }
+
+    /** Guards against a host whose memory fills with a stream that never completes an event. */
+    @Test
+    void shouldEndTheStreamWhenAnEventHasNoEnd() throws Exception {
+        try (TestTarget endless = new TestTarget((request, out) -> {
+            TestTarget.write(out, TestTarget.streamHead(request));
+            while (true) {
+                TestTarget.write(out, TestTarget.chunk("x".repeat(10_000)));
+            }
+        })) {
+            gateway.configure(RouteKind.STREAM, false, 1).target("t1", endless.port());
+
+            String answer = gateway.caller().send(request(1)).readUntil("\r\n\r\n");
+
+            assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+            endless.awaitClosed();
+        }
+    }
+
+    private static String request(int number) {
+        return "GET /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q" + number + "\r\nTime-Left: 9000\r\n\r\n";
+    }
+
+    /** What a target sends again and again after what it sends first. */
+    private enum Shape {
+        BLANK_LINES("", "\r\n".repeat(500)),
+        STATUS_LINE("HTTP/1.1 200 ", "x".repeat(1_000)),
+        HEADERS("HTTP/1.1 200 OK\r\n", "X: y\r\n".repeat(200)),
+        INFORMATIONAL_RESPONSES("", "HTTP/1.1 100 Continue\r\n\r\n".repeat(50)),
+        RESPONSES_OF_OTHER_REQUESTS("", OTHER_ANSWER + "Content-Length: 1\r\n\r\nx"),
+        BODY_OF_ANOTHER_REQUEST(
+                OTHER_ANSWER + "Transfer-Encoding: chunked\r\n\r\n", TestTarget.chunk("x".repeat(1_000))),
+        BODY_OF_A_REJECTION(
+                "HTTP/1.1 503 X\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                TestTarget.chunk("x".repeat(1_000)));
+
+        private final String start;
+        private final String repeated;
+
+        Shape(String start, String repeated) {
+            this.start = start;
+            this.repeated = repeated;
+        }
+
+        private void writeWithoutEnd(OutputStream out) throws IOException {
+            TestTarget.write(out, start);
+            while (true) {
+                TestTarget.write(out, repeated);
+            }
+        }
+    }
+}
