Use a target again that writes its entry after it was taken for gone

Callers saw: nothing yet; a region had one engine less for up to two minutes, and without another one its callers would have been refused. A store that comes back without the entry, and a host that is cut off meanwhile, bring it about. Change: an entry at a higher revision than its removal, in the same era, was written since and brings the target back, unless it was known to leave. In a later era it may be an old entry, which brings nothing back. Result: the new test of StoreRestoredFlowTest failed before (0 targets after 10 s) and passes; its counterpart (a departed target whose entry the store has again) passed before and does; TargetIncarnationSearchTest, DepartedTargetFlowTest pass.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -17,7 +17,7 @@
  * <p>Invariants: a target in a data centre that is being evacuated gets no requests, nor, after an outage of the store, before
  * the end of the evacuation has lasted for {@link #REMOVAL_GRACE_MILLIS}; one whose entry was removed gets none
  * later than {@link #REMOVAL_GRACE_MILLIS} after that was learnt, however often the store fails and recovers; an
- * incarnation that left gets none even if an old entry of it arrives again; of the incarnations of one target the pool has
+ * incarnation that left gets none even if an old entry of it arrives again, unless it is readmitted; of the incarnations of one target the pool has
  * only the one that started last, and an entry of an earlier one changes nothing. Confined to its owner's thread.
  */
 public final class TargetPool {
@@ -132,7 +132,7 @@
             // retained, the target would be passed over for as long as it lives, or overloaded while it is cold.
             targets.remove(entry.id());
             current.markTerminated();
-            departed.put(entry.id(), new Departed(current.incarnation(), nowMillis));
+            departed.put(entry.id(), new Departed(current.incarnation(), true, nowMillis));
         }
         Departed previous = departed.get(entry.id());
         boolean isNewer = previous == null || previous.incarnation().isBefore(entry.incarnation());
@@ -144,6 +144,16 @@
         return new EntryChange(Option.none(), Option.of(current));
     }
 
+    /**
+     * Records that a target has written its entry since the entry was removed, so that it is alive. One that was known to be
+     * leaving stays departed.
+     *
+     * @param id its identifier
+     */
+    public void readmit(String id) {
+        departed.computeIfPresent(id, (key, previous) -> previous.wasLeaving() ? previous : null);
+    }
+
     /**
      * Records that a target's entry names no usable target any more. Its state is retained for the next readable entry
      * of the same incarnation: the target rewrites its entry periodically, so one that is alive is soon back.
@@ -317,11 +327,11 @@
     private void drop(String id, long nowMillis) {
         GatewayTarget target = targets.remove(id);
         if (target != null) {
+            departed.put(id, new Departed(target.incarnation(), target.isLeaving(), nowMillis));
             target.markLeaving();
-            departed.put(id, new Departed(target.incarnation(), nowMillis));
         }
     }
 
-    /** The last incarnation of a target that left, and when that was noticed. */
-    private record Departed(TargetIncarnation incarnation, long departedAtMillis) {}
+    /** The last incarnation of a target that left, whether that was known before its entry was gone, and when it was noticed. */
+    private record Departed(TargetIncarnation incarnation, boolean wasLeaving, long departedAtMillis) {}
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
@@ -1,6 +1,8 @@
 package org.rattanplank.gateway;
 
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 
 import org.rattanplank.core.gateway.EntryChange;
@@ -26,6 +28,9 @@
     /** Each key and reason is logged once; they take 100 KB of memory at most. */
     private static final int MAX_REPORTED_UNREADABLE = 1_000;
 
+    /** Targets are remembered as departed for two minutes; more than these don't leave a region in that time. */
+    private static final int MAX_REMOVALS = 1_000;
+
     /** Store responses of at least this size are logged: 64 KiB take 50 ms of a link of 10 Mbit/s. */
     private static final long LARGE_RESPONSE_BYTES = 64 << 10;
 
@@ -35,6 +40,9 @@
     private final Runnable onOwnKeyLost;
     private final Set<String> reportedUnreadable = new HashSet<>();
 
+    /** The revisions of the removals of targets' entries, oldest first. */
+    private final Map<String, Long> removalRevisions = new LinkedHashMap<>();
+
     ClusterStateUpdater(
             GatewayState state, PeerLinks links, QuarantineRecorder quarantineRecorder, Runnable onOwnKeyLost) {
         this.state = state;
@@ -54,6 +62,7 @@
         } else if (event instanceof ClusterEvent.TargetRemoved removed) {
             long graceMillis = state.pool().removalGraceMillis(state.nowMillis());
             state.pool().remove(removed.id(), state.nowMillis());
+            recordRemoval(removed.id(), change.item().revision());
             LogLine line = LogLine.of(LogEvent.TARGET_GONE)
                     .with("target", removed.id())
                     .with("reason", "its entry was removed")
@@ -165,7 +174,23 @@
                                 .with("retiring", String.join(",", intents.retiring()))));
     }
 
+    private void recordRemoval(String id, long revision) {
+        removalRevisions.remove(id);
+        removalRevisions.put(id, revision);
+        if (removalRevisions.size() > MAX_REMOVALS) {
+            removalRevisions.remove(removalRevisions.keySet().iterator().next());
+        }
+    }
+
     private void applyTargetEntry(TargetEntry entry, StoreChange change) {
+        long revision = change.item().revision();
+        Long removalRevision = removalRevisions.get(entry.id());
+        // In a later era the entry may be an old one, which the store has again.
+        if (removalRevision != null
+                && revision > removalRevision
+                && StoreRevision.isSameEra(revision, removalRevision)) {
+            state.pool().readmit(entry.id());
+        }
         EntryChange entryChange = state.pool().register(entry, state.nowMillis());
         state.markRetiringTargets();
         entryChange.terminated().forEach(previous -> {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreRevision.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreRevision.java
@@ -50,7 +50,14 @@
         return revision <= 0 ? revision : revision & MAX_NUMBER;
     }
 
-    static boolean isSameEra(long one, long other) {
+    /**
+     * Returns whether two revisions are of the same era.
+     *
+     * @param one a revision
+     * @param other another one
+     * @return whether no restore lies between them
+     */
+    public static boolean isSameEra(long one, long other) {
         return era(one) == era(other);
     }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreRestoredFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StoreRestoredFlowTest.java
@@ -89,6 +89,43 @@
         }
     }
 
+    /**
+     * Guards against a live target that is left out for minutes: the store came back without its entry, and the entry was written
+     * again later than removed entries are awaited.
+     */
+    @Test
+    void shouldUseATargetAgainWhenItsEntryIsWrittenLongAfterTheStoreCameBackWithoutIt() throws Exception {
+        try (TestTarget target = TestTarget.answering("done")) {
+            gateway.configure(RouteKind.SAFE, false, 1);
+            long revision = gateway.storeRevision();
+            gateway.target("t1", target.port());
+            restoreStore(revision);
+            gateway.awaitTargets(0);
+
+            gateway.registerTarget(new TargetIncarnation("t1", 0), target.port());
+            gateway.awaitTargets(1);
+
+            assertTrue(request().startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    /** Guards against a target that has left and is used again, as the store came back with its entry. */
+    @Test
+    void shouldSendNothingToADepartedTargetWhenTheStoreComesBackWithItsEntry() throws Exception {
+        try (TestTarget target = TestTarget.answering("done")) {
+            gateway.configure(RouteKind.SAFE, false, 1).target("t1", target.port());
+            long revision = gateway.storeRevision();
+            gateway.removeTarget("t1");
+            gateway.awaitTargets(0);
+
+            restoreStore(revision);
+            gateway.configure(RouteKind.SAFE, false, 1);
+
+            assertTrue(request().startsWith("HTTP/1.1 503"));
+            assertEquals(0, target.unreadRequests());
+        }
+    }
+
     /** Guards against callers that are rejected, or a configuration that goes back, as the copy lacks what is in force. */
     @Test
     void shouldServeOnWhenTheCopyLacksTheConfigurationAndItsTargets() throws Exception {
