Let rattanplankd watch from a lower revision when its store has come back from a copy

The same class as in the gateway: a host of rattanplankd watches its configuration behind the highest revision that it has read. A store that was restored from an older copy is behind that, and the watch tells nothing until it has passed it; reads each 5 s hid it, so that a change was in force later, not never. Evidence: StoreReadSchedulerTest failed before (no new watch after a read at a lower revision), and passes.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/intent/StoreReadScheduler.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/intent/StoreReadScheduler.java
@@ -120,7 +120,12 @@
         lastSuccessMillis = Option.some(nowMillis);
         readSinceWatch = true;
         scheduleNextRead(nowMillis);
-        watchFromRevision = Math.max(watchFromRevision, revision + 1);
+        if (revision + 1 < watchFromRevision) {
+            // The store has come back from an older copy: the watch would miss its changes until it has passed the old
+            // revision.
+            watching = false;
+        }
+        watchFromRevision = revision + 1;
         readGeneration = generation;
         // Compares with the generation from the watch, not with the active one: peers often deliver a change before the
         // read does, and an unresponsive watch would never be detected.
