Let the soak's store come back before anything is written to it again

A fault of the stand-in, not of the gateway. Change: keeping a copy and coming back from it take effect before they return.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -63,6 +63,7 @@
     private static final int LATER_CRASHING_CALLS = 12;
 
     private final SoakSite site;
+    private final Path logFolder;
     private final SplittableRandom random;
     private final SplittableRandom additionalRandom;
     private final SplittableRandom furtherRandom;
@@ -75,8 +76,9 @@
     private final List<Repair> pendingRepairs = new ArrayList<>();
     private int activeStoreOutages;
 
-    private Soak(SoakSite site, long seed) {
+    private Soak(SoakSite site, long seed, Path logFolder) {
         this.site = site;
+        this.logFolder = logFolder;
         random = new SplittableRandom(seed);
         additionalRandom = new SplittableRandom(~seed);
         furtherRandom = new SplittableRandom(Long.reverse(seed));
@@ -99,7 +101,7 @@
         Path folder =
                 Try.of(() -> Files.createTempDirectory("rattanplank-soak")).get();
         try (SoakSite site = new SoakSite(folder, template, hostsPerRegion)) {
-            Soak soak = new Soak(site, seed);
+            Soak soak = new Soak(site, seed, folder.resolve("logs"));
             return soak.run(millis);
         }
     }
@@ -147,6 +149,10 @@
         violations.addAll(SoakAudit.violations(List.copyOf(calls), site.runCounts()));
         violations.addAll(site.accountUse().violations());
         checkUnwantedRequests(violations);
+        if (!violations.isEmpty()) {
+            site.writeLogs(logFolder);
+            violations.add("the hosts' logs are in " + logFolder);
+        }
         long answered = calls.stream()
                 .filter(call -> call.status() == STATUS_OK && call.complete())
                 .count();
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -257,6 +258,20 @@
                 SiteConfigurations.of(configurationVersion), configurationVersion == 1));
     }
 
+    /** Writes what the running hosts have logged to files, so that a failure can be traced. */
+    void writeLogs(Path logFolder) {
+        try {
+            Files.createDirectories(logFolder);
+            for (Map.Entry<String, ChildProcess> process : processes.entrySet()) {
+                Files.write(
+                        logFolder.resolve(process.getKey() + ".log"),
+                        process.getValue().lines());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Override
     public void close() {
         processes.values().forEach(ChildProcess::close);
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/SiteStore.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/SiteStore.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
 import com.beust.jcommander.JCommander;
@@ -87,26 +88,33 @@
         });
     }
 
-    /** Keeps a copy to come back from. May be called from any thread. */
+    /** Keeps a copy to come back from. May be called from any thread but the event loop's. */
     public void keepCopy() {
-        loop.schedule(0, () -> copies.add(store.copy()));
+        runInLoop(() -> copies.add(store.copy()));
     }
 
     /**
      * Comes back from the oldest copy that was kept: what was written since is gone, leases too, and revisions and leases are
-     * given out again. May be called from any thread.
+     * given out again. May be called from any thread but the event loop's, and takes effect before it returns: what its caller
+     * writes next would be lost otherwise.
      */
     public void restore() {
-        loop.schedule(0, () -> {
-            if (copies.isEmpty()) {
-                throw new IllegalStateException("no copy of the store was kept");
-            }
-            store = copies.poll();
+        runInLoop(() -> {
+            store = copies.remove();
             era++;
             checkWatches();
         });
     }
 
+    private void runInLoop(Runnable action) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.schedule(0, () -> {
+            action.run();
+            done.complete(null);
+        });
+        done.join();
+    }
+
     /**
      * Runs the store until the process is terminated.
      *
