--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/SiteStore.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/platform/SiteStore.java
@@ -14,6 +14,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Option;
+import org.rattanplank.platform.PlatformHeaders;
 import org.rattanplank.platform.PlatformPaths;
 import org.rattanplank.standins.http.Addresses;
 import org.rattanplank.standins.http.EventLoop;
@@ -223,7 +224,7 @@
     }
 
     private void respond(Exchange exchange, int status, JsonNode body) {
-        exchange.respond(status, Map.of("Store-Era", Long.toString(era)), body);
+        exchange.respond(status, Map.of(PlatformHeaders.STORE_ERA, Long.toString(era)), body);
     }
 
     private void scheduleWatches() {
