--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/QuarantineRecorderTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/QuarantineRecorderTest.java
@@ -91,6 +91,26 @@
         assertEquals(List.of(REQUEST), store.writes);
     }
 
+    /** Guards against a quarantine that ends with a restart of all hosts, as the store came back without its record. */
+    @Test
+    void shouldRecordAgainWhenTheStoreHasLostItsRecord() {
+        recorder.mergeStored(REQUEST, CRASHES);
+
+        recorder.recordRemoved(REQUEST);
+        advance(LONG_AFTER_MILLIS);
+
+        assertEquals(List.of(REQUEST), store.writes);
+    }
+
+    /** Guards against a record that is written again and again, although its evidence has expired. */
+    @Test
+    void shouldRecordNothingWhenThereIsNoEvidenceForTheRemovedRecord() {
+        recorder.recordRemoved(REQUEST);
+        advance(LONG_AFTER_MILLIS);
+
+        assertEquals(List.of(), store.writes);
+    }
+
     @Test
     void shouldWriteAgainWhenTheStoreRefuses() {
         store.refuses = true;
