--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/ClusterStateUpdater.java
@@ -210,10 +210,11 @@
     /** Logs a change of what this host believes, with where it was learnt and how far the local copy was before. */
     private void logChange(LogLine line, StoreChange change) {
         state.log()
-                .writeImportant(line.with("era", StoreRevision.era(change.item().revision()))
-                        .with("revision", StoreRevision.number(change.item().revision()))
-                        .with("source", change.source())
-                        .with("copyRevision", StoreRevision.number(change.copyRevision())));
+                .writeImportant(
+                        line.with("revision", StoreRevision.number(change.item().revision()))
+                                .with("source", change.source())
+                                .with("copyRevision", StoreRevision.number(change.copyRevision()))
+                                .with("era", StoreRevision.era(change.item().revision())));
     }
 
     /** Logs an unreadable entry once per key and reason, as it may be rewritten every second. */
