Wait in a test until the pause is over that it has brought about

TargetFaultTest shares its targets between tests. The one in which they reject a call with Retry-After: 1 left them paused for the next test, whose call was rejected, rightly, as not run: a host of rattanplankd keeps the pause now, also where no other target is left. Change: the test that brings the pause about waits for its end; no assertion has changed.

--- a/rattanplank-bench/src/test/java/org/rattanplank/bench/process/TargetFaultTest.java
+++ b/rattanplank-bench/src/test/java/org/rattanplank/bench/process/TargetFaultTest.java
@@ -15,6 +15,9 @@
 
 /** Calls targets that lose, duplicate, mix up, truncate and withhold responses. */
 class TargetFaultTest {
+    /** The second for which a target that rejects a call wants nothing, and a margin. */
+    private static final long REQUESTED_PAUSE_MILLIS = 1_500;
+
     private static Fleet fleet;
 
     private final Calls calls = Calls.of(fleet, "suva-floor");
@@ -118,6 +121,8 @@
         CallResult result = calls.send(host, booking);
         assertNotEquals(CallOutcome.UNKNOWN, result.outcome(), result.toString());
         assertEquals(result.outcome() == CallOutcome.ANSWERED ? 1 : 0, calls.settledRuns(booking));
+        // No host sends the targets anything until then, which other tests would take for their own fault.
+        Poll.pause(REQUESTED_PAUSE_MILLIS);
     }
 
     /** Configures the fault in all data centres, because the router may avoid a target that failed before. */
