Drop fields of an attempt that outlived their use

A rejection counts with its head since, so that why it was rejected is known where it is reported. Two fields and a method kept it for the end of the body. No behaviour changes.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -59,8 +59,6 @@
     private Channel connectingChannel;
     private TargetConnection connection;
     private ResponseBody body;
-    private boolean misdirected;
-    private Option<Long> requestedPauseMillis = Option.none();
     private boolean finished;
 
     TargetAttempt(
@@ -130,22 +128,23 @@
         }
         String contentType = headers.get(HttpHeaderNames.CONTENT_TYPE, "").toLowerCase(Locale.ROOT);
         body = ResponseBody.of(framing, contentType.startsWith(EVENT_STREAM));
-        misdirected = status == MISDIRECTED;
-        if (misdirected) {
+        if (status == MISDIRECTED) {
             target.markLeaving();
-            failed(AttemptFailure.REFUSED, rejectionReason());
+            failed(AttemptFailure.REFUSED, "another target has this address");
             return;
         }
         boolean notExecuted = headers.contains(names.notExecuted());
         readLeaving(headers);
         readRateLimit(headers.getAll(names.rateLimit()), notExecuted);
-        if (notExecuted || status == UNAVAILABLE) {
-            readPause(headers);
-        }
+        Option<Long> pauseMillis = notExecuted || status == UNAVAILABLE ? readPause(headers) : Option.none();
         if (notExecuted) {
             target.backOff(FULL_TARGET_PAUSE_MILLIS, clock.nowMillis());
             // The body may never end, and has nothing that its caller could use.
-            failed(AttemptFailure.REFUSED, rejectionReason());
+            failed(
+                    AttemptFailure.REFUSED,
+                    pauseMillis
+                            .map(millis -> "target has requested a pause of " + millis + " ms")
+                            .getOrElse("target has no capacity"));
             return;
         }
         if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
@@ -164,14 +163,15 @@
         }
     }
 
-    private void readPause(HttpHeaders headers) {
-        requestedPauseMillis = RetryAfter.readMillis(
+    private Option<Long> readPause(HttpHeaders headers) {
+        Option<Long> pauseMillis = RetryAfter.readMillis(
                 headers.getAll(HttpHeaderNames.RETRY_AFTER),
                 headers.get(HttpHeaderNames.DATE),
                 text -> Option.of(DateFormatter.parseHttpDate(text)).map(Date::getTime));
-        requestedPauseMillis
+        pauseMillis
                 .filter(millis -> target.requestPause(millis, clock.nowMillis()))
                 .forEach(listener::pauseRequested);
+        return pauseMillis;
     }
 
     /** Reads the named limit; a rejection without one doesn't tell that the limit has ended. */
@@ -230,15 +230,6 @@
         return finished;
     }
 
-    private String rejectionReason() {
-        if (misdirected) {
-            return "another target has this address";
-        }
-        return requestedPauseMillis
-                .map(millis -> "target has requested a pause of " + millis + " ms")
-                .getOrElse("target has no capacity");
-    }
-
     /** Ends it before it is sent, as the target may receive nothing any more. */
     void withdrawn(String reason) {
         failed(AttemptFailure.NOT_SENT, reason);
