Compute when a request that no target can take should come back in one place

Both choosers of rattanplankd computed it alike, each with a constant of its own. The invariants of the pool of targets are worded anew. No behaviour changes.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetPool.java
@@ -14,11 +14,11 @@
 /**
  * The targets of this host's region and whether requests may be sent to them.
  *
- * <p>Invariants: a target in a data centre that is being evacuated gets no requests, nor, after an outage of the store, before
- * the end of the evacuation has lasted for {@link #REMOVAL_GRACE_MILLIS}; one whose entry was removed gets none
- * later than {@link #REMOVAL_GRACE_MILLIS} after that was learnt, however often the store fails and recovers; an
- * incarnation that left gets none even if an old entry of it arrives again, unless it is readmitted; of the incarnations of one target the pool has
- * only the one that started last, and an entry of an earlier one changes nothing. Confined to its owner's thread.
+ * <p>Invariants: a target in a data centre that is being evacuated gets no requests; after an outage of the store the end of an
+ * evacuation is believed when {@link #REMOVAL_GRACE_MILLIS} have passed since; a target whose entry was removed gets none later
+ * than that after the removal was learnt, however often the store fails and recovers; an incarnation that left gets none even if
+ * an old entry of it arrives again, unless it is readmitted; of the incarnations of one target the pool has only the one that
+ * started last, and an entry of an earlier one changes nothing. Confined to its owner's thread.
  */
 public final class TargetPool {
     /** Entries that expired during a store outage are back about two seconds after it; a margin is added. */
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/BaselineChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/BaselineChooser.java
@@ -16,8 +16,6 @@
  * <p>Invariant: only eligible targets and regions are chosen. Guarded by the router's lock.
  */
 final class BaselineChooser implements Chooser {
-    private static final long RETRY_AFTER_MILLIS = 1_000;
-
     private final String region;
     private final Policy policy;
     private final TargetTable targets;
@@ -46,11 +44,8 @@
                 candidate -> candidateLog.add(candidate.route().peer(), "eligible", candidate.loadPerSlot()));
         if (candidates.isEmpty()) {
             Failure failure = Failure.of(Step.ROUTE, request.service(), "no target can take it");
-            long pauseMillis = targets.service(request.service())
-                    .map(service -> service.pauseMillis(nowMillis))
-                    .getOrElse(0L);
             return new RoutingDecision.Reject(
-                    failure, Math.max(RETRY_AFTER_MILLIS, pauseMillis), candidateLog.candidates());
+                    failure, targets.retryAfterMillis(request.service(), nowMillis), candidateLog.candidates());
         }
         Route route =
                 switch (policy) {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/ScoredChooser.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/ScoredChooser.java
@@ -33,8 +33,6 @@
      */
     private static final double FULL_REGION_PENALTY_RUNS = 1;
 
-    private static final long RETRY_AFTER_MILLIS = 1_000;
-
     private final String region;
     private final Policy policy;
     private final TargetTable targets;
@@ -285,10 +283,8 @@
                 return new RoutingDecision.Dispatch(route.get(), candidateLog.candidates());
             }
             Failure failure = Failure.of(Step.ROUTE, request.service(), "no target can take it");
-            long pauseMillis = service.map(targetsHere -> targetsHere.pauseMillis(nowMillis))
-                    .getOrElse(0L);
             return new RoutingDecision.Reject(
-                    failure, Math.max(RETRY_AFTER_MILLIS, pauseMillis), candidateLog.candidates());
+                    failure, targets.retryAfterMillis(request.service(), nowMillis), candidateLog.candidates());
         }
 
         private Option<Route> firstOtherRegion() {
--- a/rattanplank-core/src/main/java/org/rattanplank/core/route/TargetTable.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/route/TargetTable.java
@@ -17,6 +17,8 @@
  * A target that is added to an already existing service starts cold. Guarded by the router's lock.
  */
 final class TargetTable {
+    private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
+
     private final Policy policy;
     private final Map<String, Entry> targets = new HashMap<>();
     private final Map<String, ServiceTargets> services = new TreeMap<>();
@@ -39,6 +41,13 @@
         return Option.of(services.get(name));
     }
 
+    /** Returns after which time a request should be sent again that no target of a service can take. */
+    long retryAfterMillis(String service, long nowMillis) {
+        long pauseMillis =
+                service(service).map(found -> found.pauseMillis(nowMillis)).getOrElse(0L);
+        return Math.max(MIN_RETRY_AFTER_MILLIS, pauseMillis);
+    }
+
     Option<Target> target(String name) {
         return Option.of(targets.get(name)).map(Entry::target);
     }
