--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -452,7 +452,7 @@
         metrics.gauge("store_age_millis", () -> feed.lastResponseAgeMillis());
         metrics.gauge(
                 "store_copy_revision", () -> StoreRevision.number(feed.copy().revision()));
-        metrics.gauge("store_copy_era", () -> StoreRevision.era(feed.copy().revision()));
+        metrics.gauge("store_copy_era", () -> feed.copy().era());
         metrics.gauge("store_copy_lag_millis", () -> feed.lagMillis());
         metrics.gauge("requests_in_progress", () -> requests.size());
         metrics.gauge("targets", () -> state.pool().all().size());
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RegionReplication.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RegionReplication.java
@@ -107,7 +107,7 @@
 
     /** A host of an earlier version doesn't notice that the store has come back from an older copy. */
     private boolean tellsEras(PeerFrame.State peer) {
-        return peer.supportsStoreEras() || StoreRevision.era(feed.copy().revision()) == 0;
+        return peer.supportsStoreEras() || feed.copy().era() == 0;
     }
 
     /**
@@ -191,7 +191,6 @@
             return !peer.storeHealthy() && peer.configurationVersion() < state.configurationVersion();
         }
         return peer.knownRevision() != PeerFrame.State.UNREPORTED
-                || peer.newestRevisionIn(StoreRevision.era(feed.copy().revision()))
-                        < feed.copy().newestRevision();
+                || peer.newestRevisionIn(feed.copy().era()) < feed.copy().newestRevision();
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreCopy.java
@@ -227,6 +227,15 @@
         return revision;
     }
 
+    /**
+     * Returns the era of the store up to which the copy is complete.
+     *
+     * @return the era, zero if the copy was never complete or the store reported none
+     */
+    public long era() {
+        return StoreRevision.era(revision);
+    }
+
     /**
      * Returns the revision of the newest known change.
      *
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/store/StoreFeed.java
@@ -170,7 +170,7 @@
             bytesReceived = received;
             bytesReceivedAtMillis = now;
         }
-        if (watchPending && store.era() > copyEra()) {
+        if (watchPending && store.era() > copy.era()) {
             abandonWatch();
             listPage(new Listing(false), "");
             return;
@@ -314,7 +314,7 @@
     }
 
     private void recordRestore(long revision) {
-        if (isComplete() && StoreRevision.era(revision) > copyEra()) {
+        if (isComplete() && StoreRevision.era(revision) > copy.era()) {
             listener.storeRestored(copy.revision(), revision);
         }
     }
@@ -345,7 +345,7 @@
         listener.storeResponded(clock.nowMillis() - calledMillis);
         StorePage page = reply.get();
         recordPage(StoreReadKind.LIST, page, calledMillis);
-        if (!listing.continuesWith(page.revision()) || StoreRevision.era(page.revision()) < copyEra()) {
+        if (!listing.continuesWith(page.revision()) || StoreRevision.era(page.revision()) < copy.era()) {
             scheduleRetry(() -> listPage(new Listing(listing.verification), ""));
             return;
         }
@@ -444,10 +444,6 @@
         }
     }
 
-    private long copyEra() {
-        return StoreRevision.era(copy.revision());
-    }
-
     private void recordPage(StoreReadKind kind, StorePage page, long calledMillis) {
         long bytes = page.valueBytes();
         readLimiter.consume(Math.round(bytes * BASE64_BYTES_PER_BYTE), clock.nowMillis());
