--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/QuarantineRecorderTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/QuarantineRecorderTest.java
@@ -11,18 +11,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.core.quarantine.Fingerprint;
-import org.rattanplank.gateway.http.HttpClientTraffic;
 import org.rattanplank.gateway.log.EventLog;
 import org.rattanplank.gateway.pass.RequestQuarantine;
-import org.rattanplank.gateway.store.ClusterEvent;
-import org.rattanplank.gateway.store.ClusterStore;
 import org.rattanplank.gateway.store.StoreFailure;
-import org.rattanplank.gateway.store.StoreFormat;
 import org.rattanplank.gateway.store.StoreItem;
-import org.rattanplank.gateway.store.StorePage;
+import org.rattanplank.gateway.store.UnsupportedStore;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -127,46 +122,15 @@
     }
 
     /** A store that records the writes that it takes. */
-    private static final class CountingStore implements ClusterStore, StoreFormat {
+    private static final class CountingStore extends UnsupportedStore {
         private final List<Fingerprint> writes = new ArrayList<>();
         private boolean refuses;
 
-        @Override
-        public long era() {
-            return 0;
-        }
-
-        @Override
-        public HttpClientTraffic traffic() {
-            return new HttpClientTraffic();
-        }
-
-        @Override
-        public void list(String prefix, String after, Consumer<Either<StoreFailure, StorePage>> reply) {
-            throw new UnsupportedOperationException("list");
-        }
-
-        @Override
-        public void watch(
-                String prefix, long afterRevision, long waitMillis, Consumer<Either<StoreFailure, StorePage>> reply) {
-            throw new UnsupportedOperationException("watch");
-        }
-
         @Override
         public void grantLease(long millis, Consumer<Either<StoreFailure, Long>> reply) {
             reply.accept(refuses ? Either.left(StoreFailure.REFUSED) : Either.right(1L));
         }
 
-        @Override
-        public void renewLease(long lease, Consumer<Either<StoreFailure, Long>> reply) {
-            throw new UnsupportedOperationException("renewLease");
-        }
-
-        @Override
-        public void revokeLease(long lease) {
-            throw new UnsupportedOperationException("revokeLease");
-        }
-
         @Override
         public void put(
                 String key,
@@ -178,21 +142,6 @@
             reply.accept(Either.right(1L));
         }
 
-        @Override
-        public String prefix() {
-            return "";
-        }
-
-        @Override
-        public ClusterEvent read(StoreItem item) {
-            throw new UnsupportedOperationException("read");
-        }
-
-        @Override
-        public StoreItem write(GatewayHost host) {
-            throw new UnsupportedOperationException("write");
-        }
-
         @Override
         public StoreItem write(Fingerprint fingerprint, List<CrashEvidence> evidence) {
             return new StoreItem(fingerprint.text(), new byte[0], 0, false);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/store/HostLeaseTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/store/HostLeaseTest.java
@@ -13,9 +13,6 @@
 import org.junit.jupiter.api.Timeout;
 import org.rattanplank.core.gateway.GatewayHost;
 import org.rattanplank.core.host.Location;
-import org.rattanplank.core.quarantine.CrashEvidence;
-import org.rattanplank.core.quarantine.Fingerprint;
-import org.rattanplank.gateway.http.HttpClientTraffic;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -83,7 +80,7 @@
     }
 
     /** A store that answers at once. Confined to the event loop but for its calls, which are read when it is idle. */
-    private static final class RestoringStore implements ClusterStore, StoreFormat {
+    private static final class RestoringStore extends UnsupportedStore {
         private final List<String> calls = java.util.Collections.synchronizedList(new ArrayList<>());
         private Option<Long> eraAfterPut = Option.none();
         private long nextLease = FIRST_LEASE;
@@ -121,40 +118,9 @@
             reply.accept(Either.right(1L));
         }
 
-        @Override
-        public HttpClientTraffic traffic() {
-            return new HttpClientTraffic();
-        }
-
-        @Override
-        public void list(String prefix, String after, Consumer<Either<StoreFailure, StorePage>> reply) {
-            throw new UnsupportedOperationException("a lease lists nothing");
-        }
-
-        @Override
-        public void watch(
-                String prefix, long afterRevision, long waitMillis, Consumer<Either<StoreFailure, StorePage>> reply) {
-            throw new UnsupportedOperationException("a lease watches nothing");
-        }
-
-        @Override
-        public String prefix() {
-            return "";
-        }
-
-        @Override
-        public ClusterEvent read(StoreItem item) {
-            return new ClusterEvent.Unrelated();
-        }
-
         @Override
         public StoreItem write(GatewayHost host) {
             return new StoreItem("hosts/" + host.name(), new byte[0], 0, false);
         }
-
-        @Override
-        public StoreItem write(Fingerprint fingerprint, List<CrashEvidence> evidence) {
-            throw new UnsupportedOperationException("a lease writes no quarantine");
-        }
     }
 }
