--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,6 @@
     mvn -o -B -q -Dmaven.test.skip=true -Dspotless.check.skip=true -Dcheckstyle.skip=true \
         -pl rattanplank-standins -am package
 fi
+rm -rf target/review
 mkdir -p target/review
 javac -Xlint:all -d target/review review/src/review/*.java
--- a/review/src/review/Kit.java
+++ b/review/src/review/Kit.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 /** A small deployment on loopback addresses: the project's gateway and store processes, with stand-ins in this process. */
 final class Kit implements AutoCloseable {
@@ -31,6 +32,7 @@
     static final int EXIT_NOT_RUN = 2;
 
     static final String HOST = "desk.example";
+    private static final long HEARTBEAT_MILLIS = 1_200;
     static final int MAX_BODY_BYTES = 4_194_304;
     private static final String P = "X-Rattanplank-";
     private static final String STANDINS = "rattanplank-standins/target/classes:rattanplank-standins/target/lib/*";
@@ -239,8 +241,11 @@
 
     void write(String key, String json) throws IOException {
         String value = Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8));
-        byte[] body = ("{\"expected_revision\":[],\"puts\":[{\"key\":\"" + key + "\",\"value\":\"" + value
-                        + "\",\"lease\":0}],\"remove\":[]}")
+        change("[{\"key\":\"" + key + "\",\"value\":\"" + value + "\",\"lease\":0}]", "[]");
+    }
+
+    private void change(String puts, String removals) throws IOException {
+        byte[] body = ("{\"expected_revision\":[],\"puts\":" + puts + ",\"remove\":" + removals + "}")
                 .getBytes(StandardCharsets.UTF_8);
         int colon = store.lastIndexOf(':');
         try (Socket socket = new Socket()) {
@@ -262,6 +267,13 @@
 
     /** Writes the entry of a replica, and again at each heartbeat as replicas do. */
     void register(String id, String service, String zone, InetSocketAddress address, int slots) throws IOException {
+        register(id, service, zone, address, slots, () -> true);
+    }
+
+    /** Writes the entry of a replica as long as it lives; the platform removes it after three intervals of silence. */
+    void register(
+            String id, String service, String zone, InetSocketAddress address, int slots, BooleanSupplier isAlive)
+            throws IOException {
         Runnable beat = () -> {
             try {
                 write(
@@ -275,9 +287,16 @@
         };
         beat.run();
         Thread thread = new Thread(() -> {
-            while (true) {
-                sleep(1_200);
+            sleep(HEARTBEAT_MILLIS);
+            while (isAlive.getAsBoolean()) {
                 beat.run();
+                sleep(HEARTBEAT_MILLIS);
+            }
+            sleep(2 * HEARTBEAT_MILLIS);
+            try {
+                change("[]", "[\"servers/" + id + "\"]");
+            } catch (IOException e) {
+                log("removal of " + id + ": " + e);
             }
         });
         thread.setDaemon(true);
