End a review case that can't run with 2 in every way

Tried: by reading, a case whose classes are missing, or that ends with an error of the runtime, left exit code 1 to the JVM, which stands for a broken rule. The cases' load, checks and bounds are unchanged.

--- a/review/src/review/EndlessEvent.java
+++ b/review/src/review/EndlessEvent.java
@@ -17,17 +17,8 @@
 
     private EndlessEvent() {}
 
-    public static void main(String[] args) throws Exception {
-        int exit = Kit.EXIT_NOT_RUN;
-        try (Kit kit = new Kit(Path.of(args[0]))) {
-            try {
-                exit = run(kit);
-            } catch (IOException | RuntimeException e) {
-                kit.log("the case could not run: " + e);
-            }
-            kit.log("exit " + exit);
-        }
-        System.exit(exit);
+    public static void main(String[] args) {
+        System.exit(Kit.play(Path.of(args[0]), EndlessEvent::run));
     }
 
     private static int run(Kit kit) throws Exception {
--- a/review/src/review/Kit.java
+++ b/review/src/review/Kit.java
@@ -67,6 +67,29 @@
         log("disruption " + (trouble ? "on" : "off"));
     }
 
+    /** What a case does, which returns its exit code. */
+    interface Case {
+        int run(Kit kit) throws Exception;
+    }
+
+    /** Runs a case and ends what it started; whatever keeps it from running is no verdict. */
+    static int play(Path recordFile, Case each) {
+        try (Kit kit = new Kit(recordFile)) {
+            int exit;
+            try {
+                exit = each.run(kit);
+            } catch (Exception | Error e) {
+                kit.log("the case could not run: " + e);
+                exit = EXIT_NOT_RUN;
+            }
+            kit.log("exit " + exit);
+            return exit;
+        } catch (Exception | Error e) {
+            System.err.println("the case could not run: " + e);
+            return EXIT_NOT_RUN;
+        }
+    }
+
     private int freePorts() throws IOException {
         for (int base = 21_000; base < 30_000; base += 37) {
             boolean free = true;
