Log what holds the event loop while it is held

A thread of its own now sees that no turn has ended for half a second and logs loop_stalled with the innermost calls of the loop's thread, again each time the turn has lasted twice as long; rattanplank_gateway_loop_stalls counts them. The time for which the whole process is paused doesn't count.

The thread wakes ten times a second.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -71,6 +71,7 @@
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final EventLog log;
+    private final EventLoopMonitor loopMonitor;
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final GatewayHost self;
     private final GatewayState state;
@@ -102,6 +103,7 @@
         this.group = group;
         this.log = log;
         loop = group.next();
+        loopMonitor = EventLoopMonitor.of(loop, clock, log);
         self = new GatewayHost(
                 settings.name(),
                 incarnation,
@@ -158,6 +160,7 @@
         AdminServer.listen(group, settings.metrics(), this::handleAdmin);
         links.listen(settings.peers());
         callers.listen(settings.callers());
+        loopMonitor.start();
         loop.execute(() -> {
             feed.start();
             lease.start();
@@ -403,6 +406,7 @@
 
     private void tick() {
         long now = clock.nowMillis();
+        loopMonitor.recordTurn();
         recordLoopDelay(now);
         ticks++;
         List.copyOf(requests).forEach(request -> request.tick(readWatermark.millis()));
@@ -471,6 +475,7 @@
                 "requests_quarantined", () -> state.quarantine().quarantined().size());
         metrics.gauge("target_connections_opened", connections::openedConnections);
         metrics.gauge("log_lines_dropped", log::droppedLines);
+        metrics.gauge("loop_stalls", loopMonitor::stalls);
     }
 
     private static String hostAndPort(java.net.InetSocketAddress address) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -84,6 +84,8 @@
     LINK_FULL,
     /** The event loop was delayed. */
     LOOP_LATE,
+    /** One turn of the event loop takes long and has not ended yet. */
+    LOOP_STALLED,
     /** Log lines were dropped because the queue was full. */
     LINES_DROPPED;
 
