Examine each byte of a stream once

Cause: EventSplitter looked for the end of an event from the first pending byte on, at each chunk, so n bytes in chunks of k cost n * n / 2k steps on the only event loop, up to 1 MiB an event.

Change: the state of the last line and of the incomplete event is kept between chunks, and only the new bytes are examined; an event isn't turned into a string any more to count it. Results are the same as before for all chunkings (the property test stands as it was).

EventSplitterTest#shouldExamineEachByteOnceWhenAnEventHasNoEnd failed before in all 5 shapes, e.g. 8,002,000 bytes examined of 4,000.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/EventSplitter.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/EventSplitter.java
@@ -9,26 +9,39 @@
  * Splits a stream of server-sent events at event boundaries and tracks the identifier of the last complete event.
  *
  * <p>Invariant: all bytes are returned in order; bytes returned before the end of the stream always end with a complete
- * event. Confined to the event loop.
+ * event; each byte is examined once, however small the parts are in which it arrives. Confined to the event loop.
  */
 public final class EventSplitter {
-    private static final String ID_FIELD = "id:";
-    private static final String COMMENT_PREFIX = ":";
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte COMMENT_PREFIX = ':';
 
     /** More than any event of an engine; what has no end within it is no event. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
-    private final ByteBuf pending = Unpooled.buffer(256);
+    private final ByteBuf pending;
     private String lastEventId;
     private int eventCount;
 
+    /** What is known of the incomplete event and of its last line, which begins at an index of the pending bytes. */
+    private String incompleteEventId;
+
+    private boolean inEvent;
+    private int lineStart;
+    private boolean lineBlank = true;
+
     /**
      * Creates a splitter.
      *
      * @param lastEventId the identifier of the last event that the caller has received, or empty
      */
     public EventSplitter(String lastEventId) {
+        this(lastEventId, Unpooled.buffer(256));
+    }
+
+    EventSplitter(String lastEventId, ByteBuf pending) {
         this.lastEventId = lastEventId;
+        incompleteEventId = lastEventId;
+        this.pending = pending;
     }
 
     /**
@@ -56,14 +69,15 @@
      * @return the events that are complete now, or an empty buffer
      */
     public ByteBuf append(ByteBuf bytes) {
+        int unexamined = pending.writerIndex();
         pending.writeBytes(bytes);
-        int end = endOfLastEvent();
+        int end = endOfLastEvent(unexamined);
         if (end < 0) {
             return Unpooled.EMPTY_BUFFER;
         }
         ByteBuf complete = pending.readBytes(end - pending.readerIndex());
         pending.discardReadBytes();
-        recordEvents(complete);
+        lineStart -= end;
         return complete;
     }
 
@@ -73,7 +87,9 @@
      * @return the bytes
      */
     public ByteBuf takeRemainder() {
-        return pending.readBytes(pending.readableBytes());
+        ByteBuf remainder = pending.readBytes(pending.readableBytes());
+        discardRemainder();
+        return remainder;
     }
 
     /**
@@ -88,39 +104,53 @@
     /** Discards the bytes of an incomplete event. */
     public void discardRemainder() {
         pending.clear();
+        incompleteEventId = lastEventId;
+        inEvent = false;
+        lineStart = 0;
+        lineBlank = true;
     }
 
-    private int endOfLastEvent() {
+    /** Examines the bytes from an index on, and returns the end of the last event that they complete, or -1. */
+    private int endOfLastEvent(int from) {
         int last = -1;
-        boolean lineEmpty = true;
-        for (int i = pending.readerIndex(); i < pending.writerIndex(); i++) {
+        for (int i = from; i < pending.writerIndex(); i++) {
             byte current = pending.getByte(i);
-            if (current == '\n') {
-                if (lineEmpty && i > pending.readerIndex()) {
-                    last = i + 1;
-                }
-                lineEmpty = true;
-            } else if (current != '\r') {
-                lineEmpty = false;
+            if (current != '\n') {
+                lineBlank &= current == '\r';
+                continue;
+            }
+            if (!lineBlank) {
+                recordLine(i);
+            } else if (i > pending.readerIndex()) {
+                recordEventEnd();
+                last = i + 1;
             }
+            lineStart = i + 1;
+            lineBlank = true;
         }
         return last;
     }
 
-    private void recordEvents(ByteBuf complete) {
-        boolean inEvent = false;
-        String text = complete.toString(StandardCharsets.UTF_8);
-        // The limit -1 keeps the trailing empty line, which ends the last event.
-        for (String line : text.split("\n", -1)) {
-            if (line.startsWith(ID_FIELD)) {
-                lastEventId = line.substring(ID_FIELD.length()).trim();
-            }
-            if (!line.isEmpty() && !line.equals("\r")) {
-                inEvent |= !line.startsWith(COMMENT_PREFIX);
-            } else if (inEvent) {
-                eventCount++;
-                inEvent = false;
+    private void recordLine(int end) {
+        inEvent |= pending.getByte(lineStart) != COMMENT_PREFIX;
+        if (end - lineStart < ID_FIELD.length) {
+            return;
+        }
+        for (int i = 0; i < ID_FIELD.length; i++) {
+            if (pending.getByte(lineStart + i) != ID_FIELD[i]) {
+                return;
             }
         }
+        int idStart = lineStart + ID_FIELD.length;
+        incompleteEventId =
+                pending.toString(idStart, end - idStart, StandardCharsets.UTF_8).trim();
+    }
+
+    private void recordEventEnd() {
+        lastEventId = incompleteEventId;
+        if (inEvent) {
+            eventCount++;
+            inEvent = false;
+        }
     }
 }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/caller/EventSplitterTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/caller/EventSplitterTest.java
@@ -4,11 +4,15 @@
 import java.util.List;
 
 import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.buffer.UnpooledHeapByteBuf;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,6 +20,21 @@
 class EventSplitterTest {
     private static final String STREAM = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nversion: 3\nid: 3\ndata: c\n\n";
 
+    /** Counts the single bytes that are read from it. */
+    private static final class CountingBuffer extends UnpooledHeapByteBuf {
+        private long bytesRead;
+
+        private CountingBuffer() {
+            super(UnpooledByteBufAllocator.DEFAULT, 256, Integer.MAX_VALUE);
+        }
+
+        @Override
+        protected byte _getByte(int index) {
+            bytesRead++;
+            return super._getByte(index);
+        }
+    }
+
     private static String append(EventSplitter splitter, String text) {
         return splitter.append(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8))
                 .toString(StandardCharsets.UTF_8);
@@ -45,6 +64,21 @@
         assertEquals(3, splitter.eventCount());
     }
 
+    /** Guards against an event loop that is held by one stream whose event never ends and comes in small chunks. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "xxxxxxxx", "data: x\n", "\r", ": x"})
+    void shouldExamineEachByteOnceWhenAnEventHasNoEnd(String chunk) {
+        int chunks = 4_000;
+        CountingBuffer buffer = new CountingBuffer();
+        EventSplitter splitter = new EventSplitter("", buffer);
+        for (int i = 0; i < chunks; i++) {
+            assertEquals("", append(splitter, chunk));
+        }
+
+        int bytes = chunks * chunk.length();
+        assertTrue(buffer.bytesRead <= 2L * bytes, () -> buffer.bytesRead + " examined of " + bytes);
+    }
+
     @Test
     void shouldNotCountCommentsOrIncompleteEventsWhenAStreamIsKeptOpen() {
         EventSplitter splitter = new EventSplitter("");
