Test endless events in chunks of all sizes, and with a backup

EndlessResponseFlowTest had one chunk size, 10,000 bytes, with which a scan of all pending bytes at each chunk doesn't show. Its streams now come in chunks of 1 to 10,000 bytes, written 10,000 bytes or more at a time, alone and as a stream with a backup, which another class splits.

--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/EndlessResponseFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/EndlessResponseFlowTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanplank.core.gateway.RouteKind;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -68,15 +69,11 @@
         }
     }
 
-    /** Guards against a host whose memory fills with a stream that never completes an event. */
-    @Test
-    void shouldEndTheStreamWhenAnEventHasNoEnd() throws Exception {
-        try (TestTarget endless = new TestTarget((request, out) -> {
-            TestTarget.write(out, TestTarget.streamHead(request));
-            while (true) {
-                TestTarget.write(out, TestTarget.chunk("x".repeat(10_000)));
-            }
-        })) {
+    /** Guards against a host whose memory or event loop is taken by a stream that never completes an event. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 8, 64, 512, 10_000})
+    void shouldEndTheStreamWhenAnEventHasNoEnd(int chunkBytes) throws Exception {
+        try (TestTarget endless = endlessStream("x".repeat(chunkBytes))) {
             gateway.configure(RouteKind.STREAM, false, 1).target("t1", endless.port());
 
             String answer = gateway.caller().send(request(1)).readUntil("\r\n\r\n");
@@ -86,6 +83,33 @@
         }
     }
 
+    /** Guards against the same at a stream with a backup, whose events are split before they are passed on. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "xxxxxxxx", "data: x\n", ": x\n"})
+    void shouldEndTheStreamWhenAnEventOfAStreamWithABackupHasNoEnd(String part) throws Exception {
+        try (TestTarget one = endlessStream(part);
+                TestTarget other = endlessStream(part)) {
+            gateway.configureModelWithoutResumption().target("t1", one.port()).target("t2", other.port());
+
+            String answer = gateway.caller()
+                    .send("POST /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q1\r\nTokens: 100,50\r\n"
+                            + "Time-Left: 20000\r\nContent-Length: 1\r\n\r\nx")
+                    .readUntil("\r\n\r\n");
+
+            assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+        }
+    }
+
+    private static TestTarget endlessStream(String part) throws IOException {
+        String written = TestTarget.chunk(part).repeat(1 + 10_000 / part.length());
+        return new TestTarget((request, out) -> {
+            TestTarget.write(out, TestTarget.streamHead(request));
+            while (true) {
+                TestTarget.write(out, written);
+            }
+        });
+    }
+
     private static String request(int number) {
         return "GET /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q" + number + "\r\nTime-Left: 9000\r\n\r\n";
     }
