Bound what is read of one connection in a turn of the event loop

What callers saw: a host that answers late while one sender fills its connection.

Cause: each connection was read up to 16 times 64 KiB a turn, whatever one byte of it costs.

Change: ReadLimit states by sender how much one turn reads of a connection, from 16 KiB (targets, admin) to 128 KiB (callers, whose last request has to be seen together with the end of their connection). What is left is read in the next turn, after all other connections. The buffers of reads are 16 KiB at most, which also bounds what an incomplete head or frame keeps.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/AdminServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/AdminServer.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import org.rattanplank.gateway.http.ReadLimit;
 
 /** Serves small in-memory responses such as readiness, entry hosts and metrics. Confined to the event loop. */
 final class AdminServer {
@@ -42,6 +43,7 @@
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.ADMIN.allocator())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -9,12 +9,10 @@
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpMessage;
@@ -25,6 +23,7 @@
 import org.rattanplank.gateway.MonotonicClock;
 import org.rattanplank.gateway.http.ByteCountHandler;
 import org.rattanplank.gateway.http.PendingInput;
+import org.rattanplank.gateway.http.ReadLimit;
 
 /**
  * The HTTP server for callers.
@@ -36,9 +35,6 @@
 public final class CallerServer {
     private static final int MAX_CHUNK_BYTES = 65_536;
 
-    /** How many reads a connection may do in a row before others get their turn; the default of Netty. */
-    private static final int MAX_READS_PER_LOOP = 16;
-
     /** Callers open connections in bursts, and a full accept queue delays each connection by a second. */
     private static final int ACCEPT_BACKLOG = 1_024;
 
@@ -87,7 +83,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readUntilEmpty())
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.CALLER.allocator())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -109,11 +105,6 @@
         stopping = true;
     }
 
-    /** Reads until the socket is empty, so that the end of a connection is seen together with its last request. */
-    private static RecvByteBufAllocator readUntilEmpty() {
-        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_LOOP);
-    }
-
     /**
      * Stops accepting connections. Those in the accept queue are accepted first: the operating system would reset them,
      * together with requests that were sent already.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
@@ -98,6 +98,7 @@
                     .group(group)
                     .channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.STORE.allocator())
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLinks.java
@@ -25,6 +25,7 @@
 import org.rattanplank.core.host.RendezvousHashing;
 import org.rattanplank.gateway.MonotonicClock;
 import org.rattanplank.gateway.http.ByteCountHandler;
+import org.rattanplank.gateway.http.ReadLimit;
 
 /**
  * Manages the links to all other hosts.
@@ -103,6 +104,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.HOST.allocator())
                 .childHandler(initializer(false))
                 .bind(address)
                 .syncUninterruptibly()
@@ -402,6 +404,7 @@
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.HOST.allocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(initializer(true))
                 .connect(new InetSocketAddress(
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -27,6 +27,7 @@
 import org.rattanplank.gateway.HeaderNames;
 import org.rattanplank.gateway.MonotonicClock;
 import org.rattanplank.gateway.http.ByteCountHandler;
+import org.rattanplank.gateway.http.ReadLimit;
 
 /**
  * A pool of connections to targets.
@@ -67,8 +68,11 @@
     public TargetConnections(EventLoopGroup group, HeaderNames names, MonotonicClock clock) {
         this.names = names;
         this.clock = clock;
-        bootstrap =
-                new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+        bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.TARGET.allocator());
     }
 
     /**
