Bound the memory that bodies of callers take over all connections

Cause: a body's parts were kept as the slices in which they were received, direct memory, of which the process has 48 MiB for all connections. Nothing added them up. Once it is full, each read of any connection waits for half a second in the JDK, on the only event loop. Small chunks were worse: each kept a buffer of its own (1,000 references to one buffer after 1,000 chunks of one byte).

Change: the bytes are copied into one buffer on the heap, which grows with what has arrived, and MemoryBudget (core) grants it: a quarter of the heap for all bodies, from their first byte to the end of their response, those that other hosts forward too. By its dynamic threshold a body may hold as much as would then be free, so that large ones are refused long before small ones. A body that has no room is answered 503 at once, at its head if its length is stated, with a Retry-After by the rate at which memory was released lately, at most the idle time-out; a forwarded one is rejected as not sent. What half the budget can't hold is answered 413. The received buffers aren't kept any more.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/response/RetryAfter.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/response/RetryAfter.java
@@ -6,7 +6,7 @@
 
 import io.vavr.control.Option;
 
-/** Reads the time after which a target wants to be asked again. Stateless and thread safe. */
+/** Reads and writes the time after which a server wants to be asked again. Stateless and thread safe. */
 public final class RetryAfter {
     /** Longer times are cut: an operator would have to restart hosts to end a pause that a target has named by mistake. */
     public static final long MAX_MILLIS = 24 * 60 * 60 * 1_000L;
@@ -33,6 +33,16 @@
                 .max();
     }
 
+    /**
+     * Writes the value of a {@code Retry-After} header.
+     *
+     * @param millis the time in milliseconds
+     * @return the time in seconds, with a fraction
+     */
+    public static String text(long millis) {
+        return Double.toString(millis / MILLIS_PER_SECOND);
+    }
+
     private static Option<Long> readMillis(
             String value, Option<String> responseDate, Function<String, Option<Long>> readDate) {
         Option<Long> millis = SECONDS.matcher(value).matches()
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.rattanplank.core.gateway.EntryHostDirectory;
 import org.rattanplank.core.gateway.GatewayConfiguration;
 import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.gateway.MemoryBudget;
 import org.rattanplank.core.quarantine.CrashEvidence;
 import org.rattanplank.gateway.caller.CallerConnection;
 import org.rattanplank.gateway.caller.CallerRequest;
@@ -64,6 +65,9 @@
     /** Links with at least this many bytes queued are logged: forwarded requests wait behind them. */
     private static final long CONGESTED_LINK_BYTES = 32 << 10;
 
+    /** The part of the heap for the bodies of requests: a quarter, as each may be copied once on its way. */
+    private static final int BODY_MEMORY_PART = 4;
+
     private final GatewaySettings settings;
     private final PlatformFormats formats;
     private final MonotonicClock clock = MonotonicClock.ofProcess();
@@ -73,6 +77,7 @@
     private final EventLog log;
     private final EventLoopMonitor loopMonitor;
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final MemoryBudget bodyMemory = MemoryBudget.of(Runtime.getRuntime().maxMemory() / BODY_MEMORY_PART);
     private final GatewayHost self;
     private final GatewayState state;
     private final TargetConnections connections;
@@ -116,7 +121,7 @@
         state = new GatewayState(settings, self, clock, random, connections, log, metrics);
         links = new PeerLinks(self, group, clock, readWatermark::millis, this);
 
-        callers = new CallerServer(group, clock, this::bounds, this::onRequest, this::onRejectedRequest);
+        callers = new CallerServer(group, clock, this::bounds, this::onRequest, this::onRejectedRequest, bodyMemory);
         quarantineRecorder =
                 new QuarantineRecorder(state.quarantine(), store, formats.storeFormat(), clock::nowMillis, random, log);
         state.quarantine().onChange(quarantineRecorder);
@@ -246,9 +251,17 @@
     public void requestReceived(PeerLink link, PeerFrame.CallRequest frame, String backup) {
         GatewayRequest request = reader.request(
                 frame.method(), frame.uri(), frame.authority(), PeerLink.unflatten(frame.headers()), frame.body());
+        int bodyBytes = request.body().length;
+        boolean reserved = bodyMemory.tryGrow(0, bodyBytes);
         Map<Long, ForwardedRequest> calls = forwarded.computeIfAbsent(link, each -> new HashMap<>());
-        ForwardedRequest call =
-                new ForwardedRequest(state, link, frame, request, backup, () -> calls.remove(frame.call()));
+        ForwardedRequest call = new ForwardedRequest(state, link, frame, request, backup, () -> {
+            calls.remove(frame.call());
+            bodyMemory.release(reserved ? bodyBytes : 0, clock.nowMillis());
+        });
+        if (!reserved) {
+            call.reject("no memory is left for the body");
+            return;
+        }
         calls.put(frame.call(), call);
         startAfterPendingReads(call::start);
     }
@@ -473,6 +486,7 @@
         metrics.gauge("store_write_longest_millis", storeTraffic::resetLongestWriteMillis);
         metrics.gauge(
                 "requests_quarantined", () -> state.quarantine().quarantined().size());
+        metrics.gauge("body_memory_bytes", bodyMemory::heldBytes);
         metrics.gauge("target_connections_opened", connections::openedConnections);
         metrics.gauge("log_lines_dropped", log::droppedLines);
         metrics.gauge("loop_stalls", loopMonitor::stalls);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -1,11 +1,11 @@
 package org.rattanplank.gateway.caller;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -28,6 +28,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import org.rattanplank.core.gateway.CallerLimits;
+import org.rattanplank.core.response.RetryAfter;
 import org.rattanplank.gateway.http.Headers;
 import org.rattanplank.gateway.http.PendingInput;
 
@@ -36,7 +37,8 @@
  *
  * <p>Invariants: a request is dispatched only when it is complete and well-formed; each request gets one response, or
  * the connection is closed; an aborted response never ends like a complete one; a connection that this host closes on
- * its own initiative holds no unread request of its caller. Confined to the event loop.
+ * its own initiative holds no unread request of its caller; the memory that bodies take is
+ * bounded over all connections. Confined to the event loop.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
     /**
@@ -64,8 +66,11 @@
     private final CallerLimits limits;
     private Channel channel;
     private HttpRequest incompleteRequest;
-    private List<ByteBuf> bodyChunks = new ArrayList<>();
-    private int bodyBytes;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+
+    /** What the body takes of the memory for bodies, from its first byte to the end of its response. */
+    private long bodyMemoryBytes;
+
     private CallerRequest activeRequest;
     private boolean keepAlive = true;
     private boolean lengthAmbiguous;
@@ -158,6 +163,7 @@
     public void abortResponse() {
         closing = true;
         activeRequest = null;
+        releaseBody();
         channel.close();
     }
 
@@ -333,10 +339,15 @@
         incompleteRequest = request;
         headRequest = request.method().name().equals("HEAD");
         keepAlive = HttpUtil.isKeepAlive(request);
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+        long contentLength = HttpUtil.getContentLength(request, 0L);
+        if (contentLength > maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
+        if (!server.bodyMemory().mayGrow(0, contentLength)) {
+            rejectForMemory(contentLength);
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             write(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -348,40 +359,72 @@
             reject(HttpResponseStatus.BAD_REQUEST);
             return;
         }
-        bodyBytes += content.content().readableBytes();
-        if (bodyBytes > limits.maxBodyBytes()) {
+        int bodyBytes = body.readableBytes() + content.content().readableBytes();
+        if (bodyBytes > maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (content.content().isReadable()) {
-            bodyChunks.add(content.content().retain());
+        if (!tryReserve(bodyBytes)) {
+            rejectForMemory(Math.max(bodyBytes, HttpUtil.getContentLength(incompleteRequest, 0L)));
+            return;
         }
+        body.writeBytes(content.content());
         if (content instanceof LastHttpContent) {
             dispatch();
         }
     }
 
-    private void dispatch() {
-        byte[] body = new byte[bodyBytes];
-        int offset = 0;
-        for (ByteBuf chunk : bodyChunks) {
-            int length = chunk.readableBytes();
-            chunk.readBytes(body, offset, length);
-            offset += length;
+    /**
+     * Makes room for a body in the memory for bodies. The bytes are copied there: the buffers in which they were received
+     * are much larger than a small chunk.
+     */
+    private boolean tryReserve(int bodyBytes) {
+        if (bodyBytes <= body.capacity()) {
+            return true;
         }
-        releaseBody();
+        int contentLength = (int) HttpUtil.getContentLength(incompleteRequest, 0L);
+        int capacity = UnpooledByteBufAllocator.DEFAULT.calculateNewCapacity(
+                bodyBytes, contentLength >= bodyBytes ? contentLength : maxBodyBytes());
+        if (!server.bodyMemory().tryGrow(bodyMemoryBytes, capacity)) {
+            return false;
+        }
+        bodyMemoryBytes = capacity;
+        body = body.capacity() == 0 ? Unpooled.buffer(capacity, capacity) : grown(body, capacity);
+        return true;
+    }
+
+    private int maxBodyBytes() {
+        return (int) Math.min(limits.maxBodyBytes(), server.bodyMemory().maxHolderBytes());
+    }
+
+    private static ByteBuf grown(ByteBuf bytes, int capacity) {
+        return Unpooled.buffer(capacity, capacity).writeBytes(bytes);
+    }
+
+    private void dispatch() {
+        byte[] bytes = ByteBufUtil.getBytes(body, 0, body.readableBytes(), false);
+        server.bodyMemory().release(bodyMemoryBytes - bytes.length, server.nowMillis());
+        bodyMemoryBytes = bytes.length;
+        body = Unpooled.EMPTY_BUFFER;
         HttpRequest request = incompleteRequest;
         incompleteRequest = null;
         receiveMillis = server.nowMillis() - firstByteAtMillis;
-        server.requestReceived(this, request, body, started -> activeRequest = started);
+        server.requestReceived(this, request, bytes, started -> activeRequest = started);
     }
 
     private void reject(HttpResponseStatus status) {
         reject(status, EmptyHttpHeaders.INSTANCE, "malformed request");
     }
 
+    /** Rejects a request as soon as it is known that there is no room for its body. */
+    private void rejectForMemory(long bodyBytes) {
+        long waitMillis = server.bodyMemory()
+                .waitMillis(bodyMemoryBytes, bodyBytes, limits.idleTimeoutMillis(), server.nowMillis());
+        HttpHeaders headers = Headers.unchecked().set(HttpHeaderNames.RETRY_AFTER, RetryAfter.text(waitMillis));
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, "no memory is left for the body");
+    }
+
     private void reject(HttpResponseStatus status, HttpHeaders headers, String reason) {
-        releaseBody();
         keepAlive = false;
         headRequest = false;
         respond(status.code(), headers, Unpooled.EMPTY_BUFFER);
@@ -396,9 +439,9 @@
     }
 
     private void releaseBody() {
-        bodyChunks.forEach(ByteBuf::release);
-        bodyChunks.clear();
-        bodyBytes = 0;
+        body = Unpooled.EMPTY_BUFFER;
+        server.bodyMemory().release(bodyMemoryBytes, server.nowMillis());
+        bodyMemoryBytes = 0;
     }
 
     private void setConnectionHeader(HttpHeaders headers) {
@@ -414,6 +457,7 @@
 
     private void responseEnded() {
         activeRequest = null;
+        releaseBody();
         receivingRequest = false;
         idleSinceMillis = server.nowMillis();
         if (closing) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.rattanplank.core.gateway.CallerLimits;
+import org.rattanplank.core.gateway.MemoryBudget;
 import org.rattanplank.gateway.MonotonicClock;
 import org.rattanplank.gateway.http.ByteCountHandler;
 import org.rattanplank.gateway.http.PendingInput;
@@ -43,6 +44,7 @@
     private final Supplier<CallerLimits> limits;
     private final RequestHandler handler;
     private final ObjIntConsumer<String> requestRejected;
+    private final MemoryBudget bodyMemory;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel serverChannel;
     private long opened;
@@ -57,18 +59,21 @@
      * @param limits supplies the limits that currently apply to callers
      * @param handler receives complete requests
      * @param requestRejected receives the reason and the status of each request that is rejected before it is handled
+     * @param bodyMemory the memory for the bodies of requests
      */
     public CallerServer(
             EventLoopGroup group,
             MonotonicClock clock,
             Supplier<CallerLimits> limits,
             RequestHandler handler,
-            ObjIntConsumer<String> requestRejected) {
+            ObjIntConsumer<String> requestRejected,
+            MemoryBudget bodyMemory) {
         this.group = group;
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
         this.requestRejected = requestRejected;
+        this.bodyMemory = bodyMemory;
     }
 
     /**
@@ -165,6 +170,10 @@
         return stopping;
     }
 
+    MemoryBudget bodyMemory() {
+        return bodyMemory;
+    }
+
     long nowMillis() {
         return clock.nowMillis();
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ForwardedRequest.java
@@ -118,6 +118,15 @@
         }
     }
 
+    /**
+     * Rejects it before it is started, so that the other host can send it elsewhere.
+     *
+     * @param reason the reason
+     */
+    public void reject(String reason) {
+        fail(AttemptFailure.NOT_SENT, reason);
+    }
+
     /** Cancels it without a response. */
     public void cancel() {
         if (finished) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -26,6 +26,7 @@
 import org.rattanplank.core.gateway.TargetChoice;
 import org.rattanplank.core.gateway.Urgency;
 import org.rattanplank.core.gateway.Work;
+import org.rattanplank.core.response.RetryAfter;
 import org.rattanplank.gateway.GatewayMetrics;
 import org.rattanplank.gateway.GatewayRequest;
 import org.rattanplank.gateway.Latency;
@@ -58,8 +59,6 @@
     /** The maximum number of attempts that fail before anything is sent. Such attempts are cheap, but need a limit. */
     private static final int MAX_FAILED_BEFORE_SEND = 4;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     private static final String STOPPING_REASON = "this host is stopping";
 
     private static final String QUARANTINED_BODY_END =
@@ -509,7 +508,7 @@
 
     private void reject(HttpResponseStatus status, String outcome, String reason, long retryAfterMillis) {
         HttpHeaders headers = Headers.unchecked();
-        headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(retryAfterMillis / MILLIS_PER_SECOND));
+        headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.text(retryAfterMillis));
         response.respond(status.code(), headers, Unpooled.EMPTY_BUFFER);
         state.metrics().ended(outcome);
         complete(outcome, reason, false);
