Collect responses of the store without copying them again and again

Cause, by reading: HttpObjectAggregator adds each chunk as a component and copies all components at each 1,024th, so a response of 16 MiB in small chunks costs the square of their number on the only event loop. The store is the sender here.

ResponseCollector copies the chunks into one growing buffer on the heap; more than 16 MiB close the connection, as before.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeClient.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeClient.java
@@ -12,6 +12,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import org.rattanplank.gateway.http.ChunkMerger;
+import org.rattanplank.gateway.http.ReadLimit;
 import ratpack.util.internal.TransportDetector;
 
 /**
@@ -84,11 +86,13 @@
                 .channel(TransportDetector.getSocketChannelImpl())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.TARGET.allocator())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
                                 .addLast(new HttpClientCodec(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(new ChunkMerger())
                                 .addLast(handler);
                     }
                 })
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/Link.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/Link.java
@@ -15,6 +15,7 @@
 import io.vavr.control.Option;
 import org.rattanplank.core.host.ListedHost;
 import org.rattanplank.daemon.http.ConnectionFailures;
+import org.rattanplank.gateway.http.ReadLimit;
 import org.rattanplank.schema.message.Hello;
 import org.rattanplank.schema.message.PeerMessage;
 import org.rattanplank.schema.message.Ping;
@@ -124,6 +125,7 @@
                         ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         Math.toIntExact(context.times().connectTimeoutMillis()))
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.HOST.allocator())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, context.waterMark())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/PeerServer.java
@@ -14,6 +14,7 @@
 import io.vavr.control.Try;
 import org.rattanplank.daemon.call.Calls;
 import org.rattanplank.daemon.runtime.EventSink;
+import org.rattanplank.gateway.http.ReadLimit;
 import ratpack.util.internal.TransportDetector;
 
 /** Accepts connections from other entry hosts. Thread safe. */
@@ -49,6 +50,7 @@
                 .group(loops)
                 .channel(TransportDetector.getServerSocketChannelImpl())
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.HOST.allocator())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, context.waterMark())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
@@ -21,7 +21,6 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -106,7 +105,7 @@
                             socket.pipeline()
                                     .addLast(new ByteCountHandler(Connection.this::recordReceived))
                                     .addLast(new HttpClientCodec())
-                                    .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+                                    .addLast(new ResponseCollector(MAX_RESPONSE_BYTES))
                                     .addLast(Connection.this);
                         }
                     })
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
@@ -0,0 +1,56 @@
+package org.rattanplank.gateway.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/**
+ * Collects the parts of a response into a whole one, whose bytes are copied a bounded number of times however many
+ * chunks they come in.
+ *
+ * <p>Netty's aggregator adds up components and copies all of them at each 1,024th, so that many small chunks cost the
+ * square of their number. Invariant: a response larger than the limit closes its connection. Confined to the event loop.
+ */
+final class ResponseCollector extends SimpleChannelInboundHandler<HttpObject> {
+    private final int maxBodyBytes;
+    private HttpResponse head;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+
+    ResponseCollector(int maxBodyBytes) {
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            context.close();
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            head = response;
+            body = context.alloc().heapBuffer();
+        }
+        if (head == null || !(message instanceof HttpContent content)) {
+            return;
+        }
+        if (body.readableBytes() + content.content().readableBytes() > maxBodyBytes) {
+            head = null;
+            context.close();
+            return;
+        }
+        body.writeBytes(content.content());
+        if (content instanceof LastHttpContent) {
+            DefaultFullHttpResponse whole = new DefaultFullHttpResponse(
+                    head.protocolVersion(), head.status(), body, head.headers(), EmptyHttpHeaders.INSTANCE);
+            head = null;
+            context.fireChannelRead(whole);
+        }
+    }
+}
