Let callers read why their upload was rejected

A request rejected before its body had been received had its connection closed 300 ms later. Such a connection now stays open for up to five seconds, its bytes discarded, except while the host stops.

CallerConnectionTest#shouldDeliverTheRejectionWhenItsCallerStillSendsTheBody failed before with a broken pipe.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -53,6 +53,12 @@
      */
     static final long LINGER_MILLIS = 300;
 
+    /**
+     * The same for a request that was rejected before its body was received: many callers read their response only when
+     * they have sent all.
+     */
+    private static final long UPLOAD_LINGER_MILLIS = 5_000;
+
     /**
      * How long a new connection without any bytes does not count as idle: the longest network round trip. If it were
      * closed sooner, the caller's first request could cross the close and get no response.
@@ -257,7 +263,11 @@
         halfClosed = true;
         closing = true;
         ((SocketChannel) channel).shutdownOutput();
-        channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        channel.eventLoop().schedule(() -> channel.close(), lingerMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private long lingerMillis() {
+        return incompleteRequest == null || server.isStopping() ? LINGER_MILLIS : UPLOAD_LINGER_MILLIS;
     }
 
     @Override
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/caller/CallerConnectionTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/caller/CallerConnectionTest.java
@@ -89,6 +89,21 @@
         }
     }
 
+    /** Guards against callers that never see why their request was rejected, as they read only when they have sent it. */
+    @Test
+    void shouldDeliverTheRejectionWhenItsCallerStillSendsTheBody() throws Exception {
+        InetSocketAddress address = listen();
+        try (Socket caller = open(address)) {
+            send(caller, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n");
+            for (int i = 0; i < 5; i++) {
+                Thread.sleep(CallerConnection.LINGER_MILLIS / 2);
+                caller.getOutputStream().write(new byte[100_000]);
+            }
+
+            assertTrue(read(caller).startsWith("HTTP/1.1 413"));
+        }
+    }
+
     /** Guards against memory that is not given back, until every body is rejected. */
     @Test
     void shouldGiveTheMemoryBackWhenARequestEnds() throws Exception {
