Bound what unsent responses take of the memory over all connections

What waited were the buffers in which it was received, up to 64 KiB of direct memory for some bytes, so that twelve such callers filled the 48 MiB that all connections share.

Change: MemoryBudget grants an eighth of the heap for all chunks that wait; a caller may hold as much as would then be free, 4 MiB at most as before, and the response that exceeds this is aborted, visibly. Chunks that have to wait are copied onto the heap. The gauges body_memory_bytes and unsent_memory_bytes tell what is held.

CallerConnectionTest has eight callers that read nothing; the code before had no sum to keep, so there the test can't be run.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -68,6 +68,9 @@
     /** The part of the heap for the bodies of requests: a quarter, as each may be copied once on its way. */
     private static final int BODY_MEMORY_PART = 4;
 
+    /** The part of the heap for responses that their callers have not read. */
+    private static final int UNSENT_MEMORY_PART = 8;
+
     private final GatewaySettings settings;
     private final PlatformFormats formats;
     private final MonotonicClock clock = MonotonicClock.ofProcess();
@@ -78,6 +81,8 @@
     private final EventLoopMonitor loopMonitor;
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final MemoryBudget bodyMemory = MemoryBudget.of(Runtime.getRuntime().maxMemory() / BODY_MEMORY_PART);
+    private final MemoryBudget unsentMemory =
+            MemoryBudget.of(Runtime.getRuntime().maxMemory() / UNSENT_MEMORY_PART);
     private final GatewayHost self;
     private final GatewayState state;
     private final TargetConnections connections;
@@ -121,7 +126,8 @@
         state = new GatewayState(settings, self, clock, random, connections, log, metrics);
         links = new PeerLinks(self, group, clock, readWatermark::millis, this);
 
-        callers = new CallerServer(group, clock, this::bounds, this::onRequest, this::onRejectedRequest, bodyMemory);
+        callers = new CallerServer(
+                group, clock, this::bounds, this::onRequest, this::onRejectedRequest, bodyMemory, unsentMemory);
         quarantineRecorder =
                 new QuarantineRecorder(state.quarantine(), store, formats.storeFormat(), clock::nowMillis, random, log);
         state.quarantine().onChange(quarantineRecorder);
@@ -487,6 +493,7 @@
         metrics.gauge(
                 "requests_quarantined", () -> state.quarantine().quarantined().size());
         metrics.gauge("body_memory_bytes", bodyMemory::heldBytes);
+        metrics.gauge("unsent_memory_bytes", unsentMemory::heldBytes);
         metrics.gauge("target_connections_opened", connections::openedConnections);
         metrics.gauge("log_lines_dropped", log::droppedLines);
         metrics.gauge("loop_stalls", loopMonitor::stalls);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -37,8 +37,8 @@
  *
  * <p>Invariants: a request is dispatched only when it is complete and well-formed; each request gets one response, or
  * the connection is closed; an aborted response never ends like a complete one; a connection that this host closes on
- * its own initiative holds no unread request of its caller; the memory that bodies take is
- * bounded over all connections. Confined to the event loop.
+ * its own initiative holds no unread request of its caller; the memory that bodies and
+ * unsent responses take is bounded over all connections. Confined to the event loop.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
     /**
@@ -77,6 +77,9 @@
     /** What the body takes of the memory for bodies, from its first byte to the end of its response. */
     private long bodyMemoryBytes;
 
+    /** The bytes of response chunks that have not left this host. */
+    private long unsentBytes;
+
     private CallerRequest activeRequest;
     private boolean keepAlive = true;
     private boolean lengthAmbiguous;
@@ -147,15 +150,33 @@
     }
 
     /**
-     * Sends a chunk of a response that was begun.
+     * Sends a chunk of a response that was begun; aborts the response if its caller reads too slowly for the memory that
+     * is left.
      *
-     * @param bytes the chunk
+     * @param bytes the chunk, which is released
      */
     public void sendChunk(ByteBuf bytes) {
-        write(new DefaultHttpContent(bytes));
-        if (channel.unsafe().outboundBuffer() != null
-                && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MAX_UNSENT_BYTES) {
+        int length = bytes.readableBytes();
+        if (unsentBytes + length > MAX_UNSENT_BYTES
+                || !server.unsentMemory().tryGrow(unsentBytes, unsentBytes + length)) {
+            bytes.release();
             abortResponse();
+            return;
+        }
+        unsentBytes += length;
+        write(new DefaultHttpContent(channel.isWritable() ? bytes : copied(bytes)))
+                .addListener(written -> {
+                    unsentBytes -= length;
+                    server.unsentMemory().release(length, server.nowMillis());
+                });
+    }
+
+    /** Copies bytes that have to wait, as the buffers in which they were received are few and may be much larger. */
+    private static ByteBuf copied(ByteBuf bytes) {
+        try {
+            return Unpooled.copiedBuffer(bytes);
+        } finally {
+            bytes.release();
         }
     }
 
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerServer.java
@@ -45,6 +45,7 @@
     private final RequestHandler handler;
     private final ObjIntConsumer<String> requestRejected;
     private final MemoryBudget bodyMemory;
+    private final MemoryBudget unsentMemory;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel serverChannel;
     private long opened;
@@ -60,6 +61,7 @@
      * @param handler receives complete requests
      * @param requestRejected receives the reason and the status of each request that is rejected before it is handled
      * @param bodyMemory the memory for the bodies of requests
+     * @param unsentMemory the memory for responses that their callers have not read
      */
     public CallerServer(
             EventLoopGroup group,
@@ -67,13 +69,15 @@
             Supplier<CallerLimits> limits,
             RequestHandler handler,
             ObjIntConsumer<String> requestRejected,
-            MemoryBudget bodyMemory) {
+            MemoryBudget bodyMemory,
+            MemoryBudget unsentMemory) {
         this.group = group;
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
         this.requestRejected = requestRejected;
         this.bodyMemory = bodyMemory;
+        this.unsentMemory = unsentMemory;
     }
 
     /**
@@ -174,6 +178,10 @@
         return bodyMemory;
     }
 
+    MemoryBudget unsentMemory() {
+        return unsentMemory;
+    }
+
     long nowMillis() {
         return clock.nowMillis();
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/caller/CallerConnectionTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/caller/CallerConnectionTest.java
@@ -6,10 +6,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -33,6 +38,7 @@
 
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final MemoryBudget memory = MemoryBudget.of(BUDGET_BYTES);
+    private final MemoryBudget unsent = MemoryBudget.of(BUDGET_BYTES);
     private final CallerServer server = new CallerServer(
             group,
             MonotonicClock.ofProcess(),
@@ -42,7 +48,8 @@
                     EmptyHttpHeaders.INSTANCE,
                     Unpooled.copiedBuffer("got " + body.length, StandardCharsets.US_ASCII)),
             (reason, status) -> {},
-            memory);
+            memory,
+            unsent);
 
     @AfterEach
     void close() {
@@ -104,6 +111,40 @@
         }
     }
 
+    /** Guards against callers that read slowly and together fill the host's memory with what they don't read. */
+    @Test
+    void shouldAbortResponsesBeforeTheMemoryIsFullWhenNobodyReads() {
+        List<EmbeddedChannel> callers = new ArrayList<>();
+        List<CallerConnection> connections = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            CallerConnection connection = new CallerConnection(server, LIMITS);
+            connections.add(connection);
+            callers.add(new EmbeddedChannel(
+                    new ChannelOutboundHandlerAdapter() {
+                        @Override
+                        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                            // Nothing is sent until the connection closes.
+                            context.channel()
+                                    .closeFuture()
+                                    .addListener(closed -> promise.tryFailure(new IOException("closed")));
+                        }
+                    },
+                    connection));
+        }
+        for (int round = 0; round < 100; round++) {
+            for (CallerConnection connection : connections) {
+                if (connection.isOpen()) {
+                    connection.sendChunk(Unpooled.buffer().writeZero(10_000));
+                }
+            }
+            callers.forEach(EmbeddedChannel::runPendingTasks);
+            assertTrue(unsent.heldBytes() < BUDGET_BYTES, "bytes: " + unsent.heldBytes());
+        }
+
+        assertTrue(connections.stream().noneMatch(CallerConnection::isOpen));
+        assertEquals(0, unsent.heldBytes());
+    }
+
     /** Guards against memory that is not given back, until every body is rejected. */
     @Test
     void shouldGiveTheMemoryBackWhenARequestEnds() throws Exception {
