Keep no large body for a fingerprint that nobody asks for

Cause: a fingerprint is computed when it is first needed and holds its request's body until then. The last 128 completed requests are remembered by it: 128 bodies of 4 MiB are 512 MiB, of a heap of 160. One caller that sends them one after the other fills the host.

Evidence: these closes were no rejections (24 log lines, 24 answers 503); the old generation of the running host was at 98 %; of 123 MB in large arrays in its heap dump 24 arrays of 4 MiB were held by CompletedRequests alone, through the supplier of a Lazy.

Change: bodies over 64 KiB are hashed when they are read, in both programs, so that 8 MiB at most are kept this way. The time is in proportion to what the caller has sent.

RequestReaderTest#shouldNotKeepALargeBodyWhenTheFingerprintIsKept failed before.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
@@ -19,6 +19,9 @@
  * @param low the last 64 bits
  */
 public record Fingerprint(long high, long low) {
+    /** The largest body that is kept for a fingerprint that is not computed yet. */
+    static final int MAX_KEPT_BODY_BYTES = 64 << 10;
+
     private static final Pattern TEXT = Pattern.compile("[0-9a-f]{32}");
     private static final int HEXADECIMAL = 16;
 
@@ -65,6 +68,24 @@
         return of(digest);
     }
 
+    /**
+     * Returns the fingerprint of a request, computed when it is first needed. A large body is hashed at once: it would be kept
+     * for as long as the fingerprint is not computed, also after its request has ended.
+     *
+     * @param caller what the caller is known by
+     * @param method the method
+     * @param uri the path and query
+     * @param body the whole body
+     * @return the fingerprint
+     */
+    public static Lazy<Fingerprint> ofRequest(String caller, String method, String uri, byte[] body) {
+        Lazy<Fingerprint> fingerprint = Lazy.of(() -> of(caller, method, uri, body));
+        if (body.length > MAX_KEPT_BODY_BYTES) {
+            fingerprint.get();
+        }
+        return fingerprint;
+    }
+
     /**
      * Returns the fingerprint of a request whose body is not known, which is therefore not recognized when it is sent again.
      *
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/call/Envelope.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/call/Envelope.java
@@ -38,7 +38,7 @@
      */
     public static Lazy<Fingerprint> fingerprint(
             String account, String service, String method, String path, byte[] body) {
-        return Lazy.of(() -> Fingerprint.of(account + '/' + service, method, path, body));
+        return Fingerprint.ofRequest(account + '/' + service, method, path, body);
     }
 
     @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RequestReader.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/RequestReader.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.vavr.Lazy;
 import io.vavr.control.Option;
 import io.vavr.control.Try;
 import org.rattanplank.core.account.KeyDigest;
@@ -129,7 +128,7 @@
                 key,
                 Option.of(headers.get(names.account())),
                 statedTokens(headers),
-                Lazy.of(() -> Fingerprint.of(authority, method, uri, body)));
+                Fingerprint.ofRequest(authority, method, uri, body));
     }
 
     private HttpHeaders forwardableHeaders(HttpHeaders headers) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/RequestReaderTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/RequestReaderTest.java
@@ -64,6 +64,13 @@
         assertFalse(request.headers().contains("Connection"));
     }
 
+    /** Guards against a host whose memory fills with the bodies of requests that have ended. */
+    @Test
+    void shouldNotKeepALargeBodyWhenTheFingerprintIsKept() {
+        assertTrue(reader.read(head(), new byte[100_000]).get().fingerprint().isEvaluated());
+        assertFalse(reader.read(head(), new byte[1_000]).get().fingerprint().isEvaluated());
+    }
+
     @Test
     void shouldReturnNoneWhenARequestHasNoHostOrTwo() {
         HttpRequest none = head();
