Let go of large bodies instead of hashing them

A fingerprint now refers weakly to a body over 128 KiB: while its request is in flight, the fingerprint can be computed as before; afterwards the body may be collected, and the request isn't known as one that a target has completed.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/quarantine/Fingerprint.java
@@ -1,5 +1,6 @@
 package org.rattanplank.core.quarantine;
 
+import java.lang.ref.WeakReference;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -7,6 +8,7 @@
 import java.util.regex.Pattern;
 
 import io.vavr.Lazy;
+import io.vavr.control.Option;
 import org.rattanplank.core.digest.Sha256;
 
 /**
@@ -19,8 +21,11 @@
  * @param low the last 64 bits
  */
 public record Fingerprint(long high, long low) {
-    /** The largest body that is kept for a fingerprint that is not computed yet. */
-    static final int MAX_KEPT_BODY_BYTES = 64 << 10;
+    /** Fingerprints outlive their requests, some hundred at a time. */
+    static final int MAX_KEPT_BODY_BYTES = 128 << 10;
+
+    /** Stands for a request that is gone; no digest of a request is known to equal it. */
+    private static final Fingerprint GONE = new Fingerprint(0, 0);
 
     private static final Pattern TEXT = Pattern.compile("[0-9a-f]{32}");
     private static final int HEXADECIMAL = 16;
@@ -69,8 +74,8 @@
     }
 
     /**
-     * Returns the fingerprint of a request, computed when it is first needed. A large body is hashed at once: it would be kept
-     * for as long as the fingerprint is not computed, also after its request has ended.
+     * Returns the fingerprint of a request, computed when it is first needed. It doesn't keep a large body: once the request
+     * is gone, the fingerprint of such a request equals that of no request in flight.
      *
      * @param caller what the caller is known by
      * @param method the method
@@ -79,11 +84,13 @@
      * @return the fingerprint
      */
     public static Lazy<Fingerprint> ofRequest(String caller, String method, String uri, byte[] body) {
-        Lazy<Fingerprint> fingerprint = Lazy.of(() -> of(caller, method, uri, body));
-        if (body.length > MAX_KEPT_BODY_BYTES) {
-            fingerprint.get();
+        if (body.length <= MAX_KEPT_BODY_BYTES) {
+            return Lazy.of(() -> of(caller, method, uri, body));
         }
-        return fingerprint;
+        WeakReference<byte[]> largeBody = new WeakReference<>(body);
+        return Lazy.of(() -> Option.of(largeBody.get())
+                .map(known -> of(caller, method, uri, known))
+                .getOrElse(GONE));
     }
 
     /**
