--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -72,7 +72,7 @@
     private final CallerLimits limits;
     private Channel channel;
     private HttpRequest incompleteRequest;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private ByteBuf requestBody = Unpooled.EMPTY_BUFFER;
 
     /** What the body takes of the memory for bodies, from its first byte to the end of its response. */
     private long bodyMemoryBytes;
@@ -390,7 +390,7 @@
             reject(HttpResponseStatus.BAD_REQUEST);
             return;
         }
-        int bodyBytes = body.readableBytes() + content.content().readableBytes();
+        int bodyBytes = requestBody.readableBytes() + content.content().readableBytes();
         if (bodyBytes > maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
@@ -399,7 +399,7 @@
             rejectForMemory(Math.max(bodyBytes, HttpUtil.getContentLength(incompleteRequest, 0L)));
             return;
         }
-        body.writeBytes(content.content());
+        requestBody.writeBytes(content.content());
         if (content instanceof LastHttpContent) {
             dispatch();
         }
@@ -410,7 +410,7 @@
      * are much larger than a small chunk.
      */
     private boolean tryReserve(int bodyBytes) {
-        if (bodyBytes <= body.capacity()) {
+        if (bodyBytes <= requestBody.capacity()) {
             return true;
         }
         int contentLength = (int) HttpUtil.getContentLength(incompleteRequest, 0L);
@@ -420,7 +420,7 @@
             return false;
         }
         bodyMemoryBytes = capacity;
-        body = body.capacity() == 0 ? Unpooled.buffer(capacity, capacity) : grown(body, capacity);
+        requestBody = requestBody.capacity() == 0 ? Unpooled.buffer(capacity, capacity) : grown(requestBody, capacity);
         return true;
     }
 
@@ -433,10 +433,10 @@
     }
 
     private void dispatch() {
-        byte[] bytes = ByteBufUtil.getBytes(body, 0, body.readableBytes(), false);
+        byte[] bytes = ByteBufUtil.getBytes(requestBody, 0, requestBody.readableBytes(), false);
         server.bodyMemory().release(bodyMemoryBytes - bytes.length, server.nowMillis());
         bodyMemoryBytes = bytes.length;
-        body = Unpooled.EMPTY_BUFFER;
+        requestBody = Unpooled.EMPTY_BUFFER;
         HttpRequest request = incompleteRequest;
         incompleteRequest = null;
         receiveMillis = server.nowMillis() - firstByteAtMillis;
@@ -470,7 +470,7 @@
     }
 
     private void releaseBody() {
-        body = Unpooled.EMPTY_BUFFER;
+        requestBody = Unpooled.EMPTY_BUFFER;
         server.bodyMemory().release(bodyMemoryBytes, server.nowMillis());
         bodyMemoryBytes = 0;
     }
