Give the body of a request a class of its own

CallerConnection had grown to 498 lines by the memory that a body takes: the buffer, what is held of the budget, its growth, its limit and the length that its head states, which was read again at each growth. RequestBody holds these now; the connection asks it and answers. No behaviour changes: CallerConnectionTest passes unchanged.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/caller/CallerConnection.java
@@ -3,9 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -37,8 +35,8 @@
  *
  * <p>Invariants: a request is dispatched only when it is complete and well-formed; each request gets one response, or
  * the connection is closed; an aborted response never ends like a complete one; a connection that this host closes on
- * its own initiative holds no unread request of its caller; the memory that bodies and
- * unsent responses take is bounded over all connections. Confined to the event loop.
+ * its own initiative holds no unread request of its caller; the memory that bodies and unsent responses take is bounded
+ * over all connections. Confined to the event loop.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
     /**
@@ -70,13 +68,9 @@
 
     private final CallerServer server;
     private final CallerLimits limits;
+    private final RequestBody requestBody;
     private Channel channel;
     private HttpRequest incompleteRequest;
-    private ByteBuf requestBody = Unpooled.EMPTY_BUFFER;
-
-    /** What the body takes of the memory for bodies, from its first byte to the end of its response. */
-    private long bodyMemoryBytes;
-
     /** The bytes of response chunks that have not left this host. */
     private long unsentBytes;
 
@@ -95,6 +89,7 @@
     CallerConnection(CallerServer server, CallerLimits limits) {
         this.server = server;
         this.limits = limits;
+        requestBody = new RequestBody(server.bodyMemory(), limits.maxBodyBytes(), server::nowMillis);
     }
 
     /**
@@ -190,7 +185,7 @@
     public void abortResponse() {
         closing = true;
         activeRequest = null;
-        releaseBody();
+        requestBody.release();
         channel.close();
     }
 
@@ -301,7 +296,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         server.closed(this);
-        releaseBody();
+        requestBody.release();
         CallerRequest abandoned = activeRequest;
         activeRequest = null;
         if (abandoned != null) {
@@ -371,12 +366,12 @@
         headRequest = request.method().name().equals("HEAD");
         keepAlive = HttpUtil.isKeepAlive(request);
         long contentLength = HttpUtil.getContentLength(request, 0L);
-        if (contentLength > maxBodyBytes()) {
+        if (!requestBody.isAllowed(contentLength)) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (!server.bodyMemory().mayGrow(0, contentLength)) {
-            rejectForMemory(contentLength);
+        if (!requestBody.begin(contentLength)) {
+            rejectForMemory(0);
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -390,57 +385,25 @@
             reject(HttpResponseStatus.BAD_REQUEST);
             return;
         }
-        int bodyBytes = requestBody.readableBytes() + content.content().readableBytes();
-        if (bodyBytes > maxBodyBytes()) {
+        int bytes = content.content().readableBytes();
+        if (!requestBody.isAllowed(requestBody.receivedBytes() + bytes)) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (!tryReserve(bodyBytes)) {
-            rejectForMemory(Math.max(bodyBytes, HttpUtil.getContentLength(incompleteRequest, 0L)));
+        if (!requestBody.tryAppend(content.content())) {
+            rejectForMemory(bytes);
             return;
         }
-        requestBody.writeBytes(content.content());
         if (content instanceof LastHttpContent) {
             dispatch();
         }
     }
 
-    /**
-     * Makes room for a body in the memory for bodies. The bytes are copied there: the buffers in which they were received
-     * are much larger than a small chunk.
-     */
-    private boolean tryReserve(int bodyBytes) {
-        if (bodyBytes <= requestBody.capacity()) {
-            return true;
-        }
-        int contentLength = (int) HttpUtil.getContentLength(incompleteRequest, 0L);
-        int capacity = UnpooledByteBufAllocator.DEFAULT.calculateNewCapacity(
-                bodyBytes, contentLength >= bodyBytes ? contentLength : maxBodyBytes());
-        if (!server.bodyMemory().tryGrow(bodyMemoryBytes, capacity)) {
-            return false;
-        }
-        bodyMemoryBytes = capacity;
-        requestBody = requestBody.capacity() == 0 ? Unpooled.buffer(capacity, capacity) : grown(requestBody, capacity);
-        return true;
-    }
-
-    private int maxBodyBytes() {
-        return (int) Math.min(limits.maxBodyBytes(), server.bodyMemory().maxHolderBytes());
-    }
-
-    private static ByteBuf grown(ByteBuf bytes, int capacity) {
-        return Unpooled.buffer(capacity, capacity).writeBytes(bytes);
-    }
-
     private void dispatch() {
-        byte[] bytes = ByteBufUtil.getBytes(requestBody, 0, requestBody.readableBytes(), false);
-        server.bodyMemory().release(bodyMemoryBytes - bytes.length, server.nowMillis());
-        bodyMemoryBytes = bytes.length;
-        requestBody = Unpooled.EMPTY_BUFFER;
         HttpRequest request = incompleteRequest;
         incompleteRequest = null;
         receiveMillis = server.nowMillis() - firstByteAtMillis;
-        server.requestReceived(this, request, bytes, started -> activeRequest = started);
+        server.requestReceived(this, request, requestBody.take(), started -> activeRequest = started);
     }
 
     private void reject(HttpResponseStatus status) {
@@ -448,9 +411,8 @@
     }
 
     /** Rejects a request as soon as it is known that there is no room for its body. */
-    private void rejectForMemory(long bodyBytes) {
-        long waitMillis = server.bodyMemory()
-                .waitMillis(bodyMemoryBytes, bodyBytes, limits.idleTimeoutMillis(), server.nowMillis());
+    private void rejectForMemory(int partBytes) {
+        long waitMillis = requestBody.waitMillis(partBytes, limits.idleTimeoutMillis());
         HttpHeaders headers = Headers.unchecked().set(HttpHeaderNames.RETRY_AFTER, RetryAfter.text(waitMillis));
         reject(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, "no memory is left for the body");
     }
@@ -469,12 +431,6 @@
         return HttpResponseStatus.BAD_REQUEST;
     }
 
-    private void releaseBody() {
-        requestBody = Unpooled.EMPTY_BUFFER;
-        server.bodyMemory().release(bodyMemoryBytes, server.nowMillis());
-        bodyMemoryBytes = 0;
-    }
-
     private void setConnectionHeader(HttpHeaders headers) {
         if (!keepAlive || server.isStopping()) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -488,7 +444,7 @@
 
     private void responseEnded() {
         activeRequest = null;
-        releaseBody();
+        requestBody.release();
         receivingRequest = false;
         idleSinceMillis = server.nowMillis();
         if (closing) {
