Remove checks of what the collector of responses never passes on

A malformed response closes its connection in ResponseCollector, and its request completes without a response when it does, so that HttpClient's two looks at the decoder's result had become dead code. HttpClientTest and ResponseCollectorTest pass unchanged.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
@@ -138,16 +138,14 @@
                 context.close();
                 return;
             }
-            boolean reusable =
-                    HttpUtil.isKeepAlive(response) && response.decoderResult().isSuccess();
             HttpClientResponse complete = new HttpClientResponse(
                     response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
-            if (reusable) {
+            if (HttpUtil.isKeepAlive(response)) {
                 idleConnections.push(this);
             } else {
                 context.close();
             }
-            complete(response.decoderResult().isSuccess() ? Option.some(complete) : Option.none());
+            complete(Option.some(complete));
         }
 
         @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
@@ -16,7 +16,8 @@
  * chunks they come in.
  *
  * <p>Netty's aggregator adds up components and copies all of them at each 1,024th, so that many small chunks cost the
- * square of their number. Invariant: a response larger than the limit closes its connection. Confined to the event loop.
+ * square of their number. Invariant: a response that is malformed or larger than the limit closes its connection and is
+ * not passed on. Confined to the event loop.
  */
 final class ResponseCollector extends SimpleChannelInboundHandler<HttpObject> {
     private final int maxBodyBytes;
