Reject a forwarded request without room before it is registered

Its end released the memory that it had, or none, by a flag that only the rejection needed. No behaviour changes: the other host is told the same, and the same line is logged. In a test a class is imported in place of its whole name.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/Gateway.java
@@ -258,16 +258,16 @@
         GatewayRequest request = reader.request(
                 frame.method(), frame.uri(), frame.authority(), PeerLink.unflatten(frame.headers()), frame.body());
         int bodyBytes = request.body().length;
-        boolean reserved = bodyMemory.tryGrow(0, bodyBytes);
+        if (!bodyMemory.tryGrow(0, bodyBytes)) {
+            new ForwardedRequest(state, link, frame, request, backup, () -> {})
+                    .reject("no memory is left for the body");
+            return;
+        }
         Map<Long, ForwardedRequest> calls = forwarded.computeIfAbsent(link, each -> new HashMap<>());
         ForwardedRequest call = new ForwardedRequest(state, link, frame, request, backup, () -> {
             calls.remove(frame.call());
-            bodyMemory.release(reserved ? bodyBytes : 0, clock.nowMillis());
+            bodyMemory.release(bodyBytes, clock.nowMillis());
         });
-        if (!reserved) {
-            call.reject("no memory is left for the body");
-            return;
-        }
         calls.put(frame.call(), call);
         startAfterPendingReads(call::start);
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/caller/CallerConnectionTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/caller/CallerConnectionTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -89,7 +90,7 @@
 
             String rejected = read(third);
             assertTrue(rejected.startsWith("HTTP/1.1 503"), rejected);
-            assertTrue(rejected.toLowerCase(java.util.Locale.ROOT).contains("\r\nretry-after: "), rejected);
+            assertTrue(rejected.toLowerCase(Locale.ROOT).contains("\r\nretry-after: "), rejected);
             assertTrue(read(small).endsWith("got 5"));
             first.getOutputStream().write(new byte[100_000]);
             assertEquals('H', first.getInputStream().read());
