Log what a target sends that is no response to the request in progress

A caller's wrong answer left one line, ended with answered, and "the response is not valid HTTP" named neither what was invalid nor what the connection had carried before. So the record of the incident can't tell three hypotheses apart: a late second answer taken for the next one, two attempts joined in the answer to a caller, and two answers that the decoder has made one head of.

The new line response_unusable tells late answers, malformed ones and heads that contain the status line of another head, each with the request that the connection carried before; a metric counts them by defect.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/GatewayMetrics.java
@@ -10,6 +10,7 @@
 import org.HdrHistogram.ConcurrentHistogram;
 import org.rattanplank.core.response.Completeness;
 import org.rattanplank.gateway.target.AttemptFailure;
+import org.rattanplank.gateway.target.ResponseDefect;
 
 /** The metrics of one gateway process, based on Dropwizard Metrics. Thread safe. */
 public final class GatewayMetrics {
@@ -93,6 +94,15 @@
         count("close_delimited_responses_total", "completeness=\"" + completeness.label() + "\"");
     }
 
+    /**
+     * Counts bytes of a target that are no response to the request in progress.
+     *
+     * @param defect why they are none
+     */
+    public void responseUnusable(ResponseDefect defect) {
+        count("unusable_responses_total", "defect=\"" + defect.label() + "\"");
+    }
+
     /** Counts a request that was answered by a target. */
     public void answered() {
         count("requests_total", "outcome=\"answered\"");
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -36,6 +36,8 @@
     TARGET_LIMIT_INVALID,
     /** A target wants no requests from this host for some time. */
     TARGET_PAUSED,
+    /** A target has sent bytes that are no response to the request in progress. */
+    RESPONSE_UNUSABLE,
     /** A target crashed while requests of this host were in flight there. */
     TARGET_CRASHED,
     /** A request is quarantined, as several targets crashed under it. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -20,6 +20,7 @@
 import org.rattanplank.gateway.target.Attempt;
 import org.rattanplank.gateway.target.AttemptFailure;
 import org.rattanplank.gateway.target.AttemptListener;
+import org.rattanplank.gateway.target.ResponseDefect;
 import org.rattanplank.gateway.target.TargetCall;
 
 /**
@@ -202,6 +203,16 @@
                         .with("millis", millis));
     }
 
+    @Override
+    public void responseUnusable(ResponseDefect defect, String detail, String previousRequestId) {
+        state.metrics().responseUnusable(defect);
+        log.addNotable(LogLine.of(LogEvent.RESPONSE_UNUSABLE)
+                .with("target", target.incarnationText())
+                .with("defect", defect.label())
+                .with("detail", detail)
+                .with("previousRequestId", previousRequestId));
+    }
+
     @Override
     public void targetLeaving() {
         state.log()
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/AttemptListener.java
@@ -46,6 +46,15 @@
      */
     default void pauseRequested(long millis) {}
 
+    /**
+     * Called when the target has sent bytes that are no response to the request.
+     *
+     * @param defect why they are none
+     * @param detail what was received, for logs
+     * @param previousRequestId the request that the connection carried before, or empty
+     */
+    default void responseUnusable(ResponseDefect defect, String detail, String previousRequestId) {}
+
     /** Called when the response is the first that says that its target leaves, which nothing has said before. */
     default void targetLeaving() {}
 
--- /dev/null
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/ResponseDefect.java
@@ -0,0 +1,22 @@
+package org.rattanplank.gateway.target;
+
+import java.util.Locale;
+
+/** Why bytes that a target has sent are no response to the request in progress. Immutable and thread safe. */
+public enum ResponseDefect {
+    /** They are a response to another request of the connection. */
+    LATE,
+    /** The decoder can't read them. */
+    MALFORMED,
+    /** They are a head that contains the status line of another one. */
+    JOINED;
+
+    /**
+     * Returns the name in metrics and log lines.
+     *
+     * @return the name in lower case
+     */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetAttempt.java
@@ -200,6 +200,12 @@
         }
     }
 
+    void responseUnusable(ResponseDefect defect, String detail, String previousRequestId) {
+        if (!finished) {
+            listener.responseUnusable(defect, detail, previousRequestId);
+        }
+    }
+
     void contentReceived(ByteBuf bytes) {
         if (finished) {
             return;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.rattanplank.core.response.BodyFraming;
+import org.rattanplank.core.response.JoinedHead;
 
 /**
  * One connection to a target, which carries one request at a time.
@@ -40,6 +41,9 @@
     /** How long the end of a rejection is awaited, so that its connection can be reused. */
     private static final long MAX_REJECTION_MILLIS = 1_000;
 
+    /** The characters of a log line that describe a response. */
+    private static final int MAX_DETAIL_LENGTH = 400;
+
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final int SUCCESS_CLASS = 2;
     private static final int INFORMATIONAL_CLASS = 1;
@@ -54,6 +58,7 @@
     private boolean responding;
     private int unusableBytes;
     private boolean notReusable;
+    private String previousRequestId = "";
     private long idleSinceMillis;
     private long idleMillis = DEFAULT_IDLE_MILLIS;
 
@@ -154,6 +159,7 @@
 
     private void read(HttpObject object) {
         if (object.decoderResult().isFailure()) {
+            report(ResponseDefect.MALFORMED, object.decoderResult().cause().toString());
             failAndClose("the response is not valid HTTP");
             return;
         }
@@ -174,10 +180,16 @@
         HttpHeaders headers = response.headers();
         discarding = status / STATUS_CLASS_SIZE == INFORMATIONAL_CLASS
                 || !isOwnResponse(status, headers.get(requestIdHeader));
+        if (JoinedHead.isJoined(response.status().reasonPhrase(), headers)) {
+            report(ResponseDefect.JOINED, response.status() + " to " + headers.get(requestIdHeader));
+        }
         if (discarding) {
             // A second response to an earlier request may arrive late, in place of the expected one. The expected
             // response may still follow it, but the connection can't be reused after that.
-            notReusable |= status / STATUS_CLASS_SIZE != INFORMATIONAL_CLASS;
+            if (status / STATUS_CLASS_SIZE != INFORMATIONAL_CLASS) {
+                notReusable = true;
+                report(ResponseDefect.LATE, status + " to " + headers.get(requestIdHeader));
+            }
             return;
         }
         responding = true;
@@ -247,6 +259,7 @@
         }
         TargetAttempt ended = attempt;
         attempt = null;
+        previousRequestId = ended.requestId();
         idleSinceMillis = owner.nowMillis();
         if (notReusable || !written) {
             close();
@@ -256,6 +269,11 @@
         ended.ended();
     }
 
+    private void report(ResponseDefect defect, String detail) {
+        attempt.responseUnusable(
+                defect, detail.substring(0, Math.min(MAX_DETAIL_LENGTH, detail.length())), previousRequestId);
+    }
+
     private void fail(String reason) {
         TargetAttempt failed = attempt;
         attempt = null;
