Refuse a response whose head may be made of two

Callers got a success where their target had answered with a failure. A second response to an earlier request of a kept connection came late and stopped within its head. A head that stops is no object of Netty's decoder: the status line of the own response continued its last line, and one head came out, with the status of the first response and the identifier and the body of the second. The check of the identifier saw the own one.

The own status line is always within such a head, as it begins what follows. So a head with a status line in its reason phrase or in the value of a header is refused as an unknown outcome and its connection closed; in the name of a header the decoder refuses it already. Refused, too: a protocol name other than HTTP (the rest of a status line), an own head within the body or trailers of a late response, and, after a second without further bytes, a head or a late response that stops, for which callers waited until their deadline. A late response to HEAD announces a body that doesn't follow, so that HEAD has connections of its own; a second response to the same request can't be told from that to its next attempt, so that no connection carries a request twice. A whole late response is passed over as before.

Left: a target that begins its own body and then sends its whole response again; the bytes don't tell them apart.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/ResponseDefect.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/ResponseDefect.java
@@ -9,7 +9,11 @@
     /** The decoder can't read them. */
     MALFORMED,
     /** They are a head that contains the status line of another one. */
-    JOINED;
+    JOINED,
+    /** They are a head, or a late response, that stops while the connection stays open. */
+    UNFINISHED,
+    /** They are a late response whose rest contains the own one. */
+    SWALLOWED;
 
     /**
      * Returns the name in metrics and log lines.
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
@@ -1,6 +1,8 @@
 package org.rattanplank.gateway.target;
 
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -15,17 +17,20 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.rattanplank.core.response.BodyFraming;
 import org.rattanplank.core.response.JoinedHead;
+import org.rattanplank.gateway.http.PendingInput;
 
 /**
  * One connection to a target, which carries one request at a time.
  *
- * <p>Invariants: a successful response is accepted only if it echoes the identifier of the pending request; a connection is
- * reused only if the request was written completely, its response was complete, and nothing was received beyond it; at most
- * {@link #MAX_UNUSABLE_BYTES} are read for a request that are no answer to it.
+ * <p>Invariants: a successful response is accepted only if it echoes the identifier of the pending request; no head is
+ * accepted that may be made of two; a connection is reused only if the request was written completely, its response was
+ * complete, and nothing was received beyond it; it carries no request twice, and nothing beside a HEAD request; at most {@link
+ * #MAX_UNUSABLE_BYTES} are read for a request that are no answer to it.
  * Confined to the event loop.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
@@ -38,6 +43,12 @@
     /** More than a late response to another request; a target may send such bytes until its connection is closed. */
     private static final int MAX_UNUSABLE_BYTES = 256 << 10;
 
+    /** How long the next bytes of a head, or of a response that is discarded, are awaited. */
+    private static final long MAX_UNFINISHED_MILLIS = 1_000;
+
+    /** More than a header that echoes the identifier has besides it. */
+    private static final int MAX_ECHO_EXTRA_BYTES = 16;
+
     /** How long the end of a rejection is awaited, so that its connection can be reused. */
     private static final long MAX_REJECTION_MILLIS = 1_000;
 
@@ -51,6 +62,7 @@
 
     private final String requestIdHeader;
     private final TargetConnections owner;
+    private final ResponseDecoder decoder = new ResponseDecoder(this);
     private Channel channel;
     private TargetAttempt attempt;
     private boolean written;
@@ -59,6 +71,9 @@
     private int unusableBytes;
     private boolean notReusable;
     private String previousRequestId = "";
+    private String discardedTail = "";
+    private long receivedAtMillis;
+    private boolean unfinishedCheckScheduled;
     private long idleSinceMillis;
     private long idleMillis = DEFAULT_IDLE_MILLIS;
 
@@ -75,13 +90,22 @@
         return channel;
     }
 
+    ResponseDecoder decoder() {
+        return decoder;
+    }
+
     /** Marks a new connection as idle. */
     void becomeIdle() {
         idleSinceMillis = owner.nowMillis();
     }
 
-    boolean isUsable(double idleFraction, long nowMillis) {
-        return channel.isActive() && !notReusable && nowMillis - idleSinceMillis < idleMillis * idleFraction;
+    boolean isUsable(String requestId, double idleFraction, long nowMillis) {
+        // A second response to the first attempt couldn't be told from the response to another one.
+        boolean carriedBefore = requestId.equals(previousRequestId);
+        return channel.isActive()
+                && !notReusable
+                && !carriedBefore
+                && nowMillis - idleSinceMillis < idleMillis * idleFraction;
     }
 
     boolean isExpired(long nowMillis) {
@@ -98,6 +122,7 @@
         discarding = false;
         responding = false;
         unusableBytes = 0;
+        discardedTail = "";
         ChannelFuture write = channel.writeAndFlush(message);
         write.addListener(done -> {
             if (done.isSuccess()) {
@@ -110,6 +135,7 @@
 
     /** Counts bytes before they are decoded, as the decoder passes over some in silence. */
     void bytesReceived(int count) {
+        receivedAtMillis = owner.nowMillis();
         if (attempt != null && (!responding || attempt.isFinished())) {
             unusableBytes += count;
             if (unusableBytes > MAX_UNUSABLE_BYTES) {
@@ -145,6 +171,39 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (isUnfinished() && !unfinishedCheckScheduled) {
+            scheduleUnfinishedCheck(MAX_UNFINISHED_MILLIS);
+        }
+        context.fireChannelReadComplete();
+    }
+
+    /** Returns whether bytes were received that may contain the own response, or hide it for good. */
+    private boolean isUnfinished() {
+        return attempt != null && !responding && (discarding || decoder.isWithinHead());
+    }
+
+    private void scheduleUnfinishedCheck(long delayMillis) {
+        unfinishedCheckScheduled = true;
+        channel.eventLoop().schedule(this::failIfUnfinished, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void failIfUnfinished() {
+        PendingInput.read(channel);
+        unfinishedCheckScheduled = false;
+        if (!isUnfinished()) {
+            return;
+        }
+        long silentMillis = owner.nowMillis() - receivedAtMillis;
+        if (silentMillis < MAX_UNFINISHED_MILLIS) {
+            scheduleUnfinishedCheck(MAX_UNFINISHED_MILLIS - silentMillis);
+            return;
+        }
+        report(ResponseDefect.UNFINISHED, discarding ? "a late response" : "a head");
+        failAndClose("the target has stopped within a response");
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         failAndClose("connection error: " + cause.getMessage());
@@ -170,18 +229,25 @@
         if (object instanceof HttpContent content && attempt != null) {
             readContent(content.content());
         }
-        if (object instanceof LastHttpContent && attempt != null) {
-            readEnd();
+        if (object instanceof LastHttpContent end && attempt != null) {
+            readEnd(end);
         }
     }
 
     private void readHead(HttpResponse response) {
         int status = response.status().code();
         HttpHeaders headers = response.headers();
+        if (!response.protocolVersion().protocolName().equals(HttpVersion.HTTP_1_1.protocolName())) {
+            report(ResponseDefect.MALFORMED, response.protocolVersion().text());
+            failAndClose("the response is not valid HTTP");
+            return;
+        }
         discarding = status / STATUS_CLASS_SIZE == INFORMATIONAL_CLASS
                 || !isOwnResponse(status, headers.get(requestIdHeader));
         if (JoinedHead.isJoined(response.status().reasonPhrase(), headers)) {
             report(ResponseDefect.JOINED, response.status() + " to " + headers.get(requestIdHeader));
+            failAndClose("the response is joined with another one");
+            return;
         }
         if (discarding) {
             // A second response to an earlier request may arrive late, in place of the expected one. The expected
@@ -247,21 +313,46 @@
     }
 
     private void readContent(ByteBuf bytes) {
-        if (!discarding && bytes.isReadable()) {
+        if (!bytes.isReadable()) {
+            return;
+        }
+        if (!discarding) {
             attempt.contentReceived(bytes);
+        } else if (isOwnHeadWithin(bytes)) {
+            failAsSwallowed();
         }
     }
 
-    private void readEnd() {
+    /** Returns whether the rest of a discarded response contains the header by which the own one is recognized. */
+    private boolean isOwnHeadWithin(ByteBuf bytes) {
+        String text = discardedTail + bytes.toString(StandardCharsets.ISO_8859_1);
+        int kept = requestIdHeader.length() + attempt.requestId().length() + MAX_ECHO_EXTRA_BYTES;
+        discardedTail = text.substring(Math.max(0, text.length() - kept));
+        String echo = "(?i)" + Pattern.quote(requestIdHeader) + ":[ \\t]*(?-i)" + Pattern.quote(attempt.requestId())
+                + "[ \\t]*[\\r\\n]";
+        return Pattern.compile(echo).matcher(text).find();
+    }
+
+    private void failAsSwallowed() {
+        report(ResponseDefect.SWALLOWED, "within the body or trailers of a late response");
+        failAndClose("the response is lost in another one");
+    }
+
+    private void readEnd(LastHttpContent end) {
         if (discarding || !responding) {
+            boolean swallowed = JoinedHead.isJoined("", end.trailingHeaders())
+                    || attempt.requestId().equals(end.trailingHeaders().get(requestIdHeader));
             discarding = false;
+            if (swallowed) {
+                failAsSwallowed();
+            }
             return;
         }
         TargetAttempt ended = attempt;
         attempt = null;
         previousRequestId = ended.requestId();
         idleSinceMillis = owner.nowMillis();
-        if (notReusable || !written) {
+        if (notReusable || !written || ended.isHeadRequest()) {
             close();
         } else {
             owner.release(this);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -17,10 +17,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.vavr.control.Option;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.TargetChoice;
@@ -49,9 +46,6 @@
      */
     private static final double AT_MOST_ONCE_IDLE_FRACTION = 0.5;
 
-    private static final int MAX_LINE_BYTES = 16_384;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     private final Bootstrap bootstrap;
     private final HeaderNames names;
     private final MonotonicClock clock;
@@ -96,7 +90,9 @@
     public Attempt send(TargetChoice choice, TargetCall call, AttemptListener listener) {
         GatewayTarget target = choice.target();
         TargetAttempt attempt = new TargetAttempt(choice, call, names, listener, clock);
-        TargetConnection reused = takeIdle(target, call.atMostOnce() ? AT_MOST_ONCE_IDLE_FRACTION : 1);
+        TargetConnection reused = attempt.isHeadRequest()
+                ? null
+                : takeIdle(target, attempt.requestId(), call.atMostOnce() ? AT_MOST_ONCE_IDLE_FRACTION : 1);
         if (reused != null) {
             attempt.connected(reused);
             return attempt;
@@ -193,11 +189,11 @@
         }
     }
 
-    private TargetConnection takeIdle(GatewayTarget target, double idleFraction) {
+    private TargetConnection takeIdle(GatewayTarget target, String requestId, double idleFraction) {
         ArrayDeque<TargetConnection> connections = idleByTarget.get(target);
         while (connections != null && !connections.isEmpty()) {
             TargetConnection newest = connections.pop();
-            if (newest.isUsable(idleFraction, clock.nowMillis())) {
+            if (newest.isUsable(requestId, idleFraction, clock.nowMillis())) {
                 return newest;
             }
             newest.close();
@@ -247,7 +243,7 @@
                         socket.pipeline()
                                 .addLast(new ByteCountHandler(connection::bytesReceived))
                                 .addLast(new HttpRequestEncoder())
-                                .addLast(new ResponseDecoder(connection))
+                                .addLast(connection.decoder())
                                 .addLast(new ChunkMerger())
                                 .addLast(connection);
                     }
@@ -258,19 +254,4 @@
         connection.attach(channel);
         return channel;
     }
-
-    /** Decodes responses; the response to a HEAD request has no body regardless of its headers. */
-    private static final class ResponseDecoder extends HttpResponseDecoder {
-        private final TargetConnection connection;
-
-        private ResponseDecoder(TargetConnection connection) {
-            super(MAX_LINE_BYTES, MAX_LINE_BYTES, MAX_CHUNK_BYTES);
-            this.connection = connection;
-        }
-
-        @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            return connection.isHeadRequest() && message instanceof HttpResponse || super.isContentAlwaysEmpty(message);
-        }
-    }
 }
