Accept the connections pending at a closing port without epoll, too

A caller that connects while a stopping rattanplankd closes its port got a reset where the host has no native transport, and can't tell whether its request ran. CallerDrainTest.shouldRespondToPendingConnectionsWhenPortCloses was red for it on arm64: Netty's epoll library is on the class path for linux-x86_64 alone, so that Ratpack takes NIO there.

Cause: ConnectionLimitingServer.stopAccepting emptied the accept queue only if the server channel was an EpollServerSocketChannel, and closed the port with the queue full otherwise. The order (accept, then close, in one task of the event loop) and the drain are right: it is no race and no matter of the kernel or of the number of cores.

Other channels are now read as the gateway's CallerServer.closeListener reads its own: until a read accepts nothing, as one read accepts 16 connections. The path for epoll is unchanged.

Evidence, on arm64: before, the listed test and a new one with 40 pending connections fail; with a single read the listed one passes and the new one fails; now all four tests of CallerDrainTest pass. x86-64 was not run; epoll is taken there.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/ConnectionLimitingServer.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/caller/ConnectionLimitingServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.unix.Socket;
+import org.rattanplank.gateway.http.PendingInput;
 import org.tinylog.Logger;
 import ratpack.func.Action;
 import ratpack.impose.Impositions;
@@ -39,6 +40,8 @@
         channel.eventLoop().execute(() -> {
             if (channel instanceof EpollServerSocketChannel epoll) {
                 acceptPending(epoll);
+            } else {
+                acceptPendingByReads();
             }
             channel.close().addListener(done -> portClosed = true);
         });
@@ -48,6 +51,15 @@
         return portClosed;
     }
 
+    /** Reads until a read accepts nothing, as each read accepts a limited number of connections. */
+    private void acceptPendingByReads() {
+        long previouslyAccepted;
+        do {
+            previouslyAccepted = connectionLimiter.acceptedConnections();
+            PendingInput.read(channel);
+        } while (connectionLimiter.acceptedConnections() > previouslyAccepted);
+    }
+
     private static void acceptPending(EpollServerSocketChannel serverChannel) {
         Socket listeningSocket = new Socket(serverChannel.fd().intValue());
         byte[] address = new byte[MAX_SOCKET_ADDRESS_BYTES];
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/CallerDrainTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/CallerDrainTest.java
@@ -44,6 +44,10 @@
     private static final String BOOKING_REQUEST = "POST /services/crew-desk/book HTTP/1.1\r\nHost: x\r\n"
             + "Authorization: Bearer token\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\n{}";
     private static final int CALLERS = 10;
+
+    /** More than a listening socket accepts in one read. */
+    private static final int MANY_CALLERS = 40;
+
     private static final int SOCKET_TIMEOUT_MILLIS = 20_000;
 
     /** Longer than the quiet period of a drain. */
@@ -129,6 +133,26 @@
         awaitDone(drain);
     }
 
+    /** Guards against resets of the pending connections that one read of the listening socket leaves in the accept queue. */
+    @Test
+    void shouldRespondToPendingConnectionsWhenMoreArePendingThanOneReadAccepts() throws Exception {
+        CallerDrain drain = startDraining();
+        blockEventLoop();
+        List<Socket> callers = new ArrayList<>();
+        for (int i = 0; i < MANY_CALLERS; i++) {
+            callers.add(connect());
+        }
+
+        assertNotDone(drain);
+        releaseLoop.countDown();
+
+        for (Socket caller : callers) {
+            send(caller, ENTRY_HOSTS_REQUEST);
+            assertTrue(readResponse(caller).startsWith("HTTP/1.1 200"));
+        }
+        awaitDone(drain);
+    }
+
     @Test
     void shouldCloseIdleConnectionsWhenNoRequestIsPending() throws Exception {
         Socket caller = connect();
