Wait for the final response after an informational one

A target that sends 100 or 103 before its answer: rattanplankd reported the outcome as unknown ("neither a content length nor chunked encoding") although the answer followed; if the informational head bore the request's identifier and a length, it was itself delivered as the answer, with an empty body.

Cause: Netty passes an informational head on as a response with an empty last content, and ExchangeHandler took each head for the final one. It now skips informational heads, as the gateway does. 101 was never asked for and fails the exchange.

Three tests failed before (informational heads before the answer, alone, and 101). The test of a head that stops at each byte, in six framings, passed before and after: no cut is taken for a response on this path.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -19,7 +20,7 @@
 /**
  * Writes one request and reads its response.
  *
- * <p>Invariants: the listener is notified of one end at most; a body that is no event stream and has neither a length nor
+ * <p>Invariants: the listener is notified of one end at most, and of no informational response; a body that is no event stream and has neither a length nor
  * chunks never counts as complete, since a truncated one would look the same. Confined to the channel's event loop except for {@link #detach}.
  */
 final class ExchangeHandler extends SimpleChannelInboundHandler<HttpObject> {
@@ -28,6 +29,7 @@
     private final ExchangeRequest request;
     private final ExchangeListener listener;
     private boolean maybeSent;
+    private boolean informational;
     private volatile boolean ended;
 
     ExchangeHandler(ExchangeRequest request, ExchangeListener listener) {
@@ -74,8 +76,14 @@
             context.close();
             return;
         }
-        if (message instanceof HttpResponse response && !handleHeaders(response)) {
-            context.close();
+        if (message instanceof HttpResponse response) {
+            informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (!handleHeaders(response)) {
+                context.close();
+                return;
+            }
+        }
+        if (informational) {
             return;
         }
         if (message instanceof HttpContent content && content.content().isReadable()) {
@@ -101,6 +109,13 @@
 
     private boolean handleHeaders(HttpResponse response) {
         int status = response.status().code();
+        if (status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            fail("the response switches to another protocol");
+            return false;
+        }
+        if (informational) {
+            return true;
+        }
         boolean bodiless = request.method().equals("HEAD")
                 || status == HttpResponseStatus.NO_CONTENT.code()
                 || status == HttpResponseStatus.NOT_MODIFIED.code();
--- /dev/null
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/ResponseHeadTest.java
@@ -0,0 +1,137 @@
+package org.rattanplank.daemon.target;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.rattanplank.core.Action;
+import org.rattanplank.core.Event;
+import org.rattanplank.core.request.AttemptResult;
+import org.rattanplank.core.route.Route;
+import org.rattanplank.daemon.RawServer;
+import org.rattanplank.daemon.RecordingEventSink;
+import org.rattanplank.daemon.TestFixtures;
+import org.rattanplank.daemon.TestFixtures.RecordingRequester;
+import org.rattanplank.daemon.call.Call;
+import ratpack.exec.internal.DefaultExecController;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+/** Tests heads of responses that stop or follow an informational one. */
+class ResponseHeadTest {
+    private static final String OWN_ID = "X-Request-Id: r1.1\r\n";
+    private static final String DATE = "Date: Sat, 05 Dec 2026 00:00:00 GMT\r\n";
+    private static final String LENGTH = "Content-Length: 6\r\n";
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
+    private static final String EVENT_STREAM = "Content-Type: text/event-stream\r\n";
+    private static final String SUCCESS = "HTTP/1.1 200 All is well\r\n";
+    private static final String FAILURE =
+            "HTTP/1.1 500 Internal Server Error\r\n" + OWN_ID + DATE + LENGTH + "\r\nfailed";
+
+    private final DefaultExecController controller = new DefaultExecController(2);
+    private final RecordingEventSink eventSink = new RecordingEventSink();
+    private final RecordingRequester requester = new RecordingRequester();
+
+    @AfterEach
+    void close() {
+        controller.close();
+    }
+
+    /** Guards against an empty or short response that looks whole, as the target stopped within its head. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                OWN_ID + LENGTH,
+                LENGTH + OWN_ID,
+                OWN_ID + CHUNKED,
+                OWN_ID + DATE,
+                OWN_ID + EVENT_STREAM,
+                OWN_ID + EVENT_STREAM + CHUNKED
+            })
+    void shouldEndAsLostWhenTheConnectionClosesWithinTheHead(String headers) throws Exception {
+        assertLostAfterEachCut(SUCCESS + headers + "\r\n");
+    }
+
+    /** Guards against an answer that is refused after the target ran the request, as an informational one precedes it. */
+    @Test
+    void shouldReturnTheFinalResponseWhenInformationalOnesPrecedeIt() throws Exception {
+        try (RawServer target = RawServer.of(connection -> {
+            connection.request();
+            connection.write(
+                    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n" + OWN_ID + LENGTH + "\r\n" + FAILURE);
+        })) {
+            AttemptResult.Completed completed = assertInstanceOf(AttemptResult.Completed.class, run(target));
+
+            assertEquals(500, completed.answer().status());
+            assertArrayEquals("failed".getBytes(), completed.answer().body());
+        }
+    }
+
+    /** Guards against an informational answer that counts as the answer when no other one follows. */
+    @Test
+    void shouldEndAsLostWhenOnlyAnInformationalResponseArrives() throws Exception {
+        try (RawServer target = RawServer.of(connection -> {
+            connection.request();
+            connection.write("HTTP/1.1 103 Early Hints\r\n" + OWN_ID + LENGTH + "\r\n");
+        })) {
+            assertInstanceOf(AttemptResult.Lost.class, run(target));
+        }
+    }
+
+    /** Guards against a protocol that was never asked for, whose bytes are none of HTTP. */
+    @Test
+    void shouldEndAsLostWhenTheTargetSwitchesProtocols() throws Exception {
+        try (RawServer target = RawServer.of(connection -> {
+            connection.request();
+            connection.write("HTTP/1.1 101 Switching Protocols\r\n" + OWN_ID + LENGTH + "\r\n" + FAILURE);
+            connection.awaitClose();
+        })) {
+            assertInstanceOf(AttemptResult.Lost.class, run(target));
+        }
+    }
+
+    /** Asserts that no response is returned when the response stops before each of its bytes but the first. */
+    private void assertLostAfterEachCut(String response) throws Exception {
+        List<String> returned = new ArrayList<>();
+        AtomicInteger cut = new AtomicInteger();
+        try (RawServer target = RawServer.of(connection -> {
+            connection.request();
+            connection.write(response.substring(0, cut.get()));
+        })) {
+            for (cut.set(1); cut.get() < response.length(); cut.incrementAndGet()) {
+                AttemptResult result = run(target);
+                if (!(result instanceof AttemptResult.Lost)) {
+                    returned.add(cut.get() + " " + result);
+                }
+            }
+        }
+        assertEquals(List.of(), returned);
+    }
+
+    private AttemptResult run(RawServer target) throws InterruptedException {
+        AttemptLimits limits = new AttemptLimits(65_536, 65_536, new OverdueTimes(60_000, 60_000, 60_000));
+        Targets targets = new Targets(
+                TestFixtures.resources(controller, eventSink),
+                TestFixtures.directory("t1", target.port()),
+                limits,
+                10_000);
+        Call call = TestFixtures.call("r1", "/book", requester);
+        targets.start(
+                call,
+                new Action.StartAttempt(
+                        "r1",
+                        1,
+                        new Route.ToTarget("t1"),
+                        call.request(),
+                        0,
+                        call.request().deadlineMillis()),
+                "");
+        return eventSink.next(Event.AttemptEnded.class).result();
+    }
+}
