Refuse a head that contains the status line of another one

A caller of rattanplankd gets a success (200) where its target answered 500, if another answer that stopped within its head precedes the own one on the connection: the own status line continues the last line of the earlier head, and Netty decodes one head with the status of the first, the identifier and the body of the second. The comparison of identifiers sees the own one and passes. Each attempt has a connection of its own, so that it takes a target, or a proxy before it, that sends the rest of another answer on a new connection.

ExchangeHandler now looks for a status line in the reason phrase and in the values of headers, and fails the exchange: the outcome is unknown, as the request may have run. What stops elsewhere was refused before, by the decoder or by the identifier.

Unusual but sound heads (Via with a protocol, a reason phrase of numbers, empty and folded headers, HTTP/1.0 without a reason) pass.

Left: a whole head with the own identifier whose body stops takes the first bytes of the next answer as its body; the bytes can't tell.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
@@ -20,7 +20,7 @@
 /**
  * Writes one request and reads its response.
  *
- * <p>Invariants: the listener is notified of one end at most, and of no informational response; a body that is no event stream and has neither a length nor
+ * <p>Invariants: the listener is notified of one end at most, and neither of an informational response nor of two heads in one; a body that is no event stream and has neither a length nor
  * chunks never counts as complete, since a truncated one would look the same. Confined to the channel's event loop except for {@link #detach}.
  */
 final class ExchangeHandler extends SimpleChannelInboundHandler<HttpObject> {
@@ -108,6 +108,10 @@
     }
 
     private boolean handleHeaders(HttpResponse response) {
+        if (JoinedHeads.isJoined(response)) {
+            fail("the head of the response contains the status line of another one");
+            return false;
+        }
         int status = response.status().code();
         if (status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
             fail("the response switches to another protocol");
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/ResponseHeadTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/ResponseHeadTest.java
@@ -23,9 +23,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
-/** Tests heads of responses that stop or follow an informational one. */
+/** Tests heads of responses that stop, that continue another head, or that follow an informational one. */
 class ResponseHeadTest {
     private static final String OWN_ID = "X-Request-Id: r1.1\r\n";
+    private static final String OTHER_ID = "X-Request-Id: r0.1\r\n";
     private static final String DATE = "Date: Sat, 05 Dec 2026 00:00:00 GMT\r\n";
     private static final String LENGTH = "Content-Length: 6\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
@@ -55,7 +56,37 @@
                 OWN_ID + EVENT_STREAM + CHUNKED
             })
     void shouldEndAsLostWhenTheConnectionClosesWithinTheHead(String headers) throws Exception {
-        assertLostAfterEachCut(SUCCESS + headers + "\r\n");
+        assertLostAfterEachCut(SUCCESS + headers + "\r\n", "");
+    }
+
+    /** Guards against a success where the target failed, as its response continues the one of an earlier request. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                OTHER_ID + DATE + LENGTH,
+                DATE + LENGTH + OTHER_ID,
+                DATE + CHUNKED + OTHER_ID,
+                DATE + OTHER_ID,
+                DATE + LENGTH,
+                EVENT_STREAM + CHUNKED + OTHER_ID
+            })
+    void shouldEndAsLostWhenAnotherResponseStopsBeforeTheOwnOne(String headers) throws Exception {
+        String body = headers.contains(CHUNKED) ? "6\r\nbooked\r\n0\r\n\r\n" : "booked";
+        assertLostAfterEachCut(SUCCESS + headers + "\r\n" + body, FAILURE);
+    }
+
+    /** Guards against a success where the target failed, as the head of its response continues one with the same id. */
+    @ParameterizedTest
+    @ValueSource(strings = {DATE + LENGTH + OWN_ID, OWN_ID + DATE + CHUNKED, OWN_ID + EVENT_STREAM})
+    void shouldEndAsLostWhenAnotherHeadWithTheOwnIdStopsBeforeTheOwnOne(String headers) throws Exception {
+        assertLostAfterEachCut(SUCCESS + headers + "\r", FAILURE);
+    }
+
+    /** Guards against a failure of another request where the target succeeded. */
+    @Test
+    void shouldEndAsLostWhenAFailureOfAnotherRequestStopsBeforeTheOwnSuccess() throws Exception {
+        String success = SUCCESS + OWN_ID + LENGTH + "\r\nbooked";
+        assertLostAfterEachCut(FAILURE.replace(OWN_ID, OTHER_ID), success);
     }
 
     /** Guards against an answer that is refused after the target ran the request, as an informational one precedes it. */
@@ -96,15 +127,15 @@
         }
     }
 
-    /** Asserts that no response is returned when the response stops before each of its bytes but the first. */
-    private void assertLostAfterEachCut(String response) throws Exception {
+    /** Asserts that no response is returned when the first response stops before each of its bytes but the first. */
+    private void assertLostAfterEachCut(String first, String second) throws Exception {
         List<String> returned = new ArrayList<>();
         AtomicInteger cut = new AtomicInteger();
         try (RawServer target = RawServer.of(connection -> {
             connection.request();
-            connection.write(response.substring(0, cut.get()));
+            connection.write(first.substring(0, cut.get()) + second);
         })) {
-            for (cut.set(1); cut.get() < response.length(); cut.incrementAndGet()) {
+            for (cut.set(1); cut.get() < first.length(); cut.incrementAndGet()) {
                 AttemptResult result = run(target);
                 if (!(result instanceof AttemptResult.Lost)) {
                     returned.add(cut.get() + " " + result);
@@ -114,6 +145,26 @@
         assertEquals(List.of(), returned);
     }
 
+    /** Guards against sound responses that are refused, as their reason phrase or headers are unusual. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy, HTTP/1.0 other\r\n",
+                "HTTP/1.1 200 OK\r\nVia: 1.1 200\r\nUpgrade: HTTP/2.0\r\n",
+                "HTTP/1.0 200\r\n",
+                "HTTP/1.1 200 200 OK HTTP\r\nX-Empty:\r\nX-Folded: a\r\n b\r\n"
+            })
+    void shouldReturnTheResponseWhenItsHeadIsUnusual(String start) throws Exception {
+        try (RawServer target = RawServer.of(connection -> {
+            connection.request();
+            connection.write(start + OWN_ID + LENGTH + "\r\nbooked");
+        })) {
+            AttemptResult.Completed completed = assertInstanceOf(AttemptResult.Completed.class, run(target));
+
+            assertArrayEquals("booked".getBytes(), completed.answer().body());
+        }
+    }
+
     private AttemptResult run(RawServer target) throws InterruptedException {
         AttemptLimits limits = new AttemptLimits(65_536, 65_536, new OverdueTimes(60_000, 60_000, 60_000));
         Targets targets = new Targets(
