Let stand-in replicas send a second answer late, whole or cut

On a kept connection a target may send a second answer to an earlier request after the next request has arrived, and may stop anywhere in it before its own answer follows. The stand-ins sent second answers whole and right away, so no test or soak saw heads that two answers make up.

Each answer to a run bears a stamp, and the listener is told of status, stamp, type and body. An earlier failure always bears its identifier, since a failure without one counts as the answer to the request in progress.

--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/http/Exchange.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/http/Exchange.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -200,6 +201,17 @@
         channel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
     }
 
+    /**
+     * Sends text as it is, without a head or framing of its own.
+     *
+     * @param text the text
+     */
+    public void sendUnframed(String text) {
+        channel.pipeline()
+                .context(HttpServerCodec.class)
+                .writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
     /** Completes a started response. */
     public void endStream() {
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -220,6 +232,15 @@
         return channel.isActive();
     }
 
+    /**
+     * Returns what identifies the connection of the call.
+     *
+     * @return an identifier that no other connection has
+     */
+    public String connectionId() {
+        return channel.id().asLongText();
+    }
+
     /**
      * Registers a callback that runs on the server's thread once the connection is closed.
      *
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
@@ -3,10 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
-import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Option;
 import org.rattanplank.gateway.HeaderNames;
 import org.rattanplank.platform.PlatformHeaders;
@@ -20,6 +21,14 @@
  * and responds with a single body or a resumable stream. Not thread safe: confined to its event loop.
  */
 public final class SiteReplica {
+    /** The header of each answer to a run that names the run. */
+    public static final String STAMP_HEADER = "Run-Stamp";
+
+    /** The status of a run that fails. */
+    public static final int STATUS_FAILED = 500;
+
+    private static final String JSON = "application/json";
+    private static final String EVENT_STREAM = "text/event-stream";
     private static final int STATUS_OK = 200;
     private static final int STATUS_MISDIRECTED_REQUEST = 421;
     private static final int STATUS_UNAVAILABLE = 503;
@@ -41,6 +50,8 @@
     private final boolean streams;
     private final Listener listener;
     private final HeaderNames headerNames = PlatformHeaders.names();
+    private final Map<String, SentAnswer> lastAnswers = new HashMap<>();
+    private long lastRunNumber;
 
     private SiteReplica(EventLoop loop, String id, boolean streams, Listener listener) {
         this.loop = loop;
@@ -106,37 +117,74 @@
             loop.schedule(CRASH_DELAY_MILLIS, () -> listener.crashed(crashCause.get()));
             return;
         }
+        Option<LateAnswers> lateAnswers = listener.lateAnswers();
+        int lastEventId = exchange.header(headerNames.lastEventId())
+                .map(Integer::parseInt)
+                .getOrElse(0);
+        SentAnswer answer = answer(requestId, lastEventId, lateAnswers.exists(LateAnswers::fails));
+        echo.put(STAMP_HEADER, answer.stamp());
+        listener.answered(answer);
         BodyEnd end = listener.bodyEnd();
-        if (streams) {
-            end.start(exchange, "text/event-stream", echo);
-            int lastEventId = exchange.header(headerNames.lastEventId())
-                    .map(Integer::parseInt)
-                    .getOrElse(0);
-            sendEvent(exchange, end, requestId, lastEventId + 1);
+        Option<SentAnswer> earlier = replaceLastAnswer(exchange, answer);
+        Option<String> second = lateAnswers.flatMap(each -> earlier.flatMap(each::draw));
+        second.forEach(exchange::sendUnframed);
+        long delayMillis = second.isEmpty() ? 0 : lateAnswers.get().delayMillis();
+        if (delayMillis == 0) {
+            respond(exchange, end, echo, answer, lastEventId);
         } else {
-            respond(exchange, end, echo, Json.object().put("by", id).put("for", requestId));
+            loop.schedule(delayMillis, () -> respond(exchange, end, echo, answer, lastEventId));
         }
     }
 
-    private Option<CrashCause> crashCause(Exchange exchange) {
-        if (exchange.path().endsWith(CRASHING_PATH_END)) {
-            return Option.some(CrashCause.REQUEST);
+    private SentAnswer answer(String requestId, int lastEventId, boolean failed) {
+        lastRunNumber++;
+        String stamp = id + "/" + lastRunNumber;
+        if (failed) {
+            String body = Json.write(Json.object().put("by", id).put("failed", requestId));
+            return new SentAnswer(requestId, stamp, STATUS_FAILED, JSON, body);
         }
-        String parts = exchange.header(headerNames.promptParts()).getOrElse("");
-        return parts.contains(CRASHING_PART + ":") ? Option.some(CrashCause.PROMPT_PART) : Option.none();
+        if (!streams) {
+            String body = Json.write(Json.object().put("by", id).put("for", requestId));
+            return new SentAnswer(requestId, stamp, STATUS_OK, JSON, body);
+        }
+        String events = IntStream.rangeClosed(lastEventId + 1, EVENT_COUNT)
+                .mapToObj(number -> event(number, requestId))
+                .collect(Collectors.joining());
+        return new SentAnswer(requestId, stamp, STATUS_OK, EVENT_STREAM, events);
     }
 
-    private static void respond(Exchange exchange, BodyEnd end, Map<String, String> echo, JsonNode value) {
-        if (end == BodyEnd.MARKED) {
-            exchange.respond(STATUS_OK, echo, value);
+    /** Returns the answer to the earlier request of a connection, in place of which it keeps the new one. */
+    private Option<SentAnswer> replaceLastAnswer(Exchange exchange, SentAnswer answer) {
+        Option<SentAnswer> earlier = Option.of(lastAnswers.put(exchange.connectionId(), answer));
+        if (earlier.isEmpty()) {
+            exchange.onClose(() -> lastAnswers.remove(exchange.connectionId()));
+        }
+        return earlier;
+    }
+
+    private void respond(Exchange exchange, BodyEnd end, Map<String, String> echo, SentAnswer answer, int lastEventId) {
+        if (answer.status() != STATUS_OK || !streams && end == BodyEnd.MARKED) {
+            exchange.respond(answer.status(), echo, Json.readOrEmpty(answer.body()));
             return;
         }
-        String body = Json.write(value);
-        end.start(exchange, "application/json", echo);
+        end.start(exchange, answer.contentType(), echo);
+        if (streams) {
+            sendEvent(exchange, end, answer.requestId(), lastEventId + 1);
+            return;
+        }
+        String body = answer.body();
         exchange.sendChunk(end.breaksOff(false) ? body.substring(0, body.length() / 2) : body);
         end.end(exchange);
     }
 
+    private Option<CrashCause> crashCause(Exchange exchange) {
+        if (exchange.path().endsWith(CRASHING_PATH_END)) {
+            return Option.some(CrashCause.REQUEST);
+        }
+        String parts = exchange.header(headerNames.promptParts()).getOrElse("");
+        return parts.contains(CRASHING_PART + ":") ? Option.some(CrashCause.PROMPT_PART) : Option.none();
+    }
+
     private void sendEvent(Exchange exchange, BodyEnd end, String requestId, int number) {
         if (!exchange.isOpen()) {
             return;
@@ -145,7 +193,7 @@
             end.end(exchange);
             return;
         }
-        String event = "id: " + number + "\ndata: line " + number + " for " + requestId + " by " + id + "\n\n";
+        String event = event(number, requestId);
         if (number == EVENT_COUNT && end.breaksOff(true)) {
             exchange.sendChunk(event.substring(0, event.length() - 1));
             end.end(exchange);
@@ -155,6 +203,10 @@
         loop.schedule(EVENT_INTERVAL_MILLIS, () -> sendEvent(exchange, end, requestId, number + 1));
     }
 
+    private String event(int number, String requestId) {
+        return "id: " + number + "\ndata: line " + number + " for " + requestId + " by " + id + "\n\n";
+    }
+
     /** Observes a replica and sets what it names. Called on its event loop. */
     @FunctionalInterface
     public interface Listener {
@@ -165,6 +217,13 @@
          */
         void executed(ExecutedRequest request);
 
+        /**
+         * Called when the replica is about to answer a request that it has executed.
+         *
+         * @param answer the answer
+         */
+        default void answered(SentAnswer answer) {}
+
         /** Called when a request arrives that is addressed to the replica, whether it executes it or not. */
         default void arrived() {}
 
@@ -202,6 +261,15 @@
             return BodyEnd.MARKED;
         }
 
+        /**
+         * Returns the draws of runs that fail, and of second answers that arrive late.
+         *
+         * @return the draws, or none if each run succeeds and is answered once
+         */
+        default Option<LateAnswers> lateAnswers() {
+            return Option.none();
+        }
+
         /**
          * Returns the limit that the replica names in its responses.
          *
