Compare in the soak what callers got with what replicas answered

The audit compared neither status, stamp nor headers with what the replica answered, of failures only that those which say "not run" had not run, and of bodies only that of a success: a booking named its request, a stream's events were in order and complete. So a success where the replica had answered a failure passed.

It now compares status, stamp, request identifier, content type and body of each answer with the run that its stamp names, failures as well as successes; an answer of status 200 or 500 without a stamp is a violation, as the gateway gives neither itself. Each is reported as MIXED. The check that a booking's success names its request stays beside it. A further fault, drawn from a random of its own so that the draws of the others stay, lets replicas answer late.

This commit has no fix of the gateway. SoakTest was not run on this commit.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -21,6 +21,7 @@
 import org.rattanplank.standins.link.LinkState;
 import org.rattanplank.standins.site.BodyEnd;
 import org.rattanplank.standins.site.CrashCause;
+import org.rattanplank.standins.site.LateAnswers;
 
 /**
  * Injects faults into a small installation of real gateway processes under load and checks its guarantees.
@@ -68,6 +69,7 @@
     private final SplittableRandom additionalRandom;
     private final SplittableRandom furtherRandom;
     private final SplittableRandom latestRandom;
+    private final SplittableRandom answersRandom;
     private final List<Thread> crashingCallers = new ArrayList<>();
     private final List<SoakCall> calls = Collections.synchronizedList(new ArrayList<>());
     private final Map<SoakFault, Integer> faultCounts = new EnumMap<>(SoakFault.class);
@@ -83,6 +85,7 @@
         additionalRandom = new SplittableRandom(~seed);
         furtherRandom = new SplittableRandom(Long.reverse(seed));
         latestRandom = new SplittableRandom(~Long.reverse(seed));
+        answersRandom = new SplittableRandom(Long.rotateLeft(seed, Integer.SIZE));
     }
 
     /**
@@ -146,7 +149,7 @@
             callersActive.set(false);
         }
         threads.forEach(thread -> Try.run(thread::join));
-        violations.addAll(SoakAudit.violations(List.copyOf(calls), site.runCounts()));
+        violations.addAll(SoakAudit.violations(List.copyOf(calls), site.runCounts(), site.sentAnswers()));
         violations.addAll(site.accountUse().violations());
         checkUnwantedRequests(violations);
         if (!violations.isEmpty()) {
@@ -166,6 +169,7 @@
             injectSometimes(SoakFault.ADDITIONAL, additionalRandom);
             injectSometimes(SoakFault.FURTHER, furtherRandom);
             injectSometimes(SoakFault.LATEST, latestRandom);
+            injectFault(SoakFault.ANSWERS.get(answersRandom.nextInt(SoakFault.ANSWERS.size())), answersRandom);
             Poll.pause(random.nextLong(200, 1_200));
             runDueRepairs();
             replaceCrashedReplicas();
@@ -338,6 +342,10 @@
                 site.endBodies(replica, end);
                 scheduleRepair(millis, () -> site.endBodies(replica, BodyEnd.MARKED));
             }
+            case REPLICA_ANSWERS_LATE -> {
+                site.answerLate(replica, LateAnswers.of(draw.nextLong()));
+                scheduleRepair(millis, () -> site.answerOnce(replica));
+            }
             case REPLICA_PAUSED -> {
                 site.pauseReplica(replica, LIMITED_PERIODS * millis);
                 scheduleRepair(LIMITED_PERIODS * millis, () -> site.resumeReplica(replica));
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakAudit.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakAudit.java
@@ -6,7 +6,12 @@
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
+import io.vavr.control.Option;
+import org.rattanplank.gateway.HeaderNames;
+import org.rattanplank.platform.PlatformHeaders;
+import org.rattanplank.standins.site.SentAnswer;
 import org.rattanplank.standins.site.SiteReplica;
 
 /**
@@ -14,7 +19,8 @@
  *
  * <p>Guarantees checked: a booking is executed at most once; a request reported as not run was not executed; a complete
  * response is the entire response to its own request; the events of a stream are delivered in order, exactly once,
- * starting with the first; no request is quarantined because of another one's crashes. Stateless and thread safe.
+ * starting with the first; an answer of a replica reaches the caller as that replica gave it to a run of the same request
+ * (rule MIXED); no request is quarantined because of another one's crashes. Stateless and thread safe.
  */
 final class SoakAudit {
     private static final int STATUS_OK = 200;
@@ -23,14 +29,17 @@
     /** The statuses that promise that a request was not executed: no valid key, over the allowance, unavailable. */
     private static final Set<Integer> NOT_RUN = Set.of(401, 429, STATUS_UNAVAILABLE);
 
+    private static final HeaderNames HEADER_NAMES = PlatformHeaders.names();
     private static final String QUARANTINED = "quarantined";
     private static final Pattern EVENT_PATTERN =
             Pattern.compile("id: (\\d+)\ndata: line (\\d+) for (\\S+) by \\S+\n\n");
 
     private SoakAudit() {}
 
-    static List<String> violations(List<SoakCall> calls, Map<String, Integer> runCounts) {
+    static List<String> violations(List<SoakCall> calls, Map<String, Integer> runCounts, List<SentAnswer> answers) {
         List<String> violations = new ArrayList<>();
+        Map<String, List<SentAnswer>> answersById =
+                answers.stream().collect(Collectors.groupingBy(SentAnswer::requestId));
         for (SoakCall call : calls) {
             int runCount = runCounts.getOrDefault(call.id(), 0);
             if (!call.stream() && runCount > 1) {
@@ -42,13 +51,55 @@
             if (call.status() == STATUS_UNAVAILABLE && call.body().contains(QUARANTINED)) {
                 violations.add(call.id() + " crashed no replica but was quarantined");
             }
-            if (call.status() == STATUS_OK) {
+            Option<String> mixed = mixed(call, answersById.getOrDefault(call.id(), List.of()));
+            mixed.forEach(what -> violations.add(call.id() + " broke MIXED: " + what));
+            if (mixed.isEmpty() && call.status() == STATUS_OK) {
                 checkResponse(call, violations);
             }
         }
         return violations;
     }
 
+    /** Returns in what a response is not the answer that its stamp names, if it differs. */
+    private static Option<String> mixed(SoakCall call, List<SentAnswer> answers) {
+        List<String> stamps = call.values(SiteReplica.STAMP_HEADER);
+        String received = call.status() + " with the stamps " + stamps;
+        if (stamps.isEmpty()) {
+            // The gateway's own responses have other statuses.
+            return Option.when(
+                    call.status() == STATUS_OK || call.status() == SiteReplica.STATUS_FAILED,
+                    () -> received + ", of answers " + answers);
+        }
+        Option<SentAnswer> named = Option.ofOptional(answers.stream()
+                .filter(answer -> stamps.equals(List.of(answer.stamp())))
+                .findFirst());
+        if (named.isEmpty()) {
+            return Option.some(received + ", of answers " + answers);
+        }
+        SentAnswer sent = named.get();
+        boolean sameHead = call.status() == sent.status()
+                && call.values(HEADER_NAMES.requestId()).equals(List.of(sent.requestId()))
+                && call.values("content-type").equals(List.of(sent.contentType()));
+        if (!sameHead) {
+            return Option.some(received + " and the headers " + call.headers() + ", of " + sent);
+        }
+        boolean sameBody = call.stream() && call.status() == STATUS_OK
+                ? hasEventsOf(call, answers)
+                : call.complete()
+                        ? call.body().equals(sent.body())
+                        : sent.body().startsWith(call.body());
+        return Option.when(
+                !sameBody,
+                () -> received + (call.complete() ? ", the whole body " : ", the partial body ") + call.body() + ", of "
+                        + sent);
+    }
+
+    /** Returns whether each event is one of a run of the same request; a stream may have those of several runs. */
+    private static boolean hasEventsOf(SoakCall call, List<SentAnswer> answers) {
+        return EVENT_PATTERN.matcher(call.body()).results().allMatch(event -> answers.stream()
+                .anyMatch(answer -> answer.body().contains(event.group())));
+    }
+
     private static void checkResponse(SoakCall call, List<String> violations) {
         if (!call.stream()) {
             if (call.complete() && !call.body().contains("\"for\":\"" + call.id() + "\"")) {
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
@@ -6,6 +6,10 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
 
 import io.vavr.control.Option;
 import io.vavr.control.Try;
@@ -127,19 +131,33 @@
     private static SoakCall parse(String id, boolean stream, String response) {
         int headersEnd = response.indexOf("\r\n\r\n");
         if (headersEnd < 0) {
-            return new SoakCall(id, stream, 0, "", false);
+            return new SoakCall(id, stream, 0, Map.of(), "", false);
         }
         int status = Integer.parseInt(response.substring("HTTP/1.1 ".length(), "HTTP/1.1 ".length() + 3));
-        String headers = response.substring(0, headersEnd).toLowerCase(java.util.Locale.ROOT);
+        Map<String, List<String>> headers = headers(response.substring(0, headersEnd));
         String body = response.substring(headersEnd + 4);
-        int lengthHeader = headers.indexOf("content-length: ");
-        if (lengthHeader >= 0) {
-            int expectedLength = Integer.parseInt(headers.substring(lengthHeader + "content-length: ".length())
-                    .split("\r\n")[0]);
-            return new SoakCall(id, stream, status, body, body.length() == expectedLength);
+        List<String> lengths = headers.getOrDefault("content-length", List.of());
+        if (!lengths.isEmpty()) {
+            boolean complete = body.length() == Integer.parseInt(lengths.get(0));
+            return new SoakCall(id, stream, status, headers, body, complete);
         }
         boolean complete = body.endsWith("0\r\n\r\n");
         return new SoakCall(
-                id, stream, status, body.replaceAll("(?m)^[0-9a-f]+\r\n", "").replace("\r\n", ""), complete);
+                id,
+                stream,
+                status,
+                headers,
+                body.replaceAll("(?m)^[0-9a-f]+\r\n", "").replace("\r\n", ""),
+                complete);
+    }
+
+    /** Returns the values of each header, by its name in lower case. */
+    private static Map<String, List<String>> headers(String head) {
+        return head.lines()
+                .skip(1)
+                .map(line -> line.split(":", 2))
+                .collect(Collectors.groupingBy(
+                        field -> field[0].toLowerCase(Locale.ROOT),
+                        Collectors.mapping(field -> field.length > 1 ? field[1].strip() : "", Collectors.toList())));
     }
 }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
@@ -41,7 +41,12 @@
     /** A replica says in its responses that it leaves, some time before its entry is removed. */
     REPLICA_LEAVES,
     /** The store comes back from an older copy; operators and replicas then write again what they had written since. */
-    STORE_RESTORED;
+    STORE_RESTORED,
+    /**
+     * Runs of a replica fail or succeed temporarily, most of them after a second answer to the earlier request of their
+     * connection, which is whole or stops inside its head or body.
+     */
+    REPLICA_ANSWERS_LATE;
 
     /** The faults that are drawn one at a time; the others are drawn beside them, so that the draw of a seed stays. */
     static final List<SoakFault> SINGLE = List.of(values()).subList(0, REPLICA_LIMITED.ordinal());
@@ -58,4 +63,7 @@
 
     /** The faults that are drawn beside all of them, likewise. */
     static final List<SoakFault> LATEST = List.of(REPLICA_PAUSED, REPLICA_LEAVES, STORE_RESTORED);
+
+    /** The faults of answers, which are drawn beside all of these, likewise. */
+    static final List<SoakFault> ANSWERS = List.of(REPLICA_ANSWERS_LATE);
 }
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -24,6 +24,8 @@
 import org.rattanplank.standins.site.BodyEnd;
 import org.rattanplank.standins.site.CrashCause;
 import org.rattanplank.standins.site.ExecutedRequest;
+import org.rattanplank.standins.site.LateAnswers;
+import org.rattanplank.standins.site.SentAnswer;
 import org.rattanplank.standins.site.SiteConfigurations;
 import org.rattanplank.standins.site.SiteHost;
 import org.rattanplank.standins.site.SiteReplica;
@@ -67,6 +69,8 @@
     private final Map<String, Link> linksToCrash = new ConcurrentHashMap<>();
     private final Map<String, String> limitsByReplica = new ConcurrentHashMap<>();
     private final Map<String, BodyEnd> bodyEnds = new ConcurrentHashMap<>();
+    private final Map<String, LateAnswers> lateAnswers = new ConcurrentHashMap<>();
+    private final Queue<SentAnswer> sentAnswers = new ConcurrentLinkedQueue<>();
     private final Map<String, Long> pauseEndNanos = new ConcurrentHashMap<>();
     private final Set<String> leavingReplicas = ConcurrentHashMap.newKeySet();
     private final List<String> removedReplicas = new ArrayList<>();
@@ -117,6 +121,11 @@
         return runCounts;
     }
 
+    /** Returns what the replicas answered, run by run. */
+    List<SentAnswer> sentAnswers() {
+        return List.copyOf(sentAnswers);
+    }
+
     ReplicaRequests unwantedRequests() {
         return unwantedRequests;
     }
@@ -205,6 +214,16 @@
         bodyEnds.put(id, end);
     }
 
+    /** Lets runs of a replica fail, and second answers arrive late. */
+    void answerLate(String id, LateAnswers draws) {
+        lateAnswers.put(id, draws);
+    }
+
+    /** Lets each run of a replica succeed and be answered once. */
+    void answerOnce(String id) {
+        lateAnswers.remove(id);
+    }
+
     /** Lets a replica reject all requests and ask for a pause until a time. */
     void pauseReplica(String id, long millis) {
         pauseEndNanos.put(id, System.nanoTime() + millis * NANOS_PER_MILLI);
@@ -327,6 +346,17 @@
             accountUse.executed(request, nowMillis());
         }
 
+        @Override
+        public void answered(SentAnswer answer) {
+            sentAnswers.add(answer);
+        }
+
+        /** A host that can't read an answer doesn't learn from it that the replica leaves. */
+        @Override
+        public Option<LateAnswers> lateAnswers() {
+            return Option.of(lateAnswers.get(id)).filter(draws -> !isLeaving());
+        }
+
         @Override
         public void arrived() {
             unwantedRequests.arrived(id, nowMillis());
--- a/rattanplank-bench/src/test/java/org/rattanplank/bench/soak/SoakAuditTest.java
+++ b/rattanplank-bench/src/test/java/org/rattanplank/bench/soak/SoakAuditTest.java
@@ -1,68 +1,154 @@
 package org.rattanplank.bench.soak;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
+import org.rattanplank.platform.PlatformHeaders;
+import org.rattanplank.standins.site.SentAnswer;
+import org.rattanplank.standins.site.SiteReplica;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class SoakAuditTest {
+    private static final String STAMP = "w/1";
+    private static final String JSON = "application/json";
+    private static final String EVENT_STREAM = "text/event-stream";
+    private static final String BODY = "{\"by\":\"w\",\"for\":\"q1\"}";
+    private static final String WHOLE_STREAM =
+            event(1, "q1") + event(2, "q1") + event(3, "q1") + event(4, "q1") + event(5, "q1");
+
     private static String event(int number, String id) {
         return "id: " + number + "\ndata: line " + number + " for " + id + " by w\n\n";
     }
 
-    private static List<String> violations(SoakCall call, int runCount) {
-        return SoakAudit.violations(List.of(call), Map.of(call.id(), runCount));
+    private static Map<String, List<String>> headers(String contentType) {
+        return Map.of(
+                SiteReplica.STAMP_HEADER.toLowerCase(Locale.ROOT),
+                List.of(STAMP),
+                PlatformHeaders.names().requestId().toLowerCase(Locale.ROOT),
+                List.of("q1"),
+                "content-type",
+                List.of(contentType));
+    }
+
+    private static Map<String, List<String>> with(String name, String... values) {
+        Map<String, List<String>> headers = new HashMap<>(headers(JSON));
+        headers.put(name.toLowerCase(Locale.ROOT), List.of(values));
+        return headers;
+    }
+
+    private static List<String> violations(SoakCall call, int runCount, SentAnswer... answers) {
+        return SoakAudit.violations(List.of(call), Map.of(call.id(), runCount), List.of(answers));
+    }
+
+    private static SoakCall own(boolean stream, int status, String body) {
+        return new SoakCall("q1", stream, status, Map.of(), body, true);
+    }
+
+    private static SoakCall booking(int status, String body, boolean complete) {
+        return new SoakCall("q1", false, status, headers(JSON), body, complete);
+    }
+
+    private static SoakCall stream(String body, boolean complete) {
+        return new SoakCall("q1", true, 200, headers(EVENT_STREAM), body, complete);
+    }
+
+    private static SentAnswer sent(int status, String body) {
+        return new SentAnswer("q1", STAMP, status, JSON, body);
+    }
+
+    private static SentAnswer sentStream() {
+        return new SentAnswer("q1", STAMP, 200, EVENT_STREAM, WHOLE_STREAM);
+    }
+
+    private static void assertMixed(List<String> violations) {
+        assertEquals(1, violations.size(), violations::toString);
+        assertTrue(violations.get(0).contains("MIXED"), violations::toString);
     }
 
     /** Guards against an innocent request that is refused because of another one's crashes. */
     @Test
     void shouldReportAViolationWhenAnInnocentRequestIsQuarantined() {
         assertEquals(
-                1,
-                violations(new SoakCall("q1", true, 503, "quarantined: targets crashed", true), 0)
-                        .size());
+                1, violations(own(true, 503, "quarantined: targets crashed"), 0).size());
     }
 
     @Test
     void shouldReportBookingWhenItIsExecutedTwice() {
-        assertEquals(1, violations(new SoakCall("q1", false, 502, "", true), 2).size());
+        assertEquals(1, violations(own(false, 502, ""), 2).size());
     }
 
     @Test
     void shouldReportNotRunResponseWhenBookingWasExecuted() {
-        assertEquals(1, violations(new SoakCall("q1", false, 503, "", true), 1).size());
+        assertEquals(1, violations(own(false, 503, ""), 1).size());
     }
 
     @Test
     void shouldReportResponseWhenItBelongsToAnotherRequest() {
-        assertEquals(
-                1,
-                violations(new SoakCall("q1", false, 200, "{\"by\":\"d\",\"for\":\"q2\"}", true), 1)
-                        .size());
+        assertMixed(violations(booking(200, "{\"by\":\"w\",\"for\":\"q2\"}", true), 1, sent(200, BODY)));
     }
 
     @Test
     void shouldReportStreamWhenEventsAreDuplicatedOrMissing() {
         assertEquals(
                 1,
-                violations(new SoakCall("q1", true, 200, event(1, "q1") + event(3, "q1"), false), 1)
+                violations(stream(event(1, "q1") + event(3, "q1"), false), 1, sentStream())
                         .size());
         assertEquals(
                 1,
-                violations(new SoakCall("q1", true, 200, event(1, "q1") + event(1, "q1"), false), 1)
+                violations(stream(event(1, "q1") + event(1, "q1"), false), 1, sentStream())
                         .size());
         assertEquals(
-                1,
-                violations(new SoakCall("q1", true, 200, event(1, "q1"), true), 1)
-                        .size());
+                1, violations(stream(event(1, "q1"), true), 1, sentStream()).size());
     }
 
     @Test
     void shouldReportNothingWhenStreamEndsIncomplete() {
-        assertTrue(violations(new SoakCall("q1", true, 200, event(1, "q1") + "id: 2\nda", false), 2)
-                .isEmpty());
+        assertEquals(List.of(), violations(stream(event(1, "q1") + "id: 2\nda", false), 2, sentStream()));
+    }
+
+    /** Guards against an audit that complains of what a replica did answer. */
+    @Test
+    void shouldReportNothingWhenResponsesAreThoseThatReplicasSent() {
+        assertEquals(List.of(), violations(booking(200, BODY, true), 1, sent(200, BODY)));
+        assertEquals(List.of(), violations(booking(500, BODY, true), 1, sent(500, BODY)));
+        assertEquals(List.of(), violations(booking(200, BODY.substring(0, 5), false), 1, sent(200, BODY)));
+        assertEquals(List.of(), violations(stream(WHOLE_STREAM, true), 1, sentStream()));
+        assertEquals(List.of(), violations(own(false, 502, "not a replica's"), 1, sent(500, BODY)));
+    }
+
+    /** Guards against a success in place of a failure, and a failure in place of a success. */
+    @Test
+    void shouldReportResponseWhenItsStatusIsNotThatOfItsRun() {
+        assertMixed(violations(booking(200, BODY, true), 1, sent(500, BODY)));
+        assertMixed(violations(booking(500, BODY, true), 1, sent(200, BODY)));
+    }
+
+    /** Guards against heads that two answers make up, and those that no run of the request gave. */
+    @Test
+    void shouldReportResponseWhenItsHeadersAreNotThoseOfOneRun() {
+        assertMixed(violations(booking(500, BODY, true), 1));
+        assertMixed(violations(own(false, 200, BODY), 1, sent(200, BODY)));
+        assertMixed(violations(own(false, 500, BODY), 1, sent(500, BODY)));
+        for (Map<String, List<String>> headers : List.of(
+                with(SiteReplica.STAMP_HEADER, "w/0", STAMP),
+                with(PlatformHeaders.names().requestId(), "q0"),
+                with(PlatformHeaders.names().requestId(), "q0", "q1"),
+                with("Content-Type", "appHTTP/1.1 500 Internal Server Error"))) {
+            assertMixed(violations(new SoakCall("q1", false, 200, headers, BODY, true), 1, sent(200, BODY)));
+        }
+    }
+
+    /** Guards against a part of a body that is framed as a whole one, and bytes of another answer in it. */
+    @Test
+    void shouldReportResponseWhenItsBodyIsNotThatOfItsRun() {
+        assertMixed(violations(booking(200, BODY.substring(0, 5), true), 1, sent(200, BODY)));
+        assertMixed(violations(booking(500, BODY + "HTTP/1.1 200 OK", true), 1, sent(500, BODY)));
+        assertMixed(violations(booking(500, "other", false), 1, sent(500, BODY)));
+        assertMixed(violations(stream(WHOLE_STREAM.replace("by w", "by v"), true), 1, sentStream()));
     }
 }
