--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/ResponseCutFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/ResponseCutFlowTest.java
@@ -172,13 +172,13 @@
         return all;
     }
 
-    private Received send(TestGateway gateway, Answer answer) throws IOException {
+    private TestResponse send(TestGateway gateway, Answer answer) throws IOException {
         String id = "q" + ++requests;
         answers.put(id, answer);
         try (TestCaller caller = gateway.caller()) {
             caller.send("POST /a/x HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\nRequest-Id: " + id
                     + "\r\nTokens: 100,50\r\nTime-Left: 8000\r\nContent-Length: 1\r\n\r\nx");
-            return Received.parse(caller.readAll());
+            return TestResponse.parse(caller.readAll());
         }
     }
 
@@ -189,42 +189,10 @@
         }
     }
 
-    /**
-     * What a caller has received.
-     *
-     * @param status the status
-     * @param complete whether it is framed as complete
-     * @param body the body without its framing
-     */
-    private record Received(String status, boolean complete, String body) {
-        private static Received parse(String raw) {
-            int bodyStart = raw.indexOf("\r\n\r\n") + 4;
-            String head = raw.substring(0, bodyStart).toLowerCase(java.util.Locale.ROOT);
-            String body = raw.substring(bodyStart);
-            String status = head.split(" ")[1];
-            if (!head.contains("transfer-encoding: chunked")) {
-                int length = Integer.parseInt(head.replaceAll("(?s).*content-length: (\\d+).*", "$1"));
-                return new Received(status, body.length() == length, body);
-            }
-            StringBuilder content = new StringBuilder();
-            int at = 0;
-            while (at < body.length()) {
-                int lineEnd = body.indexOf("\r\n", at);
-                int size = Integer.parseInt(body.substring(at, lineEnd), 16);
-                if (size == 0) {
-                    return new Received(status, true, content.toString());
-                }
-                content.append(body, lineEnd + 2, lineEnd + 2 + size);
-                at = lineEnd + 2 + size + 2;
-            }
-            return new Received(status, false, content.toString());
-        }
-    }
-
     private void check(TestGateway gateway, Answer answer) throws IOException {
-        Received received = send(gateway, answer);
+        TestResponse received = send(gateway, answer);
         if (answer.isComplete()) {
-            assertEquals(new Received("200", true, answer.completeBody()), received, answer.toString());
+            assertEquals(new TestResponse("200", true, answer.completeBody()), received, answer.toString());
         } else {
             assertTrue(received.status().equals("502") || !received.complete(), () -> answer + ": " + received);
             assertTrue(received.status().equals("502") || STREAM.startsWith(received.body()), answer.toString());
@@ -278,10 +246,10 @@
 
         for (Answer continuation : allAnswers(TestTarget.EVENT_STREAM, SECOND)) {
             earnRetry(gateway);
-            Received received = send(gateway, continuation);
+            TestResponse received = send(gateway, continuation);
             if (continuation.isComplete()) {
                 String whole = FIRST + continuation.completeBody();
-                assertEquals(new Received("200", true, whole), received, continuation.toString());
+                assertEquals(new TestResponse("200", true, whole), received, continuation.toString());
             } else {
                 // Whole events may have been passed on before the cut.
                 assertFalse(received.complete(), () -> continuation + ": " + received);
@@ -302,9 +270,9 @@
             for (boolean reset : new boolean[] {false, true}) {
                 earnRetry(gateway);
                 Answer answer = new Answer(Framing.CONNECTION, TestTarget.EVENT_STREAM, STREAM, cut, reset);
-                Received received = send(gateway, answer);
+                TestResponse received = send(gateway, answer);
                 String expected = answer.isComplete() ? answer.sent() : STREAM;
-                assertEquals(new Received("200", true, expected), received, answer.toString());
+                assertEquals(new TestResponse("200", true, expected), received, answer.toString());
                 assertEquals(answer.isComplete() ? 1 : 2, arrivals.get("q" + requests), answer.toString());
             }
         }
