Pass over informational responses of the store

ResponseCollector took a 1xx for the response: the caller of the store got status 100, the connection became idle, and the final response was then taken for the next call's or closed it.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
@@ -16,7 +18,7 @@
  * chunks they come in.
  *
  * <p>Netty's aggregator adds up components and copies all of them at each 1,024th, so that many small chunks cost the
- * square of their number. Invariant: a response that is malformed or larger than the limit closes its connection and is
+ * square of their number. Invariants: an informational response is passed over; a response that is malformed or larger than the limit closes its connection and is
  * not passed on. Confined to the event loop.
  */
 final class ResponseCollector extends SimpleChannelInboundHandler<HttpObject> {
@@ -35,6 +37,9 @@
             return;
         }
         if (message instanceof HttpResponse response) {
+            if (isInterim(response)) {
+                return;
+            }
             head = response;
             body = context.alloc().heapBuffer();
         }
@@ -54,4 +59,10 @@
             context.fireChannelRead(whole);
         }
     }
+
+    /** Returns whether the final response to the same request still follows; the end of an interim one has no head here. */
+    private static boolean isInterim(HttpResponse response) {
+        return response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+    }
 }
