--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.rattanplank.core.response.JoinedHead;
 
 /**
  * Writes one request and reads its response.
@@ -108,7 +109,7 @@
     }
 
     private boolean handleHeaders(HttpResponse response) {
-        if (JoinedHeads.isJoined(response)) {
+        if (JoinedHead.isJoined(response.status().reasonPhrase(), response.headers())) {
             fail("the head of the response contains the status line of another one");
             return false;
         }
