Use no connection to the store on which unexpected bytes were received

A call to the store was answered with what another call's response had left: bytes that came while the connection was idle were kept for the next call, so that a late response, or the end of a connection, that had arrived unread was taken for its own; the connection became idle before all of the read was passed on; and a response that ends with its connection left a dead one in the pool, or counted as an empty whole one. Heads that may be made of two were passed on.

Bytes that no call awaits now close the connection, which is read before it is used again and becomes idle only when the read has ended; a response without a length and chunks never leaves one to use again, and is none if it is empty. ResponseCollector refuses joined heads and trailers as the targets' reader does.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -31,7 +32,7 @@
  *
  * <p>Invariants: each request completes once, with a complete response or none; it completes without a response when no
  * bytes are received for its timeout or when {@link #MAX_TIMEOUT_PERIODS} times its timeout has passed; a connection
- * whose response was not received is not reused. Confined to the event loop.
+ * whose response was not received, or on which bytes were received that no request awaits, is not reused. Confined to the event loop.
  */
 public final class HttpClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
@@ -75,10 +76,11 @@
      * @param onResponse receives the response, or none if it was not received completely and in time
      */
     public void send(HttpClientRequest request, Consumer<Option<HttpClientResponse>> onResponse) {
-        Connection idle = idleConnections.poll();
-        if (idle != null) {
-            idle.send(request, onResponse);
-            return;
+        for (Connection idle = idleConnections.poll(); idle != null; idle = idleConnections.poll()) {
+            if (idle.isUsable()) {
+                idle.send(request, onResponse);
+                return;
+            }
         }
         Connection connection = new Connection();
         connection.open(request, onResponse);
@@ -90,6 +92,7 @@
         private ScheduledFuture<?> timeout;
         private int periodsLeft;
         private boolean bytesReceived;
+        private boolean reusable;
 
         private void open(HttpClientRequest request, Consumer<Option<HttpClientResponse>> onResponse) {
             responseHandler = onResponse;
@@ -121,7 +124,17 @@
             startTimeout(request);
         }
 
+        /** Reads first: the end of the connection, or bytes that no request awaits, may be pending. */
+        private boolean isUsable() {
+            PendingInput.read(channel);
+            return channel.isActive();
+        }
+
         private void recordReceived(int count) {
+            if (responseHandler == null) {
+                // They could be taken for the response to the next request.
+                channel.close();
+            }
             bytesReceived = true;
             traffic.recordReceived(count);
         }
@@ -138,16 +151,39 @@
                 context.close();
                 return;
             }
+            if (!isDelimited(response) && !response.content().isReadable()) {
+                // It may have ended before its body began.
+                context.close();
+                complete(Option.none());
+                return;
+            }
             HttpClientResponse complete = new HttpClientResponse(
                     response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
-            if (HttpUtil.isKeepAlive(response)) {
-                idleConnections.push(this);
-            } else {
+            reusable = HttpUtil.isKeepAlive(response) && isDelimited(response);
+            if (!reusable) {
                 context.close();
             }
             complete(Option.some(complete));
         }
 
+        /** Becomes idle only after all that was read with the response, as more than the response may have been. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (reusable && context.channel().isActive()) {
+                idleConnections.push(this);
+            }
+            reusable = false;
+            context.fireChannelReadComplete();
+        }
+
+        private static boolean isDelimited(FullHttpResponse response) {
+            int status = response.status().code();
+            return HttpUtil.isContentLengthSet(response)
+                    || HttpUtil.isTransferEncodingChunked(response)
+                    || status == HttpResponseStatus.NO_CONTENT.code()
+                    || status == HttpResponseStatus.NOT_MODIFIED.code();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             context.close();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
@@ -11,7 +11,9 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.rattanplank.core.response.JoinedHead;
 
 /**
  * Collects the parts of a response into a whole one, whose bytes are copied a bounded number of times however many
@@ -40,6 +42,10 @@
             if (isInterim(response)) {
                 return;
             }
+            if (isUnsound(response)) {
+                context.close();
+                return;
+            }
             head = response;
             body = context.alloc().heapBuffer();
         }
@@ -52,7 +58,12 @@
             return;
         }
         body.writeBytes(content.content());
-        if (content instanceof LastHttpContent) {
+        if (content instanceof LastHttpContent end) {
+            if (JoinedHead.isJoined("", end.trailingHeaders())) {
+                head = null;
+                context.close();
+                return;
+            }
             DefaultFullHttpResponse whole = new DefaultFullHttpResponse(
                     head.protocolVersion(), head.status(), body, head.headers(), EmptyHttpHeaders.INSTANCE);
             head = null;
@@ -60,6 +71,12 @@
         }
     }
 
+    /** Returns whether a head may be made of two, or be the rest of one. */
+    private static boolean isUnsound(HttpResponse response) {
+        return !response.protocolVersion().protocolName().equals(HttpVersion.HTTP_1_1.protocolName())
+                || JoinedHead.isJoined(response.status().reasonPhrase(), response.headers());
+    }
+
     /** Returns whether the final response to the same request still follows; the end of an interim one has no head here. */
     private static boolean isInterim(HttpResponse response) {
         return response.status().codeClass() == HttpStatusClass.INFORMATIONAL
