Use no connection to a target on which a part of a response was received

A connection was used again although a late response had begun on it while it was idle, or behind the response in one read: only whole messages closed it. The request was sent, and then refused as joined, so that its caller got 502 for what need not have been sent there. The review of the fix found it by reading.

Bytes that no request awaits now close the connection, pending ones are read before it is used again, and one whose decoder holds a part of a head is not. A response of the store that is dropped no longer keeps a pooled buffer.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
@@ -47,7 +47,7 @@
                 return;
             }
             head = response;
-            body = context.alloc().heapBuffer();
+            body = Unpooled.buffer();
         }
         if (head == null || !(message instanceof HttpContent content)) {
             return;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
@@ -29,7 +29,7 @@
  *
  * <p>Invariants: a successful response is accepted only if it echoes the identifier of the pending request; no head is
  * accepted that may be made of two; a connection is reused only if the request was written completely, its response was
- * complete, and nothing was received beyond it; it carries no request twice, and nothing beside a HEAD request; at most {@link
+ * complete, and nothing was received beyond it; it doesn't carry the same request twice in a row, and nothing beside a HEAD request; at most {@link
  * #MAX_UNUSABLE_BYTES} are read for a request that are no answer to it.
  * Confined to the event loop.
  */
@@ -102,9 +102,11 @@
     boolean isUsable(String requestId, double idleFraction, long nowMillis) {
         // A second response to the first attempt couldn't be told from the response to another one.
         boolean carriedBefore = requestId.equals(previousRequestId);
+        PendingInput.read(channel);
         return channel.isActive()
                 && !notReusable
                 && !carriedBefore
+                && !decoder.isWithinHead()
                 && nowMillis - idleSinceMillis < idleMillis * idleFraction;
     }
 
@@ -136,6 +138,10 @@
     /** Counts bytes before they are decoded, as the decoder passes over some in silence. */
     void bytesReceived(int count) {
         receivedAtMillis = owner.nowMillis();
+        if (attempt == null) {
+            // What follows them on this connection could be taken for the response to the next request.
+            close();
+        }
         if (attempt != null && (!responding || attempt.isFinished())) {
             unusableBytes += count;
             if (unusableBytes > MAX_UNUSABLE_BYTES) {
@@ -160,8 +166,6 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (attempt == null) {
-                // Unsolicited bytes: what follows them on this connection could be taken for the response to the next
-                // request.
                 close();
             } else if (message instanceof HttpObject object) {
                 read(object);
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/LateResponseFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/LateResponseFlowTest.java
@@ -255,6 +255,24 @@
         check(entry, Form.IDENTIFIER_LAST, 500);
     }
 
+    /** Guards against a request that is sent where a part of a late response has been received before. */
+    @Test
+    void shouldNotReuseAConnectionWhenALateResponseHasBegunBefore() throws Exception {
+        TestGateway gateway = gateway("h1", "suva", RouteKind.UNSAFE);
+        addTarget(gateway);
+        String late = Form.IDENTIFIER_LAST.text("earlier-request");
+
+        for (int sent = 1; sent < late.length(); sent++) {
+            String part = late.substring(0, sent);
+            Received first =
+                    send(gateway, "POST", (request, out) -> TestTarget.write(out, ownResponse(request, 200) + part));
+            Received second = sendOrdinary(gateway);
+
+            assertTrue(first.isOwn(200), first.raw());
+            assertTrue(second.isOwn(200), () -> part.length() + " bytes: " + second.raw());
+        }
+    }
+
     /** Guards against an answer that is awaited until the deadline, although its target has sent all it will. */
     @Test
     void shouldEndTheAttemptWhenTheHeadStops() throws Exception {
