Leave early where no request awaits bytes, and state invariants whole

Read-through of the change, behaviour as before: bytesReceived asked twice whether an attempt is pending; the class docs of ResponseCollector and ExchangeHandler ran over their lines, and the first didn't name the heads that it refuses.

--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
@@ -21,8 +21,9 @@
 /**
  * Writes one request and reads its response.
  *
- * <p>Invariants: the listener is notified of one end at most, and neither of an informational response nor of two heads in one; a body that is no event stream and has neither a length nor
- * chunks never counts as complete, since a truncated one would look the same. Confined to the channel's event loop except for {@link #detach}.
+ * <p>Invariants: the listener is notified of one end at most, and neither of an informational response nor of two heads in
+ * one; a body that is no event stream and has neither a length nor chunks never counts as complete, since a truncated one
+ * would look the same. Confined to the channel's event loop except for {@link #detach}.
  */
 final class ExchangeHandler extends SimpleChannelInboundHandler<HttpObject> {
     private static final String EVENT_STREAM = HttpHeaderValues.TEXT_EVENT_STREAM.toString();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseCollector.java
@@ -20,8 +20,9 @@
  * chunks they come in.
  *
  * <p>Netty's aggregator adds up components and copies all of them at each 1,024th, so that many small chunks cost the
- * square of their number. Invariants: an informational response is passed over; a response that is malformed or larger than the limit closes its connection and is
- * not passed on. Confined to the event loop.
+ * square of their number. Invariants: an informational response is passed over; a response that is malformed, whose head or
+ * trailers may be made of two, or that is larger than the limit closes its connection and is not passed on. Confined to the
+ * event loop.
  */
 final class ResponseCollector extends SimpleChannelInboundHandler<HttpObject> {
     private final int maxBodyBytes;
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
@@ -137,12 +137,13 @@
 
     /** Counts bytes before they are decoded, as the decoder passes over some in silence. */
     void bytesReceived(int count) {
-        receivedAtMillis = owner.nowMillis();
         if (attempt == null) {
             // What follows them on this connection could be taken for the response to the next request.
             close();
+            return;
         }
-        if (attempt != null && (!responding || attempt.isFinished())) {
+        receivedAtMillis = owner.nowMillis();
+        if (!responding || attempt.isFinished()) {
             unusableBytes += count;
             if (unusableBytes > MAX_UNUSABLE_BYTES) {
                 failAndClose("the target sends bytes that are no answer");
