Refuse responses whose status is invalid

Callers saw a response with the status 000 as an answer, and others as well: 99, 600, 2000; "+200" and "0200" were answers with status 200. Without the identifier of the request "+200" was discarded as a late response, and its caller waited for its deadline.

Cause: Netty reads the status of a response with Integer.parseInt and takes any number that isn't negative. Nothing behind the decoder asked whether a response may have that status, and there the text is gone.

Change: one decoder for all connections on which the gateway and rattanplankd read responses (targets, the store, and rattanplankd's targets, orders, probes and store), in place of two codecs of Netty and one decoder of the target package. It fails if the status hasn't three digits or isn't within 100 to 599 (RFC 9110, section 15), also for informational and late responses. The readers end such a response at once, as any that isn't valid HTTP: its outcome is unknown, a request that may run again is sent to another target, and the connection is closed. A host of an earlier version still passes such a status on, so that a forwarded response is checked where it arrives, in both programs. The JDK's client, which the command line uses, refuses what is below 100; what is above 599 was reported as an answer of the store that had no effect, which isn't known.

--- a/rattanplank-cli/src/main/java/org/rattanplank/cli/JsonHttpClient.java
+++ b/rattanplank-cli/src/main/java/org/rattanplank/cli/JsonHttpClient.java
@@ -11,6 +11,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
+import org.rattanplank.core.response.StatusCode;
 
 /**
  * Makes HTTP calls with JSON responses, and separates calls that were definitely not sent from those that may have had an
@@ -50,6 +51,10 @@
         HttpRequest request = builder.build();
         try {
             HttpResponse<String> response = BoundedHttpExchange.send(client, request, timeout);
+            if (!StatusCode.isValid(response.statusCode())) {
+                return Either.left(
+                        new CallFailure(false, "the answer from " + request.uri() + " has an invalid status"));
+            }
             return Either.right(new JsonResponse(response.statusCode(), JSON.readTree(response.body())));
         } catch (ConnectException | HttpConnectTimeoutException e) {
             return Either.left(new CallFailure(true, "cannot connect to " + request.uri()));
--- a/rattanplank-cli/src/test/java/org/rattanplank/cli/JsonHttpClientTest.java
+++ b/rattanplank-cli/src/test/java/org/rattanplank/cli/JsonHttpClientTest.java
@@ -10,11 +10,16 @@
 import io.vavr.control.Either;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class JsonHttpClientTest {
+    private static final String BODY = "{\"a\":1}";
+    private static final String LENGTH = "Content-Length: 7\r\n";
     private static final String INCOMPLETE_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{";
 
     /**
@@ -37,6 +42,87 @@
         }
     }
 
+    /** Guards against a command that takes an answer with an invalid status for one of the server. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK\r\n" + LENGTH,
+                "HTTP/1.1 099 OK\r\n" + LENGTH,
+                "HTTP/1.1 600 OK\r\n" + LENGTH,
+                "HTTP/1.1 +20 OK\r\n" + LENGTH
+            })
+    @Timeout(30)
+    void shouldFailWhenTheStatusIsInvalid(String head) throws Exception {
+        try (ServerSocket server = server(socket -> write(socket, head + "\r\n" + BODY))) {
+            assertFails(server);
+        }
+    }
+
+    /** Guards against a sound answer that a command refuses. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n" + LENGTH,
+                "HTTP/1.1 200 \r\n" + LENGTH,
+                "HTTP/1.1 200 OK\r\nX-Time: a : b\r\n" + LENGTH,
+                "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+            })
+    @Timeout(30)
+    void shouldReturnTheResponseWhenItIsSound(String head) throws Exception {
+        try (ServerSocket server = server(socket -> write(socket, head + "\r\n" + BODY))) {
+            assertEquals(1, send(server).get().body().path("a").asInt());
+        }
+    }
+
+    private static void assertFails(ServerSocket server) {
+        Either<CallFailure, JsonResponse> response = send(server);
+
+        assertTrue(response.isLeft(), response::toString);
+        assertFalse(response.getLeft().definitelyNotSent());
+    }
+
+    private static Either<CallFailure, JsonResponse> send(ServerSocket server) {
+        return JsonHttpClient.of(Duration.ofSeconds(10)).post("127.0.0.1:" + server.getLocalPort(), "/status", "");
+    }
+
+    /** Starts a server that answers each request by a script, after the head of the request. */
+    private static ServerSocket server(Script script) throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Thread thread = new Thread(() -> serve(server, script));
+        thread.setDaemon(true);
+        thread.start();
+        return server;
+    }
+
+    private static void serve(ServerSocket server, Script script) {
+        while (!server.isClosed()) {
+            try (Socket socket = server.accept()) {
+                readHead(socket);
+                script.answer(socket);
+            } catch (Exception e) {
+                // The client or the test closed the connection.
+                continue;
+            }
+        }
+    }
+
+    private static void readHead(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) socket.getInputStream().read());
+        }
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** Answers a request; the connection is closed after it. */
+    private interface Script {
+        void answer(Socket socket) throws Exception;
+    }
+
     private static void sendIncompleteResponse(ServerSocket server) {
         try {
             Socket socket = server.accept();
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeClient.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeClient.java
@@ -11,17 +11,18 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.rattanplank.gateway.http.ByteCountHandler;
 import org.rattanplank.gateway.http.ChunkMerger;
 import org.rattanplank.gateway.http.ReadLimit;
+import org.rattanplank.gateway.http.ResponseDecoder;
 import ratpack.util.internal.TransportDetector;
 
 /**
  * Sends HTTP requests whose responses are processed incrementally, each on a dedicated connection.
  *
  * <p>Ratpack's client cannot be cancelled before the response headers arrive, and does not report whether a request was
- * written. This client therefore uses the HTTP codec of Netty, which Ratpack depends on. Connections are not reused: an
+ * written. This client therefore uses the HTTP codecs of Netty, which Ratpack depends on. Connections are not reused: an
  * unresponsive one affects one attempt only, and a late response cannot be mistaken for that of a later request. Thread
  * safe.
  */
@@ -93,7 +94,12 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
                                 .addLast(new ByteCountHandler(count -> handler.bytesReceived(channel, count)))
-                                .addLast(new HttpClientCodec(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(new ResponseDecoder(
+                                        MAX_STATUS_LINE_BYTES,
+                                        MAX_HEADER_BYTES,
+                                        MAX_CHUNK_BYTES,
+                                        request::isHeadRequest))
                                 .addLast(new ChunkMerger())
                                 .addLast(handler);
                     }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeHandler.java
@@ -142,7 +142,7 @@
             return true;
         }
         responding = true;
-        boolean bodiless = request.method().equals("HEAD")
+        boolean bodiless = request.isHeadRequest()
                 || status == HttpResponseStatus.NO_CONTENT.code()
                 || status == HttpResponseStatus.NOT_MODIFIED.code();
         // The closing event of a stream tells its listener whether it is complete.
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeRequest.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/http/ExchangeRequest.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.Objects;
 
+import io.netty.handler.codec.http.HttpMethod;
+
 /**
  * An HTTP request whose response is processed incrementally. Immutable and thread safe as long as the body array is not
  * modified.
@@ -23,4 +25,13 @@
         headers = Map.copyOf(headers);
         body = body == null ? new byte[0] : body;
     }
+
+    /**
+     * Returns whether the response has no body regardless of its headers.
+     *
+     * @return whether the method is HEAD
+     */
+    public boolean isHeadRequest() {
+        return method.equals(HttpMethod.HEAD.name());
+    }
 }
--- a/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/ForwardAttempt.java
+++ b/rattanplank-daemon/src/main/java/org/rattanplank/daemon/peer/ForwardAttempt.java
@@ -11,6 +11,7 @@
 import org.rattanplank.core.request.AttemptResult;
 import org.rattanplank.core.request.Failure;
 import org.rattanplank.core.request.Step;
+import org.rattanplank.core.response.StatusCode;
 import org.rattanplank.daemon.call.Call;
 import org.rattanplank.daemon.call.RelayResult;
 import org.rattanplank.schema.message.ForwardChunk;
@@ -72,7 +73,7 @@
     synchronized Option<AttemptResult> receive(RequestMessage message) {
         if (message instanceof ForwardHead first) {
             headers = Option.some(first);
-            return Option.none();
+            return Option.when(!StatusCode.isValid(first.status()), () -> lost("the response has an invalid status"));
         } else if (message instanceof ForwardChunk chunk) {
             return receive(chunk);
         } else if (message instanceof ForwardEnd end) {
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/http/WebClientTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/http/WebClientTest.java
@@ -142,6 +142,23 @@
         }
     }
 
+    /** Guards against an order that counts as taken, or a store without keys, as the answer has an invalid status. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n",
+                "HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n",
+                "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n"
+            })
+    void shouldLoseTheResponseWhenItsStatusIsInvalid(String head) throws Exception {
+        try (RawServer server = RawServer.of(connection -> {
+            connection.request();
+            connection.write(head + "\r\n{}");
+        })) {
+            assertInstanceOf(WebResult.Lost.class, post(server));
+        }
+    }
+
     private static URI uriOf(RawServer server) {
         return URI.create("http://127.0.0.1:" + server.port() + "/orders");
     }
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/ResponseHeadTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/ResponseHeadTest.java
@@ -169,6 +169,23 @@
         }
     }
 
+    /** Guards against an answer with a status that no answer has, or that the decoder reads more leniently than its syntax. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000 OK", "0 OK", "99 OK", "600 OK", "999 OK", "0200 OK", "+200 OK", "2000 OK", "20x OK"})
+    void shouldEndAsLostWhenTheStatusIsInvalid(String status) throws Exception {
+        assertLost("HTTP/1.1 " + status + "\r\n" + OWN_ID + LENGTH + "\r\nbooked");
+        assertLost("HTTP/1.1 " + status + "\r\n\r\n" + SUCCESS + OWN_ID + LENGTH + "\r\nbooked");
+    }
+
+    private void assertLost(String response) throws Exception {
+        try (RawServer target = RawServer.of(connection -> {
+            connection.request();
+            connection.write(response);
+        })) {
+            assertInstanceOf(AttemptResult.Lost.class, run(target), response);
+        }
+    }
+
     private AttemptResult run(RawServer target) throws InterruptedException {
         AttemptLimits limits = new AttemptLimits(65_536, 65_536, memory, new OverdueTimes(60_000, 60_000, 60_000));
         Targets targets = new Targets(
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
@@ -18,9 +18,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -36,6 +36,9 @@
  */
 public final class HttpClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int MAX_STATUS_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 8_192;
+    private static final int MAX_CHUNK_BYTES = 8_192;
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
 
     /**
@@ -107,7 +110,9 @@
                         protected void initChannel(SocketChannel socket) {
                             socket.pipeline()
                                     .addLast(new ByteCountHandler(Connection.this::recordReceived))
-                                    .addLast(new HttpClientCodec())
+                                    .addLast(new HttpRequestEncoder())
+                                    .addLast(new ResponseDecoder(
+                                            MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, () -> false))
                                     .addLast(new ResponseCollector(MAX_RESPONSE_BYTES))
                                     .addLast(Connection.this);
                         }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/peer/PeerLink.java
@@ -23,6 +23,7 @@
 import io.vavr.control.Option;
 import io.vavr.control.Try;
 import org.rattanplank.core.gateway.GatewayHost;
+import org.rattanplank.core.response.StatusCode;
 import org.rattanplank.gateway.MonotonicClock;
 import org.rattanplank.gateway.http.Headers;
 import org.rattanplank.gateway.http.PendingInput;
@@ -441,9 +442,7 @@
         if (frame instanceof PeerFrame.ResponseHead head) {
             PeerAttempt call = calls.get(head.call());
             if (call != null) {
-                call.target = head.target();
-                call.backup = head.backup();
-                call.listener.headersReceived(head.status(), unflatten(head.headers()));
+                call.headReceived(head);
             }
         } else if (frame instanceof PeerFrame.ResponseChunk chunk) {
             PeerAttempt call = calls.get(chunk.call());
@@ -487,6 +486,18 @@
             return backup;
         }
 
+        private void headReceived(PeerFrame.ResponseHead head) {
+            target = head.target();
+            if (!StatusCode.isValid(head.status())) {
+                // A host of an earlier version passes on any status.
+                cancel();
+                listener.failed(AttemptFailure.UNKNOWN, "the response has an invalid status");
+                return;
+            }
+            backup = head.backup();
+            listener.headersReceived(head.status(), unflatten(head.headers()));
+        }
+
         @Override
         public void cancel() {
             if (calls.remove(number) != null) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
@@ -23,6 +23,7 @@
 import org.rattanplank.core.response.BodyFraming;
 import org.rattanplank.core.response.JoinedHead;
 import org.rattanplank.gateway.http.PendingInput;
+import org.rattanplank.gateway.http.ResponseDecoder;
 
 /**
  * One connection to a target, which carries one request at a time.
@@ -40,6 +41,9 @@
     /** The fraction of the announced idle time that is used; the rest allows for network latency and late timers. */
     private static final double IDLE_FRACTION = 0.6;
 
+    private static final int MAX_LINE_BYTES = 16_384;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
     /** More than a late response to another request; a target may send such bytes until its connection is closed. */
     private static final int MAX_UNUSABLE_BYTES = 256 << 10;
 
@@ -62,7 +66,8 @@
 
     private final String requestIdHeader;
     private final TargetConnections owner;
-    private final ResponseDecoder decoder = new ResponseDecoder(this);
+    private final ResponseDecoder decoder =
+            new ResponseDecoder(MAX_LINE_BYTES, MAX_LINE_BYTES, MAX_CHUNK_BYTES, this::isHeadRequest);
     private Channel channel;
     private TargetAttempt attempt;
     private boolean written;
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanplank.core.gateway.RouteKind;
 import org.rattanplank.gateway.peer.CallSplit;
 import org.rattanplank.gateway.peer.PeerFrame;
@@ -175,6 +176,26 @@
         }
     }
 
+    /** Guards against an answer with an invalid status that a host of an earlier version passes on. */
+    @ParameterizedTest
+    @ValueSource(ints = {Integer.MIN_VALUE, -200, 0, 99, 600, 999, 2_000})
+    void shouldFailARequestWhenThePeerPassesOnAnInvalidStatus(int status) throws Exception {
+        gateway.configure(RouteKind.UNSAFE, false, 1);
+        try (TestPeer peer = gateway.peer()) {
+            peer.reportRegionLoad("desk");
+            gateway.awaitLogged("\"event\":\"peer_connected\"");
+            TestCaller caller = gateway.caller();
+            caller.send("POST /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q1\r\nTime-Left: 5000\r\n"
+                    + "Content-Length: 4\r\n\r\nseal");
+
+            peer.sendResponse(peer.await(PeerFrame.CallRequest.class).call(), status, "body");
+
+            String answer = caller.readUntil("\r\n\r\n");
+            assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+            peer.await(PeerFrame.CallCancel.class);
+        }
+    }
+
     /**
      * The same on the host that stops: requests received from other hosts are answered, and the last frame contains the
      * last call that was accepted.
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/peer/TestPeer.java
@@ -225,6 +225,20 @@
         send(new PeerFrame.ResponseChunk(call, events.getBytes(StandardCharsets.ISO_8859_1)));
     }
 
+    /**
+     * Sends a response.
+     *
+     * @param call the number of the call
+     * @param status the status
+     * @param body the body
+     * @throws IOException if the link was closed
+     */
+    public void sendResponse(long call, int status, String body) throws IOException {
+        send(new PeerFrame.ResponseHead(call, status, List.of(), "t1", ""));
+        send(new PeerFrame.ResponseChunk(call, body.getBytes(StandardCharsets.ISO_8859_1)));
+        send(new PeerFrame.ResponseEnd(call));
+    }
+
     /**
      * Ends a call without a response.
      *
