Don't take a reset for the end of a store's response

A part of a response of the store that had neither a length nor chunks counted as the whole when its connection was reset, also while the request was still being written. What a caller would have seen: an entry host that goes by a part of what the store said. No case of it is known; an object in JSON of which the end is missing can't be read.

Cause: the store's client only closed the connection after an error. Netty's decoder takes the end of the connection for the end of such a response, whatever ended it, and the client still awaited one.

Change: after an error of reading or writing the request is completed without a response, and the connection is closed then. As before, an end in good order counts.

--- a/rattanplank-cli/src/test/java/org/rattanplank/cli/JsonHttpClientTest.java
+++ b/rattanplank-cli/src/test/java/org/rattanplank/cli/JsonHttpClientTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -19,6 +20,13 @@
 
 class JsonHttpClientTest {
     private static final String BODY = "{\"a\":1}";
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+    private static final int REPETITIONS = 10;
+    private static final long PAUSE_MILLIS = 20;
+
+    /** More than the sockets of a connection buffer. */
+    private static final int UPLOAD_BYTES = 4 << 20;
+
     private static final String LENGTH = "Content-Length: 7\r\n";
     private static final String INCOMPLETE_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{";
 
@@ -62,7 +70,25 @@
     @Timeout(30)
     void shouldFailWhenTheHeadIsMalformed(String head) throws Exception {
         try (ServerSocket server = server(socket -> write(socket, head + "\r\n" + BODY))) {
-            assertFails(server);
+            assertFails(server, "");
+        }
+    }
+
+    /** Guards against a command that takes a part of an answer for the whole, as the server reset its connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", BODY})
+    @Timeout(60)
+    void shouldFailWhenAResponseWithoutALengthIsReset(String part) throws Exception {
+        Script script = socket -> {
+            write(socket, "HTTP/1.1 200 OK\r\n\r\n" + part);
+            Thread.sleep(PAUSE_MILLIS);
+            socket.setSoLinger(true, 0);
+        };
+        try (ServerSocket server = server(script)) {
+            for (int i = 0; i < REPETITIONS; i++) {
+                assertFails(server, "");
+                assertFails(server, "x".repeat(UPLOAD_BYTES));
+            }
         }
     }
 
@@ -78,24 +104,26 @@
     @Timeout(30)
     void shouldReturnTheResponseWhenItIsSound(String head) throws Exception {
         try (ServerSocket server = server(socket -> write(socket, head + "\r\n" + BODY))) {
-            assertEquals(1, send(server).get().body().path("a").asInt());
+            assertEquals(1, send(server, "").get().body().path("a").asInt());
         }
     }
 
-    private static void assertFails(ServerSocket server) {
-        Either<CallFailure, JsonResponse> response = send(server);
+    private static void assertFails(ServerSocket server, String body) {
+        Either<CallFailure, JsonResponse> response = send(server, body);
 
         assertTrue(response.isLeft(), response::toString);
         assertFalse(response.getLeft().definitelyNotSent());
     }
 
-    private static Either<CallFailure, JsonResponse> send(ServerSocket server) {
-        return JsonHttpClient.of(Duration.ofSeconds(10)).post("127.0.0.1:" + server.getLocalPort(), "/status", "");
+    private static Either<CallFailure, JsonResponse> send(ServerSocket server, String body) {
+        return JsonHttpClient.of(Duration.ofSeconds(10)).post("127.0.0.1:" + server.getLocalPort(), "/status", body);
     }
 
     /** Starts a server that answers each request by a script, after the head of the request. */
     private static ServerSocket server(Script script) throws IOException {
-        ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        ServerSocket server = new ServerSocket();
+        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
         Thread thread = new Thread(() -> serve(server, script));
         thread.setDaemon(true);
         thread.start();
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/RawServer.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/RawServer.java
@@ -148,11 +148,9 @@
          * @return its headers and body
          */
         public String request() throws IOException {
+            String headers = head();
             ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            while (!bytes.toString(StandardCharsets.UTF_8).contains("\r\n\r\n")) {
-                readInto(bytes);
-            }
-            String headers = bytes.toString(StandardCharsets.UTF_8);
+            bytes.writeBytes(headers.getBytes(StandardCharsets.UTF_8));
             int length = headers.toLowerCase(java.util.Locale.ROOT).contains("content-length: ")
                     ? Integer.parseInt(header(headers, "content-length"))
                     : 0;
@@ -164,6 +162,25 @@
             return request;
         }
 
+        /**
+         * Reads the head of a request, and of its body no more than a buffer holds.
+         *
+         * @return the head
+         */
+        public String head() throws IOException {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            while (!bytes.toString(StandardCharsets.UTF_8).contains("\r\n\r\n")) {
+                readInto(bytes);
+            }
+            return bytes.toString(StandardCharsets.UTF_8);
+        }
+
+        /** Resets the connection, as a close does without lingering. */
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         public Connection write(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
             socket.getOutputStream().flush();
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/http/WebClientTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/http/WebClientTest.java
@@ -26,6 +26,11 @@
     private static final int DRIP_MILLIS = 50;
     private static final int ENDLESS_PARTS = 2_000;
     private static final int MAX_RESPONSE_BYTES = 65_536;
+    private static final int REPETITIONS = 10;
+
+    /** More than the sockets of a connection buffer. */
+    private static final int UPLOAD_BYTES = 16 << 20;
+
     private static final String HEAD_END = "\r\n\r\n";
     private static final String CONFLICT =
             "HTTP/1.1 409 Conflict\r\nX-Request-Id: order-7\r\nContent-Length: 6\r\n\r\nfenced";
@@ -164,6 +169,23 @@
         }
     }
 
+    /** Guards against a part of an answer that counts as the whole, as the request was still being written. */
+    @Test
+    void shouldLoseTheResponseWhenAnUploadIsResetAfterAPartWithoutALength() throws Exception {
+        try (RawServer server = RawServer.of(connection -> {
+            connection.head();
+            connection.write("HTTP/1.1 200 OK\r\n\r\n{}");
+            Thread.sleep(DRIP_MILLIS);
+            connection.reset();
+        })) {
+            for (int i = 0; i < REPETITIONS; i++) {
+                WebRequest upload = WebRequest.post(uriOf(server), new byte[UPLOAD_BYTES], TIMEOUT_MILLIS);
+
+                assertInstanceOf(WebResult.Lost.class, client.send(upload).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            }
+        }
+    }
+
     private static URI uriOf(RawServer server) {
         return URI.create("http://127.0.0.1:" + server.port() + "/orders");
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
@@ -191,7 +191,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
+            fail();
         }
 
         @Override
@@ -226,8 +226,13 @@
                 return;
             }
             // The connection may be dead, which nothing but the timeout shows.
-            channel.close();
+            fail();
+        }
+
+        /** Completes the request first: the decoder takes the end of the connection for the end of a response without a length. */
+        private void fail() {
             complete(Option.none());
+            channel.close();
         }
 
         private void write(HttpClientRequest request) {
@@ -242,9 +247,13 @@
                 message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
             }
             long startNanos = System.nanoTime();
-            channel.writeAndFlush(message)
-                    .addListener(written -> traffic.recordWritten(
-                            request.body().length, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)));
+            channel.writeAndFlush(message).addListener(written -> {
+                traffic.recordWritten(
+                        request.body().length, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos));
+                if (!written.isSuccess()) {
+                    fail();
+                }
+            });
         }
 
         private void complete(Option<HttpClientResponse> response) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -94,6 +94,7 @@
     private final GatewayHost self;
     private final Queue<TestCaller> openCallers = new ConcurrentLinkedQueue<>();
     private Option<List<GatewayAccount>> accounts = Option.none();
+    private int maxBodyBytes = 10_000;
     private long version;
     private int targets;
 
@@ -157,7 +158,7 @@
                 version,
                 routes,
                 List.of(new ServiceRule("desk", 50, 0, 0, 0, 0, kvCacheTokens, kvCacheTokens > 0)),
-                new CallerLimits(4_096, 10_000, 3_000, 15_000));
+                new CallerLimits(4_096, maxBodyBytes, 3_000, 15_000));
         store.put(
                 "configuration",
                 new ClusterEvent.ConfigurationChanged(
@@ -184,6 +185,12 @@
                 isPublic);
     }
 
+    /** Sets the size limit of requests in the configurations that are applied from then on. */
+    TestGateway withMaxBodyBytes(int bytes) {
+        maxBodyBytes = bytes;
+        return this;
+    }
+
     /** Sets the client accounts of the configurations that are applied from then on. */
     TestGateway withAccounts(GatewayAccount... newAccounts) {
         accounts = Option.some(List.of(newAccounts));
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/http/HttpClientBrokenResponseTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/http/HttpClientBrokenResponseTest.java
@@ -25,12 +25,19 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * The store sends responses that break the syntax of HTTP. Guards against such a response that
+ * The store sends responses that break the syntax of HTTP, or that end with a reset. Guards against such a response that
  * counts as the store's answer, and against a sound one that is refused.
  */
 @Timeout(60)
 class HttpClientBrokenResponseTest {
     private static final long TIMEOUT_MILLIS = 5_000;
+    private static final long PAUSE_MILLIS = 20;
+    private static final int REPETITIONS = 20;
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+
+    /** More than the sockets of a connection buffer. */
+    private static final int UPLOAD_BYTES = 4 << 20;
+
     private static final String BODY = "{\"revision\":9}";
     private static final String LENGTH = "Content-Length: 14\r\n";
 
@@ -51,8 +58,10 @@
     }
 
     private HttpClient client(Script script) throws IOException {
-        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        ServerSocket server = new ServerSocket();
         resources.add(server);
+        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         Thread thread = new Thread(() -> serve(server, script));
         thread.setDaemon(true);
         thread.start();
@@ -89,8 +98,12 @@
     }
 
     private Option<HttpClientResponse> send(HttpClient client) throws Exception {
+        return send(client, 0);
+    }
+
+    private Option<HttpClientResponse> send(HttpClient client, int bodyBytes) throws Exception {
         CompletableFuture<Option<HttpClientResponse>> response = new CompletableFuture<>();
-        HttpClientRequest request = HttpClientRequest.get("/key", TIMEOUT_MILLIS);
+        HttpClientRequest request = new HttpClientRequest("PUT", "/key", new byte[bodyBytes], TIMEOUT_MILLIS);
         group.next().execute(() -> client.send(request, response::complete));
         return response.get();
     }
@@ -153,6 +166,21 @@
         assertTrue(send(client).isEmpty());
     }
 
+    /** Guards against a part of a body without a length that counts as the whole, as its connection was reset. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, UPLOAD_BYTES})
+    void shouldReceiveNoResponseWhenABodyWithoutALengthIsReset(int uploadBytes) throws Exception {
+        HttpClient client = client(socket -> {
+            write(socket, "HTTP/1.1 200 OK\r\n\r\n" + BODY.substring(0, 5));
+            Thread.sleep(PAUSE_MILLIS);
+            socket.setSoLinger(true, 0);
+        });
+
+        for (int i = 0; i < REPETITIONS; i++) {
+            assertTrue(send(client, uploadBytes).isEmpty());
+        }
+    }
+
     /** Guards against an answer that is refused as its head is unusual. */
     @ParameterizedTest
     @ValueSource(
