Let replicas of the soak send malformed heads

The soak's replicas cut, joined and repeated sound answers; none sent one whose bytes are wrong in themselves, so that the soak could not see the incident. A replica now sends for a while, at random, heads with an invalid status or with a field name that is no token: a blank, a control byte or a delimiter at any place of it, or no colon. None of these answers is among those that callers may get, so that the check of MIXED finds each that is passed on. The soak's callers read a status that is no number as zero, as their thread ended at it.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -22,6 +22,7 @@
 import org.rattanplank.standins.site.BodyEnd;
 import org.rattanplank.standins.site.CrashCause;
 import org.rattanplank.standins.site.LateAnswers;
+import org.rattanplank.standins.site.MalformedHeads;
 
 /**
  * Injects faults into a small installation of real gateway processes under load and checks its guarantees.
@@ -70,6 +71,7 @@
     private final SplittableRandom furtherRandom;
     private final SplittableRandom latestRandom;
     private final SplittableRandom answersRandom;
+    private final SplittableRandom headsRandom;
     private final PlannedStops stops;
     private final List<Thread> crashingCallers = new ArrayList<>();
     private final List<SoakCall> calls = Collections.synchronizedList(new ArrayList<>());
@@ -87,6 +89,7 @@
         furtherRandom = new SplittableRandom(Long.reverse(seed));
         latestRandom = new SplittableRandom(~Long.reverse(seed));
         answersRandom = new SplittableRandom(Long.rotateLeft(seed, Integer.SIZE));
+        headsRandom = new SplittableRandom(~Long.rotateLeft(seed, Short.SIZE));
         stops = new PlannedStops(site, new SplittableRandom(~Long.rotateLeft(seed, Integer.SIZE)));
     }
 
@@ -178,6 +181,7 @@
             injectSometimes(SoakFault.FURTHER, furtherRandom);
             injectSometimes(SoakFault.LATEST, latestRandom);
             injectFault(SoakFault.ANSWERS.get(answersRandom.nextInt(SoakFault.ANSWERS.size())), answersRandom);
+            injectSometimes(SoakFault.HEADS, headsRandom);
             Poll.pause(random.nextLong(200, 1_200));
             runDueRepairs();
             replaceCrashedReplicas();
@@ -354,6 +358,10 @@
                 site.answerLate(replica, LateAnswers.of(draw.nextLong()));
                 scheduleRepair(millis, () -> site.answerOnce(replica));
             }
+            case REPLICA_HEADS_MALFORMED -> {
+                site.breakHeads(replica, MalformedHeads.of(draw.nextLong()));
+                scheduleRepair(millis, () -> site.sendSoundHeads(replica));
+            }
             case REPLICA_PAUSED -> {
                 site.pauseReplica(replica, LIMITED_PERIODS * millis);
                 scheduleRepair(LIMITED_PERIODS * millis, () -> site.resumeReplica(replica));
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakCaller.java
@@ -247,7 +247,7 @@
         if (headersEnd < 0) {
             return new SoakCall(id, stream, 0, Map.of(), "", false, span);
         }
-        int status = Integer.parseInt(response.substring("HTTP/1.1 ".length(), "HTTP/1.1 ".length() + 3));
+        int status = statusOf(response);
         Map<String, List<String>> headers = headers(response.substring(0, headersEnd));
         String body = response.substring(headersEnd + 4);
         List<String> lengths = headers.getOrDefault("content-length", List.of());
@@ -266,6 +266,11 @@
                 span);
     }
 
+    /** Returns the status also of a response that breaks the syntax of HTTP, zero if there is no number. */
+    private static int statusOf(String response) {
+        return Try.of(() -> Integer.parseInt(response.split("\\s", 3)[1])).getOrElse(0);
+    }
+
     /** Returns the values of each header, by its name in lower case. */
     private static Map<String, List<String>> headers(String head) {
         return head.lines()
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
@@ -47,6 +47,8 @@
      * connection, which is whole or stops inside its head or body.
      */
     REPLICA_ANSWERS_LATE,
+    /** Answers of a replica temporarily have heads that break the syntax of HTTP. */
+    REPLICA_HEADS_MALFORMED,
     /** A gateway process is asked to read its settings again. */
     RELOAD_HOST;
 
@@ -69,6 +71,9 @@
     /** The faults of answers, which are drawn beside all of these, likewise. */
     static final List<SoakFault> ANSWERS = List.of(REPLICA_ANSWERS_LATE);
 
+    /** The faults of heads, which are drawn beside all of these, likewise. */
+    static final List<SoakFault> HEADS = List.of(REPLICA_HEADS_MALFORMED);
+
     /** The faults that are drawn while hosts stop. */
     static final List<SoakFault> DURING_STOPS =
             List.of(KILL_HOST, RELOAD_HOST, CONFIGURATION_CHANGES, REPLICA_PAUSED, REPLICA_REPLACED);
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -27,6 +27,7 @@
 import org.rattanplank.standins.site.CrashCause;
 import org.rattanplank.standins.site.ExecutedRequest;
 import org.rattanplank.standins.site.LateAnswers;
+import org.rattanplank.standins.site.MalformedHeads;
 import org.rattanplank.standins.site.SentAnswer;
 import org.rattanplank.standins.site.SiteConfigurations;
 import org.rattanplank.standins.site.SiteHost;
@@ -76,6 +77,7 @@
     private final Map<String, String> limitsByReplica = new ConcurrentHashMap<>();
     private final Map<String, BodyEnd> bodyEnds = new ConcurrentHashMap<>();
     private final Map<String, LateAnswers> lateAnswers = new ConcurrentHashMap<>();
+    private final Map<String, MalformedHeads> malformedHeads = new ConcurrentHashMap<>();
     private final Queue<SentAnswer> sentAnswers = new ConcurrentLinkedQueue<>();
     private final Map<String, Long> pauseEndNanos = new ConcurrentHashMap<>();
     private final Set<String> leavingReplicas = ConcurrentHashMap.newKeySet();
@@ -251,6 +253,16 @@
         lateAnswers.remove(id);
     }
 
+    /** Lets answers of a replica have malformed heads. */
+    void breakHeads(String id, MalformedHeads draws) {
+        malformedHeads.put(id, draws);
+    }
+
+    /** Lets each answer of a replica have a sound head. */
+    void sendSoundHeads(String id) {
+        malformedHeads.remove(id);
+    }
+
     /** Lets a replica reject all requests and ask for a pause until a time. */
     void pauseReplica(String id, long millis) {
         pauseEndNanos.put(id, System.nanoTime() + millis * NANOS_PER_MILLI);
@@ -401,6 +413,12 @@
             return Option.of(lateAnswers.get(id)).filter(draws -> !isLeaving());
         }
 
+        /** Likewise. */
+        @Override
+        public Option<MalformedHeads> malformedHeads() {
+            return Option.of(malformedHeads.get(id)).filter(draws -> !isLeaving());
+        }
+
         @Override
         public void arrived() {
             unwantedRequests.arrived(id, nowMillis());
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/SiteReplica.java
@@ -122,6 +122,12 @@
                 .map(Integer::parseInt)
                 .getOrElse(0);
         SentAnswer answer = answer(requestId, lastEventId, lateAnswers.exists(LateAnswers::fails));
+        Option<String> malformed = listener.malformedHeads().flatMap(each -> each.draw(answer));
+        if (malformed.isDefined()) {
+            exchange.sendUnframed(malformed.get());
+            exchange.closeAfterWrites();
+            return;
+        }
         echo.put(STAMP_HEADER, answer.stamp());
         listener.answered(answer);
         BodyEnd end = listener.bodyEnd();
@@ -222,7 +228,7 @@
         void executed(ExecutedRequest request);
 
         /**
-         * Called when the replica is about to answer a request that it has executed.
+         * Called when the replica is about to send a sound answer to a request that it has executed.
          *
          * @param answer the answer
          */
@@ -290,6 +296,15 @@
             return Option.none();
         }
 
+        /**
+         * Returns the draws of answers with a malformed head.
+         *
+         * @return the draws, or none if each head is sound
+         */
+        default Option<MalformedHeads> malformedHeads() {
+            return Option.none();
+        }
+
         /**
          * Returns the limit that the replica names in its responses.
          *
