--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/http/WebClientTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/http/WebClientTest.java
@@ -147,7 +147,7 @@
         }
     }
 
-    /** Guards against an order that counts as taken, or a store without keys, as the head of the answer is malformed. */
+    /** Guards against an order that counts as taken, or a store without keys, as the answer has a malformed head. */
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/ResponseHeadTest.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/target/ResponseHeadTest.java
@@ -169,7 +169,7 @@
         }
     }
 
-    /** Guards against an answer with a status that no answer has, or that the decoder reads more leniently than its syntax. */
+    /** Guards against an answer with a status that no answer has, or that is no status by its syntax. */
     @ParameterizedTest
     @ValueSource(strings = {"000 OK", "0 OK", "99 OK", "600 OK", "999 OK", "0200 OK", "+200 OK", "2000 OK", "20x OK"})
     void shouldEndAsLostWhenTheStatusIsInvalid(String status) throws Exception {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/HttpClient.java
@@ -229,7 +229,7 @@
             fail();
         }
 
-        /** Completes the request first: the decoder takes the end of the connection for the end of a response without a length. */
+        /** Completes the request first, as the decoder takes the close for the end of a response without a length. */
         private void fail() {
             complete(Option.none());
             channel.close();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/IndentedField.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/IndentedField.java
@@ -3,8 +3,8 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * Recognizes a line of a head that begins with white space and reads as a field. As it continues the value of the line before, a
- * recipient can't tell whether its sender meant a field. Stateless and thread safe.
+ * Recognizes a line of a head that begins with white space and reads as a field. Such a line continues the value of the
+ * line before, so a recipient can't tell whether its sender meant a field. Stateless and thread safe.
  */
 final class IndentedField {
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseDecoder.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/http/ResponseDecoder.java
@@ -17,9 +17,9 @@
 /**
  * Decodes responses, and tells whether a head has begun that isn't complete yet.
  *
- * <p>Netty accepts more than the syntax of HTTP/1.1 allows. Invariants: an invalid status, or a field name in a head or in
- * trailers that is no token, is a decoder failure, also in an informational response; the response to a HEAD request has no
- * body regardless of its headers. Confined to the event loop.
+ * <p>Netty accepts more than the syntax of HTTP/1.1 allows. Invariants: an invalid status, or a field name in a head or
+ * in trailers that is no token, is a decoder failure, also in an informational response; the response to a HEAD request
+ * has no body regardless of its headers. Confined to the event loop.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
     private final BooleanSupplier headRequest;
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/MalformedHeadFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/MalformedHeadFlowTest.java
@@ -21,8 +21,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * A target sends heads and trailers that break the syntax of HTTP. Guards against such a response that is passed on to the
- * caller, and against a sound one that is refused.
+ * A target sends heads and trailers that break the syntax of HTTP. Guards against such a response that is passed on to
+ * the caller, and against a sound one that is refused.
  */
 @Timeout(120)
 class MalformedHeadFlowTest {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/UploadResetFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/UploadResetFlowTest.java
@@ -24,8 +24,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * A target answers an upload that it hasn't read, without a length. Guards against a part of the answer that is passed on
- * as a complete one when the connection is reset, and against a whole one that is refused.
+ * A target answers an upload that it hasn't read, without a length. Guards against a part of the answer that is passed
+ * on as a complete one when the connection is reset, and against a whole one that is refused.
  */
 @Timeout(120)
 class UploadResetFlowTest {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/http/HttpClientBrokenResponseTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/http/HttpClientBrokenResponseTest.java
@@ -25,8 +25,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * The store sends responses that break the syntax of HTTP, or that end with a reset. Guards against such a response that
- * counts as the store's answer, and against a sound one that is refused.
+ * The store sends responses that break the syntax of HTTP, or that end with a reset. Guards against such a response
+ * that counts as the store's answer, and against a sound one that is refused.
  */
 @Timeout(60)
 class HttpClientBrokenResponseTest {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/http/ResponseDecoderTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/http/ResponseDecoderTest.java
@@ -18,8 +18,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /**
- * Compares the decoder with the grammar of RFC 9112. Guards against a response that is read although its head or trailers
- * break the grammar, and against a sound one that is refused or read differently.
+ * Compares the decoder with the grammar of RFC 9112. Guards against a response that is read although its head or
+ * trailers break the grammar, and against a sound one that is refused or read differently.
  */
 class ResponseDecoderTest {
     private static final int MAX_BYTES = 16_384;
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/site/MalformedHeads.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/site/MalformedHeads.java
@@ -11,11 +11,11 @@
 import org.rattanplank.platform.PlatformHeaders;
 
 /**
- * Draws which answers of a replica have a head that breaks the syntax of HTTP, by an invalid status or by a field name that is no
- * token.
+ * Draws which answers of a replica have a head that breaks the syntax of HTTP, by an invalid status or by a field name
+ * that is no token.
  *
- * <p>Invariant: the draws follow from the seed and the order of the answers. Not thread safe: confined to the event loop of its
- * replica.
+ * <p>Invariant: the draws follow from the seed and the order of the answers. Not thread safe: confined to the event loop
+ * of its replica.
  */
 public final class MalformedHeads {
     private static final List<String> STATUSES = List.of(
