Let a test run have more than 255 gateways

A gateway of the tests has a loopback address of its own, of which the last byte counted the gateways of the process. The new tests of responses take their number above 255, and the whole run failed on with 20 errors of "getAddress() is null", all in the fixture. Addresses recur now, with other ports.

--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestGateway.java
@@ -77,12 +77,14 @@
 
     private static final AtomicInteger INSTANCES = new AtomicInteger();
     private static final int FIRST_PORT = 18_000;
+    private static final int PORTS_PER_GATEWAY = 20;
     private static final int BYTE_VALUES = 250;
 
+    private final int instance = INSTANCES.getAndIncrement();
     private final String ip = "127." + (1 + ProcessHandle.current().pid() / BYTE_VALUES % BYTE_VALUES) + "."
-            + (1 + ProcessHandle.current().pid() % BYTE_VALUES) + "." + INSTANCES.incrementAndGet();
+            + (1 + ProcessHandle.current().pid() % BYTE_VALUES) + "." + (1 + instance % BYTE_VALUES);
     private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
-    private int nextPort = FIRST_PORT;
+    private int nextPort = FIRST_PORT + instance / BYTE_VALUES * PORTS_PER_GATEWAY;
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final TestStore store = new TestStore(group.next());
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -645,7 +647,7 @@
     /**
      * Returns an address that only this gateway uses. A free ephemeral port may be taken by an outgoing connection
      * between the check and the bind; so each gateway has a loopback address of its own, derived from process and
-     * count, and ports below the ephemeral range.
+     * count, and ports below the ephemeral range. Addresses recur with other ports.
      */
     private InetSocketAddress ownAddress() {
         return new InetSocketAddress(ip, nextPort++);
