--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -413,7 +413,7 @@
             return Option.of(lateAnswers.get(id)).filter(draws -> !isLeaving());
         }
 
-        /** Likewise. */
+        /** None while it leaves, for the same reason. */
         @Override
         public Option<MalformedHeads> malformedHeads() {
             return Option.of(malformedHeads.get(id)).filter(draws -> !isLeaving());
