Let the tests' target read the heads of uploads only

UploadResetFlowTest had a target of its own: server, reading of heads, threads and resets stood in TestTarget already, but for a body that is left unread. TestTarget has that now, and the test only says what is sent before a reset. Its cases and assertions are as they were; the reading one ends after 16 KiB as before.

--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/TestTarget.java
@@ -5,7 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -20,17 +20,34 @@
     private static final long TIMEOUT_SECONDS = 20;
     private static final String CONTENT_LENGTH = "content-length: ";
 
-    private final ServerSocket server;
-    private final Script script;
+    /** So small that the rest of an upload stays with its sender. */
+    private static final int UPLOAD_BUFFER_BYTES = 4_096;
+
+    private final ServerSocket server = new ServerSocket();
+    private final UploadScript script;
+    private final boolean readsBodies;
     private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> closedConnections = new LinkedBlockingQueue<>();
 
     TestTarget(Script script) throws IOException {
+        this((request, socket) -> script.serve(request, socket.getOutputStream()), true);
+    }
+
+    private TestTarget(UploadScript script, boolean readsBodies) throws IOException {
         this.script = script;
-        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        this.readsBodies = readsBodies;
+        if (!readsBodies) {
+            server.setReceiveBufferSize(UPLOAD_BUFFER_BYTES);
+        }
+        server.bind(new InetSocketAddress("127.0.0.1", 0), 50);
         start(this::accept);
     }
 
+    /** Returns a target that reads the head of a request; its script reads as much of the body as it likes. */
+    static TestTarget readingHeads(UploadScript script) throws IOException {
+        return new TestTarget(script, false);
+    }
+
     int port() {
         return server.getLocalPort();
     }
@@ -142,7 +159,7 @@
 
     private void serve(String request, Socket socket) throws IOException {
         try {
-            script.serve(request, socket.getOutputStream());
+            script.serve(request, socket);
         } catch (ResetException e) {
             // Without lingering, a close resets the connection.
             socket.setSoLinger(true, 0);
@@ -150,7 +167,7 @@
         }
     }
 
-    private static String read(InputStream in) throws IOException {
+    private String read(InputStream in) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         int length = -1;
         for (int each = in.read(); each >= 0; each = in.read()) {
@@ -162,7 +179,7 @@
                         ? 0
                         : Integer.parseInt(
                                 text.substring(at + CONTENT_LENGTH.length()).split("\r\n")[0]);
-                bytes.write(in.readNBytes(length));
+                bytes.write(in.readNBytes(readsBodies ? length : 0));
                 return bytes.toString(StandardCharsets.ISO_8859_1);
             }
         }
@@ -192,6 +209,11 @@
         void serve(String request, OutputStream out) throws IOException;
     }
 
+    /** Answers a request of which at least the head has been read; an exception closes the connection. */
+    interface UploadScript {
+        void serve(String request, Socket socket) throws IOException;
+    }
+
     private interface Work {
         void run() throws IOException;
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/UploadResetFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/UploadResetFlowTest.java
@@ -1,16 +1,12 @@
 package org.rattanplank.gateway;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
@@ -35,9 +31,8 @@
     /** Less than they buffer, but more than the target reads. */
     private static final int BUFFERED_UPLOAD_BYTES = 64 << 10;
 
-    private static final int RECEIVE_BUFFER_BYTES = 4_096;
     private static final int REPETITIONS = 10;
-    private static final long PAUSE_MILLIS = 20;
+    private static final long PAUSE_NANOS = 20_000_000;
     private static final String PART = "id: 1\ndata: a\n\n";
 
     private final List<AutoCloseable> resources = new ArrayList<>();
@@ -51,134 +46,69 @@
         }
     }
 
-    /** What a target does with an upload of which it has read the head. */
+    /** What a target does with an upload of which it has read the head, before it resets the connection. */
     private enum Answer {
         RESET_AT_ONCE {
             @Override
-            void send(Socket socket, String head) throws Exception {
-                write(socket, head + PART);
-                reset(socket);
+            void send(Socket socket, String head) throws IOException {
+                TestTarget.write(socket.getOutputStream(), head + PART);
             }
         },
         RESET_LATER {
             @Override
-            void send(Socket socket, String head) throws Exception {
-                write(socket, head + PART);
-                Thread.sleep(PAUSE_MILLIS);
-                reset(socket);
+            void send(Socket socket, String head) throws IOException {
+                TestTarget.write(socket.getOutputStream(), head + PART);
+                LockSupport.parkNanos(PAUSE_NANOS);
             }
         },
         RESET_BETWEEN_PARTS {
             @Override
-            void send(Socket socket, String head) throws Exception {
-                write(socket, head);
-                Thread.sleep(PAUSE_MILLIS);
-                write(socket, PART);
-                reset(socket);
+            void send(Socket socket, String head) throws IOException {
+                TestTarget.write(socket.getOutputStream(), head);
+                LockSupport.parkNanos(PAUSE_NANOS);
+                TestTarget.write(socket.getOutputStream(), PART);
             }
         },
         RESET_WHILE_READING {
             @Override
-            void send(Socket socket, String head) throws Exception {
-                write(socket, head + PART);
-                byte[] bytes = new byte[RECEIVE_BUFFER_BYTES];
-                int toRead = BUFFERED_UPLOAD_BYTES / 4;
-                for (int read = 0; read < toRead; ) {
-                    read += socket.getInputStream().read(bytes);
-                }
-                reset(socket);
+            void send(Socket socket, String head) throws IOException {
+                TestTarget.write(socket.getOutputStream(), head + PART);
+                socket.getInputStream().readNBytes(BUFFERED_UPLOAD_BYTES / 4);
             }
         },
         RESET_WITHOUT_BODY {
             @Override
-            void send(Socket socket, String head) throws Exception {
-                write(socket, head);
-                Thread.sleep(PAUSE_MILLIS);
-                reset(socket);
+            void send(Socket socket, String head) throws IOException {
+                TestTarget.write(socket.getOutputStream(), head);
+                LockSupport.parkNanos(PAUSE_NANOS);
             }
         };
 
         /**
-         * Sends a part of an answer and resets the connection.
+         * Sends a part of an answer.
          *
          * @param socket the connection
          * @param head the head of the answer
          */
-        abstract void send(Socket socket, String head) throws Exception;
-    }
-
-    /** Answers requests; an exception closes the connection. */
-    private interface Script {
-        void serve(Socket socket, String request) throws Exception;
-    }
-
-    private static void write(Socket socket, String text) throws IOException {
-        OutputStream out = socket.getOutputStream();
-        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-        out.flush();
-    }
+        abstract void send(Socket socket, String head) throws IOException;
 
-    /** Resets the connection, as a close does without lingering. */
-    private static void reset(Socket socket) throws IOException {
-        socket.setSoLinger(true, 0);
-        socket.close();
-    }
-
-    private static String readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int each = in.read();
-            if (each < 0) {
-                return "";
-            }
-            head.append((char) each);
+        /** Sends a part of an answer without a length, and resets the connection. */
+        void sendAndReset(String request, Socket socket, String contentType) throws IOException {
+            send(socket, TestTarget.closeDelimitedHead(request, contentType));
+            throw new TestTarget.ResetException();
         }
-        return head.toString();
     }
 
-    /** Adds a target that reads as much of a request as its script says. */
-    private void addTarget(TestGateway gateway, Script script) throws IOException {
-        ServerSocket server = new ServerSocket();
-        resources.add(server);
-        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        start(() -> {
-            while (!server.isClosed()) {
-                Socket socket = server.accept();
-                start(() -> serve(socket, script));
-            }
+    private void addTarget(TestGateway gateway, TestTarget.UploadScript script) throws IOException {
+        TestTarget target = TestTarget.readingHeads((request, socket) -> {
+            arrivals.incrementAndGet();
+            script.serve(request, socket);
         });
-        gateway.registerTarget(new TargetIncarnation("t", 0), server.getLocalPort());
+        resources.add(target);
+        gateway.registerTarget(new TargetIncarnation("t", 0), target.port());
         gateway.awaitTargets(1);
     }
 
-    private void serve(Socket socket, Script script) throws Exception {
-        try (socket) {
-            String request = readHead(socket.getInputStream());
-            if (!request.isEmpty()) {
-                arrivals.incrementAndGet();
-                script.serve(socket, request);
-            }
-        }
-    }
-
-    private static void start(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (Exception e) {
-                // The other end or the test closed the connection.
-                Thread.currentThread().interrupt();
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private interface Work {
-        void run() throws Exception;
-    }
-
     private TestGateway gateway(String name, String region, RouteKind kind) throws IOException {
         TestGateway gateway = new TestGateway(name, region);
         resources.add(gateway);
@@ -211,9 +141,7 @@
     @EnumSource(Answer.class)
     void shouldNotCompleteAResponseWhenTheUploadIsReset(Answer answer) throws Exception {
         TestGateway gateway = gateway("h1", "suva", RouteKind.UNSAFE);
-        addTarget(
-                gateway,
-                (socket, request) -> answer.send(socket, TestTarget.closeDelimitedHead(request, "text/plain")));
+        addTarget(gateway, (request, socket) -> answer.sendAndReset(request, socket, "text/plain"));
 
         checkNeverComplete(gateway);
     }
@@ -223,10 +151,7 @@
     @EnumSource(Answer.class)
     void shouldNotCompleteAStreamWhenTheUploadIsReset(Answer answer) throws Exception {
         TestGateway gateway = gateway("h1", "suva", RouteKind.STREAM);
-        addTarget(
-                gateway,
-                (socket, request) ->
-                        answer.send(socket, TestTarget.closeDelimitedHead(request, TestTarget.EVENT_STREAM)));
+        addTarget(gateway, (request, socket) -> answer.sendAndReset(request, socket, TestTarget.EVENT_STREAM));
 
         checkNeverComplete(gateway);
     }
@@ -238,13 +163,12 @@
         TestGateway entry = gateway("h1", "suva", RouteKind.UNSAFE);
         TestGateway serving = gateway("h2", "labasa", RouteKind.UNSAFE);
         entry.connect(serving);
-        addTarget(serving, (socket, request) -> {
-            String head = TestTarget.closeDelimitedHead(request, "text/plain");
-            if (TestTarget.header(request, "content-length").equals("1")) {
-                write(socket, head + PART);
-            } else {
-                answer.send(socket, head);
+        addTarget(serving, (request, socket) -> {
+            if (!TestTarget.header(request, "content-length").equals("1")) {
+                answer.sendAndReset(request, socket, "text/plain");
             }
+            TestTarget.write(socket.getOutputStream(), TestTarget.closeDelimitedHead(request, "text/plain") + PART);
+            throw new IOException("connection closed by the test");
         });
         entry.awaitServed(() -> send(entry, 1).startsWith("HTTP/1.1 200 "));
 
@@ -260,9 +184,9 @@
             })
     void shouldPassOnAWholeResponseWhenItComesBeforeTheUploadIsRead(String delimited) throws Exception {
         TestGateway gateway = gateway("h1", "suva", RouteKind.UNSAFE);
-        addTarget(gateway, (socket, request) -> {
-            write(
-                    socket,
+        addTarget(gateway, (request, socket) -> {
+            TestTarget.write(
+                    socket.getOutputStream(),
                     "HTTP/1.1 200 OK\r\nConnection: close\r\nRequest-Id: " + TestTarget.header(request, "request-id")
                             + "\r\n" + delimited);
             socket.getInputStream().transferTo(OutputStream.nullOutputStream());
