Share the server of the tests of the store's client

HttpClientBrokenResponseTest repeated the server, the threads and the set-up of HttpClientReuseTest. Both use ScriptedServer now, which is the latter's server in a file of its own, with a small receive buffer for uploads. Cases and assertions are as they were.

--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/http/HttpClientBrokenResponseTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/http/HttpClientBrokenResponseTest.java
@@ -1,17 +1,11 @@
 package org.rattanplank.gateway.http;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -31,9 +25,8 @@
 @Timeout(60)
 class HttpClientBrokenResponseTest {
     private static final long TIMEOUT_MILLIS = 5_000;
-    private static final long PAUSE_MILLIS = 20;
+    private static final long PAUSE_NANOS = 20_000_000;
     private static final int REPETITIONS = 20;
-    private static final int RECEIVE_BUFFER_BYTES = 4_096;
 
     /** More than the sockets of a connection buffer. */
     private static final int UPLOAD_BYTES = 4 << 20;
@@ -52,60 +45,24 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    /** Answers a request of which the head has been read; the connection is closed after it. */
-    private interface Script {
-        void answer(Socket socket) throws Exception;
-    }
-
-    private HttpClient client(Script script) throws IOException {
-        ServerSocket server = new ServerSocket();
+    private ScriptedServer server(ScriptedServer.Script script) throws IOException {
+        ScriptedServer server = new ScriptedServer(group, script);
         resources.add(server);
-        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        Thread thread = new Thread(() -> serve(server, script));
-        thread.setDaemon(true);
-        thread.start();
-        return new HttpClient(group, (InetSocketAddress) server.getLocalSocketAddress());
-    }
-
-    private static void serve(ServerSocket server, Script script) {
-        while (!server.isClosed()) {
-            try (Socket socket = server.accept()) {
-                readHead(socket.getInputStream());
-                script.answer(socket);
-            } catch (Exception e) {
-                // The client or the test closed the connection.
-                continue;
-            }
-        }
-    }
-
-    private static void readHead(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int each = in.read();
-            if (each < 0) {
-                throw new IOException("closed within the head");
-            }
-            head.append((char) each);
-        }
-    }
-
-    private static void write(Socket socket, String text) throws IOException {
-        OutputStream out = socket.getOutputStream();
-        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-        out.flush();
+        return server;
     }
 
-    private Option<HttpClientResponse> send(HttpClient client) throws Exception {
-        return send(client, 0);
+    /** Sends a request to a server that closes the connection after the given bytes. */
+    private Option<HttpClientResponse> receive(String sent) throws Exception {
+        return send(
+                server((number, socket) -> {
+                    ScriptedServer.write(socket, sent);
+                    throw new IOException("connection closed by the test");
+                }),
+                0);
     }
 
-    private Option<HttpClientResponse> send(HttpClient client, int bodyBytes) throws Exception {
-        CompletableFuture<Option<HttpClientResponse>> response = new CompletableFuture<>();
-        HttpClientRequest request = new HttpClientRequest("PUT", "/key", new byte[bodyBytes], TIMEOUT_MILLIS);
-        group.next().execute(() -> client.send(request, response::complete));
-        return response.get();
+    private static Option<HttpClientResponse> send(ScriptedServer server, int bodyBytes) throws Exception {
+        return server.send(new HttpClientRequest("PUT", "/key", new byte[bodyBytes], TIMEOUT_MILLIS));
     }
 
     /** Guards against a change that counts as made, or as refused, with a status that no answer has. */
@@ -115,9 +72,8 @@
                 "000 OK", "0 OK", "99 OK", "600 OK", "999 OK", "0200 OK", "+200 OK", "2000 OK", "-200 OK", "20x OK"
             })
     void shouldReceiveNoResponseWhenItsStatusIsInvalid(String status) throws Exception {
-        HttpClient client = client(socket -> write(socket, "HTTP/1.1 " + status + "\r\n" + LENGTH + "\r\n" + BODY));
-
-        assertTrue(send(client).isEmpty());
+        assertTrue(
+                receive("HTTP/1.1 " + status + "\r\n" + LENGTH + "\r\n" + BODY).isEmpty());
     }
 
     /** Guards against a body that the store hasn't sent so, as the field that frames it has a broken name. */
@@ -135,21 +91,17 @@
                 "Content-Length : 14\r\n"
             })
     void shouldReceiveNoResponseWhenAFieldNameIsNoToken(String fields) throws Exception {
-        HttpClient client = client(socket -> write(socket, "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + BODY));
-
-        assertTrue(send(client).isEmpty());
+        assertTrue(receive("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + BODY).isEmpty());
     }
 
     /** Guards against an answer that is believed though its trailers are broken. */
     @ParameterizedTest
     @ValueSource(strings = {"X Odd: 1", "X-Odd : 1", "X\u0001Odd: 1", "X-Odd 1"})
     void shouldReceiveNoResponseWhenAFieldNameOfItsTrailersIsNoToken(String trailer) throws Exception {
-        HttpClient client = client(socket -> write(
-                socket,
-                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n" + BODY + "\r\n0\r\n" + trailer
-                        + "\r\n\r\n"));
+        String chunks = "e\r\n" + BODY + "\r\n0\r\n" + trailer + "\r\n\r\n";
 
-        assertTrue(send(client).isEmpty());
+        assertTrue(receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks)
+                .isEmpty());
     }
 
     /** Guards against an answer that is believed though a broken head came before it. */
@@ -161,23 +113,24 @@
                 "HTTP/1.1 0100 Continue\r\n\r\n"
             })
     void shouldReceiveNoResponseWhenAMalformedHeadPrecedesIt(String preceding) throws Exception {
-        HttpClient client = client(socket -> write(socket, preceding + "HTTP/1.1 200 OK\r\n" + LENGTH + "\r\n" + BODY));
-
-        assertTrue(send(client).isEmpty());
+        assertTrue(receive(preceding + "HTTP/1.1 200 OK\r\n" + LENGTH + "\r\n" + BODY)
+                .isEmpty());
     }
 
     /** Guards against a part of a body without a length that counts as the whole, as its connection was reset. */
     @ParameterizedTest
     @ValueSource(ints = {0, UPLOAD_BYTES})
     void shouldReceiveNoResponseWhenABodyWithoutALengthIsReset(int uploadBytes) throws Exception {
-        HttpClient client = client(socket -> {
-            write(socket, "HTTP/1.1 200 OK\r\n\r\n" + BODY.substring(0, 5));
-            Thread.sleep(PAUSE_MILLIS);
+        ScriptedServer server = server((number, socket) -> {
+            ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\n\r\n" + BODY.substring(0, 5));
+            LockSupport.parkNanos(PAUSE_NANOS);
+            // Without lingering, a close resets the connection.
             socket.setSoLinger(true, 0);
+            throw new IOException("connection closed by the test");
         });
 
         for (int i = 0; i < REPETITIONS; i++) {
-            assertTrue(send(client, uploadBytes).isEmpty());
+            assertTrue(send(server, uploadBytes).isEmpty());
         }
     }
 
@@ -192,9 +145,7 @@
                 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + LENGTH
             })
     void shouldReceiveTheResponseWhenItsHeadIsSoundButUnusual(String head) throws Exception {
-        HttpClient client = client(socket -> write(socket, head + "\r\n" + BODY));
-
-        HttpClientResponse response = send(client).get();
+        HttpClientResponse response = receive(head + "\r\n" + BODY).get();
 
         assertEquals(200, response.status());
         assertEquals(BODY, new String(response.body(), StandardCharsets.ISO_8859_1));
