Remove repetitions in the tests of broken answers

Two tests of PeerFlowTest sent the same booking to a peer; RawServer turned the head of a request into text and back to read its body; and a server of JsonHttpClientTest read on for ever when its client closed within the head. Assertions are as they were.

--- a/rattanplank-cli/src/test/java/org/rattanplank/cli/JsonHttpClientTest.java
+++ b/rattanplank-cli/src/test/java/org/rattanplank/cli/JsonHttpClientTest.java
@@ -145,7 +145,11 @@
     private static void readHead(Socket socket) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
-            head.append((char) socket.getInputStream().read());
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new IOException("closed within the head");
+            }
+            head.append((char) next);
         }
     }
 
--- a/rattanplank-daemon/src/test/java/org/rattanplank/daemon/RawServer.java
+++ b/rattanplank-daemon/src/test/java/org/rattanplank/daemon/RawServer.java
@@ -148,9 +148,8 @@
          * @return its headers and body
          */
         public String request() throws IOException {
-            String headers = head();
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            bytes.writeBytes(headers.getBytes(StandardCharsets.UTF_8));
+            ByteArrayOutputStream bytes = readHead();
+            String headers = bytes.toString(StandardCharsets.UTF_8);
             int length = headers.toLowerCase(java.util.Locale.ROOT).contains("content-length: ")
                     ? Integer.parseInt(header(headers, "content-length"))
                     : 0;
@@ -168,11 +167,7 @@
          * @return the head
          */
         public String head() throws IOException {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            while (!bytes.toString(StandardCharsets.UTF_8).contains("\r\n\r\n")) {
-                readInto(bytes);
-            }
-            return bytes.toString(StandardCharsets.UTF_8);
+            return readHead().toString(StandardCharsets.UTF_8);
         }
 
         /** Resets the connection, as a close does without lingering. */
@@ -212,6 +207,14 @@
             }
         }
 
+        private ByteArrayOutputStream readHead() throws IOException {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            while (!bytes.toString(StandardCharsets.UTF_8).contains("\r\n\r\n")) {
+                readInto(bytes);
+            }
+            return bytes;
+        }
+
         private void readInto(ByteArrayOutputStream bytes) throws IOException {
             int next = in.read();
             if (next < 0) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/PeerFlowTest.java
@@ -152,6 +152,15 @@
         }
     }
 
+    /** Sends a booking that is forwarded to a peer. */
+    private TestCaller sendBookingTo(TestPeer peer) throws IOException {
+        peer.reportRegionLoad("desk");
+        gateway.awaitLogged("\"event\":\"peer_connected\"");
+        return gateway.caller()
+                .send("POST /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q1\r\nTime-Left: 5000\r\n"
+                        + "Content-Length: 4\r\n\r\nseal");
+    }
+
     /**
      * Guards against an unknown outcome of a booking when a host of another region is replaced: the booking is
      * forwarded over a link whose other end has just terminated. The end of a link must include the last call that was
@@ -161,11 +170,7 @@
     void shouldAnswerServiceUnavailableWhenThePeerTerminatedBeforeAcceptingTheRequest() throws Exception {
         gateway.configure(RouteKind.UNSAFE, false, 1);
         try (TestPeer peer = gateway.peer()) {
-            peer.reportRegionLoad("desk");
-            gateway.awaitLogged("\"event\":\"peer_connected\"");
-            TestCaller caller = gateway.caller();
-            caller.send("POST /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q1\r\nTime-Left: 5000\r\n"
-                    + "Content-Length: 4\r\n\r\nseal");
+            TestCaller caller = sendBookingTo(peer);
             peer.await(PeerFrame.CallRequest.class);
 
             peer.sendLeaving(0);
@@ -182,11 +187,7 @@
     void shouldFailARequestWhenThePeerPassesOnAnInvalidStatus(int status) throws Exception {
         gateway.configure(RouteKind.UNSAFE, false, 1);
         try (TestPeer peer = gateway.peer()) {
-            peer.reportRegionLoad("desk");
-            gateway.awaitLogged("\"event\":\"peer_connected\"");
-            TestCaller caller = gateway.caller();
-            caller.send("POST /a/x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: q1\r\nTime-Left: 5000\r\n"
-                    + "Content-Length: 4\r\n\r\nseal");
+            TestCaller caller = sendBookingTo(peer);
 
             peer.sendResponse(peer.await(PeerFrame.CallRequest.class).call(), status, "body");
 
