--- a/review/standins-2/Replica.java
+++ b/review/standins-2/Replica.java
@@ -6,6 +6,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Stand-in of a replica: registers itself, keeps its entry up to date, and runs requests one by one on a connection. */
@@ -26,6 +28,7 @@
     volatile boolean registered = true;
     volatile Behaviour behaviour = Replica::answer;
     private final ServerSocket server;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private long sequence;
 
     Replica(Lab lab, String id, String service, String zone) throws IOException {
@@ -83,6 +86,7 @@
     }
 
     private void serve(Socket socket) {
+        open.add(socket);
         try (socket) {
             InputStream in = new java.io.BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
@@ -102,6 +106,8 @@
             }
         } catch (IOException e) {
             // The gateway has closed its connection.
+        } finally {
+            open.remove(socket);
         }
     }
 
@@ -131,6 +137,14 @@
         out.flush();
     }
 
+    /** Ends as a killed process does: its port is closed, and then all its connections. */
+    void crash() throws IOException {
+        stop();
+        for (Socket each : open) {
+            each.close();
+        }
+    }
+
     void stop() throws IOException {
         registered = false;
         server.close();
