--- a/review/standins-2/SpoiledHeads.java
+++ b/review/standins-2/SpoiledHeads.java
@@ -11,7 +11,7 @@
 /** Some replicas hand out wrong bytes: in a few of their answers one byte of the head is another one. */
 final class SpoiledHeads implements Case.Script {
     private static final int CLIENTS = 8;
-    private static final int REQUESTS = 600;
+    private static final int REQUESTS = 1_200;
     /** Three of five replicas (share 0.6) spoil one answer in twenty (x = 0.05). */
     private static final int REPLICAS = 5;
     private static final int SPOILING = 3;
