Wait from the last crash of the part in the review's case 7

The rule counts from the fifth crash of the part, or the last if there are fewer; the script counted crashes of both kinds.

--- a/review/standins-2/PoisonPair.java
+++ b/review/standins-2/PoisonPair.java
@@ -26,6 +26,7 @@
 
     private final Map<String, Boolean> began = new ConcurrentHashMap<>();
     private final AtomicInteger crashes = new AtomicInteger();
+    private final AtomicInteger partCrashes = new AtomicInteger();
     private final AtomicBoolean over = new AtomicBoolean();
     private volatile long fifthCrashMillis;
 
@@ -133,8 +134,10 @@
         Lab.sleep(50);
         replica.crash();
         int number = crashes.incrementAndGet();
+        boolean countsAsPart = id.startsWith("part-") && partCrashes.incrementAndGet() <= FIFTH;
         replica.lab.log("replica " + replica.id + " crashes under " + id + ", crash " + number);
-        if (number <= FIFTH) {
+        // Later of the fifth crash of all, and the fifth of the part, or its last if there are fewer.
+        if (number <= FIFTH || countsAsPart) {
             fifthCrashMillis = millis();
         }
         Replica.daemon(() -> {
