Judge the review's case of leaving replicas by planned work too

Two gateways in place of one; one of them gets a SIGHUP half a second before a leaving replica closes its port, and the script tells beside the count how many of the cut streams the sentence on planned work covers. The check is as before: more than three. No other test was run on it yet.

--- a/review/standins-2/LeavingUnframed.java
+++ b/review/standins-2/LeavingUnframed.java
@@ -13,7 +13,7 @@
 /**
  * The replicas of a service are replaced one after the other. Their answers are streams that end with their channel. A
  * replica that leaves serves on for drain_ms and a little longer, then takes no new channels, ends the streams that it
- * still has, each whole, and exits.
+ * still has, each whole, and exits. One of two gateways gets a SIGHUP shortly before.
  */
 final class LeavingUnframed implements Case.Script {
     private static final int CLIENTS = 100;
@@ -24,13 +24,16 @@
     private static final int REPLACED = 3;
     /** LOST: more than three times. */
     private static final int MAX_LOST = 3;
+    private static final long CONFIG_APPLY_MILLIS = 4_000;
 
     private final Set<String> ended = ConcurrentHashMap.newKeySet();
     private final AtomicInteger whole = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
+    private final AtomicInteger lostAroundHup = new AtomicInteger();
     private final AtomicInteger others = new AtomicInteger();
     private final AtomicBoolean over = new AtomicBoolean();
     private final ConcurrentHashMap<Replica, AtomicInteger> inFlight = new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<Lab.Gateway, Long> hupMillis = new ConcurrentHashMap<>();
 
     @Override
     public List<String> regions() {
@@ -44,30 +47,37 @@
             replicas.add(replica(lab, "i-" + i));
         }
         new Replica(lab, "i-desk", "desk", "suva-hall");
-        Lab.Gateway gateway = lab.gateway("front-suva-1", "suva", 1);
+        List<Lab.Gateway> gateways =
+                List.of(lab.gateway("front-suva-1", "suva", 1), lab.gateway("front-suva-2", "suva", 2));
         ObjectNode route = Lab.route("query", "streaming", "desk-llm", 1, 10_000);
         route.put("resumable", false).put("gap_target_ms", 400);
         lab.configure(7, Lab.limits(), route, Lab.route("slot", "safe", "desk", 2, 5_000));
-        gateway.awaitReady();
+        gateways.forEach(Lab.Gateway::awaitReady);
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             int number = i;
-            threads.add(Replica.daemon(() -> runClient(lab, new Client(lab, gateway), number)));
+            Lab.Gateway gateway = gateways.get(i % 2);
+            threads.add(Replica.daemon(() -> runClient(lab, new Client(lab, gateway), gateway, number)));
         }
         Lab.sleep(8_000);
         for (int i = 0; i < REPLACED; i++) {
+            Lab.Gateway gateway = gateways.get(i % 2);
             if (lab.trouble) {
-                replace(lab, replicas.get(i), "i-" + (4 + i));
+                replace(lab, replicas.get(i), "i-" + (4 + i), gateway);
+            } else {
+                Lab.sleep(5_000);
+                hup(gateway);
             }
             Lab.sleep(1_500);
         }
-        Lab.sleep(lab.trouble ? 0 : 20_000);
+        Lab.sleep(lab.trouble ? 0 : 5_000);
         over.set(true);
         for (Thread thread : threads) {
             thread.join();
         }
         String line = "whole streams " + whole + ", ended whole by their replica and cut for their client " + lost
-                + " (allowed " + MAX_LOST + "), others " + others;
+                + " (allowed " + MAX_LOST + "), of these around a SIGHUP of their gateway " + lostAroundHup + ", others "
+                + others;
         lab.log(line);
         System.out.println(line);
         return lost.get() <= MAX_LOST;
@@ -80,13 +90,24 @@
         return replica;
     }
 
-    private void replace(Lab lab, Replica old, String newId) throws IOException {
+    private void hup(Lab.Gateway gateway) throws IOException {
+        hupMillis.put(gateway, now());
+        gateway.signal("HUP");
+    }
+
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private void replace(Lab lab, Replica old, String newId, Lab.Gateway gateway) throws IOException {
         replica(lab, newId);
         Lab.sleep(1_000);
         old.state = "draining";
         old.register();
         lab.log("replica " + old.id + " reports draining");
-        Lab.sleep(DRAIN_MILLIS + LITTLE_LONGER_MILLIS);
+        Lab.sleep(DRAIN_MILLIS);
+        hup(gateway);
+        Lab.sleep(LITTLE_LONGER_MILLIS);
         lab.log("replica " + old.id + " takes no new channels, " + inFlight.get(old) + " streams go on");
         old.stop();
         while (inFlight.get(old).get() > 0) {
@@ -120,7 +141,7 @@
         }
     }
 
-    private void runClient(Lab lab, Client client, int number) {
+    private void runClient(Lab lab, Client client, Lab.Gateway gateway, int number) {
         try {
             Lab.sleep(number * EVENTS * EVENT_MILLIS / CLIENTS);
             for (int i = 0; !over.get(); i++) {
@@ -129,12 +150,17 @@
                     // A channel counts as kept once it has carried a request.
                     client.send("GET", "/slot/" + i, id + "-slot", "", new byte[0]);
                 }
+                long sent = now();
                 Http answer = client.send("POST", "/query/" + i, id, "", new byte[800]);
+                long hup = hupMillis.getOrDefault(gateway, Long.MAX_VALUE);
+                boolean aroundHup = hup < now() && sent < hup + CONFIG_APPLY_MILLIS;
                 if (answer != null && answer.status == 200 && answer.complete) {
                     whole.incrementAndGet();
                 } else if (ended.contains(id) && (answer == null || !answer.complete)) {
-                    lab.log("stream " + id + " was ended whole by its replica and cut for its client");
+                    lab.log("stream " + id + " was ended whole by its replica and cut for its client"
+                            + (aroundHup ? ", around a SIGHUP of its gateway" : ""));
                     lost.incrementAndGet();
+                    lostAroundHup.addAndGet(aroundHup ? 1 : 0);
                 } else {
                     others.incrementAndGet();
                     Lab.sleep(200);
