Add a review case: streams of a silent replica are cut

The case shows it without the soak: a replica sends nothing for 2.5 s, its streams are moved to the other one, which is full, and are cut.

--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -30,6 +30,8 @@
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     /** Whether a request takes one line of the record beside that of its run. */
     volatile boolean compact;
+    /** The part of the configuration that tells of the engines of each service, if it is a model service. */
+    JsonNode engine;
     final Map<String, Gateway> gateways = new LinkedHashMap<>();
     private final long startNanos = System.nanoTime();
     private final BufferedWriter record;
@@ -180,7 +182,10 @@
             String service = route.get("backend").asText();
             if (!named.contains(service)) {
                 named.add(service);
-                services.addObject().put("name", service).put("max_conns", 100);
+                ObjectNode entry = services.addObject().put("name", service).put("max_conns", 100);
+                if (engine != null) {
+                    entry.set("engine", engine);
+                }
             }
         }
         configuration.set("limits", limits);
--- a/review/standins-2/Replica.java
+++ b/review/standins-2/Replica.java
@@ -26,6 +26,7 @@
     final AtomicInteger runs = new AtomicInteger();
     volatile String state = "ready";
     volatile boolean registered = true;
+    volatile int slots = 8;
     volatile Behaviour behaviour = Replica::answer;
     private final ServerSocket server;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
@@ -65,7 +66,7 @@
                 .put("address", "127.0.0.1:" + port())
                 .put("zone", zone)
                 .put("version", "v1")
-                .put("slots", 8)
+                .put("slots", slots)
                 .put("state", state)
                 .put("cold_remaining_ms", 0)
                 .put("born", born)
