--- a/review/standins-2/SilentReplica.java
+++ b/review/standins-2/SilentReplica.java
@@ -133,7 +133,7 @@
     private boolean receive(Replica replica, Http request, Socket socket, OutputStream out) throws IOException {
         String id = Replica.requestId(request);
         Site site = sites.get(replica.id);
-        boolean copy = !request.header("X-Rattanplank-Kv-From").isEmpty();
+        boolean copy = !request.header("Kv-From").isEmpty();
         try {
             if (site.requests.incrementAndGet() > SLOTS + QUEUE || copy) {
                 replica.lab.log("replica " + replica.id + (copy ? " has no copy of " : " is full and rejects ") + id);
