Log what decides whether a response without a length is whole

The log said only that the target had terminated, not what was asked of it, when, and what else was under way there, so that a target that has closed its port could not be told from one that has ended.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/log/LogEvent.java
@@ -38,6 +38,8 @@
     TARGET_PAUSED,
     /** A target has sent bytes that are no response to the request in progress. */
     RESPONSE_UNUSABLE,
+    /** A response ended with its connection, and it was decided whether it is whole. */
+    RESPONSE_END,
     /** A target crashed while requests of this host were in flight there. */
     TARGET_CRASHED,
     /** A request is quarantined, as several targets crashed under it. */
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
@@ -54,14 +54,14 @@
             onChecked.run();
             return;
         }
-        check(target, new Loss(request, true, terminated -> onChecked.run()));
+        check(target, new Loss(request, true, result -> onChecked.run()));
     }
 
     /**
      * Checks a target whose response has ended with its connection, also one that is leaving, and then runs an action with
-     * whether its process has terminated.
+     * how its port answered.
      */
-    void responseEnded(GatewayTarget target, InterruptedRequest request, Consumer<Boolean> onChecked) {
+    void responseEnded(GatewayTarget target, InterruptedRequest request, Consumer<ConnectResult> onChecked) {
         check(target, new Loss(request, false, onChecked));
     }
 
@@ -89,7 +89,7 @@
         if (!terminated && !suspects.isEmpty()) {
             secondChecks.add(new SecondCheck(target, suspects, clock.getAsLong() + SECOND_CHECK_AFTER_MILLIS));
         }
-        losses.forEach(loss -> loss.onChecked().accept(terminated));
+        losses.forEach(loss -> loss.onChecked().accept(result));
     }
 
     private void recordCrash(GatewayTarget target, List<InterruptedRequest> requests, ConnectResult result) {
@@ -103,9 +103,9 @@
      *
      * @param request the request
      * @param truncated whether its response is known to be incomplete
-     * @param onChecked receives whether the process of the target has terminated
+     * @param onChecked receives how the port of the target answered
      */
-    private record Loss(InterruptedRequest request, boolean truncated, Consumer<Boolean> onChecked) {}
+    private record Loss(InterruptedRequest request, boolean truncated, Consumer<ConnectResult> onChecked) {}
 
     private record SecondCheck(GatewayTarget target, List<InterruptedRequest> requests, long atMillis) {}
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -20,6 +20,7 @@
 import org.rattanplank.gateway.target.Attempt;
 import org.rattanplank.gateway.target.AttemptFailure;
 import org.rattanplank.gateway.target.AttemptListener;
+import org.rattanplank.gateway.target.ConnectResult;
 import org.rattanplank.gateway.target.ResponseDefect;
 import org.rattanplank.gateway.target.TargetCall;
 
@@ -260,12 +261,14 @@
             return;
         }
         checkingTarget = true;
-        state.crashDetector().responseEnded(target, interruptedRequest(), terminated -> {
+        long endedAtMillis = state.nowMillis();
+        state.crashDetector().responseEnded(target, interruptedRequest(), result -> {
             checkingTarget = false;
             if (cancelled) {
                 return;
             }
-            if (terminated) {
+            logEnd(result, state.nowMillis() - endedAtMillis);
+            if (result == ConnectResult.REFUSED) {
                 conclude(AttemptFailure.UNKNOWN, "the target terminated when its response ended with its connection");
             } else {
                 completed();
@@ -385,6 +388,20 @@
                 .with("remainingMillis", deadlineMillis - state.nowMillis()));
     }
 
+    private void logEnd(ConnectResult port, long answeredAfterMillis) {
+        LogLine line = LogLine.of(LogEvent.RESPONSE_END)
+                .with("target", target.incarnationText())
+                .with("port", port.label())
+                .with("answeredAfterMillis", answeredAfterMillis)
+                .with("leaving", target.isLeaving())
+                .with("requestsInProgress", target.ownWork().requests() - 1);
+        if (port == ConnectResult.CONNECTED) {
+            log.add(line);
+        } else {
+            log.addNotable(line);
+        }
+    }
+
     private void deliver(ByteBuf bytes) {
         if (bytes.isReadable()) {
             listener.contentReceived(bytes);
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/ConnectResult.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/ConnectResult.java
@@ -1,5 +1,7 @@
 package org.rattanplank.gateway.target;
 
+import java.util.Locale;
+
 /** The result of a connection attempt that checks a target. Immutable and thread safe. */
 public enum ConnectResult {
     /** The target accepted the connection. */
@@ -7,5 +9,14 @@
     /** No process listens at the target's address, or the address is unreachable. */
     REFUSED,
     /** There was no answer in time. */
-    TIMED_OUT
+    TIMED_OUT;
+
+    /**
+     * Returns the name in log lines.
+     *
+     * @return the name in lower case
+     */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
 }
