Name the evidence of a termination, and decide responses without hashing them

The evidence on which a response without a length is decided had the name of a frame between hosts (ResponseEnd), the requests in progress were a map to booleans, and decided responses were keys of a map, which hashed their headers. They are TerminationEvidence, two sets and lists now; responses that wait for their decision are a queue, of which a tick looks at the due ones only.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetProcess.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetProcess.java
@@ -2,8 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 import io.vavr.control.Option;
 
@@ -30,14 +31,19 @@
     /** How often the port of a target that is known to leave is checked. */
     private static final long LEAVING_PORT_CHECK_INTERVAL_MILLIS = 200;
 
-    /** Whether the response has no length, by the number of its request; the earliest sent is first. */
-    private final Map<Long, Boolean> closeDelimitedByRequest = new LinkedHashMap<>();
+    /** Longer than the end of a response waits for its decision. */
+    private static final long INTERRUPTIONS_KEPT_MILLIS = 1_000;
 
-    /** When the connections of requests have ended, for as long as a decision needs it. */
+    /** The numbers of the requests in progress, in the order in which they were sent. */
+    private final Set<Long> inProgress = new LinkedHashSet<>();
+
+    /** Those whose response has neither a length nor chunks. */
+    private final Set<Long> closeDelimited = new HashSet<>();
+
+    /** When connections of requests have ended. */
     private final Deque<Long> interruptedAtMillis = new ArrayDeque<>();
 
     private long lastRequest;
-    private int closeDelimitedCount;
     private boolean usesCloseDelimited;
     private Option<Long> portClosedSinceMillis = Option.none();
     private long portCheckedAtMillis = Long.MIN_VALUE / 2;
@@ -50,7 +56,8 @@
      * @return its number
      */
     public long requestSent() {
-        closeDelimitedByRequest.put(++lastRequest, false);
+        lastRequest++;
+        inProgress.add(lastRequest);
         return lastRequest;
     }
 
@@ -60,8 +67,8 @@
      * @param request the number of the request
      */
     public void closeDelimited(long request) {
-        if (Boolean.FALSE.equals(closeDelimitedByRequest.replace(request, true))) {
-            closeDelimitedCount++;
+        if (inProgress.contains(request)) {
+            closeDelimited.add(request);
             usesCloseDelimited = true;
         }
     }
@@ -72,9 +79,8 @@
      * @param request the number of the request
      */
     public void requestEnded(long request) {
-        if (Boolean.TRUE.equals(closeDelimitedByRequest.remove(request))) {
-            closeDelimitedCount--;
-        }
+        inProgress.remove(request);
+        closeDelimited.remove(request);
     }
 
     /**
@@ -85,17 +91,13 @@
      */
     public void requestInterrupted(long request, long nowMillis) {
         requestEnded(request);
-        while (!interruptedAtMillis.isEmpty() && nowMillis - interruptedAtMillis.peekFirst() > maxDecisionMillis()) {
+        while (!interruptedAtMillis.isEmpty()
+                && nowMillis - interruptedAtMillis.peekFirst() > INTERRUPTIONS_KEPT_MILLIS) {
             interruptedAtMillis.removeFirst();
         }
         interruptedAtMillis.addLast(nowMillis);
     }
 
-    /** Returns the time after which a response that has ended is decided on, at the latest. */
-    private static long maxDecisionMillis() {
-        return 10 * TERMINATION_MILLIS;
-    }
-
     /**
      * Records that the port was checked.
      *
@@ -135,7 +137,7 @@
      * @return whether there is one
      */
     public boolean isBusy() {
-        return !closeDelimitedByRequest.isEmpty();
+        return !inProgress.isEmpty();
     }
 
     /**
@@ -148,7 +150,7 @@
     public boolean isPortCheckDue(boolean leaving, long nowMillis) {
         // The response to a plain request may have its head at its end, so those of a leaving target count from the
         // start.
-        boolean needed = closeDelimitedCount > 0 || leaving && usesCloseDelimited && isBusy();
+        boolean needed = !closeDelimited.isEmpty() || leaving && usesCloseDelimited && isBusy();
         long intervalMillis = leaving ? LEAVING_PORT_CHECK_INTERVAL_MILLIS : PORT_CHECK_INTERVAL_MILLIS;
         return needed && nowMillis - portCheckedAtMillis >= intervalMillis;
     }
@@ -157,7 +159,7 @@
      * Records that a response has ended with its connection, whose interruption is recorded already.
      *
      * @param nowMillis the time
-     * @return what is to be passed to {@link #responseEnd}
+     * @return what is to be passed to {@link #terminationEvidence}
      */
     public EndedResponse responseEnded(long nowMillis) {
         long closedMillis =
@@ -172,14 +174,14 @@
      * @param port how the port has answered since
      * @return what is known
      */
-    public ResponseEnd responseEnd(EndedResponse ended, ConnectResult port) {
-        int requestsInProgress = (int) closeDelimitedByRequest.keySet().stream()
+    public TerminationEvidence terminationEvidence(EndedResponse ended, ConnectResult port) {
+        int requestsInProgress = (int) inProgress.stream()
                 .takeWhile(request -> request <= ended.lastRequest())
                 .count();
         int together = (int) interruptedAtMillis.stream()
                 .filter(at -> Math.abs(at - ended.endedAtMillis()) <= TOGETHER_MILLIS)
                 .count();
-        return new ResponseEnd(port, ended.portClosedMillis(), requestsInProgress, Math.max(0, together - 1));
+        return new TerminationEvidence(port, ended.portClosedMillis(), requestsInProgress, Math.max(0, together - 1));
     }
 
     /**
--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/ResponseEnd.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TerminationEvidence.java
@@ -15,8 +15,9 @@
  * @param requestsInProgress how many of this host's requests that were in progress there at the end still are
  * @param interruptedTogether how many of this host's other requests lost their connection to it at the same moment
  */
-public record ResponseEnd(ConnectResult port, long portClosedMillis, int requestsInProgress, int interruptedTogether) {
-    public ResponseEnd {
+public record TerminationEvidence(
+        ConnectResult port, long portClosedMillis, int requestsInProgress, int interruptedTogether) {
+    public TerminationEvidence {
         Objects.requireNonNull(port, "port");
     }
 
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetProcessTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetProcessTest.java
@@ -30,7 +30,7 @@
     }
 
     private boolean isTermination(EndedResponse ended, ConnectResult port) {
-        return process.responseEnd(ended, port).isTermination();
+        return process.terminationEvidence(ended, port).isTermination();
     }
 
     @Test
@@ -185,7 +185,7 @@
         assertFalse(process.isBusy());
         assertEquals(
                 0,
-                process.responseEnd(process.responseEnded(0), ConnectResult.REFUSED)
+                process.terminationEvidence(process.responseEnded(0), ConnectResult.REFUSED)
                         .requestsInProgress());
         process.closeDelimited(process.requestSent());
         assertTrue(process.isPortCheckDue(false, 0));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
@@ -1,6 +1,8 @@
 package org.rattanplank.gateway.pass;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -11,9 +13,9 @@
 
 import org.rattanplank.core.gateway.ConnectResult;
 import org.rattanplank.core.gateway.GatewayTarget;
-import org.rattanplank.core.gateway.ResponseEnd;
 import org.rattanplank.core.gateway.TargetProcess;
 import org.rattanplank.core.gateway.TargetProcess.EndedResponse;
+import org.rattanplank.core.gateway.TerminationEvidence;
 import org.rattanplank.gateway.target.TargetConnections;
 
 /**
@@ -36,7 +38,7 @@
     private final List<SecondCheck> secondChecks = new ArrayList<>();
 
     /** In the order of their ends. */
-    private final List<UndecidedResponse> undecidedResponses = new ArrayList<>();
+    private final Deque<UndecidedResponse> undecidedResponses = new ArrayDeque<>();
 
     CrashDetector(TargetConnections connections, RequestQuarantine quarantine, LongSupplier clock) {
         this.connections = connections;
@@ -87,7 +89,7 @@
      * Decides whether the process of a target, also of one that is leaving, ended with a response that has ended with its
      * connection, and then runs an action with what was found.
      */
-    void responseEnded(GatewayTarget target, InterruptedRequest request, Consumer<ResponseEnd> onDecided) {
+    void responseEnded(GatewayTarget target, InterruptedRequest request, Consumer<TerminationEvidence> onDecided) {
         long now = clock.getAsLong();
         EndedResponse ended = target.process().responseEnded(now);
         undecidedResponses.add(new UndecidedResponse(target, request, ended, onDecided));
@@ -99,12 +101,8 @@
 
     private void decideResponses(long nowMillis) {
         Map<GatewayTarget, List<UndecidedResponse>> dueByTarget = new LinkedHashMap<>();
-        for (Iterator<UndecidedResponse> each = undecidedResponses.iterator(); each.hasNext(); ) {
-            UndecidedResponse due = each.next();
-            if (nowMillis < due.ended().endedAtMillis() + TargetProcess.TERMINATION_MILLIS) {
-                break;
-            }
-            each.remove();
+        while (!undecidedResponses.isEmpty() && undecidedResponses.peekFirst().isDue(nowMillis)) {
+            UndecidedResponse due = undecidedResponses.removeFirst();
             dueByTarget
                     .computeIfAbsent(due.target(), target -> new ArrayList<>())
                     .add(due);
@@ -113,15 +111,20 @@
     }
 
     private void decide(GatewayTarget target, List<UndecidedResponse> responses, ConnectResult result) {
-        Map<UndecidedResponse, ResponseEnd> ends = new LinkedHashMap<>();
-        responses.forEach(each -> ends.put(each, target.process().responseEnd(each.ended(), result)));
-        List<InterruptedRequest> suspects = responses.stream()
-                .filter(each -> !target.isLeaving() && ends.get(each).isTermination())
-                .map(UndecidedResponse::request)
+        List<TerminationEvidence> evidence = responses.stream()
+                .map(each -> target.process().terminationEvidence(each.ended(), result))
                 .toList();
+        List<InterruptedRequest> suspects = new ArrayList<>();
+        for (int i = 0; i < responses.size(); i++) {
+            if (!target.isLeaving() && evidence.get(i).isTermination()) {
+                suspects.add(responses.get(i).request());
+            }
+        }
         // Before the actions: other hosts must know of the crash before a caller can send the request again.
         recordCrash(target, suspects);
-        ends.forEach((response, end) -> response.onDecided().accept(end));
+        for (int i = 0; i < responses.size(); i++) {
+            responses.get(i).onDecided().accept(evidence.get(i));
+        }
     }
 
     private void checked(GatewayTarget target, ConnectResult result) {
@@ -159,7 +162,14 @@
      * @param onDecided receives what is known of the target's process
      */
     private record UndecidedResponse(
-            GatewayTarget target, InterruptedRequest request, EndedResponse ended, Consumer<ResponseEnd> onDecided) {}
+            GatewayTarget target,
+            InterruptedRequest request,
+            EndedResponse ended,
+            Consumer<TerminationEvidence> onDecided) {
+        private boolean isDue(long nowMillis) {
+            return nowMillis >= ended.endedAtMillis() + TargetProcess.TERMINATION_MILLIS;
+        }
+    }
 
     private record SecondCheck(GatewayTarget target, List<InterruptedRequest> requests, long atMillis) {}
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -7,12 +7,12 @@
 import org.rattanplank.core.gateway.ConnectResult;
 import org.rattanplank.core.gateway.GatewayTarget;
 import org.rattanplank.core.gateway.InFlightRequest;
-import org.rattanplank.core.gateway.ResponseEnd;
 import org.rattanplank.core.gateway.RouteRule;
 import org.rattanplank.core.gateway.ServiceEstimate;
 import org.rattanplank.core.gateway.ServiceRule;
 import org.rattanplank.core.gateway.StreamBackup;
 import org.rattanplank.core.gateway.TargetChoice;
+import org.rattanplank.core.gateway.TerminationEvidence;
 import org.rattanplank.core.gateway.Work;
 import org.rattanplank.core.response.Completeness;
 import org.rattanplank.gateway.caller.EventSplitter;
@@ -264,13 +264,13 @@
         checkingTarget = true;
         long endedAtMillis = state.nowMillis();
         sentRequest.release();
-        state.crashDetector().responseEnded(target, interruptedRequest(), end -> {
+        state.crashDetector().responseEnded(target, interruptedRequest(), evidence -> {
             checkingTarget = false;
             if (cancelled) {
                 return;
             }
-            logEnd(end, state.nowMillis() - endedAtMillis);
-            if (end.isTermination()) {
+            logEnd(evidence, state.nowMillis() - endedAtMillis);
+            if (evidence.isTermination()) {
                 conclude(AttemptFailure.UNKNOWN, "the target terminated when its response ended with its connection");
             } else {
                 completed(endedAtMillis);
@@ -394,17 +394,17 @@
                 .with("remainingMillis", deadlineMillis - state.nowMillis()));
     }
 
-    private void logEnd(ResponseEnd end, long decidedAfterMillis) {
+    private void logEnd(TerminationEvidence evidence, long decidedAfterMillis) {
         LogLine line = LogLine.of(LogEvent.RESPONSE_END)
                 .with("target", target.incarnationText())
-                .with("terminated", end.isTermination())
-                .with("port", end.port().label())
+                .with("terminated", evidence.isTermination())
+                .with("port", evidence.port().label())
                 .with("decidedAfterMillis", decidedAfterMillis)
-                .with("portClosedMillis", end.portClosedMillis())
-                .with("requestsInProgress", end.requestsInProgress())
-                .with("interruptedTogether", end.interruptedTogether())
+                .with("portClosedMillis", evidence.portClosedMillis())
+                .with("requestsInProgress", evidence.requestsInProgress())
+                .with("interruptedTogether", evidence.interruptedTogether())
                 .with("leaving", target.isLeaving());
-        if (end.port() == ConnectResult.CONNECTED) {
+        if (evidence.port() == ConnectResult.CONNECTED) {
             log.add(line);
         } else {
             log.addNotable(line);
