Let replicas of the soak shut down in order and be killed without a reset

The soak could show neither way in which the end of a response without a length was misjudged on purpose: no replica left in the order of a graceful shutdown (close the port, finish, exit), and one that crashed reset its connections. Beside the planned stops one replica now says that it leaves, closes its port up to 1.5 s later and goes on with its responses, which end whole with their connections, until it is replaced 4 s later; LOST is checked as before.

--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/PlannedStops.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/PlannedStops.java
@@ -13,6 +13,7 @@
 import io.vavr.control.Try;
 import org.rattanplank.bench.process.ChildProcess;
 import org.rattanplank.bench.process.Poll;
+import org.rattanplank.standins.link.Link;
 
 /**
  * Stops all hosts of one region or of all, so that their stops overlap, with one more fault meanwhile, while targets
@@ -27,21 +28,28 @@
     private static final long WARM_UP_MILLIS = 1_000;
     private static final long EARLIEST_PAUSE_MILLIS = 2_500;
     private static final long LATEST_MILLIS = 5_500;
+    private static final long MAX_ANNOUNCED_MILLIS = 1_500;
+    private static final long SHUTDOWN_MILLIS = 4_000;
     private static final long MIN_PAUSE_MILLIS = 3_000;
     private static final long MAX_PAUSE_MILLIS = 4_800;
     private static final long POLL_MILLIS = 20;
 
     private final SoakSite site;
     private final SplittableRandom draw;
+
+    /** Draws the shutdowns of replicas, so that the other draws of a seed stay. */
+    private final SplittableRandom shutdownDraw;
+
     private final List<PlannedWork> work = new ArrayList<>();
     private final List<Long> impairmentMillis = new ArrayList<>();
     private final List<String> journal = new ArrayList<>();
     private final List<ChildProcess> stopping = new ArrayList<>();
     private final Map<SoakFault, Integer> faultCounts = new EnumMap<>(SoakFault.class);
 
-    PlannedStops(SoakSite site, SplittableRandom draw) {
+    PlannedStops(SoakSite site, SplittableRandom draw, SplittableRandom shutdownDraw) {
         this.site = site;
         this.draw = draw;
+        this.shutdownDraw = shutdownDraw;
     }
 
     /**
@@ -112,9 +120,34 @@
                 draw.nextLong(lastMillis + LATEST_MILLIS),
                 fault + " " + host + " " + replica,
                 () -> inject(fault, host, replica)));
+        steps.addAll(shutdownSteps(lastMillis));
         return steps;
     }
 
+    private List<Step> shutdownSteps(long lastStopMillis) {
+        String replica =
+                site.replicaIds().get(shutdownDraw.nextInt(site.replicaIds().size()));
+        long beginMillis = shutdownDraw.nextLong(lastStopMillis + LATEST_MILLIS);
+        long closeMillis = beginMillis + shutdownDraw.nextLong(MAX_ANNOUNCED_MILLIS);
+        Link link = site.replicaLink(replica);
+        return List.of(
+                new Step(beginMillis, SoakFault.REPLICA_SHUTS_DOWN + " " + replica, () -> beginShutdown(replica)),
+                new Step(closeMillis, replica + " closes its port", link::closePort),
+                new Step(closeMillis + SHUTDOWN_MILLIS, replica + " is replaced", () -> endShutdown(replica)));
+    }
+
+    private void beginShutdown(String replica) {
+        faultCounts.merge(SoakFault.REPLICA_SHUTS_DOWN, 1, Integer::sum);
+        site.beginShutdown(replica);
+    }
+
+    /** The fault that is drawn beside it may have replaced the replica already. */
+    private void endShutdown(String replica) {
+        if (site.replicaIds().contains(replica)) {
+            site.replaceReplica(replica);
+        }
+    }
+
     /** Starts the hosts again that have ended, some as soon as they have, as in a rolling restart. */
     private void inject(List<Step> steps) {
         boolean restartsAtOnce = draw.nextBoolean();
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -90,7 +90,10 @@
         latestRandom = new SplittableRandom(~Long.reverse(seed));
         answersRandom = new SplittableRandom(Long.rotateLeft(seed, Integer.SIZE));
         headsRandom = new SplittableRandom(~Long.rotateLeft(seed, Short.SIZE));
-        stops = new PlannedStops(site, new SplittableRandom(~Long.rotateLeft(seed, Integer.SIZE)));
+        stops = new PlannedStops(
+                site,
+                new SplittableRandom(~Long.rotateLeft(seed, Integer.SIZE)),
+                new SplittableRandom(Long.rotateLeft(seed, Short.SIZE)));
     }
 
     /**
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakFault.java
@@ -50,7 +50,12 @@
     /** Answers of a replica temporarily have heads that break the syntax of HTTP. */
     REPLICA_HEADS_MALFORMED,
     /** A gateway process is asked to read its settings again. */
-    RELOAD_HOST;
+    RELOAD_HOST,
+    /**
+     * A replica that leaves closes its port, goes on with its responses, which end whole with their connections, and is
+     * then replaced.
+     */
+    REPLICA_SHUTS_DOWN;
 
     /** The faults that are drawn one at a time; the others are drawn beside them, so that the draw of a seed stays. */
     static final List<SoakFault> SINGLE = List.of(values()).subList(0, REPLICA_LIMITED.ordinal());
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -283,6 +283,12 @@
         unwantedRequests.unwanted(id, nowMillis());
     }
 
+    /** Lets a replica that leaves end its responses whole, with their connections. */
+    void beginShutdown(String id) {
+        letReplicaLeave(id);
+        endBodies(id, BodyEnd.CLOSED);
+    }
+
     /** Lets the store come back from the copy that it kept, and writes again what operators and replicas wrote since. */
     void restoreStore() {
         store.restore();
@@ -441,8 +447,13 @@
                 return;
             }
             crashed = true;
-            crashCounts.merge(cause, 1, Integer::sum);
-            linksToCrash.get(id).crash();
+            int crashes = crashCounts.merge(cause, 1, Integer::sum);
+            Link link = linksToCrash.get(id);
+            if (crashes % 2 == 0) {
+                link.crash();
+            } else {
+                link.kill();
+            }
             crashedReplicas.add(id);
         }
 
--- a/rattanplank-standins/src/main/java/org/rattanplank/standins/link/Link.java
+++ b/rattanplank-standins/src/main/java/org/rattanplank/standins/link/Link.java
@@ -98,6 +98,16 @@
         server.close().addListener(closed -> channels.forEach(Link::reset));
     }
 
+    /** Refuses connections from now on and ends the open ones in order, as when a process without unread bytes is killed. */
+    public void kill() {
+        server.close().addListener(closed -> channels.forEach(Channel::close));
+    }
+
+    /** Refuses connections from now on while the open ones go on, as when the process behind the link shuts down in order. */
+    public void closePort() {
+        server.close();
+    }
+
     private void accept(SocketChannel clientSide) {
         if (state.resetsConnections()) {
             reset(clientSide);
