Leave a silent target only for one that takes its stream

If that one was full or asked for a pause, its rejection used up the attempts and the caller's stream was cut, although its own target would have gone on a second later.

Change: once a stream has begun, the other target is asked first (Takeover). If it rejects or fails, or the silent target goes on meanwhile, the stream stays where it is, and another target may be asked a second later. A stream that hasn't begun is moved as before: it ends in an answer in any case.

Not changed: streams that may not be resumed and have a backup.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -60,6 +60,12 @@
     /** The maximum number of attempts that fail before anything is sent. Such attempts are cheap, but need a limit. */
     private static final int MAX_FAILED_BEFORE_SEND = 4;
 
+    /** How long another target may take to reject a stream that its silent target has begun; a rejection comes at once. */
+    private static final long TAKEOVER_MILLIS = 200;
+
+    /** How long after a takeover that failed the next one may begin. */
+    private static final long TAKEOVER_PAUSE_MILLIS = 1_000;
+
     private static final String QUARANTINED_BODY_END =
             "; this attempt has not run and the request will not be served\n";
 
@@ -76,7 +82,13 @@
     private Work work = Work.PLAIN;
     private long deadlineMillis = Long.MAX_VALUE;
     private Attempt attempt;
+    private AttemptHandler attemptHandler;
     private long attemptAtMillis;
+
+    /** The attempt that takes a begun stream over from a silent target, unless it is rejected. */
+    private Option<Takeover> takeover = Option.none();
+
+    private long nextTakeoverAtMillis;
     private GatewayTarget localTarget;
     private String lastTarget = "";
     private int attemptsSent;
@@ -185,7 +197,15 @@
         if (attempt != null) {
             attempt.tick(nowMillis);
         }
-        if (!finished && isStalled(nowMillis)) {
+        if (takeover.exists(each -> nowMillis - each.startedAtMillis >= TAKEOVER_MILLIS)) {
+            takeover.get().accept();
+        }
+        if (finished || takeover.isDefined() || !isStalled(nowMillis)) {
+            return;
+        }
+        if (response.isStarted()) {
+            startTakeover(nowMillis);
+        } else {
             Attempt stalled = attempt;
             lastTarget = stalled.destination();
             localTarget.recordUnreachable(nowMillis);
@@ -238,12 +258,31 @@
                 && state.uses(Mechanism.LEAVE_SILENT)
                 && route.isIdempotent()
                 && attemptsSent < route.maxAttempts()
+                && nowMillis >= nextTakeoverAtMillis
                 && localTarget.isStalled(attemptAtMillis, nowMillis)
                 && state.quarantine().mayRetry(request)
                 && state.retryBudget().remaining(service.name(), nowMillis) > 0
                 && routingOptions().placement().localChoice().isDefined();
     }
 
+    /** Asks another target to continue the stream. The silent one may go on later, so it is only left for one that does. */
+    private void startTakeover(long nowMillis) {
+        localTarget.recordUnreachable(nowMillis);
+        Option<TargetChoice> choice =
+                routingOptions().placement().localChoice().filter(other -> other.target() != localTarget);
+        if (choice.isEmpty() || !state.retryBudget().trySpend(service.name(), nowMillis)) {
+            nextTakeoverAtMillis = nowMillis + TAKEOVER_PAUSE_MILLIS;
+            return;
+        }
+        state.charges().chargeAgain(request);
+        recordSend();
+        decisionLog.sent(choice.get(), service, work, nowMillis, deadlineMillis, attemptsSent);
+        Takeover started = new Takeover(choice.get().target(), nowMillis);
+        takeover = Option.some(started);
+        started.attempt =
+                LocalAttempt.send(state, choice.get(), Option.some(route), service, targetCall(), started, requestLog);
+    }
+
     private RoutingOptions routingOptions() {
         return state.routingOptions(new PlacementRequest(route, service, remainingWork(), excluded));
     }
@@ -373,6 +412,7 @@
     private void setAttempt(AttemptHandler handler, Attempt started) {
         if (handler.active) {
             attempt = started;
+            attemptHandler = handler;
         }
     }
 
@@ -550,6 +590,7 @@
     private void complete(String outcome, String reason, boolean ordinary) {
         finished = true;
         attempt = null;
+        takeover.forEach(Takeover::cancel);
         response.discardPartial();
         LogLine endLine = LogLine.of(LogEvent.ENDED)
                 .with("outcome", outcome)
@@ -608,6 +649,7 @@
             if (!active || finished) {
                 return;
             }
+            takeover.forEach(Takeover::cancel);
             // For an idempotent request, the response of another target may be better than a failure.
             failing = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code() && route.isIdempotent()
                     || response.isStarted() && status != HttpResponseStatus.OK.code();
@@ -622,6 +664,7 @@
         @Override
         public void contentReceived(ByteBuf bytes) {
             if (active && !finished) {
+                takeover.forEach(Takeover::cancel);
                 response.content(bytes, state.nowMillis());
                 response.overflow().forEach(this::abandon);
             }
@@ -635,6 +678,7 @@
             lastTarget = attempt == null ? destination : attempt.destination();
             active = false;
             attempt = null;
+            takeover.forEach(Takeover::cancel);
             response.complete();
             recordAnswered();
         }
@@ -644,6 +688,10 @@
             if (!active || finished) {
                 return;
             }
+            if (takeover.isDefined()) {
+                takeover.get().replaceFailed(failure, reason);
+                return;
+            }
             active = false;
             excluded.add(destination);
             lastTarget = attempt == null ? destination : attempt.destination();
@@ -677,4 +725,112 @@
             attemptFailed(AttemptFailure.UNKNOWN, reason);
         }
     }
+
+    /**
+     * An attempt to continue a begun stream at another target while its own one is silent.
+     *
+     * <p>Invariants: the silent target's attempt goes on until this one is accepted, and is left then; whichever continues
+     * the stream first, the other one is cancelled, so that no event is delivered of both.
+     */
+    private final class Takeover implements AttemptListener {
+        private final GatewayTarget target;
+        private final long startedAtMillis;
+        private final AttemptHandler handler;
+        private Attempt attempt;
+        private boolean accepted;
+        private boolean ended;
+
+        private Takeover(GatewayTarget target, long startedAtMillis) {
+            this.target = target;
+            this.startedAtMillis = startedAtMillis;
+            handler = new AttemptHandler(target.incarnationText());
+        }
+
+        @Override
+        public void headersReceived(int status, HttpHeaders headers) {
+            if (ended) {
+                return;
+            }
+            if (!accepted && status != HttpResponseStatus.OK.code()) {
+                cancel();
+                logFailure(AttemptFailure.UNKNOWN, "the target responded with status " + status);
+                return;
+            }
+            accept();
+            handler.headersReceived(status, headers);
+        }
+
+        @Override
+        public void contentReceived(ByteBuf bytes) {
+            handler.contentReceived(bytes);
+        }
+
+        @Override
+        public void completed() {
+            handler.completed();
+        }
+
+        @Override
+        public void failed(AttemptFailure failure, String reason) {
+            if (accepted) {
+                handler.failed(failure, reason);
+                return;
+            }
+            if (ended) {
+                return;
+            }
+            end();
+            if (!failure.mayHaveRun()) {
+                attemptsSent--;
+                state.charges().refund(request);
+            }
+            logFailure(failure, reason);
+        }
+
+        /** Leaves the silent target for this one. */
+        private void accept() {
+            if (!accepted) {
+                Attempt silent = ProxiedRequest.this.attempt;
+                replaceFailed(AttemptFailure.UNKNOWN, "the target is unresponsive");
+                silent.cancel();
+            }
+        }
+
+        /** Becomes the request's attempt in place of the silent target's one. */
+        private void replaceFailed(AttemptFailure failure, String reason) {
+            accepted = true;
+            takeover = Option.none();
+            attemptHandler.active = false;
+            excluded.add(attemptHandler.destination);
+            lastTarget = ProxiedRequest.this.attempt.destination();
+            mayHaveRun = true;
+            decisionLog.attemptFailed(request, failure, reason, lastTarget, state.nowMillis() - attemptAtMillis);
+            state.metrics().attemptFailed(failure);
+            decisionLog.retried(response);
+            response.discardPartial();
+            localTarget = target;
+            attemptAtMillis = startedAtMillis;
+            setAttempt(handler, attempt);
+        }
+
+        /** Withdraws it, as the stream goes on without it. */
+        private void cancel() {
+            if (!accepted && !ended) {
+                end();
+                attempt.cancel();
+            }
+        }
+
+        private void end() {
+            ended = true;
+            takeover = Option.none();
+            nextTakeoverAtMillis = state.nowMillis() + TAKEOVER_PAUSE_MILLIS;
+        }
+
+        private void logFailure(AttemptFailure failure, String reason) {
+            decisionLog.attemptFailed(
+                    request, failure, reason, target.incarnationText(), state.nowMillis() - startedAtMillis);
+            state.metrics().attemptFailed(failure);
+        }
+    }
 }
