Leave a silent engine only for a backup that takes its stream

The same cause on the path of streams that may not be resumed: after 1.5 s without an event the engine's attempt was cancelled, and then the backup was asked.

Change: the backup is asked first (BackupTakeover). The engine is left when the backup answers 200, or hasn't rejected within 200 ms; if the engine fails meanwhile, the backup's attempt replaces it. Otherwise the stream waits for its engine. What targets say beside their answers is logged for the target that said it (TargetNotices), as two attempts of a request may be under way.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -22,7 +22,6 @@
 import org.rattanplank.gateway.target.Attempt;
 import org.rattanplank.gateway.target.AttemptFailure;
 import org.rattanplank.gateway.target.AttemptListener;
-import org.rattanplank.gateway.target.ResponseDefect;
 import org.rattanplank.gateway.target.TargetCall;
 
 /**
@@ -33,7 +32,7 @@
  * whole events only, each once and in order; after a failover every failure counts as unknown, as the stream has run.
  * Confined to the event loop.
  */
-final class LocalAttempt implements Attempt, AttemptListener {
+final class LocalAttempt implements Attempt, TargetNotices.Source {
     /** A prompt that crashes targets does so when they begin to answer it. */
     private static final long SOUND_AFTER_MILLIS = 1_000;
 
@@ -58,6 +57,11 @@
     private boolean success;
     private Option<Attempt> attempt = Option.none();
     private boolean checkingTarget;
+
+    /** The attempt at the backup that takes the stream over from a silent engine, unless it is rejected. */
+    private Option<BackupTakeover> takeover = Option.none();
+
+    private long nextTakeoverAtMillis;
     private boolean cancelled;
 
     private LocalAttempt(
@@ -152,6 +156,7 @@
     @Override
     public void cancel() {
         cancelled = true;
+        takeover.forEach(BackupTakeover::cancel);
         events.forEach(EventSplitter::discardRemainder);
         release();
         attempt.forEach(Attempt::cancel);
@@ -159,12 +164,16 @@
 
     @Override
     public void tick(long nowMillis) {
+        if (takeover.isDefined()) {
+            takeover.filter(each -> each.isDue(nowMillis)).forEach(BackupTakeover::accept);
+            return;
+        }
         if (!checkingTarget
+                && nowMillis >= nextTakeoverAtMillis
                 && backup.exists(each -> each.isPrimaryStalled(lastEventAtMillis, nowMillis))
                 && tryReserveFailover()) {
             target.recordUnreachable(nowMillis);
-            attempt.forEach(Attempt::cancel);
-            failOver("the target is unresponsive");
+            startTakeover(nowMillis);
         }
     }
 
@@ -181,53 +190,13 @@
     }
 
     @Override
-    public void rateLimitChanged(Option<Double> perSecond) {
-        state.log()
-                .writeImportant(LogLine.of(LogEvent.TARGET_LIMIT)
-                        .with("target", target.incarnationText())
-                        .with(
-                                "requestsPerSecond",
-                                perSecond.map(Object.class::cast).getOrNull()));
-    }
-
-    @Override
-    public void rateLimitInvalid(String text) {
-        state.log()
-                .writeOrdinary(LogLine.of(LogEvent.TARGET_LIMIT_INVALID)
-                        .with("target", target.incarnationText())
-                        .with("text", text));
-    }
-
-    @Override
-    public void pauseRequested(long millis) {
-        state.log()
-                .writeImportant(LogLine.of(LogEvent.TARGET_PAUSED)
-                        .with("target", target.incarnationText())
-                        .with("millis", millis));
-    }
-
-    @Override
-    public void responseUnusable(ResponseDefect defect, String detail, String previousRequestId) {
-        state.metrics().responseUnusable(defect);
-        log.addNotable(LogLine.of(LogEvent.RESPONSE_UNUSABLE)
-                .with("target", target.incarnationText())
-                .with("defect", defect.label())
-                .with("detail", detail)
-                .with("previousRequestId", previousRequestId));
-    }
-
-    @Override
-    public void targetLeaving() {
-        state.log()
-                .writeImportant(LogLine.of(LogEvent.TARGET_CHANGED)
-                        .with("target", target.incarnationText())
-                        .with("service", service.name())
-                        .with("leaving", true)
-                        .with("source", "ANSWER"));
+    public TargetNotices notices() {
+        return new TargetNotices(state, target, service, log);
     }
 
     @Override
     public void contentReceived(ByteBuf bytes) {
+        takeover.forEach(BackupTakeover::cancel);
         sentRequest.recordEvent(success, state.nowMillis());
         recordAnswering();
         if (events.isEmpty()) {
@@ -261,6 +230,7 @@
             failed(AttemptFailure.UNKNOWN, "the connection ended inside an event");
             return;
         }
+        takeover.forEach(BackupTakeover::cancel);
         checkingTarget = true;
         long endedAtMillis = state.nowMillis();
         sentRequest.release();
@@ -284,6 +254,7 @@
     }
 
     private void completed(long endedAtMillis) {
+        takeover.forEach(BackupTakeover::cancel);
         sentRequest.recordEnd(success, endedAtMillis);
         release();
         events.forEach(each -> deliver(each.takeRemainder()));
@@ -301,15 +272,21 @@
             return;
         }
         checkingTarget = true;
+        GatewayTarget failedTarget = target;
         state.crashDetector().connectionLost(target, interruptedRequest(), () -> {
             checkingTarget = false;
-            if (!cancelled) {
+            // Its backup may have taken the stream over meanwhile.
+            if (!cancelled && target == failedTarget) {
                 conclude(failure, reason);
             }
         });
     }
 
     private void conclude(AttemptFailure failure, String reason) {
+        if (takeover.isDefined()) {
+            takeover.get().replaceEngine(reason);
+            return;
+        }
         if (failure.mayHaveRun() && tryReserveFailover()) {
             failOver(reason);
             return;
@@ -354,25 +331,51 @@
     }
 
     private void failOver(String reason) {
-        long now = state.nowMillis();
+        leaveEngine(reason);
+        target = backup.get().target();
+        sendFailover(remainingWork(), events.get().lastEventId());
+    }
+
+    /** Records that the stream goes on at its backup; what its engine has sent of an incomplete event is discarded. */
+    private void leaveEngine(String reason) {
         sentRequest.release();
         backup.get().recordFailover();
-        EventSplitter forwarded = events.get();
-        forwarded.discardRemainder();
-        logFailover(forwarded, reason);
-        target = backup.get().target();
-        Work remainingWork = call.work()
-                .withRemainingMillis(deadlineMillis - now)
-                .afterGenerating(forwarded.eventCount() * service.eventTokens());
-        sendFailover(remainingWork, forwarded.lastEventId());
+        events.get().discardRemainder();
+        logFailover(events.get(), reason);
+    }
+
+    /** Returns the work that is left for the backup. */
+    private Work remainingWork() {
+        return call.work()
+                .withRemainingMillis(deadlineMillis - state.nowMillis())
+                .afterGenerating(events.get().eventCount() * service.eventTokens());
+    }
+
+    /** Asks the backup to continue the stream. The silent engine may go on later, so it is only left for one that does. */
+    private void startTakeover(long nowMillis) {
+        GatewayTarget other = backup.get().target();
+        Work work = remainingWork();
+        BackupTakeover started = new BackupTakeover(
+                other, InFlightRequest.ofFailover(state.chooser(), other, service, work, nowMillis), nowMillis);
+        takeover = Option.some(started);
+        state.charges().chargeAgain(call.request());
+        started.attempt = state.connections()
+                .send(
+                        failoverChoice(other),
+                        call.failOver(
+                                work, deadlineMillis - nowMillis, events.get().lastEventId()),
+                        started);
+    }
+
+    private static TargetChoice failoverChoice(GatewayTarget other) {
+        return new TargetChoice(other, ServiceEstimate.NONE, 0, 1, Option.none());
     }
 
     private void sendFailover(Work work, String lastEventId) {
         long now = state.nowMillis();
         sentRequest = InFlightRequest.ofFailover(state.chooser(), target, service, work, now);
-        TargetChoice choice = new TargetChoice(target, ServiceEstimate.NONE, 0, 1, Option.none());
         state.charges().chargeAgain(call.request());
-        connect(choice, call.failOver(work, deadlineMillis - now, lastEventId));
+        connect(failoverChoice(target), call.failOver(work, deadlineMillis - now, lastEventId));
     }
 
     private void logFailover(EventSplitter forwarded, String reason) {
@@ -422,4 +425,114 @@
         sentRequest.release();
         backup.forEach(StreamBackup::release);
     }
+
+    /**
+     * An attempt to continue a stream at its backup while its engine is silent.
+     *
+     * <p>Invariants: the silent engine's attempt goes on until this one is accepted, and is left then; whichever continues
+     * the stream first, the other one is cancelled, so that no event is delivered of both.
+     */
+    private final class BackupTakeover implements TargetNotices.Source {
+        private final GatewayTarget engine;
+        private final InFlightRequest request;
+        private final long startedAtMillis;
+        private Attempt attempt;
+        private boolean accepted;
+        private boolean ended;
+
+        private BackupTakeover(GatewayTarget engine, InFlightRequest request, long startedAtMillis) {
+            this.engine = engine;
+            this.request = request;
+            this.startedAtMillis = startedAtMillis;
+        }
+
+        private boolean isDue(long nowMillis) {
+            return nowMillis - startedAtMillis >= Takeovers.DECISION_MILLIS;
+        }
+
+        @Override
+        public TargetNotices notices() {
+            return new TargetNotices(state, engine, service, log);
+        }
+
+        @Override
+        public void headersReceived(int status, HttpHeaders headers) {
+            if (ended) {
+                return;
+            }
+            if (!accepted && status != HttpResponseStatus.OK.code()) {
+                cancel();
+                return;
+            }
+            accept();
+            LocalAttempt.this.headersReceived(status, headers);
+        }
+
+        @Override
+        public void contentReceived(ByteBuf bytes) {
+            if (accepted) {
+                LocalAttempt.this.contentReceived(bytes);
+            }
+        }
+
+        @Override
+        public void endedByConnection(Completeness completeness) {
+            if (accepted) {
+                LocalAttempt.this.endedByConnection(completeness);
+            }
+        }
+
+        @Override
+        public void completed() {
+            if (accepted) {
+                LocalAttempt.this.completed();
+            }
+        }
+
+        @Override
+        public void failed(AttemptFailure failure, String reason) {
+            if (accepted) {
+                LocalAttempt.this.failed(failure, reason);
+            } else if (!ended) {
+                end();
+            }
+        }
+
+        /** Leaves the silent engine for the backup. */
+        private void accept() {
+            if (!accepted) {
+                Option<Attempt> silent = LocalAttempt.this.attempt;
+                replaceEngine("the target is unresponsive");
+                silent.forEach(Attempt::cancel);
+            }
+        }
+
+        /** Goes on at the backup in place of the engine, whose attempt has ended or is cancelled. */
+        private void replaceEngine(String reason) {
+            accepted = true;
+            takeover = Option.none();
+            leaveEngine(reason);
+            target = engine;
+            sentRequest = request;
+            sentAtMillis = startedAtMillis;
+            firstContentAtMillis = Option.none();
+            LocalAttempt.this.attempt = Option.some(attempt);
+        }
+
+        /** Withdraws it, as the stream goes on without it. */
+        private void cancel() {
+            if (!accepted && !ended) {
+                end();
+                attempt.cancel();
+            }
+        }
+
+        private void end() {
+            ended = true;
+            takeover = Option.none();
+            nextTakeoverAtMillis = state.nowMillis() + Takeovers.PAUSE_MILLIS;
+            request.release();
+            logWithoutFailover(backup.get());
+        }
+    }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -60,12 +60,6 @@
     /** The maximum number of attempts that fail before anything is sent. Such attempts are cheap, but need a limit. */
     private static final int MAX_FAILED_BEFORE_SEND = 4;
 
-    /** How long another target may take to reject a stream that its silent target has begun; a rejection comes at once. */
-    private static final long TAKEOVER_MILLIS = 200;
-
-    /** How long after a takeover that failed the next one may begin. */
-    private static final long TAKEOVER_PAUSE_MILLIS = 1_000;
-
     private static final String QUARANTINED_BODY_END =
             "; this attempt has not run and the request will not be served\n";
 
@@ -197,7 +191,7 @@
         if (attempt != null) {
             attempt.tick(nowMillis);
         }
-        if (takeover.exists(each -> nowMillis - each.startedAtMillis >= TAKEOVER_MILLIS)) {
+        if (takeover.exists(each -> nowMillis - each.startedAtMillis >= Takeovers.DECISION_MILLIS)) {
             takeover.get().accept();
         }
         if (finished || takeover.isDefined() || !isStalled(nowMillis)) {
@@ -271,7 +265,7 @@
         Option<TargetChoice> choice =
                 routingOptions().placement().localChoice().filter(other -> other.target() != localTarget);
         if (choice.isEmpty() || !state.retryBudget().trySpend(service.name(), nowMillis)) {
-            nextTakeoverAtMillis = nowMillis + TAKEOVER_PAUSE_MILLIS;
+            nextTakeoverAtMillis = nowMillis + Takeovers.PAUSE_MILLIS;
             return;
         }
         state.charges().chargeAgain(request);
@@ -824,7 +818,7 @@
         private void end() {
             ended = true;
             takeover = Option.none();
-            nextTakeoverAtMillis = state.nowMillis() + TAKEOVER_PAUSE_MILLIS;
+            nextTakeoverAtMillis = state.nowMillis() + Takeovers.PAUSE_MILLIS;
         }
 
         private void logFailure(AttemptFailure failure, String reason) {
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StreamFailoverFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/StreamFailoverFlowTest.java
@@ -1,6 +1,7 @@
 package org.rattanplank.gateway;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.locks.LockSupport;
@@ -23,6 +24,9 @@
     private static final String BEGIN = TestTarget.chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
     private static final String END = "0\r\n\r\n";
 
+    /** Longer than an engine may be silent before its backup is asked. */
+    private static final long SILENCE_NANOS = 2_500_000_000L;
+
     private static final long EVENT_GAP_NANOS = 50_000_000;
 
     private TestGateway gateway;
@@ -64,13 +68,17 @@
                 TestTarget.write(out, begin.isEmpty() ? "" : TestTarget.streamHead(request) + begin);
                 throw new IOException("connection closed by the test");
             }
-            TestTarget.write(
-                    out,
-                    "HTTP/1.1 503 X\r\nRequest-Id: " + TestTarget.header(request, "request-id")
-                            + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            reject(request, out);
         });
     }
 
+    private static void reject(String request, OutputStream out) throws IOException {
+        TestTarget.write(
+                out,
+                "HTTP/1.1 503 X\r\nRequest-Id: " + TestTarget.header(request, "request-id")
+                        + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    }
+
     private static String address(TestTarget target) {
         return "127.0.0.1:" + target.port();
     }
@@ -135,6 +143,56 @@
         }
     }
 
+    /** Guards against a stream that is taken from its silent engine and cut, as its backup holds no copy. */
+    @Test
+    void shouldAwaitTheSilentEngineWhenTheBackupHasNoCopy() throws Exception {
+        TestTarget.Script script = (request, out) -> {
+            if (TestTarget.header(request, "continue-from").isEmpty()) {
+                TestTarget.write(out, TestTarget.streamHead(request) + BEGIN);
+                LockSupport.parkNanos(SILENCE_NANOS);
+                TestTarget.write(out, TestTarget.chunk("ta: c\n\n") + END);
+            } else {
+                reject(request, out);
+            }
+        };
+        try (TestTarget one = new TestTarget(script);
+                TestTarget other = new TestTarget(script)) {
+            gateway.target("t1", one.port()).target("t2", other.port());
+
+            String answer = gateway.caller().send(generation("q1")).readUntil(END);
+
+            assertTrue(answer.contains("id: 3\ndata: c\n\n"), answer);
+            assertEquals(1, one.unreadRequests(), "one");
+            assertEquals(1, other.unreadRequests(), "other");
+        }
+    }
+
+    /** Guards against events of two engines in one stream, as the silent one goes on when its backup has been asked. */
+    @Test
+    void shouldDeliverEachEventOnceWhenTheSilentEngineGoesOnMeanwhile() throws Exception {
+        CountDownLatch backupAsked = new CountDownLatch(1);
+        TestTarget.Script script = (request, out) -> {
+            if (TestTarget.header(request, "continue-from").isEmpty()) {
+                TestTarget.write(out, TestTarget.streamHead(request) + BEGIN);
+                awaitQuietly(backupAsked);
+                TestTarget.write(out, TestTarget.chunk("ta: c\n\n") + END);
+            } else {
+                backupAsked.countDown();
+                LockSupport.parkNanos(2 * EVENT_GAP_NANOS);
+                TestTarget.write(out, TestTarget.streamHead(request) + TestTarget.chunk("id: 3\ndata: d\n\n") + END);
+            }
+        };
+        try (TestTarget one = new TestTarget(script);
+                TestTarget other = new TestTarget(script)) {
+            gateway.target("t1", one.port()).target("t2", other.port());
+
+            String answer = gateway.caller().send(generation("q1")).readUntil(END);
+
+            assertTrue(answer.contains("id: 3\ndata: c\n\n"), answer);
+            assertFalse(answer.contains("data: d"), answer);
+        }
+    }
+
     /** Guards against a second run: a backup without a copy refuses the stream, which must not be sent anywhere else. */
     @Test
     void shouldTruncateTheStreamWhenTheBackupHasNoCopy() throws Exception {
