Watch the port of a target that has sent responses without a length before

A plain response may have its head at its end, so that nothing says before that it has no length. A leaving target's port is therefore checked also for requests whose response hasn't begun, if it has sent such responses before; but it was forgotten whenever the target had no request of this host for a tick. A host's only such response was cut although its target had closed its port long before. The target is watched from the next request on.

A takeover passes nothing on before it is accepted; by reading, nothing did.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetProcess.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetProcess.java
@@ -44,7 +44,7 @@
     private final Deque<Long> interruptedAtMillis = new ArrayDeque<>();
 
     private long lastRequest;
-    private boolean usesCloseDelimited;
+    private boolean sendsCloseDelimited;
     private Option<Long> portClosedSinceMillis = Option.none();
     private long portCheckedAtMillis = Long.MIN_VALUE / 2;
 
@@ -69,7 +69,7 @@
     public void closeDelimited(long request) {
         if (inProgress.contains(request)) {
             closeDelimited.add(request);
-            usesCloseDelimited = true;
+            sendsCloseDelimited = true;
         }
     }
 
@@ -140,6 +140,15 @@
         return !inProgress.isEmpty();
     }
 
+    /**
+     * Returns whether a response without a length may come from there.
+     *
+     * @return whether one has come already
+     */
+    public boolean sendsCloseDelimited() {
+        return sendsCloseDelimited;
+    }
+
     /**
      * Returns whether the port is to be checked, so that it is known whether it was closed long before a response ends.
      *
@@ -150,7 +159,7 @@
     public boolean isPortCheckDue(boolean leaving, long nowMillis) {
         // The response to a plain request may have its head at its end, so those of a leaving target count from the
         // start.
-        boolean needed = !closeDelimited.isEmpty() || leaving && usesCloseDelimited && isBusy();
+        boolean needed = !closeDelimited.isEmpty() || leaving && sendsCloseDelimited && isBusy();
         long intervalMillis = leaving ? LEAVING_PORT_CHECK_INTERVAL_MILLIS : PORT_CHECK_INTERVAL_MILLIS;
         return needed && nowMillis - portCheckedAtMillis >= intervalMillis;
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -756,12 +756,16 @@
 
         @Override
         public void contentReceived(ByteBuf bytes) {
-            handler.contentReceived(bytes);
+            if (accepted) {
+                handler.contentReceived(bytes);
+            }
         }
 
         @Override
         public void completed() {
-            handler.completed();
+            if (accepted) {
+                handler.completed();
+            }
         }
 
         @Override
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -58,7 +58,7 @@
     private final Map<GatewayTarget, ArrayDeque<TargetConnection>> idleByTarget = new HashMap<>();
     private final Map<TargetConnection, GatewayTarget> targetByConnection = new HashMap<>();
 
-    /** Targets that have sent a response without a length and still have requests of this host. */
+    /** Targets that have sent a response without a length and have requests of this host. */
     private final Set<GatewayTarget> targetsWithWatchedPort = new HashSet<>();
 
     private long openedCount;
@@ -100,6 +100,9 @@
      */
     public Attempt send(TargetChoice choice, TargetCall call, AttemptListener listener) {
         GatewayTarget target = choice.target();
+        if (target.process().sendsCloseDelimited()) {
+            targetsWithWatchedPort.add(target);
+        }
         TargetAttempt attempt = new TargetAttempt(choice, call, names, listener, clock);
         TargetConnection reused = attempt.isHeadRequest()
                 ? null
@@ -135,9 +138,10 @@
      */
     public void checkPorts() {
         long now = clock.nowMillis();
-        targetsWithWatchedPort.removeIf(target -> !target.process().isBusy());
         for (GatewayTarget target : List.copyOf(targetsWithWatchedPort)) {
-            if (target.process().isPortCheckDue(target.isLeaving(), now)) {
+            if (!target.process().isBusy()) {
+                targetsWithWatchedPort.remove(target);
+            } else if (target.process().isPortCheckDue(target.isLeaving(), now)) {
                 check(target, result -> {});
             }
         }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/ResponseEndFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/ResponseEndFlowTest.java
@@ -293,6 +293,27 @@
         assertEquals(1, countWhole(responses));
     }
 
+    /** Guards against a whole plain response that is cut because its target had closed its port before its head came. */
+    @Test
+    void shouldDeliverAWholePlainResponseWhenItIsTheOnlyOneOfALeavingTargetThatHasClosedItsPort() throws Exception {
+        startDirect(Form.UNSAFE);
+        ScriptedTarget target = addTarget(Form.UNSAFE, Announcement.ENTRY, 1);
+        List<Future<TestResponse>> earlier = sendAll(1);
+        target.awaitBegun(1);
+        target.endAtOnce(1);
+        assertEquals(1, countWhole(earlier));
+        pause(PORT_CLOSED_MILLIS);
+        List<Future<TestResponse>> responses = sendAll(1);
+        target.awaitBegun(1);
+
+        target.announce(Announcement.ENTRY);
+        target.closePort();
+        pause(LONG_PORT_CLOSED_MILLIS);
+        target.endAtOnce(1);
+
+        assertEquals(1, countWhole(responses));
+    }
+
     /** Guards against responses that pass for whole though their target's process ended with them, its port first. */
     @ParameterizedTest
     @CsvSource({
