Let both ways of leaving a silent target share one class

Takeovers of requests and of streams with a backup kept the same account of accepted and withdrawn attempts twice. Takeover keeps it; what differs is what becomes of the stream. No decision changes: SilentStreamFlowTest (6), StreamFailoverFlowTest (15), TruncatedResponseFlowTest (13) and those of leaving and pausing targets (10) pass.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -59,7 +59,7 @@
     private boolean checkingTarget;
 
     /** The attempt at the backup that takes the stream over from a silent engine, unless it is rejected. */
-    private Option<BackupTakeover> takeover = Option.none();
+    private Option<Takeover> takeover = Option.none();
 
     private long nextTakeoverAtMillis;
     private boolean cancelled;
@@ -156,7 +156,7 @@
     @Override
     public void cancel() {
         cancelled = true;
-        takeover.forEach(BackupTakeover::cancel);
+        takeover.forEach(Takeover::cancel);
         events.forEach(EventSplitter::discardRemainder);
         release();
         attempt.forEach(Attempt::cancel);
@@ -165,7 +165,7 @@
     @Override
     public void tick(long nowMillis) {
         if (takeover.isDefined()) {
-            takeover.filter(each -> each.isDue(nowMillis)).forEach(BackupTakeover::accept);
+            takeover.get().tick(nowMillis);
             return;
         }
         if (!checkingTarget
@@ -196,7 +196,7 @@
 
     @Override
     public void contentReceived(ByteBuf bytes) {
-        takeover.forEach(BackupTakeover::cancel);
+        takeover.forEach(Takeover::cancel);
         sentRequest.recordEvent(success, state.nowMillis());
         recordAnswering();
         if (events.isEmpty()) {
@@ -230,7 +230,7 @@
             failed(AttemptFailure.UNKNOWN, "the connection ended inside an event");
             return;
         }
-        takeover.forEach(BackupTakeover::cancel);
+        takeover.forEach(Takeover::cancel);
         checkingTarget = true;
         long endedAtMillis = state.nowMillis();
         sentRequest.release();
@@ -254,7 +254,7 @@
     }
 
     private void completed(long endedAtMillis) {
-        takeover.forEach(BackupTakeover::cancel);
+        takeover.forEach(Takeover::cancel);
         sentRequest.recordEnd(success, endedAtMillis);
         release();
         events.forEach(each -> deliver(each.takeRemainder()));
@@ -284,7 +284,7 @@
 
     private void conclude(AttemptFailure failure, String reason) {
         if (takeover.isDefined()) {
-            takeover.get().replaceEngine(reason);
+            takeover.get().replaceFailed(failure, reason);
             return;
         }
         if (failure.mayHaveRun() && tryReserveFailover()) {
@@ -359,12 +359,9 @@
                 other, InFlightRequest.ofFailover(state.chooser(), other, service, work, nowMillis), nowMillis);
         takeover = Option.some(started);
         state.charges().chargeAgain(call.request());
-        started.attempt = state.connections()
-                .send(
-                        failoverChoice(other),
-                        call.failOver(
-                                work, deadlineMillis - nowMillis, events.get().lastEventId()),
-                        started);
+        TargetCall continuation =
+                call.failOver(work, deadlineMillis - nowMillis, events.get().lastEventId());
+        started.started(state.connections().send(failoverChoice(other), continuation, started));
     }
 
     private static TargetChoice failoverChoice(GatewayTarget other) {
@@ -426,28 +423,15 @@
         backup.forEach(StreamBackup::release);
     }
 
-    /**
-     * An attempt to continue a stream at its backup while its engine is silent.
-     *
-     * <p>Invariants: the silent engine's attempt goes on until this one is accepted, and is left then; whichever continues
-     * the stream first, the other one is cancelled, so that no event is delivered of both.
-     */
-    private final class BackupTakeover implements TargetNotices.Source {
+    /** Continues the stream at its backup. */
+    private final class BackupTakeover extends Takeover implements TargetNotices.Source {
         private final GatewayTarget engine;
         private final InFlightRequest request;
-        private final long startedAtMillis;
-        private Attempt attempt;
-        private boolean accepted;
-        private boolean ended;
 
         private BackupTakeover(GatewayTarget engine, InFlightRequest request, long startedAtMillis) {
+            super(LocalAttempt.this, startedAtMillis);
             this.engine = engine;
             this.request = request;
-            this.startedAtMillis = startedAtMillis;
-        }
-
-        private boolean isDue(long nowMillis) {
-            return nowMillis - startedAtMillis >= Takeovers.DECISION_MILLIS;
         }
 
         @Override
@@ -456,82 +440,30 @@
         }
 
         @Override
-        public void headersReceived(int status, HttpHeaders headers) {
-            if (ended) {
-                return;
-            }
-            if (!accepted && status != HttpResponseStatus.OK.code()) {
-                cancel();
-                return;
-            }
-            accept();
-            LocalAttempt.this.headersReceived(status, headers);
-        }
-
-        @Override
-        public void contentReceived(ByteBuf bytes) {
-            if (accepted) {
-                LocalAttempt.this.contentReceived(bytes);
-            }
-        }
-
-        @Override
-        public void endedByConnection(Completeness completeness) {
-            if (accepted) {
-                LocalAttempt.this.endedByConnection(completeness);
-            }
-        }
-
-        @Override
-        public void completed() {
-            if (accepted) {
-                LocalAttempt.this.completed();
-            }
+        Attempt silentAttempt() {
+            return LocalAttempt.this.attempt.get();
         }
 
         @Override
-        public void failed(AttemptFailure failure, String reason) {
-            if (accepted) {
-                LocalAttempt.this.failed(failure, reason);
-            } else if (!ended) {
-                end();
-            }
-        }
-
-        /** Leaves the silent engine for the backup. */
-        private void accept() {
-            if (!accepted) {
-                Option<Attempt> silent = LocalAttempt.this.attempt;
-                replaceEngine("the target is unresponsive");
-                silent.forEach(Attempt::cancel);
-            }
-        }
-
-        /** Goes on at the backup in place of the engine, whose attempt has ended or is cancelled. */
-        private void replaceEngine(String reason) {
-            accepted = true;
+        void onAccepted(AttemptFailure failure, String reason) {
             takeover = Option.none();
             leaveEngine(reason);
             target = engine;
             sentRequest = request;
-            sentAtMillis = startedAtMillis;
+            sentAtMillis = startedAtMillis();
             firstContentAtMillis = Option.none();
-            LocalAttempt.this.attempt = Option.some(attempt);
-        }
-
-        /** Withdraws it, as the stream goes on without it. */
-        private void cancel() {
-            if (!accepted && !ended) {
-                end();
-                attempt.cancel();
-            }
+            LocalAttempt.this.attempt = Option.some(attempt());
         }
 
-        private void end() {
-            ended = true;
+        @Override
+        void onWithdrawn() {
             takeover = Option.none();
-            nextTakeoverAtMillis = state.nowMillis() + Takeovers.PAUSE_MILLIS;
+            nextTakeoverAtMillis = state.nowMillis() + PAUSE_MILLIS;
             request.release();
+        }
+
+        @Override
+        void onRejected(AttemptFailure failure, String reason) {
             logWithoutFailover(backup.get());
         }
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/ProxiedRequest.java
@@ -191,9 +191,7 @@
         if (attempt != null) {
             attempt.tick(nowMillis);
         }
-        if (takeover.exists(each -> nowMillis - each.startedAtMillis >= Takeovers.DECISION_MILLIS)) {
-            takeover.get().accept();
-        }
+        takeover.forEach(each -> each.tick(nowMillis));
         if (finished || takeover.isDefined() || !isStalled(nowMillis)) {
             return;
         }
@@ -265,16 +263,17 @@
         Option<TargetChoice> choice =
                 routingOptions().placement().localChoice().filter(other -> other.target() != localTarget);
         if (choice.isEmpty() || !state.retryBudget().trySpend(service.name(), nowMillis)) {
-            nextTakeoverAtMillis = nowMillis + Takeovers.PAUSE_MILLIS;
+            nextTakeoverAtMillis = nowMillis + Takeover.PAUSE_MILLIS;
             return;
         }
         state.charges().chargeAgain(request);
         recordSend();
         decisionLog.sent(choice.get(), service, work, nowMillis, deadlineMillis, attemptsSent);
-        Takeover started = new Takeover(choice.get().target(), nowMillis);
+        GatewayTarget other = choice.get().target();
+        Takeover started = new TargetTakeover(other, new AttemptHandler(other.incarnationText()), nowMillis);
         takeover = Option.some(started);
-        started.attempt =
-                LocalAttempt.send(state, choice.get(), Option.some(route), service, targetCall(), started, requestLog);
+        started.started(
+                LocalAttempt.send(state, choice.get(), Option.some(route), service, targetCall(), started, requestLog));
     }
 
     private RoutingOptions routingOptions() {
@@ -720,114 +719,52 @@
         }
     }
 
-    /**
-     * An attempt to continue a begun stream at another target while its own one is silent.
-     *
-     * <p>Invariants: the silent target's attempt goes on until this one is accepted, and is left then; whichever continues
-     * the stream first, the other one is cancelled, so that no event is delivered of both.
-     */
-    private final class Takeover implements AttemptListener {
+    /** Continues the stream at another target of this region. */
+    private final class TargetTakeover extends Takeover {
         private final GatewayTarget target;
-        private final long startedAtMillis;
         private final AttemptHandler handler;
-        private Attempt attempt;
-        private boolean accepted;
-        private boolean ended;
 
-        private Takeover(GatewayTarget target, long startedAtMillis) {
+        private TargetTakeover(GatewayTarget target, AttemptHandler handler, long startedAtMillis) {
+            super(handler, startedAtMillis);
             this.target = target;
-            this.startedAtMillis = startedAtMillis;
-            handler = new AttemptHandler(target.incarnationText());
+            this.handler = handler;
         }
 
         @Override
-        public void headersReceived(int status, HttpHeaders headers) {
-            if (ended) {
-                return;
-            }
-            if (!accepted && status != HttpResponseStatus.OK.code()) {
-                cancel();
-                logFailure(AttemptFailure.UNKNOWN, "the target responded with status " + status);
-                return;
-            }
-            accept();
-            handler.headersReceived(status, headers);
+        Attempt silentAttempt() {
+            return ProxiedRequest.this.attempt;
         }
 
         @Override
-        public void contentReceived(ByteBuf bytes) {
-            if (accepted) {
-                handler.contentReceived(bytes);
-            }
-        }
-
-        @Override
-        public void completed() {
-            if (accepted) {
-                handler.completed();
-            }
-        }
-
-        @Override
-        public void failed(AttemptFailure failure, String reason) {
-            if (accepted) {
-                handler.failed(failure, reason);
-                return;
-            }
-            if (ended) {
-                return;
-            }
-            end();
-            if (!failure.mayHaveRun()) {
-                attemptsSent--;
-                state.charges().refund(request);
-            }
-            logFailure(failure, reason);
-        }
-
-        /** Leaves the silent target for this one. */
-        private void accept() {
-            if (!accepted) {
-                Attempt silent = ProxiedRequest.this.attempt;
-                replaceFailed(AttemptFailure.UNKNOWN, "the target is unresponsive");
-                silent.cancel();
-            }
-        }
-
-        /** Becomes the request's attempt in place of the silent target's one. */
-        private void replaceFailed(AttemptFailure failure, String reason) {
-            accepted = true;
+        void onAccepted(AttemptFailure failure, String reason) {
             takeover = Option.none();
             attemptHandler.active = false;
             excluded.add(attemptHandler.destination);
-            lastTarget = ProxiedRequest.this.attempt.destination();
+            lastTarget = silentAttempt().destination();
             mayHaveRun = true;
             decisionLog.attemptFailed(request, failure, reason, lastTarget, state.nowMillis() - attemptAtMillis);
             state.metrics().attemptFailed(failure);
             decisionLog.retried(response);
             response.discardPartial();
             localTarget = target;
-            attemptAtMillis = startedAtMillis;
-            setAttempt(handler, attempt);
+            attemptAtMillis = startedAtMillis();
+            setAttempt(handler, attempt());
         }
 
-        /** Withdraws it, as the stream goes on without it. */
-        private void cancel() {
-            if (!accepted && !ended) {
-                end();
-                attempt.cancel();
-            }
-        }
-
-        private void end() {
-            ended = true;
+        @Override
+        void onWithdrawn() {
             takeover = Option.none();
-            nextTakeoverAtMillis = state.nowMillis() + Takeovers.PAUSE_MILLIS;
+            nextTakeoverAtMillis = state.nowMillis() + PAUSE_MILLIS;
         }
 
-        private void logFailure(AttemptFailure failure, String reason) {
+        @Override
+        void onRejected(AttemptFailure failure, String reason) {
+            if (!failure.mayHaveRun()) {
+                attemptsSent--;
+                state.charges().refund(request);
+            }
             decisionLog.attemptFailed(
-                    request, failure, reason, target.incarnationText(), state.nowMillis() - startedAtMillis);
+                    request, failure, reason, target.incarnationText(), state.nowMillis() - startedAtMillis());
             state.metrics().attemptFailed(failure);
         }
     }
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/SilentStreamFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/SilentStreamFlowTest.java
@@ -28,6 +28,11 @@
     /** Longer than a target may be silent before another one is asked. */
     private static final long SILENT_MILLIS = 2_500;
 
+    /** Shorter and longer than another target may take to reject the stream. */
+    private static final long SHORT_MILLIS = 100;
+
+    private static final long LONG_MILLIS = 1_000;
+
     private final List<AutoCloseable> resources = new ArrayList<>();
     private final TestGateway gateway;
 
@@ -102,6 +107,12 @@
         endStream(out);
     }
 
+    private static void continueLater(String request, OutputStream out, long millis) throws IOException {
+        pause(millis);
+        TestTarget.write(out, TestTarget.streamHead(request));
+        endStream(out);
+    }
+
     private static void reject(String request, OutputStream out) throws IOException {
         TestTarget.write(
                 out, TestTarget.answer(request, 503, "").replace("Content-Length", "Not-Run: 1\r\nContent-Length"));
@@ -163,11 +174,7 @@
                     beginStream(request, out);
                     await(over);
                 },
-                (request, out) -> {
-                    pause(1_000);
-                    TestTarget.write(out, TestTarget.streamHead(request));
-                    endStream(out);
-                });
+                (request, out) -> continueLater(request, out, LONG_MILLIS));
 
         assertWhole(send());
         over.countDown();
@@ -185,9 +192,7 @@
                 },
                 (request, out) -> {
                     asked.countDown();
-                    pause(100);
-                    TestTarget.write(out, TestTarget.streamHead(request));
-                    endStream(out);
+                    continueLater(request, out, SHORT_MILLIS);
                 });
 
         assertWhole(send());
@@ -205,9 +210,7 @@
                 },
                 (request, out) -> {
                     asked.countDown();
-                    pause(100);
-                    TestTarget.write(out, TestTarget.streamHead(request));
-                    endStream(out);
+                    continueLater(request, out, SHORT_MILLIS);
                 });
 
         assertWhole(send());
