Report a check's result also when its channel could not be created

A check that fails at once has no channel yet. Its result was to be reported by the channel's event loop and was lost in a NullPointerException, so that the request which waits for it would have waited until its deadline. No test: nothing but an ended event loop brings it about here.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -17,6 +17,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -52,6 +53,7 @@
      */
     private static final double AT_MOST_ONCE_IDLE_FRACTION = 0.5;
 
+    private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final HeaderNames names;
     private final MonotonicClock clock;
@@ -74,8 +76,9 @@
     public TargetConnections(EventLoopGroup group, HeaderNames names, MonotonicClock clock) {
         this.names = names;
         this.clock = clock;
+        loop = group.next();
         bootstrap = new Bootstrap()
-                .group(group)
+                .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.TARGET.allocator());
@@ -209,7 +212,7 @@
             }
             readPendingInput(target);
             // The ends of connections that were read are reported by tasks that the event loop has already queued.
-            connection.channel().eventLoop().execute(() -> onResult.accept(result));
+            loop.execute(() -> onResult.accept(result));
         });
     }
 
