Ask a port that doesn't answer once more before a response's end is decided

A busy host misses the answer to a check; a check that isn't answered tells nothing, and so it counted before. It is repeated once now, and decides nothing else. A killed process whose port doesn't answer at first refuses the second time.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TerminationEvidence.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TerminationEvidence.java
@@ -27,13 +27,10 @@
      * @return whether it did
      */
     public boolean isTermination() {
-        if (port == ConnectResult.CONNECTED || requestsInProgress > 0) {
+        if (port != ConnectResult.REFUSED || requestsInProgress > 0) {
             return false;
         }
         boolean closedInOrder = portClosedMillis >= TargetProcess.TERMINATION_MILLIS;
-        if (closedInOrder || port == ConnectResult.TIMED_OUT) {
-            return interruptedTogether > 0;
-        }
-        return true;
+        return !closedInOrder || interruptedTogether > 0;
     }
 }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
@@ -107,7 +107,16 @@
                     .computeIfAbsent(due.target(), target -> new ArrayList<>())
                     .add(due);
         }
-        dueByTarget.forEach((target, due) -> connections.check(target, result -> decide(target, due, result)));
+        dueByTarget.forEach((target, due) -> connections.check(target, result -> decideOrRepeat(target, due, result)));
+    }
+
+    /** A check that isn't answered tells nothing, so it is repeated once. */
+    private void decideOrRepeat(GatewayTarget target, List<UndecidedResponse> responses, ConnectResult result) {
+        if (result == ConnectResult.TIMED_OUT) {
+            connections.check(target, repeated -> decide(target, responses, repeated));
+        } else {
+            decide(target, responses, result);
+        }
     }
 
     private void decide(GatewayTarget target, List<UndecidedResponse> responses, ConnectResult result) {
