Keep an idle connection to a leaving target whose responses have no length

The last check's connection to a target that is known to leave is kept open and idle now. A process that ends closes it with the rest; if it is open 100 ms after the response's end, and no other request lost its connection with it, the target shuts down in order and the response is whole. It is closed a second after the last request there has ended.

Measured: the two new flow cases failed without the connection being kept until the decision; ResponseEndFlowTest (38) and TargetProcessTest (16) pass.

--- a/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetProcess.java
+++ b/rattanplank-core/src/main/java/org/rattanplank/core/gateway/TargetProcess.java
@@ -132,12 +132,15 @@
     }
 
     /**
-     * Returns whether any request is in progress.
+     * Returns whether any request is in progress, or was interrupted so lately that its response may not be decided on yet.
      *
+     * @param nowMillis the time
      * @return whether there is one
      */
-    public boolean isBusy() {
-        return !inProgress.isEmpty();
+    public boolean isBusy(long nowMillis) {
+        boolean interruptedLately = !interruptedAtMillis.isEmpty()
+                && nowMillis - interruptedAtMillis.peekLast() <= INTERRUPTIONS_KEPT_MILLIS;
+        return interruptedLately || !inProgress.isEmpty();
     }
 
     /**
@@ -159,7 +162,7 @@
     public boolean isPortCheckDue(boolean leaving, long nowMillis) {
         // The response to a plain request may have its head at its end, so those of a leaving target count from the
         // start.
-        boolean needed = !closeDelimited.isEmpty() || leaving && sendsCloseDelimited && isBusy();
+        boolean needed = !closeDelimited.isEmpty() || leaving && sendsCloseDelimited && !inProgress.isEmpty();
         long intervalMillis = leaving ? LEAVING_PORT_CHECK_INTERVAL_MILLIS : PORT_CHECK_INTERVAL_MILLIS;
         return needed && nowMillis - portCheckedAtMillis >= intervalMillis;
     }
@@ -181,16 +184,19 @@
      *
      * @param ended the response
      * @param port how the port has answered since
+     * @param idleConnectionOpen whether an idle connection that was opened before the end is still open
      * @return what is known
      */
-    public TerminationEvidence terminationEvidence(EndedResponse ended, ConnectResult port) {
+    public TerminationEvidence terminationEvidence(
+            EndedResponse ended, ConnectResult port, boolean idleConnectionOpen) {
         int requestsInProgress = (int) inProgress.stream()
                 .takeWhile(request -> request <= ended.lastRequest())
                 .count();
         int together = (int) interruptedAtMillis.stream()
                 .filter(at -> Math.abs(at - ended.endedAtMillis()) <= TOGETHER_MILLIS)
                 .count();
-        return new TerminationEvidence(port, ended.portClosedMillis(), requestsInProgress, Math.max(0, together - 1));
+        return new TerminationEvidence(
+                port, ended.portClosedMillis(), requestsInProgress, idleConnectionOpen, Math.max(0, together - 1));
     }
 
     /**
--- a/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetProcessTest.java
+++ b/rattanplank-core/src/test/java/org/rattanplank/core/gateway/TargetProcessTest.java
@@ -30,7 +30,7 @@
     }
 
     private boolean isTermination(EndedResponse ended, ConnectResult port) {
-        return process.terminationEvidence(ended, port).isTermination();
+        return process.terminationEvidence(ended, port, false).isTermination();
     }
 
     @Test
@@ -85,6 +85,15 @@
         assertTrue(isTermination(ended, ConnectResult.REFUSED));
     }
 
+    /** Guards against a sole whole response that counts as cut as its leaving target has closed its port just before. */
+    @Test
+    void shouldFindNoTerminationWhenAnIdleConnectionIsStillOpen() {
+        EndedResponse ended = end(process.requestSent());
+
+        assertFalse(
+                process.terminationEvidence(ended, ConnectResult.REFUSED, true).isTermination());
+    }
+
     /** Guards against a target that refused a connection once, and whose crash passes for an orderly end from then on. */
     @Test
     void shouldFindATerminationWhenThePortHasAcceptedSinceItWasClosed() {
@@ -173,6 +182,15 @@
         assertTrue(process.isPortCheckDue(true, 0));
     }
 
+    /** Guards against an idle connection that is closed by this host before a response is decided on. */
+    @Test
+    void shouldBeBusyWhenAResponseMayNotBeDecidedOnYet() {
+        end(process.requestSent());
+
+        assertTrue(process.isBusy(END_MILLIS + TargetProcess.TERMINATION_MILLIS));
+        assertFalse(process.isBusy(2 * END_MILLIS));
+    }
+
     @Test
     void shouldCountARequestOnceWhenItEndsTwice() {
         long request = process.requestSent();
@@ -181,10 +199,10 @@
         process.requestEnded(request);
         process.requestEnded(request);
 
-        assertFalse(process.isBusy());
+        assertFalse(process.isBusy(0));
         assertEquals(
                 0,
-                process.terminationEvidence(process.responseEnded(0), ConnectResult.REFUSED)
+                process.terminationEvidence(process.responseEnded(0), ConnectResult.REFUSED, false)
                         .requestsInProgress());
         process.closeDelimited(process.requestSent());
         assertTrue(process.isPortCheckDue(false, 0));
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
@@ -121,7 +121,7 @@
 
     private void decide(GatewayTarget target, List<UndecidedResponse> responses, ConnectResult result) {
         List<TerminationEvidence> evidence = responses.stream()
-                .map(each -> target.process().terminationEvidence(each.ended(), result))
+                .map(each -> evidence(target, each.ended(), result))
                 .toList();
         List<InterruptedRequest> suspects = new ArrayList<>();
         for (int i = 0; i < responses.size(); i++) {
@@ -136,6 +136,11 @@
         }
     }
 
+    private TerminationEvidence evidence(GatewayTarget target, EndedResponse ended, ConnectResult result) {
+        boolean idleConnectionOpen = connections.isIdleConnectionOpen(target, ended.endedAtMillis());
+        return target.process().terminationEvidence(ended, result, idleConnectionOpen);
+    }
+
     private void checked(GatewayTarget target, ConnectResult result) {
         List<Loss> losses = lossesByTarget.remove(target);
         List<InterruptedRequest> suspects = losses.stream().map(Loss::request).toList();
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -402,6 +402,7 @@
                 .with("decidedAfterMillis", decidedAfterMillis)
                 .with("portClosedMillis", evidence.portClosedMillis())
                 .with("requestsInProgress", evidence.requestsInProgress())
+                .with("idleConnectionOpen", evidence.idleConnectionOpen())
                 .with("interruptedTogether", evidence.interruptedTogether())
                 .with("leaving", target.isLeaving());
         if (evidence.port() == ConnectResult.CONNECTED) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnection.java
@@ -118,6 +118,11 @@
                 && nowMillis - idleSinceMillis < idleMillis * idleFraction;
     }
 
+    /** Returns whether it is open, and was idle at a time already. */
+    boolean isOpenSince(long millis) {
+        return channel.isActive() && idleSinceMillis <= millis;
+    }
+
     boolean isExpired(long nowMillis) {
         return nowMillis - idleSinceMillis >= idleMillis;
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -63,6 +63,9 @@
     /** Targets that have sent a response without a length and have requests of this host. */
     private final Set<GatewayTarget> targetsWithWatchedPort = new HashSet<>();
 
+    /** An idle connection to each watched target that leaves; it is left open for the target to close. */
+    private final Map<GatewayTarget, TargetConnection> idleByLeavingTarget = new HashMap<>();
+
     private long openedCount;
     private long checkCount;
 
@@ -142,8 +145,9 @@
     public void checkPorts() {
         long now = clock.nowMillis();
         for (GatewayTarget target : List.copyOf(targetsWithWatchedPort)) {
-            if (!target.process().isBusy()) {
+            if (!target.process().isBusy(now)) {
                 targetsWithWatchedPort.remove(target);
+                Option.of(idleByLeavingTarget.remove(target)).forEach(TargetConnection::close);
             } else if (target.process().isPortCheckDue(target.isLeaving(), now)) {
                 check(target, result -> {});
             }
@@ -202,7 +206,7 @@
             if (result == ConnectResult.CONNECTED) {
                 targetByConnection.put(connection, target);
                 connection.becomeIdle();
-                release(connection);
+                keepIdle(target, connection);
                 onResult.accept(result);
                 return;
             }
@@ -230,6 +234,26 @@
         return result;
     }
 
+    /** Keeps a check's connection for the next request, or, if its target leaves, to see whether the process goes on. */
+    private void keepIdle(GatewayTarget target, TargetConnection connection) {
+        if (target.isLeaving() && targetsWithWatchedPort.contains(target)) {
+            Option.of(idleByLeavingTarget.put(target, connection)).forEach(TargetConnection::close);
+        } else {
+            release(connection);
+        }
+    }
+
+    /**
+     * Returns whether the idle connection that was kept to a leaving target is still open.
+     *
+     * @param target the target
+     * @param beforeMillis the time at which it must have been open already
+     * @return whether it is
+     */
+    public boolean isIdleConnectionOpen(GatewayTarget target, long beforeMillis) {
+        return Option.of(idleByLeavingTarget.get(target)).exists(connection -> connection.isOpenSince(beforeMillis));
+    }
+
     private void readPendingInput(GatewayTarget target) {
         List.copyOf(targetByConnection.entrySet()).stream()
                 .filter(each -> each.getValue() == target)
--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/ResponseEndFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/ResponseEndFlowTest.java
@@ -293,6 +293,24 @@
         assertEquals(1, countWhole(responses));
     }
 
+    /** Guards against a whole stream that is cut because its leaving target closes its port just before it ends. */
+    @ParameterizedTest
+    @EnumSource(names = {"ENTRY", "HEADER"})
+    void shouldDeliverAWholeStreamWhenItsLeavingTargetClosesItsPortJustBefore(Announcement announcement)
+            throws Exception {
+        startDirect(Form.STREAM);
+        ScriptedTarget target = addTarget(Form.STREAM, announcement, 1);
+        List<Future<TestResponse>> responses = sendAll(1);
+        target.awaitBegun(1);
+        target.announce(announcement);
+        pause(LONG_PORT_CLOSED_MILLIS);
+
+        target.closePort();
+        target.endAtOnce(1);
+
+        assertEquals(1, countWhole(responses));
+    }
+
     /** Guards against a whole plain response that is cut because its target had closed its port before its head came. */
     @Test
     void shouldDeliverAWholePlainResponseWhenItIsTheOnlyOneOfALeavingTargetThatHasClosedItsPort() throws Exception {
