Let a takeover at the backup pass the quarantine's gate, and share the time of a termination

Every way to a target was meant to lead through LocalAttempt.connect, which rejects quarantined requests; the takeover at a backup sent past it. It asks whether the request may be retried, which quarantined ones may not, so that none is known to have got through; the gate is one method for both now. CrashDetector's second check had a constant of its own for the time in which a process ends.

--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/CrashDetector.java
@@ -29,8 +29,6 @@
  * ends may accept connections for a moment longer, so a second check follows a loss. Confined to the event loop.
  */
 final class CrashDetector {
-    private static final long SECOND_CHECK_AFTER_MILLIS = 100;
-
     private final TargetConnections connections;
     private final RequestQuarantine quarantine;
     private final LongSupplier clock;
@@ -148,7 +146,7 @@
             // Before the actions: other hosts must know of the crash before a caller can send the request again.
             recordCrash(target, suspects);
         } else {
-            secondChecks.add(new SecondCheck(target, suspects, clock.getAsLong() + SECOND_CHECK_AFTER_MILLIS));
+            secondChecks.add(new SecondCheck(target, suspects, clock.getAsLong() + TargetProcess.TERMINATION_MILLIS));
         }
         losses.forEach(loss -> loss.onChecked().run());
     }
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/pass/LocalAttempt.java
@@ -300,15 +300,19 @@
         listener.failed(hasRun ? AttemptFailure.UNKNOWN : failure, reason);
     }
 
-    /** Sends the request to a target; every way to a target leads through here. */
     private void connect(TargetChoice choice, TargetCall sentCall) {
-        if (state.quarantine().isQuarantined(call.request())) {
-            failed(AttemptFailure.QUARANTINED, state.quarantine().reason(call.request()));
-            return;
-        }
         sentAtMillis = state.nowMillis();
         firstContentAtMillis = Option.none();
-        attempt = Option.some(state.connections().send(choice, sentCall, this));
+        sendUnlessQuarantined(choice, sentCall, this).forEach(sent -> attempt = Option.some(sent));
+    }
+
+    /** Sends the request to a target; every way to a target leads through here. */
+    private Option<Attempt> sendUnlessQuarantined(TargetChoice choice, TargetCall sentCall, AttemptListener receiver) {
+        if (state.quarantine().isQuarantined(call.request())) {
+            receiver.failed(AttemptFailure.QUARANTINED, state.quarantine().reason(call.request()));
+            return Option.none();
+        }
+        return Option.some(state.connections().send(choice, sentCall, receiver));
     }
 
     private InterruptedRequest interruptedRequest() {
@@ -361,7 +365,7 @@
         state.charges().chargeAgain(call.request());
         TargetCall continuation =
                 call.failOver(work, deadlineMillis - nowMillis, events.get().lastEventId());
-        started.started(state.connections().send(failoverChoice(other), continuation, started));
+        sendUnlessQuarantined(failoverChoice(other), continuation, started).forEach(started::started);
     }
 
     private static TargetChoice failoverChoice(GatewayTarget other) {
--- a/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
+++ b/rattanplank-gateway/src/main/java/org/rattanplank/gateway/target/TargetConnections.java
@@ -210,8 +210,8 @@
                 onResult.accept(result);
                 return;
             }
-            // The check is too short to tell an unreachable target from one lost packet.
             if (result == ConnectResult.REFUSED) {
+                // A check is too short to tell an unreachable target from one lost packet, so a timeout isn't recorded.
                 target.recordUnreachable(clock.nowMillis());
             }
             readPendingInput(target);
