--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/PlannedStops.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/PlannedStops.java
@@ -133,7 +133,8 @@
         return List.of(
                 new Step(beginMillis, SoakFault.REPLICA_SHUTS_DOWN + " " + replica, () -> beginShutdown(replica)),
                 new Step(closeMillis, replica + " closes its port", link::closePort),
-                new Step(closeMillis + SHUTDOWN_MILLIS, replica + " is replaced", () -> endShutdown(replica)));
+                new Step(
+                        closeMillis + SHUTDOWN_MILLIS, replica + " is replaced", () -> site.replaceIfPresent(replica)));
     }
 
     private void beginShutdown(String replica) {
@@ -141,13 +142,6 @@
         site.beginShutdown(replica);
     }
 
-    /** The fault that is drawn beside it may have replaced the replica already. */
-    private void endShutdown(String replica) {
-        if (site.replicaIds().contains(replica)) {
-            site.replaceReplica(replica);
-        }
-    }
-
     /** Starts the hosts again that have ended, some as soon as they have, as in a rolling restart. */
     private void inject(List<Step> steps) {
         boolean restartsAtOnce = draw.nextBoolean();
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/Soak.java
@@ -402,8 +402,8 @@
     private void removeLeaving(String replica) {
         if (activeStoreOutages > 0) {
             scheduleRepair(RETRY_MILLIS, () -> removeLeaving(replica));
-        } else if (site.replicaIds().contains(replica)) {
-            site.replaceReplica(replica);
+        } else {
+            site.replaceIfPresent(replica);
         }
     }
 
--- a/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
+++ b/rattanplank-bench/src/main/java/org/rattanplank/bench/soak/SoakSite.java
@@ -230,6 +230,13 @@
         addReplica(id.split("-")[1], id.startsWith("w"));
     }
 
+    /** Replaces a replica unless another fault has done so already. */
+    void replaceIfPresent(String id) {
+        if (replicaLinks.containsKey(id)) {
+            replaceReplica(id);
+        }
+    }
+
     /** Makes a replica name a limit in its responses, or none any more. */
     void limitReplica(String id, Option<String> perSecond) {
         perSecond.forEach(limit -> limitsByReplica.put(id, limit));
@@ -305,9 +312,7 @@
     /** Starts a replica in place of each that has crashed, under a new identifier. */
     void replaceCrashedReplicas() {
         for (String id = crashedReplicas.poll(); id != null; id = crashedReplicas.poll()) {
-            if (replicaLinks.containsKey(id)) {
-                replaceReplica(id);
-            }
+            replaceIfPresent(id);
         }
     }
 
