--- a/rattanplank-gateway/src/test/java/org/rattanplank/gateway/ResponseEndFlowTest.java
+++ b/rattanplank-gateway/src/test/java/org/rattanplank/gateway/ResponseEndFlowTest.java
@@ -155,8 +155,11 @@
             }
         }
 
-        void awaitBegun(int responses) throws InterruptedException {
-            assertTrue(begun.tryAcquire(responses, 20, TimeUnit.SECONDS), "the responses haven't begun");
+        /** Sends requests, and waits until their responses have begun. */
+        List<Future<TestResponse>> begin(int requests) throws InterruptedException {
+            List<Future<TestResponse>> responses = sendAll(requests);
+            assertTrue(begun.tryAcquire(requests, 20, TimeUnit.SECONDS), "the responses haven't begun");
+            return responses;
         }
 
         void closePort() throws IOException {
@@ -237,8 +240,7 @@
     private void checkOrderlyEnd(Form form, Announcement announcement) throws Exception {
         ScriptedTarget target = addTarget(form, announcement, RESPONSES);
         entry.awaitServed(() -> send(FIRST_REQUEST).status().equals("200"));
-        List<Future<TestResponse>> responses = sendAll(RESPONSES);
-        target.awaitBegun(RESPONSES);
+        List<Future<TestResponse>> responses = target.begin(RESPONSES);
 
         target.announce(announcement);
         target.closePort();
@@ -282,8 +284,7 @@
             throws Exception {
         startDirect(Form.STREAM);
         ScriptedTarget target = addTarget(Form.STREAM, announcement, 1);
-        List<Future<TestResponse>> responses = sendAll(1);
-        target.awaitBegun(1);
+        List<Future<TestResponse>> responses = target.begin(1);
 
         target.announce(announcement);
         target.closePort();
@@ -300,8 +301,7 @@
             throws Exception {
         startDirect(Form.STREAM);
         ScriptedTarget target = addTarget(Form.STREAM, announcement, 1);
-        List<Future<TestResponse>> responses = sendAll(1);
-        target.awaitBegun(1);
+        List<Future<TestResponse>> responses = target.begin(1);
         target.announce(announcement);
         pause(LONG_PORT_CLOSED_MILLIS);
 
@@ -316,13 +316,11 @@
     void shouldDeliverAWholePlainResponseWhenItIsTheOnlyOneOfALeavingTargetThatHasClosedItsPort() throws Exception {
         startDirect(Form.UNSAFE);
         ScriptedTarget target = addTarget(Form.UNSAFE, Announcement.ENTRY, 1);
-        List<Future<TestResponse>> earlier = sendAll(1);
-        target.awaitBegun(1);
+        List<Future<TestResponse>> earlier = target.begin(1);
         target.endAtOnce(1);
         assertEquals(1, countWhole(earlier));
         pause(PORT_CLOSED_MILLIS);
-        List<Future<TestResponse>> responses = sendAll(1);
-        target.awaitBegun(1);
+        List<Future<TestResponse>> responses = target.begin(1);
 
         target.announce(Announcement.ENTRY);
         target.closePort();
@@ -348,8 +346,7 @@
     void shouldFailResponsesWhenTheProcessOfTheirTargetEnds(Form form, Announcement announcement) throws Exception {
         startDirect(form);
         ScriptedTarget target = addTarget(form, announcement, RESPONSES);
-        List<Future<TestResponse>> responses = sendAll(RESPONSES);
-        target.awaitBegun(RESPONSES);
+        List<Future<TestResponse>> responses = target.begin(RESPONSES);
 
         target.announce(announcement);
         target.closePort();
@@ -374,8 +371,7 @@
             Form form, Announcement announcement, long portOpenMillis) throws Exception {
         startDirect(form);
         ScriptedTarget target = addTarget(form, announcement, RESPONSES);
-        List<Future<TestResponse>> responses = sendAll(RESPONSES);
-        target.awaitBegun(RESPONSES);
+        List<Future<TestResponse>> responses = target.begin(RESPONSES);
 
         target.announce(announcement);
         target.endAtOnce(RESPONSES);
@@ -390,8 +386,7 @@
     void shouldFailResponsesWhenATargetThatHasClosedItsPortIsKilled() throws Exception {
         startDirect(Form.STREAM);
         ScriptedTarget target = addTarget(Form.STREAM, Announcement.ENTRY, RESPONSES);
-        List<Future<TestResponse>> responses = sendAll(RESPONSES);
-        target.awaitBegun(RESPONSES);
+        List<Future<TestResponse>> responses = target.begin(RESPONSES);
 
         target.announce(Announcement.ENTRY);
         target.closePort();
@@ -408,8 +403,7 @@
         for (int i = 0; i < RESPONSES; i++) {
             ScriptedTarget leaving = new ScriptedTarget("t" + i, Form.UNSAFE, Announcement.NONE, 2);
             serving.awaitTargets(i + 1);
-            List<Future<TestResponse>> responses = sendAll(2);
-            leaving.awaitBegun(2);
+            List<Future<TestResponse>> responses = leaving.begin(2);
             leaving.closePort();
             leaving.endInOrder(2);
             assertEquals(2, countWhole(responses));
